--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Entry points for developers and CI. Each target installs what it needs.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+
+.PHONY: setup build test demo lint format check-format bench clean
+
+setup:
+	@misc/setup.sh
+
+build: setup
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=Release > $(BUILD)-configure.log 2>&1 || (cat $(BUILD)-configure.log; exit 1)
+	@mkdir -p $(BUILD) && mv $(BUILD)-configure.log $(BUILD)/configure.log
+	@cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	@ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
+
+demo: build
+	@python3 misc/demo.py --build $(BUILD) $(if $(KEEP),--keep)
+
+check-format: setup
+	@misc/check_format.sh
+
+format: setup
+	@misc/check_format.sh --fix
+
+lint: build
+	@misc/lint.sh $(BUILD)
+
+bench: build
+	@misc/bench.sh $(BUILD)
+
+clean:
+	rm -rf build build-*
--- /dev/null
+++ b/core/bounded_ring.h
@@ -0,0 +1,38 @@
+#ifndef CORE_BOUNDED_RING_H_
+#define CORE_BOUNDED_RING_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace shallot {
+
+/// Work handed from one thread to another.
+using Task = std::function<void()>;
+
+/// A bounded ring of tasks from many threads to one. A full ring refuses: it neither blocks nor
+/// drops. `wake` runs after each accepted task, on the posting thread.
+class TaskRing {
+ public:
+  TaskRing(size_t capacity, std::function<void()> wake);
+  ~TaskRing();
+  TaskRing(const TaskRing&) = delete;
+  TaskRing& operator=(const TaskRing&) = delete;
+
+  /// Returns false and leaves `task` unused when the ring is full.
+  [[nodiscard]] bool TryPost(const Task& task);
+  /// Posts a completion, which must not be lost: yields until there is room.
+  /// Only for threads that the owner of the ring never waits for.
+  void PostCompletion(const Task& task);
+  /// Runs up to `limit` tasks on the calling thread; returns how many ran.
+  size_t RunPending(size_t limit);
+
+ private:
+  struct Queue;
+  std::unique_ptr<Queue> queue_;
+  std::function<void()> wake_;
+};
+
+}  // namespace shallot
+
+#endif  // CORE_BOUNDED_RING_H_
--- /dev/null
+++ b/core/log.cc
@@ -0,0 +1,108 @@
+#include "core/log.h"
+
+#include <array>
+#include <atomic>
+#include <boost/log/core.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/shared_ptr.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
+#include <chrono>
+#include <ctime>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace shallot {
+namespace {
+
+namespace logging = boost::log;
+
+struct LogState {
+  std::atomic<LogLevel> level{LogLevel::kWarning};
+  std::atomic<LogFormat> format{LogFormat::kText};
+  std::string process_name;
+};
+
+LogState& State() {
+  static LogState state;
+  return state;
+}
+
+const char* LevelName(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "error";
+}
+
+std::string Timestamp() {
+  const auto now = std::chrono::system_clock::now();
+  const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
+  const auto millis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
+  std::tm utc{};
+  gmtime_r(&seconds, &utc);
+  std::array<char, 40> text{};
+  const size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &utc);
+  std::snprintf(text.data() + length, text.size() - length, ".%03dZ", static_cast<int>(millis));
+  return text.data();
+}
+
+std::string FormatText(LogLevel level, std::string_view part, std::string_view message,
+                       std::string_view request_id) {
+  std::string line =
+      Timestamp() + " " + LevelName(level) + " " + std::string(part) + ": " + std::string(message);
+  if (!request_id.empty()) line += " request=" + std::string(request_id);
+  return line;
+}
+
+std::string FormatJson(LogLevel level, std::string_view part, std::string_view message,
+                       std::string_view request_id) {
+  nlohmann::json line = {{"time", Timestamp()},
+                         {"level", LevelName(level)},
+                         {"process", State().process_name},
+                         {"part", std::string(part)},
+                         {"message", std::string(message)}};
+  if (!request_id.empty()) line["request"] = std::string(request_id);
+  return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void AddStderrSink() {
+  using Sink = logging::sinks::synchronous_sink<logging::sinks::text_ostream_backend>;
+  auto sink = boost::make_shared<Sink>();
+  sink->locked_backend()->add_stream(
+      boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
+  sink->locked_backend()->auto_flush(true);
+  logging::core::get()->add_sink(sink);
+}
+
+}  // namespace
+
+void InitLogging(LogLevel level, LogFormat format, const std::string& process_name) {
+  State().level = level;
+  State().format = format;
+  State().process_name = process_name;
+}
+
+void Log(LogLevel level, std::string_view part, std::string_view message,
+         std::string_view request_id) {
+  if (level < State().level.load(std::memory_order_relaxed)) return;
+  static const bool kSinkAdded = (AddStderrSink(), true);
+  (void)kSinkAdded;
+  static thread_local logging::sources::severity_logger<LogLevel> logger;
+  const std::string line = State().format.load() == LogFormat::kJson
+                               ? FormatJson(level, part, message, request_id)
+                               : FormatText(level, part, message, request_id);
+  BOOST_LOG(logger) << line;
+}
+
+}  // namespace shallot
--- /dev/null
+++ b/misc/bench.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Runs every benchmark once; each prints one JSON object per line.
+# Usage: misc/bench.sh BUILD_DIR
+set -euo pipefail
+cd "$(dirname "$0")/.."
+for program in "$1"/*_bench; do
+  "$program"
+done
--- /dev/null
+++ b/servers/messages.h
@@ -0,0 +1,176 @@
+#ifndef SERVERS_MESSAGES_H_
+#define SERVERS_MESSAGES_H_
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "servers/call.h"
+#include "servers/slot.h"
+
+namespace shallot {
+
+enum class PeerRole { kRouter, kAgent };
+
+/// Load of a runner, or of a router (only `running` and `queued`).
+struct LoadSummary {
+  uint64_t running = 0;
+  uint64_t queued = 0;
+  /// Calls that the engine serves at once without slowing down; 0 when unknown.
+  uint64_t concurrency = 0;
+  /// Mean time from start to end of recent calls.
+  Millis mean_service{0};
+  Bytes memory_capacity;
+  Bytes memory_reserved;
+  std::vector<EntryId> loaded;
+  /// Checkpoints cached in host memory, then on disk.
+  std::vector<EntryId> cached_in_memory;
+  std::vector<EntryId> cached_on_disk;
+  /// False while the engine does not answer.
+  bool serving = true;
+
+  bool operator==(const LoadSummary&) const = default;
+};
+
+/// First message in each direction on a connection.
+struct Hello {
+  InstanceId sender;
+  Incarnation incarnation;
+  PeerRole role = PeerRole::kRouter;
+  /// Runner of an agent; empty for a router.
+  RunnerId runner;
+  FailureDomain failure_domain;
+  ConfigRevision config_revision;
+  bool draining = false;
+
+  bool operator==(const Hello&) const = default;
+};
+
+/// Sent every 500 ms in both directions; an agent that starts to drain sends one at once.
+struct Heartbeat {
+  uint64_t sequence = 0;
+  ConfigRevision config_revision;
+  bool draining = false;
+  LoadSummary load;
+
+  bool operator==(const Heartbeat&) const = default;
+};
+
+struct CallStart {
+  Call call;
+  bool operator==(const CallStart&) const = default;
+};
+
+struct CallCancel {
+  CallId call;
+  Attempt attempt;
+  bool operator==(const CallCancel&) const = default;
+};
+
+/// Asks for all frames from `offset` on, and the outcome, on the connection it arrives on.
+struct CallResume {
+  CallId call;
+  Attempt attempt;
+  uint64_t offset = 0;
+  bool operator==(const CallResume&) const = default;
+};
+
+struct CallFrame {
+  CallId call;
+  Attempt attempt;
+  /// Position of the first byte of `payload` in the answer.
+  uint64_t offset = 0;
+  std::string payload;
+  bool operator==(const CallFrame&) const = default;
+};
+
+/// Follows the last frame. For kCompleted, `outcome.total_length` is the length of the answer.
+struct CallOutcome {
+  CallId call;
+  Attempt attempt;
+  Outcome outcome;
+  bool operator==(const CallOutcome&) const = default;
+};
+
+/// The router has the outcome and the whole answer; the agent may forget the call.
+struct CallAck {
+  CallId call;
+  Attempt attempt;
+  bool operator==(const CallAck&) const = default;
+};
+
+/// All slots of one shard on the receiving runner. Replaces older grants of the shard.
+struct SlotGrant {
+  ShardId shard;
+  StoreVersion version;
+  /// Incarnation of the agent before whose start the placement was certainly not read.
+  Incarnation incarnation;
+  std::vector<Slot> slots;
+  bool operator==(const SlotGrant&) const = default;
+};
+
+/// The runner has unloaded the entry and will not load it under this generation again.
+struct SlotReleased {
+  ShardId shard;
+  EntryId entry;
+  RunnerId runner;
+  Generation generation;
+  bool operator==(const SlotReleased&) const = default;
+};
+
+struct ConfigPull {
+  ConfigRevision known;
+  bool operator==(const ConfigPull&) const = default;
+};
+
+struct ConfigPush {
+  ConfigRevision revision;
+  /// Text of `config/head`.
+  std::string head;
+  /// Text of the snapshot that the head builds on; empty when the receiver already has it.
+  std::string snapshot;
+  bool operator==(const ConfigPush&) const = default;
+};
+
+enum class LoadKind { kModel, kAdapter };
+
+struct LoadPermitRequest {
+  uint64_t permit_id = 0;
+  RunnerId runner;
+  EntryId entry;
+  LoadKind kind = LoadKind::kModel;
+  /// Time left until the earliest deadline of the calls that wait for the load.
+  Millis remaining{0};
+  bool operator==(const LoadPermitRequest&) const = default;
+};
+
+struct LoadPermit {
+  uint64_t permit_id = 0;
+  RunnerId runner;
+  /// The permit expires by itself after this time.
+  Millis valid_for{0};
+  bool operator==(const LoadPermit&) const = default;
+};
+
+struct LoadPermitReturn {
+  uint64_t permit_id = 0;
+  RunnerId runner;
+  bool operator==(const LoadPermitReturn&) const = default;
+};
+
+struct DrainOrder {
+  std::string reason;
+  Millis grace{0};
+  bool operator==(const DrainOrder&) const = default;
+};
+
+/// Everything that travels between processes of the system.
+using Message = std::variant<Hello, Heartbeat, CallStart, CallCancel, CallResume, CallFrame,
+                             CallOutcome, CallAck, SlotGrant, SlotReleased, ConfigPull, ConfigPush,
+                             LoadPermitRequest, LoadPermit, LoadPermitReturn, DrainOrder>;
+
+}  // namespace shallot
+
+#endif  // SERVERS_MESSAGES_H_
