--- /dev/null
+++ b/servers/config_replica.h
@@ -0,0 +1,43 @@
+#ifndef SERVERS_CONFIG_REPLICA_H_
+#define SERVERS_CONFIG_REPLICA_H_
+
+#include <memory>
+#include <string>
+
+#include "core/ids.h"
+#include "core/invariant.h"
+#include "core/result.h"
+#include "servers/fleet_config.h"
+#include "servers/messages.h"
+
+namespace shallot {
+
+/// The newest configuration that this process knows. Its revision only rises.
+class ConfigReplica {
+ public:
+  explicit ConfigReplica(InvariantMonitor* invariants);
+
+  /// Takes over a pushed or read configuration. Returns true when it was newer and is now in
+  /// force, false when it was not newer. kInvalidArgument: it cannot be parsed; the old one stays.
+  /// kNotFound: it builds on a snapshot that this process does not have; pull with revision 0.
+  Result<bool> Apply(const ConfigPush& push);
+  /// What a peer that knows `known` needs; the snapshot is included only when it lacks it.
+  ConfigPush MakePush(ConfigRevision known) const;
+  /// Null until the first configuration was applied.
+  std::shared_ptr<const FleetConfig> current() const { return config_; }
+  /// 0 until the first configuration was applied.
+  ConfigRevision revision() const;
+  /// Text of the head and the snapshot in force.
+  const std::string& head() const { return head_; }
+  const std::string& snapshot() const { return snapshot_; }
+
+ private:
+  InvariantMonitor* invariants_;
+  std::shared_ptr<const FleetConfig> config_;
+  std::string head_;
+  std::string snapshot_;
+};
+
+}  // namespace shallot
+
+#endif  // SERVERS_CONFIG_REPLICA_H_
--- /dev/null
+++ b/servers/router_core.h
@@ -0,0 +1,111 @@
+#ifndef SERVERS_ROUTER_CORE_H_
+#define SERVERS_ROUTER_CORE_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/invariant.h"
+#include "core/metrics.h"
+#include "servers/call.h"
+#include "servers/control_plane.h"
+#include "servers/peer_link.h"
+
+namespace shallot {
+
+/// Identity of a router, from its settings.
+struct RouterOptions {
+  InstanceId id;
+  Incarnation incarnation;
+  FailureDomain failure_domain;
+  Region region;
+  /// Calls in progress over all classes; beyond it calls are refused.
+  uint64_t max_calls = 2048;
+  /// Seed of replica choice and jitter.
+  uint64_t seed = 1;
+};
+
+/// Receives the answer of a caller's request on the core's thread; must not block.
+class CallerSink {
+ public:
+  virtual ~CallerSink() = default;
+  /// Once, before any data; only when there is an answer from a backend server.
+  virtual void OnBegin(int http_status, const std::string& content_type) = 0;
+  /// The next bytes of the answer, without gaps.
+  virtual void OnData(const std::string& payload) = 0;
+  /// Exactly once, last.
+  virtual void OnEnd(const Outcome& outcome) = 0;
+};
+
+/// A request as the caller interface understood it.
+struct CallerRequest {
+  RequestId request_id;
+  EntryId entry;
+  BackendName service;
+  /// Class that the caller asked for; empty for the route's or kInteractive.
+  std::string call_class;
+  /// Zero: the deadline of the class.
+  Millis deadline{0};
+  IdempotencyKey idempotency_key;
+  /// Answer bytes are passed on as they come; otherwise only a whole answer is.
+  bool stream = false;
+  std::string method;
+  std::string path;
+  std::string content_type;
+  std::string body;
+};
+
+struct RouterEnvironment {
+  const Clock* clock = nullptr;
+  PeerLink* link = nullptr;
+  ControlPlane* control = nullptr;
+  MetricsRegistry* metrics = nullptr;
+  InvariantMonitor* invariants = nullptr;
+};
+
+/// The decisions of a router about calls: admission, replica choice, retries, resumes, outcomes.
+/// Owns the connections to agents and other routers. Single threaded and without I/O.
+class RouterCore final : public ControlListener {
+ public:
+  RouterCore(RouterOptions options, RouterEnvironment environment);
+  ~RouterCore() override;
+  RouterCore(const RouterCore&) = delete;
+  RouterCore& operator=(const RouterCore&) = delete;
+
+  /// Takes a request over. The sink gets exactly one outcome by the deadline.
+  CallId Submit(const CallerRequest& request, std::shared_ptr<CallerSink> sink);
+  /// The caller went away.
+  void CancelByCaller(const CallId& call);
+
+  /// A message on a connection that this router opened, or that another router opened to it.
+  void OnMessage(ConnectionId connection, const Message& message);
+  void OnDisconnect(ConnectionId connection);
+  /// Call at least every 20 ms.
+  void OnTick();
+
+  /// Refuses new requests and lets running ones finish.
+  void BeginDrain();
+  bool Drained() const;
+  /// True when a configuration is in force and at least one instance list was seen.
+  bool Ready() const;
+  /// Configuration in force, or null.
+  std::shared_ptr<const FleetConfig> config() const;
+  /// JSON object for /status: runners, what is loaded where and why, refusals by reason, revisions.
+  std::string StatusJson() const;
+
+  void OnConfig(const std::shared_ptr<const FleetConfig>& config) override;
+  void OnPlacement(const ShardPlacement& placement) override;
+  void OnInstances(const std::vector<InstanceRecord>& instances) override;
+  void SendToRunner(const RunnerId& runner, const Message& message) override;
+  void SendToRouter(const InstanceId& router, const Message& message) override;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace shallot
+
+#endif  // SERVERS_ROUTER_CORE_H_
