Include the clock header that the weight store interface uses

Cause: the header did not compile alone. Change: one include. Measured: g++ -fsyntax-only passes on each header in servers.

--- a/servers/weight_store.h
+++ b/servers/weight_store.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 
+#include "core/clock.h"
 #include "core/ids.h"
 #include "core/result.h"
 
