--- a/core/metrics.cc
+++ b/core/metrics.cc
@@ -9,11 +9,17 @@
 
 std::string BaseName(const std::string& name) { return name.substr(0, name.find('{')); }
 
-/// Labels without braces, followed by a comma when there are any.
-std::string LabelPrefix(const std::string& name) {
+/// Labels with their braces, or "" when there are none.
+std::string Labels(const std::string& name) {
   const size_t open = name.find('{');
-  if (open == std::string::npos) return "";
-  return name.substr(open + 1, name.size() - open - 2) + ",";
+  return open == std::string::npos ? "" : name.substr(open);
+}
+
+/// The labels of a bucket: those of the histogram and its upper bound.
+std::string BucketLabels(const std::string& labels, const std::string& bound) {
+  const std::string own = "le=\"" + bound + "\"}";
+  if (labels.empty()) return "{" + own;
+  return labels.substr(0, labels.size() - 1) + "," + own;
 }
 
 std::string FormatSeconds(Duration duration) {
@@ -34,17 +40,17 @@
 void RenderHistogram(const std::string& name, const LatencyHistogram& histogram,
                      std::string& text) {
   const std::string base = BaseName(name);
-  const std::string labels = LabelPrefix(name);
+  const std::string labels = Labels(name);
   uint64_t cumulative = 0;
   for (size_t i = 0; i < LatencyHistogram::kBuckets; ++i) {
     cumulative += histogram.BucketCount(i);
     const bool last = i + 1 == LatencyHistogram::kBuckets;
     const std::string bound = last ? "+Inf" : FormatSeconds(LatencyHistogram::UpperBound(i));
     text +=
-        base + "_bucket{" + labels + "le=\"" + bound + "\"} " + std::to_string(cumulative) + "\n";
+        base + "_bucket" + BucketLabels(labels, bound) + " " + std::to_string(cumulative) + "\n";
   }
-  text += base + "_sum{" + labels + "} " + FormatSeconds(histogram.Sum()) + "\n";
-  text += base + "_count{" + labels + "} " + std::to_string(cumulative) + "\n";
+  text += base + "_sum" + labels + " " + FormatSeconds(histogram.Sum()) + "\n";
+  text += base + "_count" + labels + " " + std::to_string(cumulative) + "\n";
 }
 
 }  // namespace
