--- /dev/null
+++ b/bench/trace.cc
@@ -0,0 +1,199 @@
+#include "bench/trace.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/random.h"
+
+namespace shallot::bench {
+namespace {
+
+constexpr double kZipfExponent = 0.9;
+constexpr uint64_t kGigabyte = 1'000'000'000;
+constexpr double kSecondsPerDay = 86'400;
+constexpr double kSecondsPerHour = 3'600;
+
+Duration FromSeconds(double seconds) { return Duration(static_cast<int64_t>(seconds * 1e9)); }
+
+EntryId ModelId(int index) { return EntryId("model-" + std::to_string(index)); }
+
+EntryId AdapterId(int index) { return EntryId("adapter-" + std::to_string(index)); }
+
+/// Picks indexes with Zipf popularity.
+class ZipfPicker {
+ public:
+  explicit ZipfPicker(int count) {
+    double sum = 0;
+    for (int i = 1; i <= count; ++i) {
+      sum += 1.0 / std::pow(i, kZipfExponent);
+      cumulative_.push_back(sum);
+    }
+  }
+
+  int Pick(Random& random) const {
+    const double target = random.Unit() * cumulative_.back();
+    const auto it = std::upper_bound(cumulative_.begin(), cumulative_.end(), target);
+    return static_cast<int>(it - cumulative_.begin());
+  }
+
+ private:
+  std::vector<double> cumulative_;
+};
+
+CallClass PickClass(const TraceShape& shape, Random& random) {
+  double target = random.Unit();
+  for (int i = 0; i < kCallClassCount; ++i) {
+    target -= shape.class_shares[i];
+    if (target < 0) return static_cast<CallClass>(i);
+  }
+  return CallClass::kBatch;
+}
+
+/// Relative demand at a time of day: a half sine over the working day and a tenth of its peak
+/// at other times.
+double DailyShape(const TraceShape& shape, double second_of_day) {
+  constexpr double kNightLevel = 0.1;
+  const double hour = second_of_day / kSecondsPerHour;
+  if (hour < shape.day_begin_hour || hour >= shape.day_end_hour) return kNightLevel;
+  const double position =
+      (hour - shape.day_begin_hour) / (shape.day_end_hour - shape.day_begin_hour);
+  return std::max(kNightLevel, std::sin(position * M_PI));
+}
+
+class TraceBuilder {
+ public:
+  TraceBuilder(const TraceShape& shape, uint64_t seed)
+      : shape_(shape), random_(seed), picker_(shape.models + shape.adapters) {
+    // A fixed shuffle, so that popularity does not follow the kind of the entry.
+    for (int i = 0; i < shape.models; ++i) entries_.push_back(ModelId(i));
+    for (int i = 0; i < shape.adapters; ++i) entries_.push_back(AdapterId(i));
+    for (size_t i = entries_.size() - 1; i > 0; --i) {
+      std::swap(entries_[i], entries_[random_.Below(i + 1)]);
+    }
+  }
+
+  std::vector<TraceCall> Build(int days) {
+    const double end = days * kSecondsPerDay;
+    // Thinning of a Poisson process at the peak rate; the mean of the shape is about a third.
+    const double peak_rate = shape_.sessions_per_day / kSecondsPerDay * 3;
+    for (double at = random_.Exponential(1 / peak_rate); at < end;
+         at += random_.Exponential(1 / peak_rate)) {
+      if (random_.Unit() < DailyShape(shape_, std::fmod(at, kSecondsPerDay))) AddSession(at, end);
+    }
+    std::stable_sort(calls_.begin(), calls_.end(),
+                     [](const TraceCall& a, const TraceCall& b) { return a.at < b.at; });
+    return std::move(calls_);
+  }
+
+ private:
+  void AddSession(double at, double end) {
+    const EntryId& entry = entries_[static_cast<size_t>(picker_.Pick(random_))];
+    const auto burst = 1 + random_.Below(static_cast<uint64_t>(shape_.opening_burst));
+    for (uint64_t i = 0; i < burst; ++i) AddCall(at, entry);
+    const double more = random_.Exponential(shape_.calls_per_session);
+    const double gap = std::chrono::duration<double>(shape_.gap_in_session).count();
+    for (double i = 0; i < more; ++i) {
+      at += random_.Exponential(gap);
+      if (at >= end) return;
+      AddCall(at, entry);
+    }
+  }
+
+  void AddCall(double at, const EntryId& entry) {
+    const double mean = std::chrono::duration<double, std::milli>(shape_.mean_service).count();
+    TraceCall call;
+    call.at = FromSeconds(at);
+    call.entry = entry;
+    call.call_class = PickClass(shape_, random_);
+    call.service = Millis(1 + static_cast<int64_t>(random_.Exponential(mean)));
+    calls_.push_back(call);
+  }
+
+  const TraceShape& shape_;
+  Random random_;
+  ZipfPicker picker_;
+  std::vector<EntryId> entries_;
+  std::vector<TraceCall> calls_;
+};
+
+}  // namespace
+
+TraceShape OrderDeskShape() {
+  TraceShape shape;
+  shape.name = "order_desk";
+  shape.backend = BackendName("proof-writer");
+  shape.runners = 12;
+  shape.models = 40;
+  shape.adapters = 80;
+  shape.runner_memory = Bytes(80 * kGigabyte);
+  shape.model_size = Bytes(16 * kGigabyte);
+  shape.model_kv_cache = Bytes(6 * kGigabyte);
+  shape.adapter_size = Bytes(kGigabyte / 5);
+  shape.sessions_per_day = 900;
+  shape.calls_per_session = 8;
+  shape.gap_in_session = Seconds(25);
+  shape.opening_burst = 6;
+  shape.mean_service = Millis(2'500);
+  shape.class_shares = {0.1, 0.2, 0.5, 0.0, 0.2};
+  shape.day_begin_hour = 7;
+  shape.day_end_hour = 19;
+  shape.cold_weight = 20;
+  shape.idle_weight = 1;
+  return shape;
+}
+
+TraceShape ManuscriptShape() {
+  TraceShape shape;
+  shape.name = "manuscripts";
+  shape.backend = BackendName("scriptorium");
+  shape.runners = 9;
+  shape.models = 20;
+  shape.adapters = 60;
+  shape.runner_memory = Bytes(80 * kGigabyte);
+  shape.model_size = Bytes(24 * kGigabyte);
+  shape.model_kv_cache = Bytes(10 * kGigabyte);
+  shape.adapter_size = Bytes(kGigabyte / 5);
+  shape.sessions_per_day = 300;
+  shape.calls_per_session = 12;
+  shape.gap_in_session = Seconds(40);
+  shape.opening_burst = 4;
+  shape.mean_service = Millis(12'000);
+  shape.class_shares = {0.05, 0.15, 0.1, 0.5, 0.2};
+  shape.day_begin_hour = 8;
+  shape.day_end_hour = 18;
+  shape.cold_weight = 1;
+  shape.idle_weight = 1;
+  return shape;
+}
+
+FleetConfig MakeCatalog(const TraceShape& shape) {
+  FleetConfig config;
+  config.revision = ConfigRevision(1);
+  config.fleet_name = shape.name;
+  EntryPolicy policy;
+  policy.cold_weight = shape.cold_weight;
+  policy.idle_weight = shape.idle_weight;
+  const auto add = [&](const EntryId& id, const EntryId& base, LoadKind kind) {
+    CatalogEntry entry;
+    entry.id = id;
+    entry.base = base;
+    entry.kind = kind;
+    entry.backend = shape.backend;
+    entry.version = "1";
+    entry.size = kind == LoadKind::kModel ? shape.model_size : shape.adapter_size;
+    entry.kv_cache = kind == LoadKind::kModel ? shape.model_kv_cache : Bytes();
+    entry.policy = policy;
+    config.entries[id] = entry;
+  };
+  for (int i = 0; i < shape.models; ++i) add(ModelId(i), ModelId(i), LoadKind::kModel);
+  for (int i = 0; i < shape.adapters; ++i) {
+    add(AdapterId(i), ModelId(i % shape.models), LoadKind::kAdapter);
+  }
+  return config;
+}
+
+std::vector<TraceCall> MakeTrace(const TraceShape& shape, int days, uint64_t seed) {
+  return TraceBuilder(shape, seed).Build(days);
+}
+
+}  // namespace shallot::bench
