--- a/core/settings.cc
+++ b/core/settings.cc
@@ -1,6 +1,7 @@
 #include "core/settings.h"
 
 #include <algorithm>
+#include <boost/algorithm/string/trim.hpp>
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
 #include <charconv>
@@ -40,6 +41,21 @@
   return error == std::errc() && end == text.data() + text.size() && port > 0 && port < 65536;
 }
 
+/// Names in the section lines of a valid INI text. Boost's parser drops sections without keys.
+std::vector<std::string> SectionNames(const std::string& text) {
+  std::istringstream stream(text);
+  std::vector<std::string> names;
+  for (std::string line; std::getline(stream, line);) {
+    boost::algorithm::trim(line);
+    const size_t end = line.find(']');
+    if (line.empty() || line[0] != '[' || end == std::string::npos) continue;
+    std::string name = line.substr(1, end - 1);
+    boost::algorithm::trim(name);
+    if (std::find(names.begin(), names.end(), name) == names.end()) names.push_back(name);
+  }
+  return names;
+}
+
 }  // namespace
 
 const IniSection* IniDocument::Find(const std::string& section) const {
@@ -60,15 +76,19 @@
                  source + " line " + std::to_string(error.line()) + ": " + error.message(),
                  "write \"[section]\" lines and \"key = value\" lines, each key once"};
   }
+  for (const auto& [name, node] : tree) {
+    if (!node.empty() || node.data().empty()) continue;
+    return Error{ErrorKind::kInvalidArgument, source + ": key \"" + name + "\" is in no section",
+                 "move it below a \"[section]\" line"};
+  }
   IniDocument document;
   document.source = source;
-  for (const auto& [name, node] : tree) {
-    if (node.empty() && !node.data().empty()) {
-      return Error{ErrorKind::kInvalidArgument, source + ": key \"" + name + "\" is in no section",
-                   "move it below a \"[section]\" line"};
-    }
+  for (const std::string& name : SectionNames(text)) {
     IniSection section{name, {}};
-    for (const auto& [key, value] : node) section.values[key] = value.data();
+    const auto node = tree.find(name);
+    if (node != tree.not_found()) {
+      for (const auto& [key, value] : node->second) section.values[key] = value.data();
+    }
     document.sections.push_back(std::move(section));
   }
   return document;
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -60,6 +60,14 @@
   CHECK(ErrorOf(document).message.find("test.ini line 3") == 0);
 }
 
+// Guards against sections without keys being dropped, as the underlying parser does.
+TEST_CASE("a section without keys is kept") {
+  const Result<IniDocument> document = ParseIni("[service a]\n[b]\nx = 1\n[ c ]\n", "t");
+  REQUIRE(IsOk(document));
+  const std::vector<IniSection> expected = {{"service a", {}}, {"b", {{"x", "1"}}}, {"c", {}}};
+  CHECK(ValueOf(document).sections == expected);
+}
+
 TEST_CASE("formatting and parsing again gives the same document") {
   const Result<IniDocument> first = ParseIni("[b]\ny = 2\nx = 1\n[a.b]\nk = v w\n", "t");
   REQUIRE(IsOk(first));
