--- /dev/null
+++ b/drivers/zmq_hub.cc
@@ -0,0 +1,337 @@
+#include "drivers/zmq_hub.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cstring>
+#include <deque>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+#include <zmq.hpp>
+
+#include "core/log.h"
+#include "drivers/proto_codec.h"
+
+namespace shallot {
+namespace {
+
+// Messages taken from one socket, and tasks from the ring, before the others get their turn.
+constexpr int kBatch = 64;
+// Identities of closed incoming connections that are remembered so that late messages are dropped.
+constexpr size_t kMaxClosed = 4096;
+constexpr int kMaxSockets = 8192;
+
+/// An outgoing connection: a DEALER socket and the monitor that reports its end.
+struct Outgoing {
+  zmq::socket_t socket;
+  zmq::socket_t monitor;
+};
+
+std::string ViewText(const zmq::message_t& frame) {
+  return {static_cast<const char*>(frame.data()), frame.size()};
+}
+
+}  // namespace
+
+struct ZmqHub::State {
+  explicit State(HubOptions given)
+      : options(std::move(given)),
+        wake_fd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
+        ring(options.ring_capacity, [this] { Wake(); }) {
+    context.set(zmq::ctxopt::max_sockets, kMaxSockets);
+  }
+  ~State() { ::close(wake_fd); }
+  State(const State&) = delete;
+  State& operator=(const State&) = delete;
+
+  void Wake() const {
+    const uint64_t one = 1;
+    // Fails only when the counter is full, and then the loop is already due to wake up.
+    [[maybe_unused]] const ssize_t written = ::write(wake_fd, &one, sizeof(one));
+  }
+  void ClearWake() const {
+    uint64_t count = 0;
+    [[maybe_unused]] const ssize_t got = ::read(wake_fd, &count, sizeof(count));
+  }
+
+  void SetCommonOptions(zmq::socket_t* socket) const;
+  void SetServerKeys(zmq::socket_t* socket) const;
+  void SetClientKeys(zmq::socket_t* socket) const;
+  Outgoing MakeOutgoing(const std::string& address, uint64_t id);
+
+  ConnectionId IdOf(const std::string& identity);
+  Status SendRouted(ConnectionId connection, const std::string& identity, const std::string& bytes);
+  void CloseIncoming(ConnectionId connection);
+
+  void Round(HubListener* listener);
+  void ReceiveIncoming(HubListener* listener);
+  void ReceiveOutgoing(ConnectionId connection, HubListener* listener);
+  void ReadMonitor(ConnectionId connection);
+  void Deliver(ConnectionId connection, const zmq::message_t& frame, HubListener* listener);
+  void ReportEnded(HubListener* listener);
+
+  HubOptions options;
+  int wake_fd;
+  TaskRing ring;
+  zmq::context_t context{1};
+  zmq::socket_t router;
+  uint64_t last_id = 0;
+  std::unordered_map<ConnectionId, Outgoing> outgoing;
+  std::unordered_map<ConnectionId, std::string> incoming;
+  std::unordered_map<std::string, ConnectionId> ids;
+  std::unordered_set<std::string> closed;
+  std::deque<std::string> closed_order;
+  /// Connections found broken; reported outside of calls that the core makes.
+  std::vector<ConnectionId> ended;
+  std::vector<zmq::pollitem_t> items;
+  std::vector<ConnectionId> item_ids;
+  std::atomic<bool> stopping{false};
+  const SystemClock clock{};
+  SteadyTime next_tick{};
+};
+
+void ZmqHub::State::SetCommonOptions(zmq::socket_t* socket) const {
+  socket->set(zmq::sockopt::linger, 0);
+  socket->set(zmq::sockopt::sndhwm, options.high_water_mark);
+  socket->set(zmq::sockopt::rcvhwm, options.high_water_mark);
+  socket->set(zmq::sockopt::maxmsgsize, static_cast<int64_t>(kMaxMessageBytes));
+  // The cores send heartbeats of their own.
+  socket->set(zmq::sockopt::heartbeat_ivl, 0);
+}
+
+void ZmqHub::State::SetServerKeys(zmq::socket_t* socket) const {
+  if (options.keys.server_secret.empty()) return;
+  socket->set(zmq::sockopt::curve_server, true);
+  socket->set(zmq::sockopt::curve_secretkey, options.keys.server_secret);
+}
+
+void ZmqHub::State::SetClientKeys(zmq::socket_t* socket) const {
+  if (options.keys.server_public.empty()) return;
+  socket->set(zmq::sockopt::curve_serverkey, options.keys.server_public);
+  socket->set(zmq::sockopt::curve_publickey, options.keys.client_public);
+  socket->set(zmq::sockopt::curve_secretkey, options.keys.client_secret);
+}
+
+Outgoing ZmqHub::State::MakeOutgoing(const std::string& address, uint64_t id) {
+  Outgoing made{zmq::socket_t(context, zmq::socket_type::dealer),
+                zmq::socket_t(context, zmq::socket_type::pair)};
+  SetCommonOptions(&made.socket);
+  SetClientKeys(&made.socket);
+  made.socket.set(zmq::sockopt::reconnect_ivl, -1);
+  made.socket.set(zmq::sockopt::connect_timeout, 2000);
+  const std::string endpoint = "inproc://monitor-" + std::to_string(id);
+  zmq_socket_monitor(made.socket.handle(), endpoint.c_str(),
+                     ZMQ_EVENT_DISCONNECTED | ZMQ_EVENT_CLOSED |
+                         ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL | ZMQ_EVENT_HANDSHAKE_FAILED_AUTH |
+                         ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL);
+  made.monitor.set(zmq::sockopt::linger, 0);
+  made.monitor.connect(endpoint);
+  made.socket.connect("tcp://" + address);
+  return made;
+}
+
+ConnectionId ZmqHub::State::IdOf(const std::string& identity) {
+  const auto found = ids.find(identity);
+  if (found != ids.end()) return found->second;
+  if (closed.contains(identity)) return ConnectionId(0);
+  const ConnectionId id(++last_id);
+  ids.emplace(identity, id);
+  incoming.emplace(id, identity);
+  return id;
+}
+
+Status ZmqHub::State::SendRouted(ConnectionId connection, const std::string& identity,
+                                 const std::string& bytes) {
+  try {
+    if (!router.send(zmq::buffer(identity), zmq::send_flags::sndmore | zmq::send_flags::dontwait) ||
+        !router.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+      return Error{ErrorKind::kResourceExhausted, "send queue of the connection is full",
+                   "send again later"};
+    }
+  } catch (const zmq::error_t& error) {
+    if (error.num() == EHOSTUNREACH) ended.push_back(connection);
+    return Error{ErrorKind::kUnavailable, std::string("cannot send: ") + error.what(),
+                 "wait for the peer to connect again"};
+  }
+  return OkStatus();
+}
+
+void ZmqHub::State::CloseIncoming(ConnectionId connection) {
+  const auto found = incoming.find(connection);
+  if (found == incoming.end()) return;
+  ids.erase(found->second);
+  closed.insert(found->second);
+  closed_order.push_back(found->second);
+  incoming.erase(found);
+  if (closed_order.size() <= kMaxClosed) return;
+  closed.erase(closed_order.front());
+  closed_order.pop_front();
+}
+
+void ZmqHub::State::Deliver(ConnectionId connection, const zmq::message_t& frame,
+                            HubListener* listener) {
+  const Result<Message> message =
+      DecodeMessage({static_cast<const char*>(frame.data()), frame.size()});
+  if (!IsOk(message)) {
+    LogWarning("hub", "connection " + std::to_string(connection.value()) +
+                          " is closed: " + FormatError(ErrorOf(message)));
+    ended.push_back(connection);
+    return;
+  }
+  listener->OnMessage(connection, ValueOf(message));
+}
+
+void ZmqHub::State::ReceiveIncoming(HubListener* listener) {
+  for (int count = 0; count < kBatch; ++count) {
+    zmq::message_t identity;
+    if (!router.recv(identity, zmq::recv_flags::dontwait)) return;
+    zmq::message_t frame;
+    bool whole = identity.more() && router.recv(frame, zmq::recv_flags::none).has_value();
+    while (frame.more()) {
+      // More than two frames: not one of ours; the rest is read and dropped.
+      whole = false;
+      if (!router.recv(frame, zmq::recv_flags::none)) break;
+    }
+    const ConnectionId id = IdOf(ViewText(identity));
+    if (id.value() == 0) continue;
+    if (whole) Deliver(id, frame, listener);
+  }
+}
+
+void ZmqHub::State::ReceiveOutgoing(ConnectionId connection, HubListener* listener) {
+  for (int count = 0; count < kBatch; ++count) {
+    // The core may close the connection while it handles a message.
+    const auto found = outgoing.find(connection);
+    if (found == outgoing.end()) return;
+    zmq::message_t frame;
+    if (!found->second.socket.recv(frame, zmq::recv_flags::dontwait)) return;
+    Deliver(connection, frame, listener);
+  }
+}
+
+void ZmqHub::State::ReadMonitor(ConnectionId connection) {
+  const auto found = outgoing.find(connection);
+  if (found == outgoing.end()) return;
+  zmq::message_t event;
+  if (!found->second.monitor.recv(event, zmq::recv_flags::dontwait)) return;
+  // Every event that the monitor is subscribed to ends the connection.
+  ended.push_back(connection);
+}
+
+void ZmqHub::State::ReportEnded(HubListener* listener) {
+  std::vector<ConnectionId> batch;
+  batch.swap(ended);
+  for (const ConnectionId connection : batch) {
+    const bool known = outgoing.erase(connection) > 0 || incoming.contains(connection);
+    CloseIncoming(connection);
+    if (known) listener->OnDisconnect(connection);
+  }
+}
+
+void ZmqHub::State::Round(HubListener* listener) {
+  items.clear();
+  item_ids.clear();
+  items.push_back({nullptr, wake_fd, ZMQ_POLLIN, 0});
+  if (router) items.push_back({router.handle(), 0, ZMQ_POLLIN, 0});
+  const size_t first = items.size();
+  for (auto& [id, connection] : outgoing) {
+    items.push_back({connection.socket.handle(), 0, ZMQ_POLLIN, 0});
+    items.push_back({connection.monitor.handle(), 0, ZMQ_POLLIN, 0});
+    item_ids.push_back(id);
+  }
+  const auto left = std::chrono::ceil<Millis>(next_tick - clock.SteadyNow());
+  zmq::poll(items.data(), items.size(), std::max(left, Millis(0)));
+  if (items[0].revents != 0) ClearWake();
+  // A full batch may leave tasks behind without a further wake-up.
+  if (ring.RunPending(kBatch) == kBatch) Wake();
+  if (router && items[1].revents != 0) ReceiveIncoming(listener);
+  for (size_t i = 0; i < item_ids.size(); ++i) {
+    if (items[first + 2 * i].revents != 0) ReceiveOutgoing(item_ids[i], listener);
+    if (items[first + 2 * i + 1].revents != 0) ReadMonitor(item_ids[i]);
+  }
+  if (clock.SteadyNow() >= next_tick) {
+    next_tick = clock.SteadyNow() + options.tick;
+    listener->OnTick();
+  }
+  ReportEnded(listener);
+}
+
+ZmqHub::ZmqHub(HubOptions options) : state_(std::make_unique<State>(std::move(options))) {}
+ZmqHub::~ZmqHub() = default;
+
+Status ZmqHub::Open() {
+  if (state_->options.listen_address.empty()) return OkStatus();
+  const std::string& address = state_->options.listen_address;
+  try {
+    state_->router = zmq::socket_t(state_->context, zmq::socket_type::router);
+    state_->SetCommonOptions(&state_->router);
+    state_->SetServerKeys(&state_->router);
+    state_->router.set(zmq::sockopt::router_mandatory, true);
+    state_->router.bind("tcp://" + address);
+  } catch (const zmq::error_t& error) {
+    if (error.num() == EADDRINUSE) {
+      return Error{ErrorKind::kConflict, "port " + address + " is in use by another process",
+                   "stop the other process or choose another port"};
+    }
+    return Error{ErrorKind::kInvalidArgument, "cannot listen on " + address + ": " + error.what(),
+                 "check the address and the keys in the settings"};
+  }
+  return OkStatus();
+}
+
+int ZmqHub::port() const {
+  if (!state_->router) return 0;
+  const std::string endpoint = state_->router.get(zmq::sockopt::last_endpoint);
+  return std::atoi(endpoint.substr(endpoint.rfind(':') + 1).c_str());
+}
+
+TaskRing& ZmqHub::ring() { return state_->ring; }
+
+void ZmqHub::Run(HubListener* listener) {
+  while (!state_->stopping.load(std::memory_order_acquire)) state_->Round(listener);
+}
+
+void ZmqHub::Stop() {
+  state_->stopping.store(true, std::memory_order_release);
+  state_->Wake();
+}
+
+ConnectionId ZmqHub::Connect(const std::string& address) {
+  const ConnectionId id(++state_->last_id);
+  try {
+    state_->outgoing.emplace(id, state_->MakeOutgoing(address, id.value()));
+  } catch (const zmq::error_t& error) {
+    LogWarning("hub", "cannot connect to " + address + ": " + error.what());
+  }
+  return id;
+}
+
+void ZmqHub::Close(ConnectionId connection) {
+  state_->outgoing.erase(connection);
+  state_->CloseIncoming(connection);
+}
+
+Status ZmqHub::Send(ConnectionId connection, const Message& message) {
+  const Result<std::string> bytes = EncodeMessage(message);
+  if (!IsOk(bytes)) return ErrorOf(bytes);
+  const auto incoming = state_->incoming.find(connection);
+  if (incoming != state_->incoming.end()) {
+    return state_->SendRouted(connection, incoming->second, ValueOf(bytes));
+  }
+  const auto outgoing = state_->outgoing.find(connection);
+  if (outgoing == state_->outgoing.end()) {
+    return Error{ErrorKind::kNotFound, "the connection is closed", "open a new one"};
+  }
+  if (!outgoing->second.socket.send(zmq::buffer(ValueOf(bytes)), zmq::send_flags::dontwait)) {
+    return Error{ErrorKind::kResourceExhausted, "send queue of the connection is full",
+                 "send again later"};
+  }
+  return OkStatus();
+}
+
+}  // namespace shallot
--- /dev/null
+++ b/tests/zmq_hub_test.cc
@@ -0,0 +1,160 @@
+#include "drivers/zmq_hub.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace shallot {
+namespace {
+
+/// Records what a hub delivers and stops it when `done` says so.
+class Recorder final : public HubListener {
+ public:
+  Recorder(ZmqHub* hub, std::function<void(Recorder*, ConnectionId, const Message&)> on_message)
+      : hub_(hub), on_message_(std::move(on_message)) {}
+  void OnMessage(ConnectionId connection, const Message& message) override {
+    messages.push_back(message);
+    on_message_(this, connection, message);
+  }
+  void OnDisconnect(ConnectionId connection) override {
+    disconnected.push_back(connection);
+    hub_->Stop();
+  }
+  void OnTick() override {}
+  void Finish() { hub_->Stop(); }
+
+  std::vector<Message> messages;
+  std::vector<ConnectionId> disconnected;
+
+ private:
+  ZmqHub* hub_;
+  std::function<void(Recorder*, ConnectionId, const Message&)> on_message_;
+};
+
+HubOptions Listening() {
+  HubOptions options;
+  options.listen_address = "127.0.0.1:0";
+  return options;
+}
+
+std::string AddressOf(const ZmqHub& hub) { return "127.0.0.1:" + std::to_string(hub.port()); }
+
+// Guards against messages that are lost, reordered or answered on another connection.
+TEST_CASE("two hubs exchange messages in order") {
+  constexpr uint64_t kMessages = 500;
+  ZmqHub server(Listening());
+  REQUIRE(IsOk(server.Open()));
+  Recorder server_side(&server, [&](Recorder* self, ConnectionId from, const Message& message) {
+    CHECK(IsOk(server.Send(from, message)));
+    if (self->messages.size() == kMessages) self->Finish();
+  });
+  ZmqHub client{HubOptions{}};
+  REQUIRE(IsOk(client.Open()));
+  Recorder client_side(&client, [&](Recorder* self, ConnectionId, const Message&) {
+    if (self->messages.size() == kMessages) self->Finish();
+  });
+  std::thread server_thread([&] { server.Run(&server_side); });
+  const ConnectionId connection = client.Connect(AddressOf(server));
+  for (uint64_t i = 0; i < kMessages; ++i) {
+    CHECK(IsOk(client.Send(connection, ConfigPull{ConfigRevision(i)})));
+  }
+  client.Run(&client_side);
+  server_thread.join();
+  REQUIRE(client_side.messages.size() == kMessages);
+  for (uint64_t i = 0; i < kMessages; ++i) {
+    CHECK(client_side.messages[i] == Message(ConfigPull{ConfigRevision(i)}));
+  }
+}
+
+// Guards invariant 1: two agents of one runner must not both accept work.
+TEST_CASE("a second hub on the same port fails with a clear error") {
+  ZmqHub first(Listening());
+  REQUIRE(IsOk(first.Open()));
+  HubOptions options;
+  options.listen_address = AddressOf(first);
+  ZmqHub second(options);
+  const Status status = second.Open();
+  REQUIRE_FALSE(IsOk(status));
+  CHECK(ErrorOf(status).kind == ErrorKind::kConflict);
+  CHECK(ErrorOf(status).message.find("in use by another process") != std::string::npos);
+}
+
+// Guards against a router that waits for heartbeats of an agent whose port refuses connections.
+TEST_CASE("a refused connection is reported") {
+  std::string address;
+  {
+    ZmqHub gone(Listening());
+    REQUIRE(IsOk(gone.Open()));
+    address = AddressOf(gone);
+  }
+  ZmqHub client{HubOptions{}};
+  Recorder client_side(&client, [](Recorder*, ConnectionId, const Message&) {});
+  const ConnectionId connection = client.Connect(address);
+  client.Run(&client_side);
+  CHECK(client_side.disconnected == std::vector<ConnectionId>{connection});
+  CHECK_FALSE(IsOk(client.Send(connection, ConfigPull{})));
+}
+
+// Guards against a connection that silently reaches a restarted peer without a Hello.
+TEST_CASE("a connection that breaks is reported and not reopened") {
+  auto server = std::make_unique<ZmqHub>(Listening());
+  REQUIRE(IsOk(server->Open()));
+  ZmqHub client{HubOptions{}};
+  Recorder client_side(&client, [](Recorder*, ConnectionId, const Message&) {});
+  const ConnectionId connection = client.Connect(AddressOf(*server));
+  REQUIRE(IsOk(client.Send(connection, ConfigPull{})));
+  Recorder server_side(server.get(),
+                       [](Recorder* self, ConnectionId, const Message&) { self->Finish(); });
+  server->Run(&server_side);
+  server.reset();
+  client.Run(&client_side);
+  CHECK(client_side.disconnected == std::vector<ConnectionId>{connection});
+}
+
+// Guards against late messages that reopen a connection the core has closed.
+TEST_CASE("nothing is received on a closed incoming connection") {
+  ZmqHub server(Listening());
+  REQUIRE(IsOk(server.Open()));
+  ZmqHub client{HubOptions{}};
+  const ConnectionId first = client.Connect(AddressOf(server));
+  Recorder server_side(&server, [&](Recorder* self, ConnectionId from, const Message& message) {
+    if (message.index() == Message(ConfigPull{}).index()) {
+      server.Close(from);
+      REQUIRE(IsOk(client.Send(first, CallAck{CallId("late"), Attempt(1)})));
+      // Sent after the late message on a new connection; the loop ends when it arrives.
+      const ConnectionId second = client.Connect(AddressOf(server));
+      REQUIRE(IsOk(client.Send(second, DrainOrder{"end", Millis(0)})));
+      return;
+    }
+    self->Finish();
+  });
+  REQUIRE(IsOk(client.Send(first, ConfigPull{})));
+  server.Run(&server_side);
+  REQUIRE(server_side.messages.size() == 2);
+  CHECK(std::holds_alternative<DrainOrder>(server_side.messages[1]));
+}
+
+// Guards against lost wake-ups: each posted task must run although no socket has traffic.
+TEST_CASE("tasks posted from another thread run on the hub's thread") {
+  constexpr int kTasks = 1000;
+  ZmqHub hub{HubOptions{}};
+  Recorder listener(&hub, [](Recorder*, ConnectionId, const Message&) {});
+  int ran = 0;
+  std::thread poster([&] {
+    for (int i = 0; i < kTasks; ++i) {
+      hub.ring().PostCompletion([&] {
+        if (++ran == kTasks) hub.Stop();
+      });
+    }
+  });
+  hub.Run(&listener);
+  poster.join();
+  CHECK(ran == kTasks);
+}
+
+}  // namespace
+}  // namespace shallot
