--- /dev/null
+++ b/servers/agent_admission.cc
@@ -0,0 +1,177 @@
+#include <algorithm>
+#include <utility>
+
+#include "servers/agent_state.h"
+
+namespace shallot {
+namespace {
+
+/// Cancelled attempts that are remembered; about 6 MB at 100 bytes each.
+constexpr size_t kMaxTombstones = 65'536;
+/// Keeps sums of times far from the range of the clock.
+constexpr Millis kLongestRemaining{7 * 24 * 3'600'000LL};
+/// Calls end this much before their deadline: one tick and the way to the router.
+constexpr Millis kDeadlineMargin{25};
+
+Outcome NotRun(Reason reason, Millis retry_after, std::string message) {
+  Outcome outcome;
+  outcome.kind = OutcomeKind::kNotRun;
+  outcome.reason = reason;
+  outcome.retry_after = retry_after;
+  outcome.message = std::move(message);
+  return outcome;
+}
+
+/// kNone means that the call is accepted.
+Outcome Accepted() {
+  Outcome outcome;
+  outcome.reason = Reason::kNone;
+  return outcome;
+}
+
+}  // namespace
+
+void AgentCore::State::OnCallStart(ConnectionId connection, const Call& started) {
+  const CallKey key(started.id, started.attempt);
+  if (const CallPtr known = FindCall(key)) {
+    const bool moved = !known->attached || known->connection != connection;
+    if (moved || known->phase == CallPhase::kEnded) Attach(*known, connection, 0);
+    return;
+  }
+  const auto call = std::make_shared<AgentCall>(started, &answer_budget);
+  call->connection = connection;
+  call->arrived_at = Now();
+  call->call.remaining = std::min(started.remaining, kLongestRemaining);
+  call->deadline = Now() + call->call.remaining;
+  calls[key] = call;
+  Count("shallot_agent_calls_total").Add();
+  Admit(call);
+}
+
+void AgentCore::State::Admit(const CallPtr& call) {
+  const Outcome refusal = CheckAdmission(*call);
+  if (refusal.reason != Reason::kNone) {
+    Finish(call, refusal);
+    return;
+  }
+  if (!call->call.entry.empty() && keep_alive != nullptr) {
+    keep_alive->OnCall(call->call.entry, Now());
+  }
+  Enqueue(call);
+  if (call->phase == CallPhase::kQueued && !call->call.repeatable) ClaimOrder(call);
+  Dispatch();
+}
+
+Outcome AgentCore::State::CheckAdmission(const AgentCall& call) const {
+  if (IsTombstone(call.key)) {
+    return NotRun(Reason::kCancelled, Millis(0), "the call was cancelled before it arrived");
+  }
+  if (draining) return NotRun(Reason::kDraining, Millis(0), "the runner is leaving");
+  if (!Ready()) {
+    return NotRun(Reason::kNotGranted, Millis(500), "the agent does not know its engine yet");
+  }
+  const Outcome target = CheckTarget(call.call);
+  if (target.reason != Reason::kNone) return target;
+  if (answer_budget.Exhausted()) {
+    return NotRun(Reason::kOverload, std::max(Millis(100), ServiceEstimate(call.call.call_class)),
+                  "the answers kept for resumes fill their buffer");
+  }
+  const Millis wait = PredictedWait(call.call.entry, call.call.call_class);
+  if (call.call.remaining <= wait) {
+    return NotRun(Reason::kDeadline, wait, "the predicted wait exceeds the remaining time");
+  }
+  return Accepted();
+}
+
+Outcome AgentCore::State::CheckTarget(const Call& call) const {
+  if (!call.repeatable && call.idempotency_key.empty()) {
+    return NotRun(Reason::kInvalidRequest, Millis(0), "an order needs an idempotency key");
+  }
+  if (call.entry.empty()) {
+    if (call.service == options.backend && env.engine == nullptr) return Accepted();
+    return NotRun(Reason::kInvalidRequest, Millis(0), "the runner does not offer the service");
+  }
+  const CatalogEntry* entry = config.current()->FindEntry(call.entry);
+  if (entry == nullptr) {
+    return NotRun(Reason::kUnknownEntry, Millis(0), "the catalogue has no such entry");
+  }
+  if (!slots.IsActive(call.entry)) {
+    return NotRun(Reason::kNotGranted, Millis(0), "the runner holds no slot of the entry");
+  }
+  return Accepted();
+}
+
+void AgentCore::State::Enqueue(const CallPtr& call) {
+  const Millis remaining = call->call.remaining;
+  const Millis service = std::max(kDeadlineMargin, ServiceEstimate(call->call.call_class));
+  QueuedCall queued;
+  queued.key = call->key;
+  queued.entry = call->call.entry;
+  queued.call_class = call->call.call_class;
+  // An estimate that is far too long must not refuse a call outright.
+  queued.latest_start = call->deadline - std::min(service, remaining / 2);
+  queued.raise_at = queued.latest_start - std::max(Millis(100), remaining / 8);
+  const CallQueue::PushResult pushed = queue.Push(queued);
+  const Millis retry_after = PredictedWait(call->call.entry, call->call.call_class);
+  if (!pushed.accepted) {
+    Finish(call, NotRun(Reason::kQueueFull, retry_after, "the queue of the class is full"));
+    return;
+  }
+  if (!pushed.dropped) return;
+  const CallPtr dropped = FindCall(*pushed.dropped);
+  if (!env.invariants->Check(Invariant::kNoSilentDrop, dropped != nullptr,
+                             "a call without a record left the queue")) {
+    return;
+  }
+  env.invariants->Check(Invariant::kNoSilentDrop, dropped->call.call_class > call->call.call_class,
+                        "a call was dropped for one of a lower class");
+  const Millis dropped_wait = PredictedWait(dropped->call.entry, dropped->call.call_class);
+  RefuseOrder(dropped, NotRun(Reason::kQueueFull, dropped_wait, "a call of a higher class came"));
+}
+
+void AgentCore::State::ExpireQueued() {
+  const SteadyTime now = Now();
+  const auto late = [now](const QueuedCall& call) { return now >= call.latest_start; };
+  for (const QueuedCall& queued : queue.TakeIf(late)) {
+    const CallPtr call = FindCall(queued.key);
+    const bool memory = loads.LacksMemory(queued.entry);
+    const Millis wait = PredictedWait(queued.entry, queued.call_class);
+    RefuseOrder(call, NotRun(memory ? Reason::kNoMemory : Reason::kDeadline, wait,
+                             memory ? "running calls hold the memory that the entry needs"
+                                    : "the call cannot end by its deadline"));
+  }
+}
+
+void AgentCore::State::RefuseQueued(const CallQueue::Predicate& matches, Reason reason,
+                                    Millis retry_after) {
+  for (const QueuedCall& queued : queue.TakeIf(matches)) {
+    RefuseOrder(FindCall(queued.key), NotRun(reason, retry_after, ReasonName(reason)));
+  }
+}
+
+Millis AgentCore::State::ServiceEstimate(CallClass call_class) const {
+  return std::chrono::ceil<Millis>(service_time[static_cast<size_t>(call_class)]);
+}
+
+Millis AgentCore::State::PredictedWait(const EntryId& entry, CallClass call_class) const {
+  const uint64_t concurrency = Concurrency();
+  const uint64_t running = running_ids.size();
+  Duration wait{0};
+  if (running >= concurrency) {
+    const uint64_t ahead = queue.CountAhead(call_class) + 1;
+    wait = mean_service * static_cast<int64_t>(ahead) / static_cast<int64_t>(concurrency);
+  }
+  const Millis load = entry.empty() ? Millis(0) : loads.ExpectedWait(entry);
+  return std::max(load, std::chrono::ceil<Millis>(wait));
+}
+
+void AgentCore::State::AddTombstone(const CallKey& key) {
+  tombstones[key] = Now();
+  if (tombstones.size() <= kMaxTombstones) return;
+  const auto oldest =
+      std::min_element(tombstones.begin(), tombstones.end(),
+                       [](const auto& a, const auto& b) { return a.second < b.second; });
+  tombstones.erase(oldest);
+}
+
+}  // namespace shallot
--- a/servers/agent_core.h
+++ b/servers/agent_core.h
@@ -9,6 +9,7 @@
 #include "core/invariant.h"
 #include "core/metrics.h"
 #include "servers/backend_server.h"
+#include "servers/keep_alive_policy.h"
 #include "servers/messages.h"
 #include "servers/order_claims.h"
 #include "servers/peer_link.h"
@@ -55,6 +56,8 @@
   AgentCore(const AgentCore&) = delete;
   AgentCore& operator=(const AgentCore&) = delete;
 
+  /// Policy of idle entries; null or not set: keep_alive_max of the entry. Not owned.
+  void SetKeepAlivePolicy(KeepAlivePolicy* policy);
   /// Fetches the inventory; calls are refused as not run until it is known.
   void Start();
   /// A router's message; an unknown connection id is a new connection.
@@ -71,8 +74,10 @@
   /// JSON object for /status.
   std::string StatusJson() const;
 
- private:
+  /// Defined by the implementation.
   struct State;
+
+ private:
   std::unique_ptr<State> state_;
 };
 
--- /dev/null
+++ b/servers/agent_execution.cc
@@ -0,0 +1,184 @@
+#include <algorithm>
+#include <utility>
+
+#include "core/log.h"
+#include "servers/agent_state.h"
+
+namespace shallot {
+namespace {
+
+/// Weight of the newest call in the smoothed service times.
+constexpr double kServiceWeight = 0.2;
+
+/// Passes the answer of one call to the agent. Owns itself until its end, because the backend
+/// server uses it until then even when the agent is gone.
+class CallSink final : public AnswerSink {
+ public:
+  CallSink(std::weak_ptr<AgentCore::State*> agent, std::shared_ptr<AgentCall> call)
+      : agent_(std::move(agent)), call_(std::move(call)) {}
+
+  static CallSink* Make(std::weak_ptr<AgentCore::State*> agent, std::shared_ptr<AgentCall> call) {
+    auto sink = std::make_shared<CallSink>(std::move(agent), std::move(call));
+    sink->self_ = sink;
+    return sink.get();
+  }
+
+  void OnBegin(int http_status, const std::string& content_type) override {
+    if (const auto agent = agent_.lock()) (*agent)->OnBegin(call_, http_status, content_type);
+  }
+  void OnData(const std::string& payload) override {
+    if (const auto agent = agent_.lock()) (*agent)->OnData(call_, payload);
+  }
+  void OnEnd(ExecutionEnd end, const std::string& message) override {
+    const std::shared_ptr<CallSink> self = std::move(self_);
+    if (const auto agent = agent_.lock()) (*agent)->OnExecutionEnd(call_, end, message);
+  }
+
+ private:
+  std::weak_ptr<AgentCore::State*> agent_;
+  std::shared_ptr<AgentCall> call_;
+  std::shared_ptr<CallSink> self_;
+};
+
+Duration Smooth(Duration average, Duration sample) {
+  if (average == Duration::zero()) return sample;
+  return std::chrono::duration_cast<Duration>(average * (1 - kServiceWeight) +
+                                              sample * kServiceWeight);
+}
+
+}  // namespace
+
+bool AgentCore::State::CanStart(const QueuedCall& queued) const {
+  if (!queued.entry.empty() && !loads.IsUsable(queued.entry)) return false;
+  if (running_ids.contains(queued.key.first)) return false;
+  const CallPtr call = FindCall(queued.key);
+  return call->claim_phase == ClaimPhase::kNotNeeded || call->claim_phase == ClaimPhase::kGranted;
+}
+
+void AgentCore::State::Dispatch() {
+  while (running_ids.size() < Concurrency()) {
+    const std::optional<CallKey> key =
+        queue.Pop(Now(), [this](const QueuedCall& queued) { return CanStart(queued); });
+    if (!key) return;
+    Run(FindCall(*key));
+  }
+}
+
+void AgentCore::State::Run(const CallPtr& call) {
+  env.invariants->Check(Invariant::kNoNewWorkWhileLeaving,
+                        !draining || call->arrived_at <= drain_started,
+                        "call " + call->call.id.value() + " arrived after the drain began");
+  if (!call->call.repeatable) {
+    env.invariants->Check(Invariant::kOrderAtMostOnce,
+                          call->claim_phase == ClaimPhase::kGranted && !call->sent_to_backend,
+                          "order " + call->call.id.value() + " runs without its claim");
+  }
+  call->phase = CallPhase::kRunning;
+  call->sent_to_backend = true;
+  call->started_at = Now();
+  running_ids.insert(call->call.id);
+  if (!call->call.entry.empty()) ++running_by_entry[call->call.entry];
+  env.metrics->GetHistogram("shallot_agent_wait_seconds").Record(Now() - call->arrived_at);
+  Call sent = call->call;
+  sent.remaining = std::max(Millis(0), std::chrono::floor<Millis>(call->deadline - Now()));
+  env.backend->StartCall(sent, CallSink::Make(self, call));
+}
+
+void AgentCore::State::OnBegin(const CallPtr& call, int http_status,
+                               const std::string& content_type) {
+  call->http_status = http_status;
+  call->content_type = content_type;
+}
+
+void AgentCore::State::OnData(const CallPtr& call, const std::string& payload) {
+  call->answer.Append(payload);
+  Pump(*call);
+}
+
+void AgentCore::State::OnExecutionEnd(const CallPtr& call, ExecutionEnd end,
+                                      const std::string& message) {
+  running_ids.erase(call->call.id);
+  if (!call->call.entry.empty()) {
+    --running_by_entry[call->call.entry];
+    loads.Touch(call->call.entry);
+  }
+  if (end == ExecutionEnd::kCompleted) NoteService(*call);
+  // The backend server proves that the call never reached it.
+  if (end == ExecutionEnd::kNotStarted) call->sent_to_backend = false;
+  const Outcome outcome = OutcomeOf(*call, end, message);
+  if (call->call.repeatable) {
+    Finish(call, outcome);
+  } else if (end == ExecutionEnd::kNotStarted) {
+    RefuseOrder(call, outcome);
+  } else {
+    RecordOrder(call, outcome);
+  }
+  Dispatch();
+}
+
+Outcome AgentCore::State::OutcomeOf(const AgentCall& call, ExecutionEnd end,
+                                    const std::string& message) const {
+  static constexpr std::array<OutcomeKind, 4> kKinds = {
+      OutcomeKind::kCompleted, OutcomeKind::kNotRun, OutcomeKind::kFailed, OutcomeKind::kUnknown};
+  Outcome outcome;
+  outcome.kind = kKinds[static_cast<size_t>(end)];
+  outcome.message = message;
+  outcome.http_status = call.http_status;
+  outcome.content_type = call.content_type;
+  if (end == ExecutionEnd::kCompleted) {
+    outcome.total_length = call.answer.size();
+    return outcome;
+  }
+  outcome.reason = end == ExecutionEnd::kUnknown ? Reason::kConnectionLost : Reason::kBackendError;
+  if (!call.cancel_sent || end == ExecutionEnd::kNotStarted) return outcome;
+  outcome.reason = call.cancel_reason;
+  // A cancelled order may have taken effect before the cancellation reached it.
+  if (!call.call.repeatable) outcome.kind = OutcomeKind::kUnknown;
+  return outcome;
+}
+
+void AgentCore::State::NoteService(const AgentCall& call) {
+  const Duration took = Now() - call.started_at;
+  Duration& average = service_time[static_cast<size_t>(call.call.call_class)];
+  average = Smooth(average, took);
+  mean_service = Smooth(mean_service, took);
+  env.metrics->GetHistogram("shallot_agent_service_seconds").Record(took);
+}
+
+void AgentCore::State::Finish(const CallPtr& call, const Outcome& outcome) {
+  if (!env.invariants->Check(Invariant::kNoSilentDrop, call->phase != CallPhase::kEnded,
+                             "call " + call->call.id.value() + " ended twice")) {
+    return;
+  }
+  if (outcome.kind == OutcomeKind::kNotRun) {
+    env.invariants->Check(Invariant::kNotRunDidNotRun, !call->sent_to_backend,
+                          "call " + call->call.id.value() + " was sent to the backend server");
+  }
+  call->phase = CallPhase::kEnded;
+  call->ended_at = Now();
+  call->outcome = outcome;
+  call->call.body.clear();
+  Count(std::string("shallot_agent_outcomes_total{outcome=\"") + OutcomeKindName(outcome.kind) +
+        "\",reason=\"" + ReasonName(outcome.reason) + "\"}")
+      .Add();
+  Pump(*call);
+}
+
+void AgentCore::State::Pump(AgentCall& call) {
+  if (!call.attached) return;
+  while (call.sent < call.answer.size()) {
+    CallFrame frame{call.call.id, call.call.attempt, call.sent, call.answer.FrameAt(call.sent)};
+    const uint64_t length = frame.payload.size();
+    if (!peers.Send(call.connection, frame)) return;
+    call.sent += length;
+  }
+  if (call.phase != CallPhase::kEnded || call.outcome_sent) return;
+  call.outcome_sent =
+      peers.Send(call.connection, CallOutcome{call.call.id, call.call.attempt, call.outcome});
+}
+
+void AgentCore::State::PumpAll() {
+  for (auto& [key, call] : calls) Pump(*call);
+}
+
+}  // namespace shallot
--- /dev/null
+++ b/servers/agent_orders.cc
@@ -0,0 +1,134 @@
+#include <algorithm>
+#include <utility>
+
+#include "core/hashing.h"
+#include "core/log.h"
+#include "servers/agent_state.h"
+
+namespace shallot {
+namespace {
+
+/// The outcome of an order waits this long for its record.
+constexpr Millis kRecordPatience{2000};
+/// Advice to ask again for an order in progress when no service time is known.
+constexpr Millis kInProgressRetry{1000};
+
+/// The lengths keep different splits of the same bytes apart.
+uint64_t RequestHash(const Call& call) {
+  const uint64_t method = StableHash(call.method);
+  const uint64_t path = StableHash(call.path, method);
+  return StableHash(call.body, path);
+}
+
+}  // namespace
+
+void AgentCore::State::ClaimOrder(const CallPtr& call) {
+  call->claim_phase = ClaimPhase::kPending;
+  call->claim = ClaimId(options.runner.value() + "/" + std::to_string(options.incarnation.value()) +
+                        "/" + std::to_string(++next_claim));
+  Count("shallot_agent_claims_total").Add();
+  const std::weak_ptr<State*> weak = self;
+  env.claims->Claim(call->call.idempotency_key, RequestHash(call->call), call->claim,
+                    options.runner, [weak, call](const ClaimReply& reply) {
+                      if (const auto agent = weak.lock()) (*agent)->OnClaim(call, reply);
+                    });
+}
+
+void AgentCore::State::OnClaim(const CallPtr& call, const ClaimReply& reply) {
+  if (call->claim_phase != ClaimPhase::kPending) return;
+  if (reply.state == ClaimState::kGranted) {
+    OnClaimGranted(call);
+    return;
+  }
+  call->claim_phase = ClaimPhase::kRefused;
+  const std::weak_ptr<State*> weak = self;
+  if (reply.state == ClaimState::kUnresolved) {
+    // The claim may have been written. Nobody else can run the order under it and it is not run
+    // here, so it is given back.
+    env.claims->RecordNotRun(call->call.idempotency_key, call->claim, [](const Status&) {});
+  }
+  // The call may have been refused while its claim was under way.
+  if (call->phase != CallPhase::kQueued) return;
+  queue.Remove(call->key);
+  Outcome outcome;
+  outcome.kind = OutcomeKind::kNotRun;
+  outcome.message = reply.message;
+  switch (reply.state) {
+    case ClaimState::kAnswered:
+      ReplayAnswer(call, reply.answer);
+      return;
+    case ClaimState::kInProgress:
+      outcome.kind = OutcomeKind::kUnknown;
+      outcome.reason = Reason::kInProgress;
+      outcome.retry_after = std::max(kInProgressRetry, ServiceEstimate(call->call.call_class));
+      break;
+    case ClaimState::kKeyReused:
+      outcome.reason = Reason::kKeyReused;
+      break;
+    default:
+      outcome.reason = Reason::kStoreUnavailable;
+      outcome.retry_after = kInProgressRetry;
+      break;
+  }
+  Finish(call, outcome);
+}
+
+void AgentCore::State::OnClaimGranted(const CallPtr& call) {
+  call->claim_phase = ClaimPhase::kGranted;
+  if (call->phase == CallPhase::kQueued) {
+    Dispatch();
+    return;
+  }
+  // The order was refused while its claim was under way.
+  env.claims->RecordNotRun(call->call.idempotency_key, call->claim, [](const Status&) {});
+}
+
+void AgentCore::State::ReplayAnswer(const CallPtr& call, const OrderAnswer& answer) {
+  Count("shallot_agent_orders_replayed_total").Add();
+  call->answer.Append(answer.body);
+  call->http_status = answer.outcome.http_status;
+  call->content_type = answer.outcome.content_type;
+  Finish(call, answer.outcome);
+}
+
+void AgentCore::State::RecordOrder(const CallPtr& call, const Outcome& outcome) {
+  call->phase = CallPhase::kRecording;
+  call->outcome = outcome;
+  call->record_until = Now() + kRecordPatience;
+  const std::weak_ptr<State*> weak = self;
+  const OrderAnswer answer{outcome, call->answer.data()};
+  env.claims->RecordAnswer(call->call.idempotency_key, call->claim, answer,
+                           [weak, call](const Status& status) {
+                             if (!IsOk(status)) {
+                               LogWarning("order", FormatError(ErrorOf(status)));
+                             }
+                             if (const auto agent = weak.lock()) (*agent)->FinishRecorded(call);
+                           });
+}
+
+void AgentCore::State::RefuseOrder(const CallPtr& call, const Outcome& outcome) {
+  // A pending claim is given back when it turns out to be granted.
+  if (call->claim_phase != ClaimPhase::kGranted) {
+    Finish(call, outcome);
+    return;
+  }
+  // A try elsewhere would find the claim taken, so the outcome waits for its return.
+  call->phase = CallPhase::kRecording;
+  call->outcome = outcome;
+  call->record_until = std::min(Now() + kRecordPatience, std::max(Now(), call->deadline));
+  const std::weak_ptr<State*> weak = self;
+  env.claims->RecordNotRun(call->call.idempotency_key, call->claim,
+                           [weak, call](const Status& status) {
+                             if (!IsOk(status)) {
+                               LogWarning("order", FormatError(ErrorOf(status)));
+                             }
+                             if (const auto agent = weak.lock()) (*agent)->FinishRecorded(call);
+                           });
+}
+
+void AgentCore::State::FinishRecorded(const CallPtr& call) {
+  if (call->phase != CallPhase::kRecording) return;
+  Finish(call, Outcome(call->outcome));
+}
+
+}  // namespace shallot
--- /dev/null
+++ b/servers/agent_resume.cc
@@ -0,0 +1,128 @@
+#include <vector>
+
+#include "servers/agent_state.h"
+
+namespace shallot {
+namespace {
+
+/// A call that may be repeated is cancelled when no router asked for it for this long.
+constexpr Millis kOrphanLimit{10'000};
+/// An answer is kept this long after the end of its call unless the router acknowledges it.
+constexpr Millis kAnswerRetention{30'000};
+/// A cancelled attempt is remembered this long.
+constexpr Millis kTombstoneAge{300'000};
+/// A router cancels at the deadline; a call that runs on beyond it has lost its router.
+constexpr Millis kOverrunLimit{2000};
+
+}  // namespace
+
+AgentCore::State::CallPtr AgentCore::State::FindCall(const CallKey& key) const {
+  const auto found = calls.find(key);
+  return found == calls.end() ? nullptr : found->second;
+}
+
+void AgentCore::State::SendOutcome(ConnectionId connection, const CallKey& key,
+                                   const Outcome& outcome) {
+  peers.Send(connection, CallOutcome{key.first, key.second, outcome});
+}
+
+void AgentCore::State::Attach(AgentCall& call, ConnectionId connection, uint64_t offset) {
+  call.connection = connection;
+  call.attached = true;
+  call.sent = offset;
+  call.outcome_sent = false;
+  Pump(call);
+}
+
+void AgentCore::State::OnCallResume(ConnectionId connection, const CallResume& resume) {
+  const CallKey key(resume.call, resume.attempt);
+  if (const CallPtr call = FindCall(key)) {
+    Count("shallot_agent_resumes_total").Add();
+    Attach(*call, connection, resume.offset);
+    return;
+  }
+  Outcome outcome;
+  outcome.kind = IsTombstone(key) ? OutcomeKind::kNotRun : OutcomeKind::kUnknown;
+  outcome.reason = IsTombstone(key) ? Reason::kCancelled : Reason::kConnectionLost;
+  outcome.message = "the agent does not know the call";
+  SendOutcome(connection, key, outcome);
+}
+
+void AgentCore::State::OnCallCancel(ConnectionId connection, const CallCancel& cancel) {
+  const CallKey key(cancel.call, cancel.attempt);
+  if (const CallPtr call = FindCall(key)) {
+    if (!call->attached) Attach(*call, connection, call->sent);
+    CancelCall(call, Reason::kCancelled);
+    return;
+  }
+  // An earlier incarnation may have run the call, so this one cannot promise that it did not run.
+  const bool cancelled_before = IsTombstone(key);
+  AddTombstone(key);
+  Outcome outcome;
+  outcome.kind = cancelled_before ? OutcomeKind::kNotRun : OutcomeKind::kUnknown;
+  outcome.reason = Reason::kCancelled;
+  outcome.message = "the agent does not know the call; a late start of it will be refused";
+  SendOutcome(connection, key, outcome);
+}
+
+void AgentCore::State::CancelCall(const CallPtr& call, Reason reason) {
+  if (call->phase == CallPhase::kRunning) CancelAtBackend(call, reason);
+  if (call->phase == CallPhase::kEnded) call->outcome_sent = false;
+  if (call->phase != CallPhase::kQueued) {
+    Pump(*call);
+    return;
+  }
+  queue.Remove(call->key);
+  AddTombstone(call->key);
+  Outcome outcome;
+  outcome.kind = OutcomeKind::kNotRun;
+  outcome.reason = reason;
+  RefuseOrder(call, outcome);
+}
+
+void AgentCore::State::CancelAtBackend(const CallPtr& call, Reason reason) {
+  if (call->cancel_sent) return;
+  call->cancel_sent = true;
+  call->cancel_reason = reason;
+  Count("shallot_agent_cancels_total").Add();
+  // The outcome follows from the end of the call, whatever the answer to the cancellation is.
+  env.backend->CancelCall(call->call.id, [](const Result<CancelResult>&) {});
+}
+
+void AgentCore::State::OnCallAck(const CallAck& ack) {
+  const CallPtr call = FindCall(CallKey(ack.call, ack.attempt));
+  if (call == nullptr || call->phase != CallPhase::kEnded) return;
+  calls.erase(call->key);
+}
+
+void AgentCore::State::SweepCalls() {
+  const SteadyTime now = Now();
+  std::vector<CallPtr> orphans;
+  std::vector<CallPtr> overruns;
+  std::vector<CallPtr> unrecorded;
+  for (const auto& [key, call] : calls) {
+    if (call->phase == CallPhase::kRecording && now >= call->record_until) {
+      unrecorded.push_back(call);
+    }
+    if (!call->call.repeatable || call->phase == CallPhase::kEnded) continue;
+    if (!call->attached && now - call->detached_at >= kOrphanLimit) orphans.push_back(call);
+    if (call->phase == CallPhase::kRunning && now >= call->deadline + kOverrunLimit) {
+      overruns.push_back(call);
+    }
+  }
+  for (const CallPtr& call : unrecorded) FinishRecorded(call);
+  for (const CallPtr& call : orphans) CancelCall(call, Reason::kConnectionLost);
+  for (const CallPtr& call : overruns) CancelCall(call, Reason::kDeadline);
+  ForgetOldCalls();
+}
+
+void AgentCore::State::ForgetOldCalls() {
+  const SteadyTime now = Now();
+  std::erase_if(calls, [now](const auto& item) {
+    const AgentCall& call = *item.second;
+    return call.phase == CallPhase::kEnded && now - call.ended_at >= kAnswerRetention;
+  });
+  std::erase_if(tombstones, [now](const auto& item) { return now - item.second >= kTombstoneAge; });
+}
+
+}  // namespace shallot
--- /dev/null
+++ b/servers/agent_state.cc
@@ -0,0 +1,190 @@
+#include "servers/agent_state.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "core/log.h"
+
+namespace shallot {
+namespace {
+
+Hello GreetingOf(const AgentOptions& options) {
+  Hello hello;
+  hello.sender = options.id;
+  hello.incarnation = options.incarnation;
+  hello.role = PeerRole::kAgent;
+  hello.runner = options.runner;
+  hello.failure_domain = options.failure_domain;
+  return hello;
+}
+
+}  // namespace
+
+AgentCore::State::State(AgentOptions agent_options, AgentEnvironment agent_environment)
+    : options(std::move(agent_options)),
+      env(agent_environment),
+      config(env.invariants),
+      slots(options.runner, options.incarnation),
+      peers(GreetingOf(options), env.clock, env.link, &config, env.metrics,
+            {[this] { return Summary(); }, [this] { OnConfig(); },
+             [this](ConnectionId connection) { OnLost(connection); }}),
+      loads({options.runner, options.fencing, options.static_share_interval}, env.clock, env.engine,
+            this, env.metrics, env.invariants),
+      answer_budget(options.answer_buffer_bytes),
+      self(std::make_shared<State*>(this)) {}
+
+void AgentCore::State::OnConfig() {
+  CallQueue::Bounds bounds{};
+  for (size_t i = 0; i < bounds.size(); ++i) bounds[i] = config.current()->classes[i].queue_bound;
+  queue.SetBounds(bounds);
+  loads.OnConfig(config.current());
+  LogInfo("config", "revision " + std::to_string(config.revision().value()) + " is in force");
+}
+
+void AgentCore::State::OnGrant(const SlotGrant& grant) {
+  const GrantResult result = slots.Apply(grant);
+  if (result != GrantResult::kAccepted) {
+    Count("shallot_agent_grants_refused_total").Add();
+    return;
+  }
+  Count("shallot_agent_grants_total").Add();
+  // The owner still shows these slots, so an earlier confirmation was lost.
+  for (const SlotReleased& released : slots.Confirmed(grant.shard)) peers.Broadcast(released);
+  RefuseQueued(
+      [this](const QueuedCall& call) { return !call.entry.empty() && !slots.IsActive(call.entry); },
+      Reason::kNotGranted, Millis(0));
+  ConfirmReleases();
+}
+
+void AgentCore::State::ConfirmReleases() {
+  // Before the first inventory the engine may hold an entry that is not known here.
+  if (!loads.inventory_known()) return;
+  for (const SlotReleased& slot : slots.Unconfirmed()) {
+    if (loads.IsHeld(slot.entry) || RunningCalls(slot.entry) > 0) continue;
+    slots.MarkReleased(slot.entry, slot.generation);
+    Count("shallot_agent_slots_released_total").Add();
+    peers.Broadcast(slot);
+  }
+}
+
+uint64_t AgentCore::State::Concurrency() const {
+  if (env.engine == nullptr) return options.service_concurrency;
+  return std::max<uint64_t>(1, loads.concurrency());
+}
+
+bool AgentCore::State::Ready() const {
+  return config.current() != nullptr && (env.engine == nullptr || loads.inventory_known());
+}
+
+LoadSummary AgentCore::State::Summary() const {
+  LoadSummary summary;
+  summary.running = running_ids.size();
+  summary.queued = queue.size();
+  summary.concurrency = Concurrency();
+  summary.mean_service = std::chrono::ceil<Millis>(mean_service);
+  if (env.engine == nullptr) return summary;
+  summary.memory_capacity = loads.ledger().capacity();
+  summary.memory_reserved = loads.ledger().reserved();
+  summary.loaded = loads.Loaded();
+  summary.cached_in_memory = loads.cached_in_memory();
+  summary.cached_on_disk = loads.cached_on_disk();
+  summary.serving = loads.serving();
+  return summary;
+}
+
+ShardId AgentCore::State::ShardOfEntry(const EntryId& entry) const {
+  const CatalogEntry* known = config.current()->FindEntry(entry);
+  return ShardOf(known == nullptr ? entry : known->base, config.current()->shard_count);
+}
+
+void AgentCore::State::OnLost(ConnectionId connection) {
+  for (auto& [key, call] : calls) {
+    if (!call->attached || call->connection != connection) continue;
+    call->attached = false;
+    call->detached_at = Now();
+  }
+}
+
+bool AgentCore::State::MustUnload(const EntryId& entry) const {
+  if (slots.IsActive(entry)) return false;
+  return config.current() != nullptr && slots.Knows(ShardOfEntry(entry));
+}
+
+uint64_t AgentCore::State::RunningCalls(const EntryId& entry) const {
+  const auto found = running_by_entry.find(entry);
+  return found == running_by_entry.end() ? 0 : found->second;
+}
+
+Millis AgentCore::State::KeepAlive(const EntryId& entry) const {
+  const CatalogEntry* known = config.current()->FindEntry(entry);
+  if (keep_alive != nullptr) return keep_alive->KeepAlive(entry);
+  return known == nullptr ? EntryPolicy().keep_alive_max : known->policy.keep_alive_max;
+}
+
+bool AgentCore::State::RequestPermit(const LoadPermitRequest& request) {
+  return peers.SendToAny(request);
+}
+
+void AgentCore::State::ReturnPermit(uint64_t permit_id) {
+  peers.SendToAny(LoadPermitReturn{permit_id, options.runner});
+}
+
+void AgentCore::State::OnLoadRefused(const EntryId& entry, Reason reason, Millis retry_after) {
+  const SteadyTime ready_at = Now() + retry_after + loads.ExpectedWait(entry);
+  // After a failed load the calls that can wait for the next try stay in the queue.
+  const bool temporary = reason == Reason::kLoadFailed;
+  RefuseQueued(
+      [&](const QueuedCall& call) {
+        return call.entry == entry && (!temporary || ready_at > call.latest_start);
+      },
+      reason, retry_after);
+}
+
+void AgentCore::State::Tick() {
+  peers.OnTick();
+  SweepCalls();
+  ExpireQueued();
+  std::map<EntryId, SteadyTime> wanted;
+  for (const QueuedCall& call : queue.calls()) {
+    if (call.entry.empty()) continue;
+    const auto [found, added] = wanted.try_emplace(call.entry, call.latest_start);
+    if (!added) found->second = std::min(found->second, call.latest_start);
+  }
+  std::vector<LoadDemand> demands;
+  for (const auto& [entry, deadline] : wanted) demands.push_back({entry, deadline});
+  loads.Advance(std::move(demands));
+  ConfirmReleases();
+  Dispatch();
+  PumpAll();
+  AdvanceDrain();
+  env.metrics->GetGauge("shallot_agent_queued_calls").Set(static_cast<int64_t>(queue.size()));
+  env.metrics->GetGauge("shallot_agent_running_calls")
+      .Set(static_cast<int64_t>(running_ids.size()));
+  env.metrics->GetGauge("shallot_agent_answer_bytes")
+      .Set(static_cast<int64_t>(answer_budget.used()));
+}
+
+std::string AgentCore::State::StatusJson() const {
+  nlohmann::json status;
+  status["agent"] = options.id.value();
+  status["runner"] = options.runner.value();
+  status["backend"] = options.backend.value();
+  status["failure_domain"] = options.failure_domain.value();
+  status["incarnation"] = options.incarnation.value();
+  status["config_revision"] = config.revision().value();
+  status["ready"] = Ready();
+  status["draining"] = draining;
+  status["connections"] = peers.size();
+  status["running"] = running_ids.size();
+  status["queued"] = queue.size();
+  status["memory_capacity"] = loads.ledger().capacity().value();
+  status["memory_reserved"] = loads.ledger().reserved().value();
+  status["entries"] = nlohmann::json::object();
+  for (const auto& [entry, phase] : loads.Phases()) status["entries"][entry.value()] = phase;
+  status["slots"] = nlohmann::json::array();
+  for (const SlotReleased& slot : slots.Held()) status["slots"].push_back(slot.entry.value());
+  return status.dump();
+}
+
+}  // namespace shallot
--- /dev/null
+++ b/servers/agent_state.h
@@ -0,0 +1,130 @@
+#ifndef SERVERS_AGENT_STATE_H_
+#define SERVERS_AGENT_STATE_H_
+
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "servers/agent_call.h"
+#include "servers/agent_core.h"
+#include "servers/agent_peers.h"
+#include "servers/config_replica.h"
+#include "servers/load_scheduler.h"
+#include "servers/slot_book.h"
+
+namespace shallot {
+
+/// Parts and calls of an agent. The methods are grouped by the file that defines them.
+struct AgentCore::State final : public LoadSchedulerHost {
+  using CallPtr = std::shared_ptr<AgentCall>;
+
+  State(AgentOptions agent_options, AgentEnvironment agent_environment);
+
+  // agent_state.cc: configuration, slots and what the load scheduler asks.
+  SteadyTime Now() const { return env.clock->SteadyNow(); }
+  Counter& Count(const std::string& name) { return env.metrics->GetCounter(name); }
+  void OnConfig();
+  void OnGrant(const SlotGrant& grant);
+  void ConfirmReleases();
+  LoadSummary Summary() const;
+  uint64_t Concurrency() const;
+  bool Ready() const;
+  ShardId ShardOfEntry(const EntryId& entry) const;
+  void OnLost(ConnectionId connection);
+  std::string StatusJson() const;
+  bool MayLoad(const EntryId& entry) const override { return slots.IsActive(entry); }
+  bool MustUnload(const EntryId& entry) const override;
+  uint64_t RunningCalls(const EntryId& entry) const override;
+  Millis KeepAlive(const EntryId& entry) const override;
+  bool RequestPermit(const LoadPermitRequest& request) override;
+  void ReturnPermit(uint64_t permit_id) override;
+  void OnLoadRefused(const EntryId& entry, Reason reason, Millis retry_after) override;
+
+  // agent_admission.cc: from CallStart to the queue, and out of it unserved.
+  void OnCallStart(ConnectionId connection, const Call& call);
+  void Admit(const CallPtr& call);
+  Outcome CheckAdmission(const AgentCall& call) const;
+  Outcome CheckTarget(const Call& call) const;
+  void Enqueue(const CallPtr& call);
+  void ExpireQueued();
+  void RefuseQueued(const CallQueue::Predicate& matches, Reason reason, Millis retry_after);
+  Millis PredictedWait(const EntryId& entry, CallClass call_class) const;
+  Millis ServiceEstimate(CallClass call_class) const;
+  bool IsTombstone(const CallKey& key) const { return tombstones.contains(key); }
+  void AddTombstone(const CallKey& key);
+
+  // agent_execution.cc: running calls and their answers.
+  void Dispatch();
+  bool CanStart(const QueuedCall& queued) const;
+  void Run(const CallPtr& call);
+  void OnBegin(const CallPtr& call, int http_status, const std::string& content_type);
+  void OnData(const CallPtr& call, const std::string& payload);
+  void OnExecutionEnd(const CallPtr& call, ExecutionEnd end, const std::string& message);
+  Outcome OutcomeOf(const AgentCall& call, ExecutionEnd end, const std::string& message) const;
+  void NoteService(const AgentCall& call);
+  void Finish(const CallPtr& call, const Outcome& outcome);
+  void Pump(AgentCall& call);
+  void PumpAll();
+
+  // agent_resume.cc: cancel, resume, acknowledge, forget.
+  void OnCallCancel(ConnectionId connection, const CallCancel& cancel);
+  void OnCallResume(ConnectionId connection, const CallResume& resume);
+  void OnCallAck(const CallAck& ack);
+  void Attach(AgentCall& call, ConnectionId connection, uint64_t offset);
+  void CancelCall(const CallPtr& call, Reason reason);
+  void CancelAtBackend(const CallPtr& call, Reason reason);
+  void SweepCalls();
+  void ForgetOldCalls();
+  void SendOutcome(ConnectionId connection, const CallKey& key, const Outcome& outcome);
+  CallPtr FindCall(const CallKey& key) const;
+
+  // agent_orders.cc: claims of calls that must run at most once.
+  void ClaimOrder(const CallPtr& call);
+  void OnClaim(const CallPtr& call, const ClaimReply& reply);
+  void OnClaimGranted(const CallPtr& call);
+  void ReplayAnswer(const CallPtr& call, const OrderAnswer& answer);
+  void RecordOrder(const CallPtr& call, const Outcome& outcome);
+  void RefuseOrder(const CallPtr& call, const Outcome& outcome);
+  void FinishRecorded(const CallPtr& call);
+
+  // agent_drain.cc: leaving.
+  void BeginDrain(const std::string& reason, Millis grace);
+  void AdvanceDrain();
+  void GiveUpSlots();
+  bool HasOpenCalls() const;
+  bool Drained() const;
+
+  void Tick();
+
+  AgentOptions options;
+  AgentEnvironment env;
+  ConfigReplica config;
+  SlotBook slots;
+  AgentPeers peers;
+  LoadScheduler loads;
+  CallQueue queue;
+  AnswerBudget answer_budget;
+  KeepAlivePolicy* keep_alive = nullptr;
+  std::map<CallKey, CallPtr> calls;
+  /// Attempts that were cancelled here before they ran, with the time of the cancellation.
+  std::map<CallKey, SteadyTime> tombstones;
+  /// Running calls by entry, and by call id: two attempts of a call never run at once.
+  std::map<EntryId, uint64_t> running_by_entry;
+  std::set<CallId> running_ids;
+  /// Smoothed service time by class; zero when unknown.
+  std::array<Duration, kCallClassCount> service_time{};
+  Duration mean_service{0};
+  uint64_t next_claim = 0;
+  bool draining = false;
+  bool grace_over = false;
+  SteadyTime drain_started;
+  SteadyTime drain_until;
+  /// Callbacks hold it weakly; they do nothing once the agent is gone.
+  std::shared_ptr<State*> self;
+};
+
+}  // namespace shallot
+
+#endif  // SERVERS_AGENT_STATE_H_
--- /dev/null
+++ b/servers/answer_buffer.h
@@ -0,0 +1,47 @@
+#ifndef SERVERS_ANSWER_BUFFER_H_
+#define SERVERS_ANSWER_BUFFER_H_
+
+#include <cstdint>
+#include <string>
+
+namespace shallot {
+
+/// Bytes that the answer buffers of an agent hold together, against their common limit.
+class AnswerBudget {
+ public:
+  explicit AnswerBudget(uint64_t limit) : limit_(limit) {}
+  bool Exhausted() const { return used_ >= limit_; }
+  uint64_t used() const { return used_; }
+  void Add(uint64_t bytes) { used_ += bytes; }
+  void Remove(uint64_t bytes) { used_ -= bytes; }
+
+ private:
+  uint64_t limit_;
+  uint64_t used_ = 0;
+};
+
+/// The answer of one call, kept from its first byte so that a router can resume at any offset.
+class AnswerBuffer {
+ public:
+  /// Longest payload of one frame; a long answer does not block the heartbeats of its connection.
+  static constexpr uint64_t kMaxFrame = 64U << 10U;
+
+  explicit AnswerBuffer(AnswerBudget* budget) : budget_(budget) {}
+  ~AnswerBuffer() { budget_->Remove(data_.size()); }
+  AnswerBuffer(const AnswerBuffer&) = delete;
+  AnswerBuffer& operator=(const AnswerBuffer&) = delete;
+
+  void Append(const std::string& payload);
+  /// Payload of the frame at `offset`; empty when there are no bytes there yet.
+  std::string FrameAt(uint64_t offset) const;
+  uint64_t size() const { return data_.size(); }
+  const std::string& data() const { return data_; }
+
+ private:
+  AnswerBudget* budget_;
+  std::string data_;
+};
+
+}  // namespace shallot
+
+#endif  // SERVERS_ANSWER_BUFFER_H_
--- /dev/null
+++ b/servers/keep_alive_policy.h
@@ -0,0 +1,21 @@
+#ifndef SERVERS_KEEP_ALIVE_POLICY_H_
+#define SERVERS_KEEP_ALIVE_POLICY_H_
+
+#include "core/clock.h"
+#include "core/ids.h"
+
+namespace shallot {
+
+/// Decides how long an idle entry stays loaded. Called on the core's thread.
+class KeepAlivePolicy {
+ public:
+  virtual ~KeepAlivePolicy() = default;
+  /// Time that the entry stays loaded after its last call.
+  virtual Millis KeepAlive(const EntryId& entry) const = 0;
+  /// A call for the entry arrived.
+  virtual void OnCall(const EntryId& entry, SteadyTime now) = 0;
+};
+
+}  // namespace shallot
+
+#endif  // SERVERS_KEEP_ALIVE_POLICY_H_
--- /dev/null
+++ b/servers/load_scheduler.cc
@@ -0,0 +1,337 @@
+#include "servers/load_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/log.h"
+
+namespace shallot {
+namespace {
+
+constexpr Millis kPermitPatience{1000};
+constexpr Millis kFirstBackoff{500};
+constexpr Millis kLongestBackoff{30'000};
+/// Load times assumed until the first load of an entry was measured.
+constexpr Millis kAssumedModelLoad{2000};
+constexpr Millis kAssumedAdapterLoad{20};
+/// Weight of the newest load in the smoothed load time.
+constexpr double kLoadTimeWeight = 0.3;
+
+Millis Backoff(uint64_t failures) {
+  const uint64_t doublings = std::min<uint64_t>(failures, 8) - 1;
+  return std::min(kLongestBackoff, kFirstBackoff * (int64_t{1} << doublings));
+}
+
+bool IsUnknown(const Status& status) {
+  if (IsOk(status)) return false;
+  const ErrorKind kind = ErrorOf(status).kind;
+  return kind == ErrorKind::kUnknownOutcome || kind == ErrorKind::kInternal ||
+         kind == ErrorKind::kCancelled;
+}
+
+}  // namespace
+
+LoadScheduler::LoadScheduler(Options options, const Clock* clock, ModelEngine* engine,
+                             LoadSchedulerHost* host, MetricsRegistry* metrics,
+                             InvariantMonitor* invariants)
+    : options_(std::move(options)),
+      clock_(clock),
+      engine_(engine),
+      host_(host),
+      metrics_(metrics),
+      invariants_(invariants),
+      next_inventory_(clock->SteadyNow()),
+      next_static_load_(clock->SteadyNow()),
+      self_(std::make_shared<LoadScheduler*>(this)) {}
+
+void LoadScheduler::OnConfig(std::shared_ptr<const FleetConfig> config) {
+  config_ = std::move(config);
+  for (auto& [id, entry] : entries_) {
+    const CatalogEntry* known = config_->FindEntry(id);
+    if (known == nullptr) continue;
+    // The loaded version stays on record; a change of version retires the entry.
+    const std::string loaded_version = entry.info.version;
+    const bool held = entry.phase != Phase::kAbsent;
+    entry.info = *known;
+    if (held) entry.info.version = loaded_version;
+    if (held && ledger_.ReservedFor(id) < Need(entry)) ledger_.Adopt(id, Need(entry));
+  }
+}
+
+LoadScheduler::Entry& LoadScheduler::Track(const EntryId& id) {
+  const auto [found, added] = entries_.try_emplace(id);
+  Entry& entry = found->second;
+  if (!added) return entry;
+  entry.info.id = id;
+  entry.info.base = id;
+  entry.last_used = clock_->SteadyNow();
+  entry.phase_since = clock_->SteadyNow();
+  entry.retry_at = clock_->SteadyNow();
+  const CatalogEntry* known = config_ ? config_->FindEntry(id) : nullptr;
+  if (known != nullptr) entry.info = *known;
+  return entry;
+}
+
+const LoadScheduler::Entry* LoadScheduler::Find(const EntryId& id) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+Bytes LoadScheduler::Need(const Entry& entry) const {
+  return Bytes(entry.info.size.value() + entry.info.kv_cache.value());
+}
+
+EngineOrder LoadScheduler::OrderFor(const Entry& entry) const {
+  EngineOrder order;
+  order.entry = entry.info.id;
+  order.kind = entry.info.kind;
+  if (entry.info.kind == LoadKind::kAdapter) order.base = entry.info.base;
+  order.version = entry.info.version;
+  order.size = entry.info.size;
+  order.fencing = options_.fencing;
+  return order;
+}
+
+void LoadScheduler::SetPhase(Entry& entry, Phase phase) {
+  entry.phase = phase;
+  entry.phase_since = clock_->SteadyNow();
+  entry.last_event = ++event_;
+}
+
+Duration LoadScheduler::LoadEstimate(const Entry& entry) const {
+  if (entry.load_time > Duration::zero()) return entry.load_time;
+  return entry.info.kind == LoadKind::kModel ? kAssumedModelLoad : kAssumedAdapterLoad;
+}
+
+bool LoadScheduler::IsUsable(const EntryId& id) const {
+  const Entry* entry = Find(id);
+  if (entry == nullptr || entry->phase != Phase::kLoaded || entry->retiring) return false;
+  return entry->info.kind == LoadKind::kModel || IsUsable(entry->info.base);
+}
+
+bool LoadScheduler::IsHeld(const EntryId& id) const {
+  const Entry* entry = Find(id);
+  return entry != nullptr && entry->phase != Phase::kAbsent;
+}
+
+bool LoadScheduler::LacksMemory(const EntryId& id) const {
+  const Entry* entry = Find(id);
+  if (entry == nullptr || entry->phase != Phase::kAbsent) return false;
+  if (entry->lacks_memory) return true;
+  return entry->info.kind == LoadKind::kAdapter && LacksMemory(entry->info.base);
+}
+
+bool LoadScheduler::Empty() const {
+  return std::all_of(entries_.begin(), entries_.end(),
+                     [](const auto& item) { return item.second.phase == Phase::kAbsent; });
+}
+
+Millis LoadScheduler::ExpectedWait(const EntryId& id) const {
+  if (IsUsable(id)) return Millis(0);
+  const Entry* entry = Find(id);
+  const SteadyTime now = clock_->SteadyNow();
+  if (entry == nullptr) {
+    const CatalogEntry* known = config_ ? config_->FindEntry(id) : nullptr;
+    if (known == nullptr || known->kind == LoadKind::kModel) return kAssumedModelLoad;
+    return kAssumedAdapterLoad + ExpectedWait(known->base);
+  }
+  Duration wait = LoadEstimate(*entry);
+  if (entry->phase == Phase::kLoading) {
+    wait = std::max(Duration(0), wait - (now - entry->phase_since));
+  }
+  if (entry->retry_at > now) wait += entry->retry_at - now;
+  if (entry->info.kind == LoadKind::kAdapter) wait += ExpectedWait(entry->info.base);
+  return std::chrono::ceil<Millis>(wait);
+}
+
+void LoadScheduler::Touch(const EntryId& id) {
+  Entry& entry = Track(id);
+  entry.last_used = clock_->SteadyNow();
+  if (entry.info.kind == LoadKind::kAdapter) Track(entry.info.base).last_used = entry.last_used;
+}
+
+void LoadScheduler::Advance(std::vector<LoadDemand> demands) {
+  if (engine_ == nullptr) return;
+  const SteadyTime now = clock_->SteadyNow();
+  const bool overdue = inventory_pending_ && now - inventory_asked_at_ >= Seconds(10);
+  if (now >= next_inventory_ && (!inventory_pending_ || overdue)) FetchInventory();
+  if (!inventory_known_ || !config_) return;
+  ++pass_;
+  std::stable_sort(demands.begin(), demands.end(), [](const LoadDemand& a, const LoadDemand& b) {
+    return a.deadline < b.deadline;
+  });
+  for (const LoadDemand& demand : demands) Track(demand.entry).wanted_pass = pass_;
+  for (const LoadDemand& demand : demands) Want(demand.entry, demand.deadline);
+  for (auto& [id, entry] : entries_) {
+    if (entry.phase == Phase::kWaiting && entry.wanted_pass != pass_) Abandon(entry);
+  }
+  UnloadRetired();
+  UpdateGauges();
+}
+
+void LoadScheduler::Want(const EntryId& id, SteadyTime deadline) {
+  if (config_->FindEntry(id) == nullptr) {
+    host_->OnLoadRefused(id, Reason::kUnknownEntry, Millis(0));
+    return;
+  }
+  Entry& entry = Track(id);
+  entry.wanted_pass = pass_;
+  if (entry.phase == Phase::kWaiting) {
+    TryStart(entry, deadline);
+    return;
+  }
+  if (entry.phase != Phase::kAbsent || clock_->SteadyNow() < entry.retry_at) return;
+  if (releasing_all_ || !host_->MayLoad(id)) return;
+  entry.info = *config_->FindEntry(id);
+  if (!WantBase(entry, deadline) || !ReserveFor(entry)) return;
+  SetPhase(entry, Phase::kWaiting);
+  entry.permit_id = 0;
+  TryStart(entry, deadline);
+}
+
+bool LoadScheduler::WantBase(const Entry& entry, SteadyTime deadline) {
+  if (entry.info.kind == LoadKind::kModel) return true;
+  const EntryId base = entry.info.base;
+  if (!host_->MayLoad(base)) {
+    host_->OnLoadRefused(entry.info.id, Reason::kNotGranted, Millis(0));
+    return false;
+  }
+  Want(base, deadline);
+  return IsUsable(base);
+}
+
+bool LoadScheduler::ReserveFor(Entry& entry) {
+  const Bytes need = Need(entry);
+  if (need > ledger_.capacity()) {
+    host_->OnLoadRefused(entry.info.id, Reason::kNoMemory, Millis(0));
+    return false;
+  }
+  entry.lacks_memory = !ledger_.Reserve(entry.info.id, need);
+  if (entry.lacks_memory) {
+    EvictFor(need.value());
+    return false;
+  }
+  invariants_->Check(Invariant::kMemoryWithinCapacity, ledger_.reserved() <= ledger_.capacity(),
+                     "reservation of " + entry.info.id.value());
+  return true;
+}
+
+void LoadScheduler::TryStart(Entry& entry, SteadyTime deadline) {
+  if (!host_->MayLoad(entry.info.id) || releasing_all_) {
+    Abandon(entry);
+    return;
+  }
+  const SteadyTime now = clock_->SteadyNow();
+  const bool first = entry.permit_id == 0;
+  if (first) {
+    entry.permit_id = ++next_permit_id_;
+    entry.permit_first_asked_at = now;
+  }
+  bool connected = true;
+  if (first || now - entry.permit_asked_at >= kPermitPatience) {
+    entry.permit_asked_at = now;
+    AskPermit(entry, deadline);
+    connected = entry.permit_asked_at == now;
+  }
+  // A permit may have come while it was asked for.
+  if (entry.phase != Phase::kWaiting) return;
+  if (connected && now - entry.permit_first_asked_at < kPermitPatience) return;
+  if (now < next_static_load_) return;
+  next_static_load_ = now + options_.static_share_interval;
+  metrics_->GetCounter("shallot_agent_static_share_loads_total").Add();
+  StartLoad(entry);
+}
+
+void LoadScheduler::AskPermit(Entry& entry, SteadyTime deadline) {
+  const SteadyTime now = clock_->SteadyNow();
+  LoadPermitRequest request;
+  request.permit_id = entry.permit_id;
+  request.runner = options_.runner;
+  request.entry = entry.info.id;
+  request.kind = entry.info.kind;
+  request.remaining = std::max(Millis(0), std::chrono::floor<Millis>(deadline - now));
+  // Without a connection the request is repeated on the next pass.
+  if (!host_->RequestPermit(request)) entry.permit_asked_at = now - kPermitPatience;
+}
+
+void LoadScheduler::OnPermit(const LoadPermit& permit) {
+  for (auto& [id, entry] : entries_) {
+    if (entry.permit_id != permit.permit_id) continue;
+    if (entry.phase != Phase::kWaiting || !host_->MayLoad(id)) break;
+    entry.permit_held = true;
+    StartLoad(entry);
+    return;
+  }
+  host_->ReturnPermit(permit.permit_id);
+}
+
+void LoadScheduler::StartLoad(Entry& entry) {
+  invariants_->Check(Invariant::kReplicasWithinDecision, host_->MayLoad(entry.info.id),
+                     "load of " + entry.info.id.value() + " without a slot");
+  metrics_->GetCounter("shallot_agent_loads_total").Add();
+  SetPhase(entry, Phase::kLoading);
+  const EntryId id = entry.info.id;
+  const std::weak_ptr<LoadScheduler*> weak = self_;
+  engine_->Load(OrderFor(entry), [weak, id](const Status& status) {
+    if (const auto self = weak.lock()) (*self)->OnLoadDone(id, status);
+  });
+}
+
+void LoadScheduler::OnLoadDone(const EntryId& id, const Status& status) {
+  Entry& entry = Track(id);
+  GivePermitBack(entry);
+  if (entry.phase != Phase::kLoading) return;
+  if (IsOk(status)) {
+    OnLoadSucceeded(entry);
+    return;
+  }
+  LogWarning("load", id.value() + ": " + FormatError(ErrorOf(status)));
+  if (IsUnknown(status)) {
+    SetPhase(entry, Phase::kUnsettled);
+    // Counts as a failure unless the inventory shows the entry.
+    entry.retry_at = clock_->SteadyNow() + Backoff(++entry.failures);
+    next_inventory_ = clock_->SteadyNow();
+    return;
+  }
+  const bool memory = ErrorOf(status).kind == ErrorKind::kResourceExhausted;
+  OnLoadFailed(entry, memory ? Reason::kNoMemory : Reason::kLoadFailed);
+}
+
+void LoadScheduler::OnLoadSucceeded(Entry& entry) {
+  const SteadyTime now = clock_->SteadyNow();
+  const Duration took = now - entry.phase_since;
+  metrics_->GetHistogram("shallot_agent_load_seconds").Record(took);
+  const auto weight = entry.load_time == Duration::zero() ? 1.0 : kLoadTimeWeight;
+  entry.load_time =
+      std::chrono::duration_cast<Duration>(entry.load_time * (1 - weight) + took * weight);
+  entry.failures = 0;
+  entry.retiring = false;
+  entry.last_used = now;
+  SetPhase(entry, Phase::kLoaded);
+}
+
+void LoadScheduler::OnLoadFailed(Entry& entry, Reason reason) {
+  metrics_->GetCounter("shallot_agent_load_failures_total").Add();
+  ledger_.Release(entry.info.id);
+  SetPhase(entry, Phase::kAbsent);
+  ++entry.failures;
+  const Millis backoff = Backoff(entry.failures);
+  entry.retry_at = clock_->SteadyNow() + backoff;
+  host_->OnLoadRefused(entry.info.id, reason, backoff);
+}
+
+void LoadScheduler::GivePermitBack(Entry& entry) {
+  if (!entry.permit_held) return;
+  entry.permit_held = false;
+  host_->ReturnPermit(entry.permit_id);
+}
+
+void LoadScheduler::Abandon(Entry& entry) {
+  ledger_.Release(entry.info.id);
+  SetPhase(entry, Phase::kAbsent);
+  // Withdraws the request; a permit that comes later is returned too.
+  host_->ReturnPermit(entry.permit_id);
+  entry.permit_id = 0;
+}
+
+}  // namespace shallot
--- /dev/null
+++ b/servers/load_scheduler.h
@@ -0,0 +1,195 @@
+#ifndef SERVERS_LOAD_SCHEDULER_H_
+#define SERVERS_LOAD_SCHEDULER_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/invariant.h"
+#include "core/metrics.h"
+#include "servers/backend_server.h"
+#include "servers/fleet_config.h"
+#include "servers/memory_ledger.h"
+#include "servers/messages.h"
+
+namespace shallot {
+
+/// What the load scheduler asks of the agent that owns it. Called on the core's thread.
+class LoadSchedulerHost {
+ public:
+  virtual ~LoadSchedulerHost() = default;
+  /// True when the agent has an active slot of the entry.
+  virtual bool MayLoad(const EntryId& entry) const = 0;
+  /// True when a grant says that the runner must not hold the entry.
+  virtual bool MustUnload(const EntryId& entry) const = 0;
+  virtual uint64_t RunningCalls(const EntryId& entry) const = 0;
+  /// Time that the entry stays loaded without calls.
+  virtual Millis KeepAlive(const EntryId& entry) const = 0;
+  /// Returns false when no connection can carry the request.
+  virtual bool RequestPermit(const LoadPermitRequest& request) = 0;
+  virtual void ReturnPermit(uint64_t permit_id) = 0;
+  /// The entry cannot be loaded now. `retry_after` zero: no time is known.
+  virtual void OnLoadRefused(const EntryId& entry, Reason reason, Millis retry_after) = 0;
+};
+
+/// An entry that calls wait for.
+struct LoadDemand {
+  EntryId entry;
+  /// Earliest deadline of the calls that wait.
+  SteadyTime deadline;
+};
+
+/// Decides which entries the engine of one runner loads and unloads: memory, permits, eviction,
+/// keep-alive and reconciliation with the engine's inventory. Single threaded.
+class LoadScheduler {
+ public:
+  struct Options {
+    RunnerId runner;
+    FencingNumber fencing;
+    Millis static_share_interval{10'000};
+  };
+
+  LoadScheduler(Options options, const Clock* clock, ModelEngine* engine, LoadSchedulerHost* host,
+                MetricsRegistry* metrics, InvariantMonitor* invariants);
+
+  /// Asks the engine for its inventory; also called by Advance when one is due.
+  void FetchInventory();
+  /// False until the first inventory came.
+  bool inventory_known() const { return inventory_known_; }
+  /// False while the engine does not answer.
+  bool serving() const { return serving_; }
+  uint64_t concurrency() const { return concurrency_; }
+
+  void OnConfig(std::shared_ptr<const FleetConfig> config);
+  void OnPermit(const LoadPermit& permit);
+  /// The entry served a call until now.
+  void Touch(const EntryId& entry);
+  /// Unloads everything as soon as no call uses it.
+  void ReleaseAll() { releasing_all_ = true; }
+  /// Makes the next decisions for the entries that calls wait for.
+  void Advance(std::vector<LoadDemand> demands);
+
+  /// True when a call for the entry can start now.
+  bool IsUsable(const EntryId& entry) const;
+  /// True when the engine may hold the entry or anything of it.
+  bool IsHeld(const EntryId& entry) const;
+  /// True when the entry waits for memory that running calls hold.
+  bool LacksMemory(const EntryId& entry) const;
+  /// True when nothing is loaded, loading or unloading.
+  bool Empty() const;
+  /// Expected time until the entry is usable; zero when it is.
+  Millis ExpectedWait(const EntryId& entry) const;
+
+  const MemoryLedger& ledger() const { return ledger_; }
+  std::vector<EntryId> Loaded() const;
+  const std::vector<EntryId>& cached_in_memory() const { return cached_in_memory_; }
+  const std::vector<EntryId>& cached_on_disk() const { return cached_on_disk_; }
+  /// Phases by entry for /status.
+  std::map<EntryId, std::string> Phases() const;
+
+ private:
+  enum class Phase {
+    kAbsent,
+    kWaiting,  ///< Memory is reserved; the order waits for a permit.
+    kLoading,  ///< An order is under way.
+    kLoaded,
+    kUnloading,  ///< An order is under way.
+    kUnsettled,  ///< The outcome of an order is unknown until the inventory tells.
+  };
+
+  struct Entry {
+    CatalogEntry info;
+    Phase phase = Phase::kAbsent;
+    /// No new calls; it is unloaded when the running ones have ended.
+    bool retiring = false;
+    /// The entry could not reserve memory at its last try.
+    bool lacks_memory = false;
+    SteadyTime last_used;
+    SteadyTime phase_since;
+    SteadyTime retry_at;
+    uint64_t failures = 0;
+    /// Number of the last pass in which calls waited for it.
+    uint64_t wanted_pass = 0;
+    uint64_t permit_id = 0;
+    bool permit_held = false;
+    SteadyTime permit_asked_at;
+    SteadyTime permit_first_asked_at;
+    /// Value of `event_` when an order for it last started or ended.
+    uint64_t last_event = 0;
+    /// Smoothed duration of its loads; zero when unknown.
+    Duration load_time{0};
+  };
+
+  Entry& Track(const EntryId& id);
+  const Entry* Find(const EntryId& id) const;
+  Bytes Need(const Entry& entry) const;
+  EngineOrder OrderFor(const Entry& entry) const;
+  void SetPhase(Entry& entry, Phase phase);
+  Duration LoadEstimate(const Entry& entry) const;
+
+  // load_scheduler.cc
+  void Want(const EntryId& id, SteadyTime deadline);
+  bool WantBase(const Entry& entry, SteadyTime deadline);
+  bool ReserveFor(Entry& entry);
+  void TryStart(Entry& entry, SteadyTime deadline);
+  void AskPermit(Entry& entry, SteadyTime deadline);
+  void StartLoad(Entry& entry);
+  void OnLoadDone(const EntryId& id, const Status& status);
+  void OnLoadSucceeded(Entry& entry);
+  void OnLoadFailed(Entry& entry, Reason reason);
+  void GivePermitBack(Entry& entry);
+  void Abandon(Entry& entry);
+
+  // load_scheduler_unload.cc
+  bool MustRetire(const Entry& entry) const;
+  bool HasAdapters(const EntryId& base) const;
+  bool IsIdleGroup(const EntryId& id) const;
+  double EvictionScore(const Entry& entry) const;
+  uint64_t BytesOnTheWayOut() const;
+  void EvictFor(uint64_t needed);
+  void RetireGroup(const EntryId& id);
+  void UnloadRetired();
+  void StartUnload(Entry& entry);
+  void OnUnloadDone(const EntryId& id, const Status& status);
+  void OnUnloaded(Entry& entry);
+
+  // load_scheduler_inventory.cc
+  void OnInventory(uint64_t request, uint64_t issued, const Result<EngineInventory>& result);
+  void ApplyInventory(uint64_t issued, const EngineInventory& inventory);
+  void ApplyItem(Entry& entry, const InventoryItem& item);
+  void ApplyAbsence(Entry& entry);
+  void UpdateGauges();
+
+  Options options_;
+  const Clock* clock_;
+  ModelEngine* engine_;
+  LoadSchedulerHost* host_;
+  MetricsRegistry* metrics_;
+  InvariantMonitor* invariants_;
+  std::shared_ptr<const FleetConfig> config_;
+  MemoryLedger ledger_;
+  std::map<EntryId, Entry> entries_;
+  std::vector<EntryId> cached_in_memory_;
+  std::vector<EntryId> cached_on_disk_;
+  bool inventory_known_ = false;
+  bool serving_ = false;
+  bool releasing_all_ = false;
+  bool inventory_pending_ = false;
+  uint64_t inventory_request_ = 0;
+  SteadyTime inventory_asked_at_;
+  SteadyTime next_inventory_;
+  uint64_t concurrency_ = 0;
+  uint64_t event_ = 0;
+  uint64_t pass_ = 0;
+  uint64_t next_permit_id_ = 0;
+  SteadyTime next_static_load_;
+  /// Callbacks of the engine hold it weakly; they do nothing once the scheduler is gone.
+  std::shared_ptr<LoadScheduler*> self_;
+};
+
+}  // namespace shallot
+
+#endif  // SERVERS_LOAD_SCHEDULER_H_
--- /dev/null
+++ b/servers/load_scheduler_inventory.cc
@@ -0,0 +1,129 @@
+#include <algorithm>
+#include <set>
+
+#include "core/log.h"
+#include "servers/load_scheduler.h"
+
+namespace shallot {
+namespace {
+
+constexpr Millis kInventoryInterval{3000};
+constexpr Millis kInventoryRetry{500};
+
+bool IsHeldPresence(EntryPresence presence) {
+  return presence == EntryPresence::kLoading || presence == EntryPresence::kLoaded ||
+         presence == EntryPresence::kUnloading;
+}
+
+}  // namespace
+
+void LoadScheduler::FetchInventory() {
+  if (engine_ == nullptr) return;
+  const SteadyTime now = clock_->SteadyNow();
+  inventory_pending_ = true;
+  inventory_asked_at_ = now;
+  next_inventory_ = now + kInventoryInterval;
+  const uint64_t request = ++inventory_request_;
+  const uint64_t issued = event_;
+  const std::weak_ptr<LoadScheduler*> weak = self_;
+  engine_->FetchInventory([weak, request, issued](const Result<EngineInventory>& result) {
+    if (const auto self = weak.lock()) (*self)->OnInventory(request, issued, result);
+  });
+}
+
+void LoadScheduler::OnInventory(uint64_t request, uint64_t issued,
+                                const Result<EngineInventory>& result) {
+  if (request != inventory_request_) return;
+  inventory_pending_ = false;
+  serving_ = IsOk(result);
+  if (!serving_) {
+    LogWarning("load", "inventory: " + FormatError(ErrorOf(result)));
+    next_inventory_ = clock_->SteadyNow() + kInventoryRetry;
+    return;
+  }
+  ApplyInventory(issued, ValueOf(result));
+  inventory_known_ = true;
+}
+
+void LoadScheduler::ApplyInventory(uint64_t issued, const EngineInventory& inventory) {
+  ledger_.SetCapacity(inventory.memory_capacity);
+  concurrency_ = inventory.concurrency;
+  cached_in_memory_.clear();
+  cached_on_disk_.clear();
+  std::set<EntryId> held;
+  for (const InventoryItem& item : inventory.items) {
+    if (item.presence == EntryPresence::kInHostMemory) cached_in_memory_.push_back(item.entry);
+    if (item.presence == EntryPresence::kOnDisk) cached_on_disk_.push_back(item.entry);
+    if (!IsHeldPresence(item.presence)) continue;
+    held.insert(item.entry);
+    Entry& entry = Track(item.entry);
+    // An order that started or ended since the request makes the answer outdated for its entry.
+    if (entry.last_event <= issued) ApplyItem(entry, item);
+  }
+  bool unsettled = false;
+  for (auto& [id, entry] : entries_) {
+    if (!held.contains(id) && entry.last_event <= issued) ApplyAbsence(entry);
+    unsettled = unsettled || entry.phase == Phase::kUnsettled;
+  }
+  if (unsettled) next_inventory_ = std::min(next_inventory_, clock_->SteadyNow() + kInventoryRetry);
+}
+
+void LoadScheduler::ApplyItem(Entry& entry, const InventoryItem& item) {
+  if (entry.phase == Phase::kLoading || entry.phase == Phase::kUnloading) return;
+  const bool loaded = item.presence == EntryPresence::kLoaded;
+  if (entry.phase == Phase::kLoaded && loaded) return;
+  if (entry.phase == Phase::kAbsent || entry.phase == Phase::kWaiting) {
+    // The engine holds an entry that this incarnation did not load.
+    entry.info.kind = item.kind;
+    entry.info.version = item.version;
+    entry.info.size = std::max(entry.info.size, item.size);
+    entry.last_used = clock_->SteadyNow();
+    ledger_.Adopt(item.entry, Need(entry));
+    metrics_->GetCounter("shallot_agent_adopted_entries_total").Add();
+  }
+  // The event number stays: the change came from the inventory and not from an order.
+  entry.phase = loaded ? Phase::kLoaded : Phase::kUnsettled;
+  if (loaded) entry.failures = 0;
+  if (loaded) entry.retry_at = clock_->SteadyNow();
+  entry.phase_since = clock_->SteadyNow();
+}
+
+void LoadScheduler::ApplyAbsence(Entry& entry) {
+  if (entry.phase == Phase::kUnsettled || entry.phase == Phase::kLoaded) {
+    // The engine lost the entry, or an order with an unknown outcome left nothing behind.
+    OnUnloaded(entry);
+  }
+}
+
+std::vector<EntryId> LoadScheduler::Loaded() const {
+  std::vector<EntryId> result;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.phase == Phase::kLoaded && !entry.retiring) result.push_back(id);
+  }
+  return result;
+}
+
+std::map<EntryId, std::string> LoadScheduler::Phases() const {
+  static const std::map<Phase, std::string> kNames = {{Phase::kWaiting, "waiting-for-permit"},
+                                                      {Phase::kLoading, "loading"},
+                                                      {Phase::kLoaded, "loaded"},
+                                                      {Phase::kUnloading, "unloading"},
+                                                      {Phase::kUnsettled, "unsettled"}};
+  std::map<EntryId, std::string> result;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.phase == Phase::kAbsent) continue;
+    result[id] =
+        entry.phase == Phase::kLoaded && entry.retiring ? "retiring" : kNames.at(entry.phase);
+  }
+  return result;
+}
+
+void LoadScheduler::UpdateGauges() {
+  metrics_->GetGauge("shallot_agent_memory_reserved_bytes")
+      .Set(static_cast<int64_t>(ledger_.reserved().value()));
+  metrics_->GetGauge("shallot_agent_memory_capacity_bytes")
+      .Set(static_cast<int64_t>(ledger_.capacity().value()));
+  metrics_->GetGauge("shallot_agent_loaded_entries").Set(static_cast<int64_t>(Loaded().size()));
+}
+
+}  // namespace shallot
--- /dev/null
+++ b/servers/slot_book.cc
@@ -0,0 +1,85 @@
+#include "servers/slot_book.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shallot {
+
+SlotBook::SlotBook(RunnerId runner, Incarnation incarnation)
+    : runner_(std::move(runner)), incarnation_(incarnation) {}
+
+GrantResult SlotBook::Apply(const SlotGrant& grant) {
+  if (grant.incarnation != incarnation_) return GrantResult::kOtherIncarnation;
+  const auto found = shards_.find(grant.shard);
+  if (found != shards_.end() && grant.version < found->second.version) {
+    return GrantResult::kOutdated;
+  }
+  Shard shard;
+  shard.version = grant.version;
+  for (const Slot& slot : grant.slots) {
+    if (slot.runner == runner_) shard.slots[slot.entry] = slot;
+  }
+  shards_[grant.shard] = std::move(shard);
+  return GrantResult::kAccepted;
+}
+
+bool SlotBook::IsReleased(const Slot& slot) const {
+  const auto found = released_.find(slot.entry);
+  return found != released_.end() && slot.generation <= found->second;
+}
+
+const Slot* SlotBook::Find(const EntryId& entry) const {
+  for (const auto& [id, shard] : shards_) {
+    const auto found = shard.slots.find(entry);
+    if (found != shard.slots.end()) return &found->second;
+  }
+  return nullptr;
+}
+
+bool SlotBook::IsActive(const EntryId& entry) const {
+  const Slot* slot = Find(entry);
+  return slot != nullptr && slot->state == SlotState::kActive && !IsReleased(*slot);
+}
+
+bool SlotBook::Holds(const EntryId& entry) const {
+  const Slot* slot = Find(entry);
+  return slot != nullptr && !IsReleased(*slot);
+}
+
+void SlotBook::MarkReleased(const EntryId& entry, Generation generation) {
+  Generation& highest = released_[entry];
+  highest = std::max(highest, generation);
+}
+
+std::vector<SlotReleased> SlotBook::Unconfirmed() const {
+  std::vector<SlotReleased> result;
+  for (const auto& [id, shard] : shards_) {
+    for (const auto& [entry, slot] : shard.slots) {
+      if (slot.state != SlotState::kReleasing || IsReleased(slot)) continue;
+      result.push_back({id, entry, runner_, slot.generation});
+    }
+  }
+  return result;
+}
+
+std::vector<SlotReleased> SlotBook::Held() const {
+  std::vector<SlotReleased> result;
+  for (const auto& [id, shard] : shards_) {
+    for (const auto& [entry, slot] : shard.slots) {
+      if (!IsReleased(slot)) result.push_back({id, entry, runner_, slot.generation});
+    }
+  }
+  return result;
+}
+
+std::vector<SlotReleased> SlotBook::Confirmed(ShardId shard) const {
+  std::vector<SlotReleased> result;
+  const auto found = shards_.find(shard);
+  if (found == shards_.end()) return result;
+  for (const auto& [entry, slot] : found->second.slots) {
+    if (IsReleased(slot)) result.push_back({shard, entry, runner_, slot.generation});
+  }
+  return result;
+}
+
+}  // namespace shallot
