--- a/servers/agent_admission.cc
+++ b/servers/agent_admission.cc
@@ -10,6 +10,8 @@
 constexpr size_t kMaxTombstones = 65'536;
 /// Keeps sums of times far from the range of the clock.
 constexpr Millis kLongestRemaining{7 * 24 * 3'600'000LL};
+/// A promised load may start this much later than expected.
+constexpr Millis kPromiseMargin{5000};
 /// Calls end this much before their deadline: one tick and the way to the router.
 constexpr Millis kDeadlineMargin{25};
 
@@ -38,6 +40,7 @@
     if (moved || known->phase == CallPhase::kEnded) Attach(*known, connection, 0);
     return;
   }
+  const bool newest = Supersede(started);
   const auto call = std::make_shared<AgentCall>(started, &answer_budget);
   call->connection = connection;
   call->arrived_at = Now();
@@ -45,20 +48,44 @@
   call->deadline = Now() + call->call.remaining;
   calls[key] = call;
   Count("shallot_agent_calls_total").Add();
-  Admit(call);
+  if (newest) {
+    Admit(call);
+    return;
+  }
+  Finish(call, NotRun(Reason::kCancelled, Millis(0), "a later attempt of the call is here"));
+}
+
+/// Cancels earlier attempts of a call that may be repeated. Returns false when a later attempt is
+/// known.
+bool AgentCore::State::Supersede(const Call& started) {
+  std::vector<CallPtr> earlier;
+  for (auto known = calls.lower_bound(CallKey(started.id, Attempt(0)));
+       known != calls.end() && known->first.first == started.id; ++known) {
+    if (known->first.second > started.attempt) return false;
+    if (known->second->call.repeatable) earlier.push_back(known->second);
+  }
+  for (const CallPtr& call : earlier) {
+    if (call->phase == CallPhase::kQueued || call->phase == CallPhase::kRunning) {
+      CancelCall(call, Reason::kCancelled);
+    }
+  }
+  return true;
 }
 
 void AgentCore::State::Admit(const CallPtr& call) {
   const Outcome refusal = CheckAdmission(*call);
   if (refusal.reason != Reason::kNone) {
+    if (refusal.reason == Reason::kDeadline) KeepLoading(call->call.entry);
     Finish(call, refusal);
     return;
   }
   if (!call->call.entry.empty() && keep_alive != nullptr) {
     keep_alive->OnCall(call->call.entry, Now());
   }
+  call->cold = !call->call.entry.empty() && !loads.IsUsable(call->call.entry);
   Enqueue(call);
   if (call->phase == CallPhase::kQueued && !call->call.repeatable) ClaimOrder(call);
+  if (call->cold && !loads.IsHeld(call->call.entry)) AdvanceLoads();
   Dispatch();
 }
 
@@ -76,11 +103,24 @@
     return NotRun(Reason::kOverload, std::max(Millis(100), ServiceEstimate(call.call.call_class)),
                   "the answers kept for resumes fill their buffer");
   }
-  const Millis wait = PredictedWait(call.call.entry, call.call.call_class);
-  if (call.call.remaining <= wait) {
-    return NotRun(Reason::kDeadline, wait, "the predicted wait exceeds the remaining time");
-  }
-  return Accepted();
+  return CheckTime(call);
+}
+
+Outcome AgentCore::State::CheckTime(const AgentCall& call) const {
+  const EntryId& entry = call.call.entry;
+  const Millis remaining = call.call.remaining;
+  const Millis service = std::min(ServiceEstimate(call.call.call_class), remaining / 2);
+  // An assumed load time refuses no call: the load that would correct it might never start.
+  const Millis load = entry.empty() ? Millis(0) : loads.ExpectedWait(entry, false);
+  const Millis wait = std::max(QueueWait(call.call.call_class), load);
+  if (remaining > Millis(0) && remaining > wait + service) return Accepted();
+  return NotRun(Reason::kDeadline, PredictedWait(entry, call.call.call_class),
+                "the predicted wait exceeds the remaining time");
+}
+
+void AgentCore::State::KeepLoading(const EntryId& entry) {
+  if (entry.empty() || draining || loads.IsUsable(entry)) return;
+  promised[entry] = Now() + 2 * loads.ExpectedWait(entry) + kPromiseMargin;
 }
 
 Outcome AgentCore::State::CheckTarget(const Call& call) const {
@@ -134,11 +174,15 @@
   const auto late = [now](const QueuedCall& call) { return now >= call.latest_start; };
   for (const QueuedCall& queued : queue.TakeIf(late)) {
     const CallPtr call = FindCall(queued.key);
-    const bool memory = loads.LacksMemory(queued.entry);
     const Millis wait = PredictedWait(queued.entry, queued.call_class);
-    RefuseOrder(call, NotRun(memory ? Reason::kNoMemory : Reason::kDeadline, wait,
-                             memory ? "running calls hold the memory that the entry needs"
-                                    : "the call cannot end by its deadline"));
+    if (loads.LacksMemory(queued.entry)) {
+      RefuseOrder(call, NotRun(Reason::kNoMemory, wait, "running calls hold the memory it needs"));
+    } else if (loads.HasFailed(queued.entry)) {
+      RefuseOrder(call, NotRun(Reason::kLoadFailed, wait, "the engine could not load the entry"));
+    } else {
+      KeepLoading(queued.entry);
+      RefuseOrder(call, NotRun(Reason::kDeadline, wait, "the call cannot end by its deadline"));
+    }
   }
 }
 
@@ -153,16 +197,26 @@
   return std::chrono::ceil<Millis>(service_time[static_cast<size_t>(call_class)]);
 }
 
-Millis AgentCore::State::PredictedWait(const EntryId& entry, CallClass call_class) const {
+Millis AgentCore::State::QueueWait(CallClass call_class) const {
   const uint64_t concurrency = Concurrency();
   const uint64_t running = running_ids.size();
-  Duration wait{0};
-  if (running >= concurrency) {
-    const uint64_t ahead = queue.CountAhead(call_class) + 1;
-    wait = mean_service * static_cast<int64_t>(ahead) / static_cast<int64_t>(concurrency);
-  }
+  if (running < concurrency) return Millis(0);
+  const uint64_t ahead = queue.CountAhead(call_class) + 1;
+  return std::chrono::ceil<Millis>(mean_service * static_cast<int64_t>(ahead) /
+                                   static_cast<int64_t>(concurrency));
+}
+
+Millis AgentCore::State::PredictedWait(const EntryId& entry, CallClass call_class) const {
   const Millis load = entry.empty() ? Millis(0) : loads.ExpectedWait(entry);
-  return std::max(load, std::chrono::ceil<Millis>(wait));
+  return std::max(load, QueueWait(call_class));
+}
+
+void AgentCore::State::CheckQueueComplete() const {
+  const auto waiting = std::count_if(calls.begin(), calls.end(), [](const auto& item) {
+    return item.second->phase == CallPhase::kQueued;
+  });
+  env.invariants->Check(Invariant::kNoSilentDrop, static_cast<size_t>(waiting) == queue.size(),
+                        "a waiting call is not in the queue");
 }
 
 void AgentCore::State::AddTombstone(const CallKey& key) {
--- a/servers/agent_call.h
+++ b/servers/agent_call.h
@@ -47,6 +47,8 @@
   SteadyTime record_until;
   /// The backend server was asked to run the call.
   bool sent_to_backend = false;
+  /// The entry was not usable when the call arrived.
+  bool cold = false;
   bool cancel_sent = false;
   /// Reason of the cancellation, for the outcome.
   Reason cancel_reason = Reason::kCancelled;
--- a/servers/agent_drain.cc
+++ b/servers/agent_drain.cc
@@ -10,6 +10,8 @@
 /// After the grace the process waits this much longer for the ends of cancelled calls and for the
 /// unloads.
 constexpr Millis kLastWait{2000};
+/// A router replaces a silent connection after 2 s; its resume comes well within this time.
+constexpr Millis kResumeWait{5000};
 
 }  // namespace
 
@@ -27,26 +29,41 @@
 }
 
 bool AgentCore::State::HasOpenCalls() const {
-  return std::any_of(calls.begin(), calls.end(), [](const auto& item) {
+  if (!running_ids.empty()) return true;
+  const SteadyTime now = Now();
+  return std::any_of(calls.begin(), calls.end(), [now](const auto& item) {
     const AgentCall& call = *item.second;
-    // An ended call stays open until its router has acknowledged it.
-    return call.phase != CallPhase::kEnded || call.attached;
+    if (call.phase != CallPhase::kEnded) return true;
+    if (call.outcome.kind == OutcomeKind::kNotRun && call.outcome_sent) return false;
+    // An answer waits for its acknowledgement, or for a router that resumes the call.
+    return call.attached || now - call.detached_at < kResumeWait;
   });
 }
 
 void AgentCore::State::AdvanceDrain() {
   if (!draining) return;
   if (queue.size() == 0 && running_ids.empty()) GiveUpSlots();
-  if (grace_over || Now() < drain_until) return;
+  if (!grace_over && Now() >= drain_until) EndGrace();
+}
+
+void AgentCore::State::EndGrace() {
   grace_over = true;
   std::vector<CallPtr> open;
-  for (const auto& [key, call] : calls) open.push_back(call);
-  for (const CallPtr& call : open) {
-    // A running order goes on; when the process exits first, its router reports it as unknown.
-    if (call->phase == CallPhase::kRunning && !call->call.repeatable) continue;
+  for (const auto& [key, call] : calls) {
     if (call->phase == CallPhase::kQueued || call->phase == CallPhase::kRunning) {
+      open.push_back(call);
+    }
+  }
+  for (const CallPtr& call : open) {
+    if (call->call.repeatable || call->phase == CallPhase::kQueued) {
       CancelCall(call, Reason::kDraining);
+      continue;
     }
+    // The order runs on and its answer is still recorded if it ends before the process does.
+    Outcome outcome;
+    outcome.kind = OutcomeKind::kUnknown;
+    outcome.reason = Reason::kDraining;
+    Finish(call, outcome);
   }
 }
 
--- a/servers/agent_execution.cc
+++ b/servers/agent_execution.cc
@@ -73,12 +73,14 @@
                           call->claim_phase == ClaimPhase::kGranted && !call->sent_to_backend,
                           "order " + call->call.id.value() + " runs without its claim");
   }
+  if (!call->call.repeatable) NoteOrderRuns(*call);
   call->phase = CallPhase::kRunning;
   call->sent_to_backend = true;
   call->started_at = Now();
   running_ids.insert(call->call.id);
   if (!call->call.entry.empty()) ++running_by_entry[call->call.entry];
-  env.metrics->GetHistogram("shallot_agent_wait_seconds").Record(Now() - call->arrived_at);
+  const char* wait = call->cold ? "shallot_agent_cold_wait_seconds" : "shallot_agent_wait_seconds";
+  env.metrics->GetHistogram(wait).Record(Now() - call->arrived_at);
   Call sent = call->call;
   sent.remaining = std::max(Millis(0), std::chrono::floor<Millis>(call->deadline - Now()));
   env.backend->StartCall(sent, CallSink::Make(self, call));
@@ -104,10 +106,17 @@
   }
   if (end == ExecutionEnd::kCompleted) NoteService(*call);
   // The backend server proves that the call never reached it.
-  if (end == ExecutionEnd::kNotStarted) call->sent_to_backend = false;
+  if (end == ExecutionEnd::kNotStarted) {
+    call->sent_to_backend = false;
+    ran_orders.erase(call->call.idempotency_key);
+  }
   const Outcome outcome = OutcomeOf(*call, end, message);
   if (call->call.repeatable) {
     Finish(call, outcome);
+  } else if (call->phase == CallPhase::kEnded) {
+    // A drain ended the order as unknown; a later copy of it still learns what happened.
+    env.claims->RecordAnswer(call->call.idempotency_key, call->claim,
+                             {outcome, call->answer.data()}, [](const Status&) {});
   } else if (end == ExecutionEnd::kNotStarted) {
     RefuseOrder(call, outcome);
   } else {
@@ -154,6 +163,10 @@
     env.invariants->Check(Invariant::kNotRunDidNotRun, !call->sent_to_backend,
                           "call " + call->call.id.value() + " was sent to the backend server");
   }
+  if (outcome.reason == Reason::kDraining && outcome.kind != OutcomeKind::kNotRun) {
+    env.invariants->Check(Invariant::kDrainCutsNothing, Now() >= drain_until,
+                          "call " + call->call.id.value() + " was cut before the grace ended");
+  }
   call->phase = CallPhase::kEnded;
   call->ended_at = Now();
   call->outcome = outcome;
--- a/servers/agent_orders.cc
+++ b/servers/agent_orders.cc
@@ -10,10 +10,12 @@
 
 /// The outcome of an order waits this long for its record.
 constexpr Millis kRecordPatience{2000};
+/// Orders that are remembered to detect a second run; about 6 MB at 100 bytes each.
+constexpr size_t kMaxRanOrders = 65'536;
 /// Advice to ask again for an order in progress when no service time is known.
 constexpr Millis kInProgressRetry{1000};
 
-/// The lengths keep different splits of the same bytes apart.
+/// Each part seeds the hash of the next, so that different splits of the same bytes differ.
 uint64_t RequestHash(const Call& call) {
   const uint64_t method = StableHash(call.method);
   const uint64_t path = StableHash(call.path, method);
@@ -40,15 +42,15 @@
     OnClaimGranted(call);
     return;
   }
-  call->claim_phase = ClaimPhase::kRefused;
-  const std::weak_ptr<State*> weak = self;
-  if (reply.state == ClaimState::kUnresolved) {
-    // The claim may have been written. Nobody else can run the order under it and it is not run
-    // here, so it is given back.
-    env.claims->RecordNotRun(call->call.idempotency_key, call->claim, [](const Status&) {});
-  }
+  // An unresolved claim may have been written. Nobody else can run the order under it and it is
+  // not run here, so the outcome is not-run and the claim is given back.
+  const bool unresolved = reply.state == ClaimState::kUnresolved;
+  call->claim_phase = unresolved ? ClaimPhase::kGranted : ClaimPhase::kRefused;
   // The call may have been refused while its claim was under way.
-  if (call->phase != CallPhase::kQueued) return;
+  if (call->phase != CallPhase::kQueued) {
+    if (unresolved) GiveClaimBack(call);
+    return;
+  }
   queue.Remove(call->key);
   Outcome outcome;
   outcome.kind = OutcomeKind::kNotRun;
@@ -70,7 +72,7 @@
       outcome.retry_after = kInProgressRetry;
       break;
   }
-  Finish(call, outcome);
+  RefuseOrder(call, outcome);
 }
 
 void AgentCore::State::OnClaimGranted(const CallPtr& call) {
@@ -80,7 +82,31 @@
     return;
   }
   // The order was refused while its claim was under way.
-  env.claims->RecordNotRun(call->call.idempotency_key, call->claim, [](const Status&) {});
+  GiveClaimBack(call);
+}
+
+void AgentCore::State::GiveClaimBack(const CallPtr& call) {
+  env.claims->RecordNotRun(call->call.idempotency_key, call->claim, [](const Status& status) {
+    if (!IsOk(status)) LogWarning("order", FormatError(ErrorOf(status)));
+  });
+}
+
+void AgentCore::State::NoteOrderRuns(const AgentCall& call) {
+  const IdempotencyKey& key = call.call.idempotency_key;
+  env.invariants->Check(Invariant::kOrderAtMostOnce, ran_orders.insert(key).second,
+                        "order " + call.call.id.value() + " runs a second time");
+  ran_orders_by_age.push_back(key);
+  if (ran_orders_by_age.size() <= kMaxRanOrders) return;
+  ran_orders.erase(ran_orders_by_age.front());
+  ran_orders_by_age.pop_front();
+}
+
+OrderClaims::DoneCallback AgentCore::State::WhenRecorded(const CallPtr& call) {
+  const std::weak_ptr<State*> weak = self;
+  return [weak, call](const Status& status) {
+    if (!IsOk(status)) LogWarning("order", FormatError(ErrorOf(status)));
+    if (const auto agent = weak.lock()) (*agent)->FinishRecorded(call);
+  };
 }
 
 void AgentCore::State::ReplayAnswer(const CallPtr& call, const OrderAnswer& answer) {
@@ -88,22 +114,17 @@
   call->answer.Append(answer.body);
   call->http_status = answer.outcome.http_status;
   call->content_type = answer.outcome.content_type;
-  Finish(call, answer.outcome);
+  Outcome outcome = answer.outcome;
+  outcome.total_length = call->answer.size();
+  Finish(call, outcome);
 }
 
 void AgentCore::State::RecordOrder(const CallPtr& call, const Outcome& outcome) {
   call->phase = CallPhase::kRecording;
   call->outcome = outcome;
   call->record_until = Now() + kRecordPatience;
-  const std::weak_ptr<State*> weak = self;
   const OrderAnswer answer{outcome, call->answer.data()};
-  env.claims->RecordAnswer(call->call.idempotency_key, call->claim, answer,
-                           [weak, call](const Status& status) {
-                             if (!IsOk(status)) {
-                               LogWarning("order", FormatError(ErrorOf(status)));
-                             }
-                             if (const auto agent = weak.lock()) (*agent)->FinishRecorded(call);
-                           });
+  env.claims->RecordAnswer(call->call.idempotency_key, call->claim, answer, WhenRecorded(call));
 }
 
 void AgentCore::State::RefuseOrder(const CallPtr& call, const Outcome& outcome) {
@@ -116,14 +137,7 @@
   call->phase = CallPhase::kRecording;
   call->outcome = outcome;
   call->record_until = std::min(Now() + kRecordPatience, std::max(Now(), call->deadline));
-  const std::weak_ptr<State*> weak = self;
-  env.claims->RecordNotRun(call->call.idempotency_key, call->claim,
-                           [weak, call](const Status& status) {
-                             if (!IsOk(status)) {
-                               LogWarning("order", FormatError(ErrorOf(status)));
-                             }
-                             if (const auto agent = weak.lock()) (*agent)->FinishRecorded(call);
-                           });
+  env.claims->RecordNotRun(call->call.idempotency_key, call->claim, WhenRecorded(call));
 }
 
 void AgentCore::State::FinishRecorded(const CallPtr& call) {
--- a/servers/agent_peers.cc
+++ b/servers/agent_peers.cc
@@ -123,8 +123,11 @@
 }
 
 bool AgentPeers::SendToAny(const Message& message) {
-  for (const auto& [connection, peer] : peers_) {
-    if (Send(connection, message)) return true;
+  auto next = peers_.upper_bound(last_used_);
+  for (size_t i = 0; i < peers_.size(); ++i, ++next) {
+    if (next == peers_.end()) next = peers_.begin();
+    last_used_ = next->first;
+    if (Send(last_used_, message)) return true;
   }
   return false;
 }
--- a/servers/agent_peers.h
+++ b/servers/agent_peers.h
@@ -44,7 +44,8 @@
   bool Send(ConnectionId connection, const Message& message);
   /// Sends on every connection.
   void Broadcast(const Message& message);
-  /// Sends on the first connection that takes the message; false when there is none.
+  /// Sends on one connection that takes the message; false when there is none. Successive calls
+  /// start at different connections, so that one bad connection does not get them all.
   bool SendToAny(const Message& message);
   bool Has(ConnectionId connection) const { return peers_.contains(connection); }
   size_t size() const { return peers_.size(); }
@@ -69,6 +70,8 @@
   MetricsRegistry* metrics_;
   Events events_;
   std::map<ConnectionId, Peer> peers_;
+  /// Connection after which SendToAny starts.
+  ConnectionId last_used_;
 };
 
 }  // namespace shallot
--- a/servers/agent_resume.cc
+++ b/servers/agent_resume.cc
@@ -51,7 +51,8 @@
 void AgentCore::State::OnCallCancel(ConnectionId connection, const CallCancel& cancel) {
   const CallKey key(cancel.call, cancel.attempt);
   if (const CallPtr call = FindCall(key)) {
-    if (!call->attached) Attach(*call, connection, call->sent);
+    const bool moved = !call->attached || call->connection != connection;
+    if (moved) Attach(*call, connection, call->sent);
     CancelCall(call, Reason::kCancelled);
     return;
   }
--- a/servers/agent_state.cc
+++ b/servers/agent_state.cc
@@ -131,29 +131,46 @@
 }
 
 void AgentCore::State::OnLoadRefused(const EntryId& entry, Reason reason, Millis retry_after) {
+  // A refused load is not asked for again until a new call comes.
+  promised.erase(entry);
   const SteadyTime ready_at = Now() + retry_after + loads.ExpectedWait(entry);
   // After a failed load the calls that can wait for the next try stay in the queue.
   const bool temporary = reason == Reason::kLoadFailed;
   RefuseQueued(
       [&](const QueuedCall& call) {
-        return call.entry == entry && (!temporary || ready_at > call.latest_start);
+        const CatalogEntry* known = config.current()->FindEntry(call.entry);
+        const bool needs = call.entry == entry || (known != nullptr && known->base == entry);
+        return needs && (!temporary || ready_at > call.latest_start);
       },
       reason, retry_after);
 }
 
-void AgentCore::State::Tick() {
-  peers.OnTick();
-  SweepCalls();
-  ExpireQueued();
-  std::map<EntryId, SteadyTime> wanted;
+void AgentCore::State::OnLoaded(const EntryId& entry) {
+  promised.erase(entry);
+  Dispatch();
+}
+
+void AgentCore::State::AdvanceLoads() {
+  const SteadyTime now = Now();
+  std::erase_if(promised, [now](const auto& item) { return now >= item.second; });
+  std::map<EntryId, SteadyTime> wanted = promised;
   for (const QueuedCall& call : queue.calls()) {
     if (call.entry.empty()) continue;
     const auto [found, added] = wanted.try_emplace(call.entry, call.latest_start);
     if (!added) found->second = std::min(found->second, call.latest_start);
   }
   std::vector<LoadDemand> demands;
+  demands.reserve(wanted.size());
   for (const auto& [entry, deadline] : wanted) demands.push_back({entry, deadline});
   loads.Advance(std::move(demands));
+}
+
+void AgentCore::State::Tick() {
+  peers.OnTick();
+  SweepCalls();
+  ExpireQueued();
+  CheckQueueComplete();
+  AdvanceLoads();
   ConfirmReleases();
   Dispatch();
   PumpAll();
--- a/servers/agent_state.h
+++ b/servers/agent_state.h
@@ -2,6 +2,7 @@
 #define SERVERS_AGENT_STATE_H_
 
 #include <array>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -41,19 +42,26 @@
   bool RequestPermit(const LoadPermitRequest& request) override;
   void ReturnPermit(uint64_t permit_id) override;
   void OnLoadRefused(const EntryId& entry, Reason reason, Millis retry_after) override;
+  void OnLoaded(const EntryId& entry) override;
+  void AdvanceLoads();
 
   // agent_admission.cc: from CallStart to the queue, and out of it unserved.
   void OnCallStart(ConnectionId connection, const Call& call);
   void Admit(const CallPtr& call);
+  bool Supersede(const Call& started);
   Outcome CheckAdmission(const AgentCall& call) const;
   Outcome CheckTarget(const Call& call) const;
+  Outcome CheckTime(const AgentCall& call) const;
+  void KeepLoading(const EntryId& entry);
   void Enqueue(const CallPtr& call);
   void ExpireQueued();
   void RefuseQueued(const CallQueue::Predicate& matches, Reason reason, Millis retry_after);
   Millis PredictedWait(const EntryId& entry, CallClass call_class) const;
+  Millis QueueWait(CallClass call_class) const;
   Millis ServiceEstimate(CallClass call_class) const;
   bool IsTombstone(const CallKey& key) const { return tombstones.contains(key); }
   void AddTombstone(const CallKey& key);
+  void CheckQueueComplete() const;
 
   // agent_execution.cc: running calls and their answers.
   void Dispatch();
@@ -88,10 +96,14 @@
   void RecordOrder(const CallPtr& call, const Outcome& outcome);
   void RefuseOrder(const CallPtr& call, const Outcome& outcome);
   void FinishRecorded(const CallPtr& call);
+  void GiveClaimBack(const CallPtr& call);
+  void NoteOrderRuns(const AgentCall& call);
+  OrderClaims::DoneCallback WhenRecorded(const CallPtr& call);
 
   // agent_drain.cc: leaving.
   void BeginDrain(const std::string& reason, Millis grace);
   void AdvanceDrain();
+  void EndGrace();
   void GiveUpSlots();
   bool HasOpenCalls() const;
   bool Drained() const;
@@ -113,6 +125,12 @@
   /// Running calls by entry, and by call id: two attempts of a call never run at once.
   std::map<EntryId, uint64_t> running_by_entry;
   std::set<CallId> running_ids;
+  /// Entries that are loaded although the calls for them were refused, until the given time: the
+  /// retry-after of those calls counts on it.
+  std::map<EntryId, SteadyTime> promised;
+  /// Idempotency keys of the newest orders that ran here, to detect a second run.
+  std::set<IdempotencyKey> ran_orders;
+  std::deque<IdempotencyKey> ran_orders_by_age;
   /// Smoothed service time by class; zero when unknown.
   std::array<Duration, kCallClassCount> service_time{};
   Duration mean_service{0};
--- a/servers/load_scheduler.cc
+++ b/servers/load_scheduler.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Millis kPermitPatience{1000};
+/// An inventory that did not come within this time is asked for again.
+constexpr Millis kInventoryPatience{3000};
 constexpr Millis kFirstBackoff{500};
 constexpr Millis kLongestBackoff{30'000};
 /// Load times assumed until the first load of an entry was measured.
@@ -42,13 +44,16 @@
       invariants_(invariants),
       next_inventory_(clock->SteadyNow()),
       next_static_load_(clock->SteadyNow()),
+      idle_counted_until_(clock->SteadyNow()),
       self_(std::make_shared<LoadScheduler*>(this)) {}
 
 void LoadScheduler::OnConfig(std::shared_ptr<const FleetConfig> config) {
   config_ = std::move(config);
   for (auto& [id, entry] : entries_) {
     const CatalogEntry* known = config_->FindEntry(id);
-    if (known == nullptr) continue;
+    if (known == nullptr || *known == entry.info) continue;
+    // Nothing was ordered yet; the next pass reserves for the new version and size.
+    if (entry.phase == Phase::kWaiting) Abandon(entry);
     // The loaded version stays on record; a change of version retires the entry.
     const std::string loaded_version = entry.info.version;
     const bool held = entry.phase != Phase::kAbsent;
@@ -98,15 +103,32 @@
   entry.last_event = ++event_;
 }
 
-Duration LoadScheduler::LoadEstimate(const Entry& entry) const {
+Duration LoadScheduler::AssumedLoad(LoadKind kind, bool assume) const {
+  if (!assume) return Duration(0);
+  return kind == LoadKind::kModel ? kAssumedModelLoad : kAssumedAdapterLoad;
+}
+
+Duration LoadScheduler::LoadEstimate(const Entry& entry, bool assume) const {
   if (entry.load_time > Duration::zero()) return entry.load_time;
-  return entry.info.kind == LoadKind::kModel ? kAssumedModelLoad : kAssumedAdapterLoad;
+  return AssumedLoad(entry.info.kind, assume);
 }
 
 bool LoadScheduler::IsUsable(const EntryId& id) const {
   const Entry* entry = Find(id);
   if (entry == nullptr || entry->phase != Phase::kLoaded || entry->retiring) return false;
-  return entry->info.kind == LoadKind::kModel || IsUsable(entry->info.base);
+  return !IsAdapter(*entry) || IsUsable(entry->info.base);
+}
+
+/// An adapter that the catalogue does not have names no base model and counts as a model.
+bool LoadScheduler::IsAdapter(const Entry& entry) {
+  return entry.info.kind == LoadKind::kAdapter && entry.info.base != entry.info.id;
+}
+
+bool LoadScheduler::HasFailed(const EntryId& id) const {
+  const Entry* entry = Find(id);
+  if (entry == nullptr) return false;
+  if (entry->phase == Phase::kAbsent && entry->failures > 0) return true;
+  return IsAdapter(*entry) && HasFailed(entry->info.base);
 }
 
 bool LoadScheduler::IsHeld(const EntryId& id) const {
@@ -118,7 +140,7 @@
   const Entry* entry = Find(id);
   if (entry == nullptr || entry->phase != Phase::kAbsent) return false;
   if (entry->lacks_memory) return true;
-  return entry->info.kind == LoadKind::kAdapter && LacksMemory(entry->info.base);
+  return IsAdapter(*entry) && LacksMemory(entry->info.base);
 }
 
 bool LoadScheduler::Empty() const {
@@ -126,41 +148,48 @@
                      [](const auto& item) { return item.second.phase == Phase::kAbsent; });
 }
 
-Millis LoadScheduler::ExpectedWait(const EntryId& id) const {
+Millis LoadScheduler::ExpectedWait(const EntryId& id, bool assume) const {
   if (IsUsable(id)) return Millis(0);
   const Entry* entry = Find(id);
   const SteadyTime now = clock_->SteadyNow();
   if (entry == nullptr) {
     const CatalogEntry* known = config_ ? config_->FindEntry(id) : nullptr;
-    if (known == nullptr || known->kind == LoadKind::kModel) return kAssumedModelLoad;
-    return kAssumedAdapterLoad + ExpectedWait(known->base);
+    const LoadKind kind = known == nullptr ? LoadKind::kModel : known->kind;
+    const Duration load = AssumedLoad(kind, assume);
+    const Duration base = kind == LoadKind::kModel ? Millis(0) : ExpectedWait(known->base, assume);
+    return std::chrono::ceil<Millis>(load + base);
   }
-  Duration wait = LoadEstimate(*entry);
+  Duration wait = LoadEstimate(*entry, assume);
   if (entry->phase == Phase::kLoading) {
     wait = std::max(Duration(0), wait - (now - entry->phase_since));
   }
   if (entry->retry_at > now) wait += entry->retry_at - now;
-  if (entry->info.kind == LoadKind::kAdapter) wait += ExpectedWait(entry->info.base);
+  if (IsAdapter(*entry)) wait += ExpectedWait(entry->info.base, assume);
   return std::chrono::ceil<Millis>(wait);
 }
 
 void LoadScheduler::Touch(const EntryId& id) {
   Entry& entry = Track(id);
   entry.last_used = clock_->SteadyNow();
-  if (entry.info.kind == LoadKind::kAdapter) Track(entry.info.base).last_used = entry.last_used;
+  if (IsAdapter(entry)) Track(entry.info.base).last_used = entry.last_used;
 }
 
 void LoadScheduler::Advance(std::vector<LoadDemand> demands) {
   if (engine_ == nullptr) return;
   const SteadyTime now = clock_->SteadyNow();
-  const bool overdue = inventory_pending_ && now - inventory_asked_at_ >= Seconds(10);
+  const bool overdue = inventory_pending_ && now - inventory_asked_at_ >= kInventoryPatience;
   if (now >= next_inventory_ && (!inventory_pending_ || overdue)) FetchInventory();
   if (!inventory_known_ || !config_) return;
+  CountIdleTime();
   ++pass_;
   std::stable_sort(demands.begin(), demands.end(), [](const LoadDemand& a, const LoadDemand& b) {
     return a.deadline < b.deadline;
   });
-  for (const LoadDemand& demand : demands) Track(demand.entry).wanted_pass = pass_;
+  for (const LoadDemand& demand : demands) {
+    Entry& entry = Track(demand.entry);
+    entry.wanted_pass = pass_;
+    if (IsAdapter(entry)) Track(entry.info.base).wanted_pass = pass_;
+  }
   for (const LoadDemand& demand : demands) Want(demand.entry, demand.deadline);
   for (auto& [id, entry] : entries_) {
     if (entry.phase == Phase::kWaiting && entry.wanted_pass != pass_) Abandon(entry);
@@ -190,7 +219,7 @@
 }
 
 bool LoadScheduler::WantBase(const Entry& entry, SteadyTime deadline) {
-  if (entry.info.kind == LoadKind::kModel) return true;
+  if (!IsAdapter(entry)) return true;
   const EntryId base = entry.info.base;
   if (!host_->MayLoad(base)) {
     host_->OnLoadRefused(entry.info.id, Reason::kNotGranted, Millis(0));
@@ -268,6 +297,9 @@
 void LoadScheduler::StartLoad(Entry& entry) {
   invariants_->Check(Invariant::kReplicasWithinDecision, host_->MayLoad(entry.info.id),
                      "load of " + entry.info.id.value() + " without a slot");
+  invariants_->Check(Invariant::kMemoryWithinCapacity,
+                     ledger_.ReservedFor(entry.info.id) == Need(entry),
+                     "load of " + entry.info.id.value() + " without its reservation");
   metrics_->GetCounter("shallot_agent_loads_total").Add();
   SetPhase(entry, Phase::kLoading);
   const EntryId id = entry.info.id;
@@ -308,6 +340,7 @@
   entry.retiring = false;
   entry.last_used = now;
   SetPhase(entry, Phase::kLoaded);
+  host_->OnLoaded(entry.info.id);
 }
 
 void LoadScheduler::OnLoadFailed(Entry& entry, Reason reason) {
--- a/servers/load_scheduler.h
+++ b/servers/load_scheduler.h
@@ -33,6 +33,8 @@
   virtual void ReturnPermit(uint64_t permit_id) = 0;
   /// The entry cannot be loaded now. `retry_after` zero: no time is known.
   virtual void OnLoadRefused(const EntryId& entry, Reason reason, Millis retry_after) = 0;
+  /// Calls for the entry can start.
+  virtual void OnLoaded(const EntryId& entry) = 0;
 };
 
 /// An entry that calls wait for.
@@ -80,8 +82,11 @@
   bool LacksMemory(const EntryId& entry) const;
   /// True when nothing is loaded, loading or unloading.
   bool Empty() const;
-  /// Expected time until the entry is usable; zero when it is.
-  Millis ExpectedWait(const EntryId& entry) const;
+  /// True when the last load of the entry or of its base model failed and was not settled since.
+  bool HasFailed(const EntryId& entry) const;
+  /// Expected time until the entry is usable; zero when it is. A load time that was never measured
+  /// here is assumed, or counts as zero when not `assume`.
+  Millis ExpectedWait(const EntryId& entry, bool assume = true) const;
 
   const MemoryLedger& ledger() const { return ledger_; }
   std::vector<EntryId> Loaded() const;
@@ -123,12 +128,14 @@
     Duration load_time{0};
   };
 
+  static bool IsAdapter(const Entry& entry);
   Entry& Track(const EntryId& id);
   const Entry* Find(const EntryId& id) const;
   Bytes Need(const Entry& entry) const;
   EngineOrder OrderFor(const Entry& entry) const;
   void SetPhase(Entry& entry, Phase phase);
-  Duration LoadEstimate(const Entry& entry) const;
+  Duration LoadEstimate(const Entry& entry, bool assume = true) const;
+  Duration AssumedLoad(LoadKind kind, bool assume) const;
 
   // load_scheduler.cc
   void Want(const EntryId& id, SteadyTime deadline);
@@ -161,6 +168,7 @@
   void ApplyInventory(uint64_t issued, const EngineInventory& inventory);
   void ApplyItem(Entry& entry, const InventoryItem& item);
   void ApplyAbsence(Entry& entry);
+  void CountIdleTime();
   void UpdateGauges();
 
   Options options_;
@@ -186,6 +194,7 @@
   uint64_t pass_ = 0;
   uint64_t next_permit_id_ = 0;
   SteadyTime next_static_load_;
+  SteadyTime idle_counted_until_;
   /// Callbacks of the engine hold it weakly; they do nothing once the scheduler is gone.
   std::shared_ptr<LoadScheduler*> self_;
 };
--- a/servers/load_scheduler_inventory.cc
+++ b/servers/load_scheduler_inventory.cc
@@ -75,17 +75,19 @@
   if (entry.phase == Phase::kAbsent || entry.phase == Phase::kWaiting) {
     // The engine holds an entry that this incarnation did not load.
     entry.info.kind = item.kind;
-    entry.info.version = item.version;
     entry.info.size = std::max(entry.info.size, item.size);
     entry.last_used = clock_->SteadyNow();
     ledger_.Adopt(item.entry, Need(entry));
     metrics_->GetCounter("shallot_agent_adopted_entries_total").Add();
   }
+  entry.info.version = item.version;
   // The event number stays: the change came from the inventory and not from an order.
   entry.phase = loaded ? Phase::kLoaded : Phase::kUnsettled;
-  if (loaded) entry.failures = 0;
-  if (loaded) entry.retry_at = clock_->SteadyNow();
   entry.phase_since = clock_->SteadyNow();
+  if (!loaded) return;
+  entry.failures = 0;
+  entry.retry_at = clock_->SteadyNow();
+  host_->OnLoaded(item.entry);
 }
 
 void LoadScheduler::ApplyAbsence(Entry& entry) {
@@ -118,6 +120,17 @@
   return result;
 }
 
+void LoadScheduler::CountIdleTime() {
+  const SteadyTime now = clock_->SteadyNow();
+  const Millis passed = std::chrono::floor<Millis>(now - idle_counted_until_);
+  idle_counted_until_ += passed;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.phase != Phase::kLoaded || IsAdapter(entry) || !IsIdleGroup(id)) continue;
+    metrics_->GetCounter("shallot_agent_idle_milliseconds_total")
+        .Add(static_cast<uint64_t>(passed.count()));
+  }
+}
+
 void LoadScheduler::UpdateGauges() {
   metrics_->GetGauge("shallot_agent_memory_reserved_bytes")
       .Set(static_cast<int64_t>(ledger_.reserved().value()));
--- a/servers/load_scheduler_unload.cc
+++ b/servers/load_scheduler_unload.cc
@@ -13,8 +13,7 @@
 bool LoadScheduler::HasAdapters(const EntryId& base) const {
   return std::any_of(entries_.begin(), entries_.end(), [&base](const auto& item) {
     const Entry& entry = item.second;
-    return entry.info.kind == LoadKind::kAdapter && entry.info.base == base &&
-           entry.phase != Phase::kAbsent;
+    return IsAdapter(entry) && entry.info.base == base && entry.phase != Phase::kAbsent;
   });
 }
 
@@ -79,7 +78,7 @@
 bool LoadScheduler::MustRetire(const Entry& entry) const {
   const EntryId& id = entry.info.id;
   if (entry.retiring || releasing_all_ || host_->MustUnload(id)) return true;
-  const bool adapter = entry.info.kind == LoadKind::kAdapter;
+  const bool adapter = IsAdapter(entry);
   if (adapter && host_->MustUnload(entry.info.base)) return true;
   const CatalogEntry* known = config_->FindEntry(id);
   if (known != nullptr && known->version != entry.info.version) return true;
@@ -96,7 +95,7 @@
   for (auto& [id, entry] : entries_) {
     if (entry.phase != Phase::kLoaded || !entry.retiring || now < entry.retry_at) continue;
     if (host_->RunningCalls(id) > 0) continue;
-    if (entry.info.kind == LoadKind::kModel && HasAdapters(id)) continue;
+    if (HasAdapters(id)) continue;
     StartUnload(entry);
   }
 }
--- /dev/null
+++ b/tests/slot_book_test.cc
@@ -0,0 +1,68 @@
+#include "servers/slot_book.h"
+
+#include <doctest/doctest.h>
+
+namespace shallot {
+namespace {
+
+SlotGrant MakeGrant(uint64_t version, uint64_t incarnation, std::vector<Slot> slots) {
+  return {ShardId(0), StoreVersion(version), Incarnation(incarnation), std::move(slots)};
+}
+
+Slot MakeSlot(const std::string& entry, uint64_t generation, SlotState state = SlotState::kActive,
+              const std::string& runner = "r") {
+  return {EntryId(entry), RunnerId(runner), Generation(generation), state};
+}
+
+struct GrantCase {
+  const char* name;
+  uint64_t version;
+  uint64_t incarnation;
+  GrantResult expected;
+};
+
+// Guards against a stale router that gives back a slot which has moved.
+TEST_CASE("grants of other incarnations and older versions are refused") {
+  const std::vector<GrantCase> cases = {
+      {"newer version", 6, 7, GrantResult::kAccepted},
+      {"same version", 5, 7, GrantResult::kAccepted},
+      {"older version", 4, 7, GrantResult::kOutdated},
+      {"earlier incarnation", 6, 6, GrantResult::kOtherIncarnation},
+      {"later incarnation", 6, 8, GrantResult::kOtherIncarnation},
+  };
+  for (const GrantCase& test : cases) {
+    CAPTURE(test.name);
+    SlotBook book(RunnerId("r"), Incarnation(7));
+    REQUIRE(book.Apply(MakeGrant(5, 7, {MakeSlot("m", 1)})) == GrantResult::kAccepted);
+    CHECK(book.Apply(MakeGrant(test.version, test.incarnation, {})) == test.expected);
+    CHECK(book.IsActive(EntryId("m")) == (test.expected != GrantResult::kAccepted));
+  }
+}
+
+// Guards against a load under a generation whose release was confirmed.
+TEST_CASE("a released generation is never active again") {
+  SlotBook book(RunnerId("r"), Incarnation(7));
+  book.Apply(MakeGrant(1, 7, {MakeSlot("m", 3, SlotState::kReleasing)}));
+  CHECK_FALSE(book.IsActive(EntryId("m")));
+  REQUIRE(book.Unconfirmed().size() == 1);
+  book.MarkReleased(EntryId("m"), Generation(3));
+  CHECK(book.Unconfirmed().empty());
+  CHECK(book.Confirmed(ShardId(0)).size() == 1);
+  book.Apply(MakeGrant(2, 7, {MakeSlot("m", 3)}));
+  CHECK_FALSE(book.IsActive(EntryId("m")));
+  book.Apply(MakeGrant(3, 7, {MakeSlot("m", 4)}));
+  CHECK(book.IsActive(EntryId("m")));
+  CHECK(book.Confirmed(ShardId(0)).empty());
+}
+
+// Guards against taking over the slots of another runner.
+TEST_CASE("slots of other runners are ignored") {
+  SlotBook book(RunnerId("r"), Incarnation(7));
+  book.Apply(MakeGrant(1, 7, {MakeSlot("m", 1, SlotState::kActive, "other")}));
+  CHECK(book.Knows(ShardId(0)));
+  CHECK_FALSE(book.Knows(ShardId(1)));
+  CHECK_FALSE(book.IsActive(EntryId("m")));
+}
+
+}  // namespace
+}  // namespace shallot
