--- /dev/null
+++ b/servers/agent_admission.cc
@@ -0,0 +1,231 @@
+#include <algorithm>
+#include <utility>
+
+#include "servers/agent_state.h"
+
+namespace shallot {
+namespace {
+
+/// Cancelled attempts that are remembered; about 6 MB at 100 bytes each.
+constexpr size_t kMaxTombstones = 65'536;
+/// Keeps sums of times far from the range of the clock.
+constexpr Millis kLongestRemaining{7 * 24 * 3'600'000LL};
+/// A promised load may start this much later than expected.
+constexpr Millis kPromiseMargin{5000};
+/// Calls end this much before their deadline: one tick and the way to the router.
+constexpr Millis kDeadlineMargin{25};
+
+Outcome NotRun(Reason reason, Millis retry_after, std::string message) {
+  Outcome outcome;
+  outcome.kind = OutcomeKind::kNotRun;
+  outcome.reason = reason;
+  outcome.retry_after = retry_after;
+  outcome.message = std::move(message);
+  return outcome;
+}
+
+/// kNone means that the call is accepted.
+Outcome Accepted() {
+  Outcome outcome;
+  outcome.reason = Reason::kNone;
+  return outcome;
+}
+
+}  // namespace
+
+void AgentCore::State::OnCallStart(ConnectionId connection, const Call& started) {
+  const CallKey key(started.id, started.attempt);
+  if (const CallPtr known = FindCall(key)) {
+    const bool moved = !known->attached || known->connection != connection;
+    if (moved || known->phase == CallPhase::kEnded) Attach(*known, connection, 0);
+    return;
+  }
+  const bool newest = Supersede(started);
+  const auto call = std::make_shared<AgentCall>(started, &answer_budget);
+  call->connection = connection;
+  call->arrived_at = Now();
+  call->call.remaining = std::min(started.remaining, kLongestRemaining);
+  call->deadline = Now() + call->call.remaining;
+  calls[key] = call;
+  Count("shallot_agent_calls_total").Add();
+  if (newest) {
+    Admit(call);
+    return;
+  }
+  Finish(call, NotRun(Reason::kCancelled, Millis(0), "a later attempt of the call is here"));
+}
+
+/// Cancels earlier attempts of a call that may be repeated. Returns false when a later attempt is
+/// known.
+bool AgentCore::State::Supersede(const Call& started) {
+  std::vector<CallPtr> earlier;
+  for (auto known = calls.lower_bound(CallKey(started.id, Attempt(0)));
+       known != calls.end() && known->first.first == started.id; ++known) {
+    if (known->first.second > started.attempt) return false;
+    if (known->second->call.repeatable) earlier.push_back(known->second);
+  }
+  for (const CallPtr& call : earlier) {
+    if (call->phase == CallPhase::kQueued || call->phase == CallPhase::kRunning) {
+      CancelCall(call, Reason::kCancelled);
+    }
+  }
+  return true;
+}
+
+void AgentCore::State::Admit(const CallPtr& call) {
+  const Outcome refusal = CheckAdmission(*call);
+  if (refusal.reason != Reason::kNone) {
+    if (refusal.reason == Reason::kDeadline) KeepLoading(call->call.entry);
+    Finish(call, refusal);
+    return;
+  }
+  if (!call->call.entry.empty() && keep_alive != nullptr) {
+    keep_alive->OnCall(call->call.entry, Now());
+  }
+  call->cold = !call->call.entry.empty() && !loads.IsUsable(call->call.entry);
+  Enqueue(call);
+  if (call->phase == CallPhase::kQueued && !call->call.repeatable) ClaimOrder(call);
+  if (call->cold && !loads.IsHeld(call->call.entry)) AdvanceLoads();
+  Dispatch();
+}
+
+Outcome AgentCore::State::CheckAdmission(const AgentCall& call) const {
+  if (IsTombstone(call.key)) {
+    return NotRun(Reason::kCancelled, Millis(0), "the call was cancelled before it arrived");
+  }
+  if (draining) return NotRun(Reason::kDraining, Millis(0), "the runner is leaving");
+  if (!Ready()) {
+    return NotRun(Reason::kNotGranted, Millis(500), "the agent does not know its engine yet");
+  }
+  const Outcome target = CheckTarget(call.call);
+  if (target.reason != Reason::kNone) return target;
+  if (answer_budget.Exhausted()) {
+    return NotRun(Reason::kOverload, std::max(Millis(100), ServiceEstimate(call.call.call_class)),
+                  "the answers kept for resumes fill their buffer");
+  }
+  return CheckTime(call);
+}
+
+Outcome AgentCore::State::CheckTime(const AgentCall& call) const {
+  const EntryId& entry = call.call.entry;
+  const Millis remaining = call.call.remaining;
+  const Millis service = std::min(ServiceEstimate(call.call.call_class), remaining / 2);
+  // An assumed load time refuses no call: the load that would correct it might never start.
+  const Millis load = entry.empty() ? Millis(0) : loads.ExpectedWait(entry, false);
+  const Millis wait = std::max(QueueWait(call.call.call_class), load);
+  if (remaining > Millis(0) && remaining > wait + service) return Accepted();
+  return NotRun(Reason::kDeadline, PredictedWait(entry, call.call.call_class),
+                "the predicted wait exceeds the remaining time");
+}
+
+void AgentCore::State::KeepLoading(const EntryId& entry) {
+  if (entry.empty() || draining || loads.IsUsable(entry)) return;
+  promised[entry] = Now() + 2 * loads.ExpectedWait(entry) + kPromiseMargin;
+}
+
+Outcome AgentCore::State::CheckTarget(const Call& call) const {
+  if (!call.repeatable && call.idempotency_key.empty()) {
+    return NotRun(Reason::kInvalidRequest, Millis(0), "an order needs an idempotency key");
+  }
+  if (call.entry.empty()) {
+    if (call.service == options.backend && env.engine == nullptr) return Accepted();
+    return NotRun(Reason::kInvalidRequest, Millis(0), "the runner does not offer the service");
+  }
+  const CatalogEntry* entry = config.current()->FindEntry(call.entry);
+  if (entry == nullptr) {
+    return NotRun(Reason::kUnknownEntry, Millis(0), "the catalogue has no such entry");
+  }
+  if (!slots.IsActive(call.entry)) {
+    return NotRun(Reason::kNotGranted, Millis(0), "the runner holds no slot of the entry");
+  }
+  return Accepted();
+}
+
+void AgentCore::State::Enqueue(const CallPtr& call) {
+  const Millis remaining = call->call.remaining;
+  const Millis service = std::max(kDeadlineMargin, ServiceEstimate(call->call.call_class));
+  QueuedCall queued;
+  queued.key = call->key;
+  queued.entry = call->call.entry;
+  queued.call_class = call->call.call_class;
+  // An estimate that is far too long must not refuse a call outright.
+  queued.latest_start = call->deadline - std::min(service, remaining / 2);
+  queued.raise_at = queued.latest_start - std::max(Millis(100), remaining / 8);
+  const CallQueue::PushResult pushed = queue.Push(queued);
+  const Millis retry_after = PredictedWait(call->call.entry, call->call.call_class);
+  if (!pushed.accepted) {
+    Finish(call, NotRun(Reason::kQueueFull, retry_after, "the queue of the class is full"));
+    return;
+  }
+  if (!pushed.dropped) return;
+  const CallPtr dropped = FindCall(*pushed.dropped);
+  if (!env.invariants->Check(Invariant::kNoSilentDrop, dropped != nullptr,
+                             "a call without a record left the queue")) {
+    return;
+  }
+  env.invariants->Check(Invariant::kNoSilentDrop, dropped->call.call_class > call->call.call_class,
+                        "a call was dropped for one of a lower class");
+  const Millis dropped_wait = PredictedWait(dropped->call.entry, dropped->call.call_class);
+  RefuseOrder(dropped, NotRun(Reason::kQueueFull, dropped_wait, "a call of a higher class came"));
+}
+
+void AgentCore::State::ExpireQueued() {
+  const SteadyTime now = Now();
+  const auto late = [now](const QueuedCall& call) { return now >= call.latest_start; };
+  for (const QueuedCall& queued : queue.TakeIf(late)) {
+    const CallPtr call = FindCall(queued.key);
+    const Millis wait = PredictedWait(queued.entry, queued.call_class);
+    if (loads.LacksMemory(queued.entry)) {
+      RefuseOrder(call, NotRun(Reason::kNoMemory, wait, "running calls hold the memory it needs"));
+    } else if (loads.HasFailed(queued.entry)) {
+      RefuseOrder(call, NotRun(Reason::kLoadFailed, wait, "the engine could not load the entry"));
+    } else {
+      KeepLoading(queued.entry);
+      RefuseOrder(call, NotRun(Reason::kDeadline, wait, "the call cannot end by its deadline"));
+    }
+  }
+}
+
+void AgentCore::State::RefuseQueued(const CallQueue::Predicate& matches, Reason reason,
+                                    Millis retry_after) {
+  for (const QueuedCall& queued : queue.TakeIf(matches)) {
+    RefuseOrder(FindCall(queued.key), NotRun(reason, retry_after, ReasonName(reason)));
+  }
+}
+
+Millis AgentCore::State::ServiceEstimate(CallClass call_class) const {
+  return std::chrono::ceil<Millis>(service_time[static_cast<size_t>(call_class)]);
+}
+
+Millis AgentCore::State::QueueWait(CallClass call_class) const {
+  const uint64_t concurrency = Concurrency();
+  const uint64_t running = running_ids.size();
+  if (running < concurrency) return Millis(0);
+  const uint64_t ahead = queue.CountAhead(call_class) + 1;
+  return std::chrono::ceil<Millis>(mean_service * static_cast<int64_t>(ahead) /
+                                   static_cast<int64_t>(concurrency));
+}
+
+Millis AgentCore::State::PredictedWait(const EntryId& entry, CallClass call_class) const {
+  const Millis load = entry.empty() ? Millis(0) : loads.ExpectedWait(entry);
+  return std::max(load, QueueWait(call_class));
+}
+
+void AgentCore::State::CheckQueueComplete() const {
+  const auto waiting = std::count_if(calls.begin(), calls.end(), [](const auto& item) {
+    return item.second->phase == CallPhase::kQueued;
+  });
+  env.invariants->Check(Invariant::kNoSilentDrop, static_cast<size_t>(waiting) == queue.size(),
+                        "a waiting call is not in the queue");
+}
+
+void AgentCore::State::AddTombstone(const CallKey& key) {
+  tombstones[key] = Now();
+  if (tombstones.size() <= kMaxTombstones) return;
+  const auto oldest =
+      std::min_element(tombstones.begin(), tombstones.end(),
+                       [](const auto& a, const auto& b) { return a.second < b.second; });
+  tombstones.erase(oldest);
+}
+
+}  // namespace shallot
--- /dev/null
+++ b/servers/agent_drain.cc
@@ -0,0 +1,88 @@
+#include <algorithm>
+#include <vector>
+
+#include "core/log.h"
+#include "servers/agent_state.h"
+
+namespace shallot {
+namespace {
+
+/// After the grace the process waits this much longer for the ends of cancelled calls and for the
+/// unloads.
+constexpr Millis kLastWait{2000};
+/// A router replaces a silent connection after 2 s; its resume comes well within this time.
+constexpr Millis kResumeWait{5000};
+
+}  // namespace
+
+void AgentCore::State::BeginDrain(const std::string& reason, Millis grace) {
+  if (draining) return;
+  LogInfo("drain", "started: " + reason);
+  draining = true;
+  drain_started = Now();
+  drain_until = Now() + grace;
+  peers.StartDraining();
+  // Calls that wait for a load would keep the runner busy for long; other runners serve them.
+  RefuseQueued(
+      [this](const QueuedCall& call) { return !call.entry.empty() && !loads.IsUsable(call.entry); },
+      Reason::kDraining, Millis(0));
+}
+
+bool AgentCore::State::HasOpenCalls() const {
+  if (!running_ids.empty()) return true;
+  const SteadyTime now = Now();
+  return std::any_of(calls.begin(), calls.end(), [now](const auto& item) {
+    const AgentCall& call = *item.second;
+    if (call.phase != CallPhase::kEnded) return true;
+    if (call.outcome.kind == OutcomeKind::kNotRun && call.outcome_sent) return false;
+    // An answer waits for its acknowledgement, or for a router that resumes the call.
+    return call.attached || now - call.detached_at < kResumeWait;
+  });
+}
+
+void AgentCore::State::AdvanceDrain() {
+  if (!draining) return;
+  if (queue.size() == 0 && running_ids.empty()) GiveUpSlots();
+  if (!grace_over && Now() >= drain_until) EndGrace();
+}
+
+void AgentCore::State::EndGrace() {
+  grace_over = true;
+  std::vector<CallPtr> open;
+  for (const auto& [key, call] : calls) {
+    if (call->phase == CallPhase::kQueued || call->phase == CallPhase::kRunning) {
+      open.push_back(call);
+    }
+  }
+  for (const CallPtr& call : open) {
+    if (call->call.repeatable || call->phase == CallPhase::kQueued) {
+      CancelCall(call, Reason::kDraining);
+      continue;
+    }
+    // The order runs on and its answer is still recorded if it ends before the process does.
+    Outcome outcome;
+    outcome.kind = OutcomeKind::kUnknown;
+    outcome.reason = Reason::kDraining;
+    Finish(call, outcome);
+  }
+}
+
+void AgentCore::State::GiveUpSlots() {
+  loads.ReleaseAll();
+  if (env.engine == nullptr) return;
+  for (const SlotReleased& slot : slots.Held()) {
+    if (loads.IsHeld(slot.entry)) continue;
+    slots.MarkReleased(slot.entry, slot.generation);
+    Count("shallot_agent_slots_released_total").Add();
+    peers.Broadcast(slot);
+  }
+}
+
+bool AgentCore::State::Drained() const {
+  if (!draining) return false;
+  if (Now() >= drain_until + kLastWait) return true;
+  if (HasOpenCalls()) return false;
+  return env.engine == nullptr || (loads.Empty() && slots.Held().empty());
+}
+
+}  // namespace shallot
