Add the router core with admission, replica choice and resumes

Cause: the router's decisions about calls were only an interface. Change: RouterCore joins a RunnerDirectory (connections, home runners, load reports) and a CallDispatcher (admission, placement, attempts, resumes, deadlines, outcomes). Conclusion: a call is sent, answered whole, acknowledged and ended once, streamed or not.

--- /dev/null
+++ b/servers/call_dispatcher.h
@@ -0,0 +1,209 @@
+#ifndef SERVERS_CALL_DISPATCHER_H_
+#define SERVERS_CALL_DISPATCHER_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/random.h"
+#include "servers/admission.h"
+#include "servers/replica_picker.h"
+#include "servers/retry_budget.h"
+#include "servers/router_core.h"
+#include "servers/runner_directory.h"
+#include "servers/stream_assembler.h"
+
+namespace shallot {
+
+/// A call in progress at the router.
+struct ActiveCall {
+  enum class Phase {
+    kUnplaced,    ///< No runner is chosen; nothing of the present attempt was sent.
+    kConnecting,  ///< A runner is chosen; the connection to it is not up yet.
+    kSent,
+  };
+
+  uint64_t number = 0;
+  Call call;
+  std::shared_ptr<CallerSink> sink;
+  SteadyTime submitted;
+  SteadyTime deadline;
+  LoadKind kind = LoadKind::kModel;
+  uint64_t prefix_key = 0;
+  Phase phase = Phase::kUnplaced;
+  bool ended = false;
+
+  /// Runner of the present attempt; empty while unplaced.
+  RunnerId runner;
+  Incarnation sent_to;
+  SteadyTime phase_since;
+  SteadyTime next_try;
+  SteadyTime give_up_at;
+  std::set<RunnerId> tried;
+  bool free_retry_used = false;
+  bool needs_token = false;
+  /// An attempt was sent and given up without proof that it did not run.
+  bool maybe_ran = false;
+  bool cancel_sent = false;
+  /// Why the last attempt was not run; the answer when no other attempt is possible.
+  std::optional<Outcome> last_not_run;
+
+  StreamAssembler assembler;
+  std::string buffered;
+  uint64_t forwarded = 0;
+  bool began = false;
+  /// The agent's final answer while bytes of the answer are still missing.
+  std::optional<Outcome> outcome;
+  std::optional<SteadyTime> lost_at;
+  SteadyTime next_resume;
+  CacheTier tier = CacheTier::kLoaded;
+  bool idle_runner = false;
+  /// This call started the load of its entry, as far as this router knows.
+  bool measures_load = false;
+  bool first_frame_seen = false;
+  SteadyTime wake_at;
+};
+
+/// Takes calls from admission to their one outcome: places them on runners, sends attempts,
+/// retries, resumes, assembles answers and keeps deadlines.
+class CallDispatcher {
+ public:
+  struct Options {
+    InstanceId id;
+    Incarnation incarnation;
+    uint64_t max_calls = 2048;
+    uint64_t seed = 1;
+  };
+
+  CallDispatcher(Options options, RouterEnvironment environment, RunnerDirectory* directory);
+
+  CallId Submit(const CallerRequest& request, std::shared_ptr<CallerSink> sink);
+  void CancelByCaller(const CallId& id);
+  void OnTick();
+  void OnRunnerConnected(const RunnerId& runner, Incarnation incarnation);
+  void OnRunnerLost(const RunnerId& runner);
+  void OnRunnerGone(const RunnerId& runner);
+  void OnFrame(const RunnerId& runner, const CallFrame& frame);
+  void OnOutcome(const RunnerId& runner, const CallOutcome& message);
+  void SetConfig(const std::shared_ptr<const FleetConfig>& config);
+  void SetPlacement(const ShardPlacement& placement);
+  void BeginDrain() { draining_ = true; }
+
+  const std::shared_ptr<const FleetConfig>& config() const { return config_; }
+  size_t in_progress() const { return by_number_.size(); }
+  uint64_t waiting() const;
+  const Admission& admission() const { return admission_; }
+  /// Calls that ended as not run, by reason name.
+  const std::map<std::string, uint64_t>& refusals() const { return refusals_; }
+  /// Versions of the placements in use, by shard.
+  std::map<ShardId, StoreVersion> PlacementVersions() const;
+  double retry_tokens() const { return budget_.tokens(); }
+
+ private:
+  using CallPtr = std::shared_ptr<ActiveCall>;
+  struct Placed {
+    StoreVersion version;
+    std::vector<EntryId> entries;
+  };
+  struct Candidates {
+    std::vector<ReplicaCandidate> all;
+    std::vector<PredictedWait> waits;
+  };
+
+  // Submission.
+  Outcome Validate(const CallerRequest& request, ActiveCall* active) const;
+  Outcome ValidateService(const CallerRequest& request, ActiveCall* active) const;
+  Outcome ResolveClass(const CallerRequest& request, ActiveCall* active) const;
+  Outcome Admit(const CallPtr& active);
+  void Refuse(const CallPtr& active, const Outcome& outcome);
+
+  // Placement.
+  Candidates FindCandidates(const ActiveCall& active, bool include_tried) const;
+  std::optional<ReplicaCandidate> MakeCandidate(const ActiveCall& active,
+                                                const RunnerId& runner) const;
+  CacheTier TierOf(const ActiveCall& active, const RunnerView& view) const;
+  PredictedWait PredictOn(const ActiveCall& active, const RunnerView& view) const;
+  uint64_t CallsAhead(const RunnerView& view, CallClass call_class) const;
+  void NoteColdStart(ActiveCall* active);
+  bool AnyLoaded(const ActiveCall& active) const;
+  void Place(const CallPtr& active);
+  void WaitForPlace(const CallPtr& active, Millis pause);
+  void Assign(const CallPtr& active, const RunnerId& runner);
+  void Start(const CallPtr& active);
+  void Release(ActiveCall* active);
+  Generation SlotGeneration(const EntryId& entry, const RunnerId& runner) const;
+
+  // Progress.
+  void Advance(const CallPtr& active);
+  void AdvanceUnplaced(const CallPtr& active);
+  void AdvanceSent(const CallPtr& active);
+  void Reschedule(const CallPtr& active);
+  SteadyTime NextWake(const ActiveCall& active) const;
+  SteadyTime CancelTime(const ActiveCall& active) const;
+  void SendCancel(ActiveCall* active);
+  void SendResume(ActiveCall* active);
+  void Deliver(const CallPtr& active, const std::string& ready);
+  void TryFinish(const CallPtr& active);
+  void FinishCompleted(const CallPtr& active);
+  void HandleNotRun(const CallPtr& active, const Outcome& outcome);
+  void HandleFailed(const CallPtr& active, const Outcome& outcome);
+  void LoseAttempt(const CallPtr& active, const std::string& message);
+  void RetryElsewhere(const CallPtr& active, bool may_have_run);
+  void Learn(const ActiveCall& active, bool first_frame, bool finished);
+  void EndAtDeadline(const CallPtr& active);
+  void End(const CallPtr& active, Outcome outcome);
+  void Ack(const RunnerId& runner, const CallId& call, Attempt attempt);
+  CallPtr FindCall(const CallId& id) const;
+  std::vector<CallPtr> CallsOn(const RunnerId& runner) const;
+  SteadyTime Now() const { return environment_.clock->SteadyNow(); }
+
+  Options options_;
+  RouterEnvironment environment_;
+  RunnerDirectory* directory_;
+  Random random_;
+  Admission admission_;
+  RetryBudget budget_{0.1};
+  std::shared_ptr<const FleetConfig> config_;
+  bool draining_ = false;
+  uint64_t last_number_ = 0;
+  std::unordered_map<CallId, uint64_t> numbers_;
+  std::unordered_map<uint64_t, CallPtr> by_number_;
+  std::set<std::pair<SteadyTime, uint64_t>> wakes_;
+  std::map<RunnerId, std::set<uint64_t>> by_runner_;
+  std::map<ShardId, Placed> placements_;
+  std::unordered_map<EntryId, std::vector<Slot>> slots_;
+  std::map<std::string, uint64_t> refusals_;
+
+  /// A load that a call of this router started.
+  struct ColdStart {
+    SteadyTime started;
+    /// Reports lag: until then a runner may still be reported without the entry.
+    SteadyTime settled_at;
+  };
+  std::map<std::pair<EntryId, RunnerId>, ColdStart> cold_starts_;
+
+  struct ClassMetrics {
+    std::array<Counter*, 4> outcomes{};
+    LatencyHistogram* latency = nullptr;
+    LatencyHistogram* first_byte = nullptr;
+  };
+  std::array<ClassMetrics, kCallClassCount> class_metrics_;
+  Counter* retries_;
+  Counter* resumes_;
+  Counter* superseded_frames_;
+  Counter* lost_attempts_;
+  Gauge* in_flight_;
+};
+
+}  // namespace shallot
+
+#endif  // SERVERS_CALL_DISPATCHER_H_
--- /dev/null
+++ b/servers/call_progress.cc
@@ -0,0 +1,231 @@
+#include <algorithm>
+
+#include "core/log.h"
+#include "servers/call_dispatcher.h"
+
+namespace shallot {
+namespace {
+
+// Long enough for a queued call to be taken back over the slowest link before the deadline.
+constexpr Millis kCancelMargin{100};
+constexpr Millis kPlacePause{50};
+constexpr Millis kSendPause{20};
+// A connection that does not come up in this time is given up; nothing was sent on it.
+constexpr Millis kConnectLimit{2'000};
+// The silence limit of the first connection has passed already; a second one had its time too.
+constexpr Millis kGoneLimit{5'000};
+// Orders wait longer, because giving up leaves their caller with an unknown outcome.
+constexpr Millis kGoneLimitOrder{10'000};
+constexpr Millis kGapLimit{300};
+constexpr Millis kResumePause{1'000};
+// A sent call without any message for this long asks again, in case a message was lost.
+constexpr Millis kProbePause{5'000};
+
+}  // namespace
+
+void CallDispatcher::OnTick() {
+  const SteadyTime now = Now();
+  budget_.Refill(now);
+  while (!wakes_.empty() && wakes_.begin()->first <= now) {
+    const uint64_t number = wakes_.begin()->second;
+    wakes_.erase(wakes_.begin());
+    const auto it = by_number_.find(number);
+    if (it == by_number_.end()) continue;
+    const CallPtr active = it->second;
+    Advance(active);
+    if (!active->ended) Reschedule(active);
+  }
+}
+
+SteadyTime CallDispatcher::CancelTime(const ActiveCall& active) const {
+  const Duration quarter = (active.deadline - active.submitted) / 4;
+  return active.deadline - std::min<Duration>(kCancelMargin, quarter);
+}
+
+SteadyTime CallDispatcher::NextWake(const ActiveCall& active) const {
+  SteadyTime wake = active.deadline;
+  switch (active.phase) {
+    case ActiveCall::Phase::kUnplaced:
+      return std::min({wake, active.next_try, active.give_up_at});
+    case ActiveCall::Phase::kConnecting:
+      return std::min({wake, active.phase_since + kConnectLimit, Now() + kSendPause});
+    case ActiveCall::Phase::kSent:
+      break;
+  }
+  if (!active.cancel_sent) wake = std::min(wake, CancelTime(active));
+  if (active.lost_at.has_value()) {
+    const Millis limit = active.call.repeatable ? kGoneLimit : kGoneLimitOrder;
+    return std::min(wake, *active.lost_at + limit);
+  }
+  return std::min(wake, active.next_resume);
+}
+
+void CallDispatcher::Reschedule(const CallPtr& active) {
+  if (active->ended) return;
+  wakes_.erase({active->wake_at, active->number});
+  active->wake_at = std::max(NextWake(*active), Now() + Millis(1));
+  wakes_.insert({active->wake_at, active->number});
+}
+
+void CallDispatcher::Advance(const CallPtr& active) {
+  const SteadyTime now = Now();
+  if (now >= active->deadline) {
+    EndAtDeadline(active);
+    return;
+  }
+  switch (active->phase) {
+    case ActiveCall::Phase::kUnplaced:
+      AdvanceUnplaced(active);
+      return;
+    case ActiveCall::Phase::kConnecting:
+      if (now - active->phase_since >= kConnectLimit) {
+        active->tried.insert(active->runner);
+        Release(active.get());
+        Place(active);
+        return;
+      }
+      if (const RunnerView* view = directory_->Find(active->runner); view && view->up)
+        Start(active);
+      return;
+    case ActiveCall::Phase::kSent:
+      AdvanceSent(active);
+      return;
+  }
+}
+
+void CallDispatcher::AdvanceUnplaced(const CallPtr& active) {
+  const SteadyTime now = Now();
+  if (now >= active->give_up_at) {
+    Outcome outcome;
+    outcome.kind = OutcomeKind::kNotRun;
+    outcome.reason = Reason::kNoRunner;
+    outcome.retry_after = Millis(1'000);
+    outcome.message = "no live runner may serve this call now; retry later";
+    End(active, active->last_not_run.value_or(outcome));
+    return;
+  }
+  if (active->needs_token) {
+    if (!budget_.TryRetry()) {
+      WaitForPlace(active, kPlacePause);
+      return;
+    }
+    active->needs_token = false;
+    retries_->Add();
+  }
+  // Runners that failed before may have recovered by now.
+  if (FindCandidates(*active, false).all.empty()) active->tried.clear();
+  Place(active);
+}
+
+void CallDispatcher::AdvanceSent(const CallPtr& active) {
+  const SteadyTime now = Now();
+  if (!active->cancel_sent && now >= CancelTime(*active)) SendCancel(active.get());
+  if (active->lost_at.has_value()) {
+    const Millis limit = active->call.repeatable ? kGoneLimit : kGoneLimitOrder;
+    if (now - *active->lost_at >= limit) LoseAttempt(active, "the runner could not be reached");
+    return;
+  }
+  if (now >= active->next_resume) SendResume(active.get());
+}
+
+void CallDispatcher::SendCancel(ActiveCall* active) {
+  active->cancel_sent = true;
+  directory_->SendToRunner(active->runner, CallCancel{active->call.id, active->call.attempt});
+}
+
+void CallDispatcher::SendResume(ActiveCall* active) {
+  resumes_->Add();
+  const bool gap = active->outcome.has_value() || active->assembler.HasGap();
+  active->next_resume = Now() + (gap ? kResumePause : kProbePause);
+  directory_->SendToRunner(active->runner, CallResume{active->call.id, active->call.attempt,
+                                                      active->assembler.next_offset()});
+}
+
+void CallDispatcher::OnRunnerConnected(const RunnerId& runner, Incarnation incarnation) {
+  for (const CallPtr& active : CallsOn(runner)) {
+    if (active->ended || active->runner != runner) continue;
+    if (active->phase == ActiveCall::Phase::kConnecting) {
+      Start(active);
+    } else if (active->sent_to != incarnation) {
+      LoseAttempt(active, "the agent of the runner restarted");
+    } else {
+      active->lost_at.reset();
+      SendResume(active.get());
+      // The agent may have missed a cancel that was sent into the silent connection.
+      if (active->cancel_sent) SendCancel(active.get());
+    }
+    Reschedule(active);
+  }
+}
+
+void CallDispatcher::OnRunnerLost(const RunnerId& runner) {
+  for (const CallPtr& active : CallsOn(runner)) {
+    if (active->phase != ActiveCall::Phase::kSent || active->lost_at.has_value()) continue;
+    active->lost_at = Now();
+    Reschedule(active);
+  }
+}
+
+void CallDispatcher::OnRunnerGone(const RunnerId& runner) {
+  for (const CallPtr& active : CallsOn(runner)) {
+    if (active->phase == ActiveCall::Phase::kSent) {
+      LoseAttempt(active, "the runner is no longer listed");
+    } else {
+      Release(active.get());
+      Place(active);
+    }
+    Reschedule(active);
+  }
+}
+
+void CallDispatcher::OnFrame(const RunnerId& runner, const CallFrame& frame) {
+  const CallPtr active = FindCall(frame.call);
+  if (active == nullptr || active->call.attempt != frame.attempt || active->runner != runner ||
+      active->phase != ActiveCall::Phase::kSent) {
+    superseded_frames_->Add();
+    return;
+  }
+  Learn(*active, true, false);
+  active->first_frame_seen = true;
+  const bool had_gap = active->assembler.HasGap();
+  const std::string ready = active->assembler.Add(frame.offset, frame.payload);
+  if (!ready.empty()) Deliver(active, ready);
+  if (active->ended) return;
+  if (!active->assembler.HasGap() && !active->outcome.has_value()) {
+    active->next_resume = Now() + kProbePause;
+  } else if (!had_gap && !active->outcome.has_value()) {
+    active->next_resume = Now() + kGapLimit;
+  }
+  TryFinish(active);
+  Reschedule(active);
+}
+
+void CallDispatcher::Deliver(const CallPtr& active, const std::string& ready) {
+  if (!active->call.stream) {
+    active->buffered += ready;
+    return;
+  }
+  if (!active->began) {
+    active->began = true;
+    const auto call_class = static_cast<size_t>(active->call.call_class);
+    class_metrics_[call_class].first_byte->Record(Now() - active->submitted);
+    active->sink->OnBegin(200, "text/event-stream");
+  }
+  active->forwarded += ready.size();
+  active->sink->OnData(ready);
+}
+
+CallDispatcher::CallPtr CallDispatcher::FindCall(const CallId& id) const {
+  const auto number = numbers_.find(id);
+  return number == numbers_.end() ? nullptr : by_number_.at(number->second);
+}
+
+std::vector<CallDispatcher::CallPtr> CallDispatcher::CallsOn(const RunnerId& runner) const {
+  std::vector<CallPtr> calls;
+  const auto it = by_runner_.find(runner);
+  if (it == by_runner_.end()) return calls;
+  for (const uint64_t number : it->second) calls.push_back(by_number_.at(number));
+  return calls;
+}
+
+}  // namespace shallot
--- /dev/null
+++ b/servers/runner_directory.cc
@@ -0,0 +1,272 @@
+#include "servers/runner_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/hashing.h"
+
+namespace shallot {
+uint64_t RunnerView::TotalOutstanding() const {
+  uint64_t total = 0;
+  for (const uint64_t count : outstanding) total += count;
+  return total;
+}
+
+RunnerDirectory::RunnerDirectory(Options options, const Clock* clock, PeerLink* link,
+                                 DirectoryListener* listener)
+    : options_(std::move(options)),
+      clock_(clock),
+      link_(link),
+      listener_(listener),
+      random_(options_.seed) {}
+
+void RunnerDirectory::SetInstances(const std::vector<InstanceRecord>& instances) {
+  std::map<RunnerId, InstanceRecord> listed_runners;
+  std::map<InstanceId, InstanceRecord> listed_routers;
+  listed_leaving_ = false;
+  for (const InstanceRecord& record : instances) {
+    if (record.role == PeerRole::kRouter) {
+      if (record.id == options_.id) listed_leaving_ = record.leaving;
+      if (record.id != options_.id) listed_routers[record.id] = record;
+      continue;
+    }
+    // A replaced instance may still be listed beside its successor; the one that stays wins.
+    const auto [it, inserted] = listed_runners.emplace(record.runner, record);
+    if (!inserted && (it->second.leaving || !record.leaving)) it->second = record;
+  }
+  seen_instances_ = true;
+  SetRunners(listed_runners);
+  SetRouters(listed_routers);
+  ChooseHomes();
+  ChoosePeers();
+}
+
+void RunnerDirectory::SetRunners(const std::map<RunnerId, InstanceRecord>& listed) {
+  std::vector<RunnerId> gone;
+  for (const auto& [id, entry] : runners_) {
+    const auto it = listed.find(id);
+    if (it == listed.end() || it->second.id != entry.view.record.id) gone.push_back(id);
+  }
+  for (const RunnerId& id : gone) {
+    LoseRunner(id);
+    runners_.erase(id);
+  }
+  runner_ids_.clear();
+  by_backend_.clear();
+  for (const auto& [id, record] : listed) {
+    RunnerEntry& entry = runners_[id];
+    const bool moved =
+        !entry.view.record.address.empty() && entry.view.record.address != record.address;
+    entry.view.record = record;
+    if (moved) LoseRunner(id);
+    runner_ids_.push_back(id);
+    by_backend_[record.backend].push_back(id);
+  }
+  for (const RunnerId& id : gone) listener_->OnRunnerGone(id);
+}
+
+void RunnerDirectory::SetRouters(const std::map<InstanceId, InstanceRecord>& listed) {
+  for (auto it = routers_.begin(); it != routers_.end();) {
+    const auto found = listed.find(it->first);
+    if (found != listed.end() && found->second.address == it->second.record.address) {
+      ++it;
+      continue;
+    }
+    Drop(&it->second.connection);
+    it = routers_.erase(it);
+  }
+  for (const auto& [id, record] : listed) routers_[id].record = record;
+}
+
+std::vector<InstanceId> RunnerDirectory::HomesOf(const InstanceRecord& runner) const {
+  struct Ranked {
+    int distance;
+    uint64_t weight;
+    InstanceId id;
+  };
+  std::vector<Ranked> ranked;
+  const auto add = [&](const InstanceId& id, const FailureDomain& domain, const Region& region) {
+    const int distance = domain == runner.failure_domain ? 0 : (region == runner.region ? 1 : 2);
+    ranked.push_back({distance, RendezvousWeight(runner.runner.value(), id.value()), id});
+  };
+  if (!draining_ && !listed_leaving_) {
+    add(options_.id, options_.failure_domain, options_.region);
+  }
+  for (const auto& [id, entry] : routers_) {
+    if (!entry.record.leaving) add(id, entry.record.failure_domain, entry.record.region);
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
+    if (a.distance != b.distance) return a.distance < b.distance;
+    return a.weight > b.weight;
+  });
+  std::vector<InstanceId> homes;
+  for (const Ranked& each : ranked) {
+    // Another region is used only when the runner's own has no router.
+    if (each.distance == 2 && !homes.empty()) break;
+    if (homes.size() < kHomesPerRunner) homes.push_back(each.id);
+  }
+  return homes;
+}
+
+void RunnerDirectory::ChooseHomes() {
+  for (auto& [id, entry] : runners_) {
+    const std::vector<InstanceId> homes = HomesOf(entry.view.record);
+    entry.connection.keep = std::find(homes.begin(), homes.end(), options_.id) != homes.end();
+  }
+}
+
+void RunnerDirectory::ChoosePeers() {
+  std::map<FailureDomain, std::pair<uint64_t, InstanceId>> best;
+  for (auto& [id, entry] : routers_) {
+    const FailureDomain& domain = entry.record.failure_domain;
+    entry.connection.keep = domain == options_.failure_domain;
+    if (entry.connection.keep || entry.record.leaving) continue;
+    const uint64_t weight = RendezvousWeight(options_.id.value(), id.value());
+    auto& candidate = best[domain];
+    if (candidate.second.empty() || weight > candidate.first) candidate = {weight, id};
+  }
+  for (const auto& [domain, candidate] : best) routers_[candidate.second].connection.keep = true;
+}
+
+void RunnerDirectory::SetOwnState(ConfigRevision revision, bool draining, uint64_t running,
+                                  uint64_t queued) {
+  const bool drain_began = draining && !draining_;
+  revision_ = revision;
+  draining_ = draining;
+  own_load_.running = running;
+  own_load_.queued = queued;
+  if (!drain_began) return;
+  const SteadyTime now = clock_->SteadyNow();
+  for (auto& [id, entry] : runners_) entry.connection.next_heartbeat = now;
+  for (auto& [id, entry] : routers_) entry.connection.next_heartbeat = now;
+  for (auto& [id, entry] : incoming_) entry.next_heartbeat = now;
+}
+
+bool RunnerDirectory::SendToRunner(const RunnerId& runner, const Message& message) {
+  const auto it = runners_.find(runner);
+  if (it == runners_.end()) return false;
+  Touch(runner);
+  if (!it->second.view.up) return false;
+  return IsOk(link_->Send(*it->second.connection.id, message));
+}
+
+bool RunnerDirectory::SendToRouter(const InstanceId& router, const Message& message) {
+  const auto it = routers_.find(router);
+  if (it != routers_.end() && it->second.connection.hello_received) {
+    it->second.connection.last_used = clock_->SteadyNow();
+    return IsOk(link_->Send(*it->second.connection.id, message));
+  }
+  const std::pair<const ConnectionId, Incoming>* latest = nullptr;
+  for (const auto& each : incoming_) {
+    if (each.second.router != router) continue;
+    if (latest == nullptr || each.second.last_received > latest->second.last_received) {
+      latest = &each;
+    }
+  }
+  if (latest != nullptr) return IsOk(link_->Send(latest->first, message));
+  if (it == routers_.end()) return false;
+  Connection& connection = it->second.connection;
+  connection.last_used = clock_->SteadyNow();
+  if (!connection.id.has_value() && clock_->SteadyNow() >= connection.next_dial) {
+    Dial(&connection, it->second.record.address, {.runner = {}, .router = router});
+  }
+  return false;
+}
+
+void RunnerDirectory::Touch(const RunnerId& runner) {
+  const auto it = runners_.find(runner);
+  if (it == runners_.end()) return;
+  Connection& connection = it->second.connection;
+  const SteadyTime now = clock_->SteadyNow();
+  connection.last_used = now;
+  if (connection.id.has_value() || now < connection.next_dial) return;
+  Dial(&connection, it->second.view.record.address, {.runner = runner, .router = {}});
+}
+
+RunnerView* RunnerDirectory::Find(const RunnerId& runner) {
+  const auto it = runners_.find(runner);
+  return it == runners_.end() ? nullptr : &it->second.view;
+}
+
+const RunnerView* RunnerDirectory::Find(const RunnerId& runner) const {
+  const auto it = runners_.find(runner);
+  return it == runners_.end() ? nullptr : &it->second.view;
+}
+
+const std::vector<RunnerId>& RunnerDirectory::RunnersOf(const BackendName& backend) const {
+  static const std::vector<RunnerId> kNone;
+  const auto it = by_backend_.find(backend);
+  return it == by_backend_.end() ? kNone : it->second;
+}
+
+bool RunnerDirectory::Usable(const RunnerView& view) {
+  return !view.record.leaving && !view.draining && view.load.serving;
+}
+
+bool RunnerDirectory::Doubtful(const RunnerView& view) const {
+  const SteadyTime now = clock_->SteadyNow();
+  if (view.failed_at.has_value() && now - *view.failed_at < kFailureMemory) return true;
+  return view.up && view.reported_at.has_value() && now - *view.reported_at > kQuietLimit;
+}
+
+bool RunnerDirectory::IsHome(const RunnerId& runner) const {
+  const auto it = runners_.find(runner);
+  return it != runners_.end() && it->second.connection.keep;
+}
+
+Hello RunnerDirectory::OwnHello() const {
+  Hello hello;
+  hello.sender = options_.id;
+  hello.incarnation = options_.incarnation;
+  hello.role = PeerRole::kRouter;
+  hello.failure_domain = options_.failure_domain;
+  hello.config_revision = revision_;
+  hello.draining = draining_;
+  return hello;
+}
+
+void RunnerDirectory::Dial(Connection* connection, const std::string& address, const Owner& owner) {
+  const SteadyTime now = clock_->SteadyNow();
+  connection->id = link_->Connect(address);
+  connection->hello_received = false;
+  connection->last_received = now;
+  connection->next_heartbeat = now + kHeartbeatInterval;
+  by_connection_[*connection->id] = owner;
+  link_->Send(*connection->id, OwnHello());
+}
+
+void RunnerDirectory::Drop(Connection* connection) {
+  if (!connection->id.has_value()) return;
+  link_->Close(*connection->id);
+  by_connection_.erase(*connection->id);
+  connection->id.reset();
+  connection->hello_received = false;
+}
+
+void RunnerDirectory::LoseRunner(const RunnerId& runner) {
+  RunnerEntry& entry = runners_[runner];
+  const bool was_up = entry.view.up;
+  Drop(&entry.connection);
+  entry.view.up = false;
+  entry.view.reported_at.reset();
+  if (was_up) listener_->OnRunnerLost(runner);
+}
+
+void RunnerDirectory::Backoff(Connection* connection) {
+  // Jitter keeps many routers from redialling a restarted peer in step.
+  const double factor = 0.75 + 0.5 * random_.Unit();
+  connection->next_dial =
+      clock_->SteadyNow() + std::chrono::duration_cast<Duration>(connection->backoff * factor);
+  connection->backoff = std::min<Duration>(connection->backoff * 2, kLongestBackoff);
+}
+
+void RunnerDirectory::SendHeartbeat(ConnectionId connection, uint64_t sequence) {
+  Heartbeat heartbeat;
+  heartbeat.sequence = sequence;
+  heartbeat.config_revision = revision_;
+  heartbeat.draining = draining_;
+  heartbeat.load = own_load_;
+  link_->Send(connection, heartbeat);
+}
+
+}  // namespace shallot
