Test the router core, its connections and its parts

Change: tables for validation, retries, lost runners, deadlines, gaps, drains, homes, peers and each part; a call that has sent data is no longer cancelled before its deadline, because it is running and could only lose its answer.

--- a/servers/call_dispatcher.h
+++ b/servers/call_dispatcher.h
@@ -144,6 +144,7 @@
 
   // Progress.
   void Advance(const CallPtr& active);
+  void AdvanceConnecting(const CallPtr& active);
   void AdvanceUnplaced(const CallPtr& active);
   void AdvanceSent(const CallPtr& active);
   void Reschedule(const CallPtr& active);
--- a/servers/call_outcomes.cc
+++ b/servers/call_outcomes.cc
@@ -260,6 +260,7 @@
                             "again with the same Idempotency-Key"));
     return;
   }
+  if (!active->cancel_sent) SendCancel(active.get());
   End(active, MakeOutcome(OutcomeKind::kFailed, Reason::kDeadline,
                           "no whole answer came before the deadline"));
 }
--- a/servers/call_progress.cc
+++ b/servers/call_progress.cc
@@ -38,6 +38,8 @@
 }
 
 SteadyTime CallDispatcher::CancelTime(const ActiveCall& active) const {
+  // A call that has sent data is running; taking it back could only lose its answer.
+  if (active.assembler.end_seen() > 0) return active.deadline;
   const Duration quarter = (active.deadline - active.submitted) / 4;
   return active.deadline - std::min<Duration>(kCancelMargin, quarter);
 }
@@ -78,14 +80,7 @@
       AdvanceUnplaced(active);
       return;
     case ActiveCall::Phase::kConnecting:
-      if (now - active->phase_since >= kConnectLimit) {
-        active->tried.insert(active->runner);
-        Release(active.get());
-        Place(active);
-        return;
-      }
-      if (const RunnerView* view = directory_->Find(active->runner); view && view->up)
-        Start(active);
+      AdvanceConnecting(active);
       return;
     case ActiveCall::Phase::kSent:
       AdvanceSent(active);
@@ -93,6 +88,17 @@
   }
 }
 
+void CallDispatcher::AdvanceConnecting(const CallPtr& active) {
+  if (Now() - active->phase_since >= kConnectLimit) {
+    active->tried.insert(active->runner);
+    Release(active.get());
+    Place(active);
+    return;
+  }
+  const RunnerView* view = directory_->Find(active->runner);
+  if (view != nullptr && view->up) Start(active);
+}
+
 void CallDispatcher::AdvanceUnplaced(const CallPtr& active) {
   const SteadyTime now = Now();
   if (now >= active->give_up_at) {
--- /dev/null
+++ b/tests/admission_test.cc
@@ -0,0 +1,147 @@
+#include "servers/admission.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+namespace shallot {
+namespace {
+
+// Guards against low classes that fill the router and against premium refused for them.
+TEST_CASE("calls in flight are bounded by class") {
+  struct Case {
+    CallClass filler;
+    CallClass call_class;
+    uint64_t expected;
+  };
+  const std::vector<Case> cases = {
+      {CallClass::kBatch, CallClass::kBatch, 50},
+      {CallClass::kManuscript, CallClass::kManuscript, 70},
+      {CallClass::kInteractive, CallClass::kInteractive, 80},
+      {CallClass::kStatus, CallClass::kStatus, 90},
+      {CallClass::kPremium, CallClass::kPremium, 100},
+      {CallClass::kBatch, CallClass::kPremium, 100},
+      {CallClass::kStatus, CallClass::kPremium, 100},
+      {CallClass::kBatch, CallClass::kInteractive, 30},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(CallClassName(c.filler));
+    CAPTURE(CallClassName(c.call_class));
+    Admission admission(100);
+    if (c.filler != c.call_class) {
+      while (admission.CheckInFlight(c.filler).admitted) admission.OnAdmitted(c.filler);
+    }
+    uint64_t admitted = 0;
+    while (admission.CheckInFlight(c.call_class).admitted) {
+      admission.OnAdmitted(c.call_class);
+      ++admitted;
+    }
+    CHECK(admitted == c.expected);
+    const AdmissionVerdict verdict = admission.CheckInFlight(c.call_class);
+    CHECK(verdict.reason == Reason::kOverload);
+    CHECK(verdict.retry_after > Millis(0));
+    admission.OnEnded(c.call_class);
+    CHECK(admission.CheckInFlight(c.call_class).admitted);
+  }
+}
+
+// Guards against calls that are taken on and then miss their deadline, and against refusals of
+// calls that would have been answered.
+TEST_CASE("the predicted wait is compared with the time left") {
+  struct Case {
+    const char* name;
+    WaitInput input;
+    Millis remaining;
+    bool admitted;
+    Reason reason;
+    Millis retry_after;
+  };
+  const Millis service(100);
+  const std::vector<Case> cases = {
+      {"idle", {CacheTier::kLoaded, 0, 4, service}, Millis(100), true, Reason::kNone, Millis(0)},
+      {"service too long",
+       {CacheTier::kLoaded, 0, 4, service},
+       Millis(90),
+       false,
+       Reason::kDeadline,
+       Millis(200)},
+      {"last free place",
+       {CacheTier::kLoaded, 3, 4, service},
+       Millis(100),
+       true,
+       Reason::kNone,
+       Millis(0)},
+      {"queue fits",
+       {CacheTier::kLoaded, 43, 4, service},
+       Millis(1'100),
+       true,
+       Reason::kNone,
+       Millis(0)},
+      {"queue too long",
+       {CacheTier::kLoaded, 63, 4, service},
+       Millis(1'100),
+       false,
+       Reason::kOverload,
+       Millis(500)},
+      {"load too long",
+       {CacheTier::kRemote, 0, 4, service},
+       Millis(5'000),
+       false,
+       Reason::kDeadline,
+       Millis(3'100)},
+      {"load fits",
+       {CacheTier::kDisk, 0, 4, service},
+       Millis(5'000),
+       true,
+       Reason::kNone,
+       Millis(0)},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.name);
+    Admission admission(100);
+    const PredictedWait wait = admission.Predict(EntryId("m"), LoadKind::kModel, c.input);
+    const AdmissionVerdict verdict = admission.CheckWait(wait, c.remaining);
+    CHECK(verdict.admitted == c.admitted);
+    CHECK(verdict.reason == c.reason);
+    CHECK(verdict.retry_after == c.retry_after);
+  }
+}
+
+// Guards against predictions that ignore what was observed, or mix tiers and entries.
+TEST_CASE("loads are learned by entry and tier") {
+  Admission admission(100);
+  const WaitInput disk{CacheTier::kDisk, 0, 4, Millis(100)};
+  const WaitInput remote{CacheTier::kRemote, 0, 4, Millis(100)};
+  const Duration before = admission.Predict(EntryId("b"), LoadKind::kModel, disk).load;
+  const Duration remote_before = admission.Predict(EntryId("a"), LoadKind::kModel, remote).load;
+  for (int i = 0; i < 20; ++i) admission.LearnLoad(EntryId("a"), CacheTier::kDisk, Seconds(6));
+  const Duration after = admission.Predict(EntryId("a"), LoadKind::kModel, disk).load;
+  CHECK(after > Millis(5'999));
+  CHECK(after < Millis(6'001));
+  CHECK(admission.Predict(EntryId("b"), LoadKind::kModel, disk).load == before);
+  CHECK(admission.Predict(EntryId("a"), LoadKind::kModel, remote).load == remote_before);
+}
+
+// Guards against an estimate that was once too high and refuses every call from then on.
+TEST_CASE("some deadline refusals are admitted to correct the estimate") {
+  Admission admission(100);
+  const PredictedWait wait{.queue = Millis(0), .load = Seconds(60), .service = Millis(100)};
+  uint64_t admitted = 0;
+  for (uint64_t i = 0; i < 4 * Admission::kProbeEvery; ++i) {
+    admitted += admission.CheckWait(wait, Seconds(10)).admitted ? 1 : 0;
+  }
+  CHECK(admitted == 4);
+}
+
+TEST_CASE("quantiles follow the newest samples") {
+  DurationSamples samples;
+  CHECK(samples.Quantile(0.9, Seconds(3)) == Seconds(3));
+  for (int i = 1; i <= 10; ++i) samples.Add(Seconds(i));
+  CHECK(samples.Quantile(0.9, Seconds(0)) == Seconds(10));
+  CHECK(samples.Quantile(0.0, Seconds(0)) == Seconds(1));
+  for (size_t i = 0; i < DurationSamples::kMaxSamples; ++i) samples.Add(Seconds(2));
+  CHECK(samples.Quantile(0.9, Seconds(0)) == Seconds(2));
+}
+
+}  // namespace
+}  // namespace shallot
--- a/tests/router_core_test.cc
+++ b/tests/router_core_test.cc
@@ -2,9 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "servers/circuit_breaker.h"
 #include "tests/router_fixture.h"
 
 namespace shallot {
@@ -37,5 +40,530 @@
   }
 }
 
+// Guards against requests that are sent on although they cannot be served, and against refusals
+// that do not say why.
+TEST_CASE("bad requests are refused as not run") {
+  CallerRequest unknown_class = RouterFixture::ModelRequest();
+  unknown_class.call_class = "urgent";
+  CallerRequest unknown_entry = RouterFixture::ModelRequest();
+  unknown_entry.entry = EntryId("nobody");
+  CallerRequest no_key = RouterFixture::OrderRequest("");
+  CallerRequest no_route = RouterFixture::OrderRequest("k");
+  no_route.service = BackendName("other");
+  struct Case {
+    const char* name;
+    CallerRequest request;
+    Reason reason;
+    const char* mentions;
+  };
+  const std::vector<Case> cases = {
+      {"unknown class", unknown_class, Reason::kInvalidRequest, "urgent"},
+      {"unknown entry", unknown_entry, Reason::kUnknownEntry, "nobody"},
+      {"order without key", no_key, Reason::kInvalidRequest, "Idempotency-Key"},
+      {"unknown service", no_route, Reason::kUnknownEntry, "other"},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.name);
+    RouterFixture f;
+    f.Start();
+    const auto sink = f.Submit(c.request);
+    CHECK(sink->ends == 1);
+    CHECK(sink->begins == 0);
+    CHECK(sink->end.kind == OutcomeKind::kNotRun);
+    CHECK(sink->end.reason == c.reason);
+    CHECK(sink->end.message.find(c.mentions) != std::string::npos);
+    CHECK(f.link.Count<CallStart>() == 0);
+    CHECK(f.metrics.Render().find(std::string("shallot_router_refusals_total{reason=\"") +
+                                  ReasonName(c.reason) + "\"} 1") != std::string::npos);
+  }
+}
+
+// Guards against a wrong class: the caller's wins over the route's, which wins over the default.
+TEST_CASE("the class comes from the caller, the route or the default") {
+  struct Case {
+    CallerRequest request;
+    const char* asked;
+    CallClass expected;
+  };
+  CallerRequest status = RouterFixture::OrderRequest("");
+  status.method = "GET";
+  status.path = "/state";
+  for (const Case& c :
+       {Case{RouterFixture::ModelRequest(), "", CallClass::kInteractive},
+        Case{RouterFixture::ModelRequest(), "batch", CallClass::kBatch},
+        Case{status, "", CallClass::kStatus}, Case{status, "manuscript", CallClass::kManuscript},
+        Case{RouterFixture::OrderRequest("k"), "", CallClass::kPremium}}) {
+    RouterFixture f;
+    f.Start();
+    CallerRequest request = c.request;
+    request.call_class = c.asked;
+    f.Submit(request);
+    REQUIRE(f.link.Count<CallStart>() == 1);
+    CHECK(f.LastStart().second.call_class == c.expected);
+  }
+}
+
+// Guards against a retry without need, without permission or on the same runner.
+TEST_CASE("a call that was not run is tried on another runner") {
+  struct Case {
+    const char* name;
+    bool order;
+    OutcomeKind kind;
+    Reason reason;
+    size_t starts;
+    OutcomeKind end;
+  };
+  const std::vector<Case> cases = {
+      {"not granted", false, OutcomeKind::kNotRun, Reason::kNotGranted, 2, OutcomeKind::kCompleted},
+      {"queue full", false, OutcomeKind::kNotRun, Reason::kQueueFull, 2, OutcomeKind::kCompleted},
+      {"order not run", true, OutcomeKind::kNotRun, Reason::kDraining, 2, OutcomeKind::kCompleted},
+      {"connection lost", false, OutcomeKind::kFailed, Reason::kConnectionLost, 2,
+       OutcomeKind::kCompleted},
+      {"unknown", false, OutcomeKind::kUnknown, Reason::kConnectionLost, 2,
+       OutcomeKind::kCompleted},
+      {"order failed", true, OutcomeKind::kFailed, Reason::kConnectionLost, 1,
+       OutcomeKind::kFailed},
+      {"order unknown", true, OutcomeKind::kUnknown, Reason::kConnectionLost, 1,
+       OutcomeKind::kUnknown},
+      {"key reused", true, OutcomeKind::kNotRun, Reason::kKeyReused, 1, OutcomeKind::kNotRun},
+      {"backend error", false, OutcomeKind::kFailed, Reason::kBackendError, 1,
+       OutcomeKind::kFailed},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.name);
+    RouterFixture f;
+    f.Start();
+    const auto sink =
+        f.Submit(c.order ? RouterFixture::OrderRequest("k") : RouterFixture::ModelRequest());
+    const auto first = f.LastStart();
+    f.Answer(first, c.kind, c.reason);
+    REQUIRE(f.link.Count<CallStart>() == c.starts);
+    if (c.starts == 2) {
+      const auto second = f.LastStart();
+      CHECK(second.first != first.first);
+      CHECK(second.second.attempt == Attempt(2));
+      f.Frame(first, 0, "superseded");
+      f.Frame(second, 0, "ok");
+      f.Answer(second, OutcomeKind::kCompleted, Reason::kNone, 2);
+      CHECK(sink->data == "ok");
+    }
+    CHECK(sink->ends == 1);
+    CHECK(sink->end.kind == c.end);
+    CHECK(f.invariants.TotalViolations() == 0);
+  }
+}
+
+// Guards against a call that is refused while its slot moves: the grant needs a moment.
+TEST_CASE("a call whose only runner lacks the grant is tried again there") {
+  RouterFixture f(1);
+  f.Start();
+  const auto sink = f.Submit(RouterFixture::ModelRequest());
+  f.Answer(f.LastStart(), OutcomeKind::kNotRun, Reason::kNotGranted);
+  CHECK(sink->ends == 0);
+  f.Run(Millis(300));
+  REQUIRE(f.link.Count<CallStart>() == 2);
+  f.Answer(f.LastStart(), OutcomeKind::kCompleted);
+  CHECK(sink->end.kind == OutcomeKind::kCompleted);
+}
+
+// Guards against retries beyond the budget.
+TEST_CASE("retries stop when the budget is spent") {
+  RouterFixture f;
+  f.Start();
+  size_t refused = 0;
+  for (int i = 0; i < 30; ++i) {
+    const auto sink = f.Submit(RouterFixture::ModelRequest());
+    f.Answer(f.LastStart(), OutcomeKind::kNotRun, Reason::kQueueFull);
+    if (sink->ends == 0) {
+      f.Answer(f.LastStart(), OutcomeKind::kCompleted);
+      continue;
+    }
+    CHECK(sink->end.kind == OutcomeKind::kNotRun);
+    CHECK(sink->end.reason == Reason::kRetryBudget);
+    ++refused;
+  }
+  CHECK(f.link.Count<CallStart>() - 30 <= 13);
+  CHECK(refused >= 17);
+}
+
+// Guards against answers lost with a silent connection, and against bytes that are repeated.
+TEST_CASE("a call is resumed at its next offset on a new connection") {
+  for (const bool order : {false, true}) {
+    CAPTURE(order);
+    RouterFixture f(1);
+    f.Start();
+    const auto sink =
+        f.Submit(order ? RouterFixture::OrderRequest("k") : RouterFixture::ModelRequest(true));
+    auto start = f.LastStart();
+    f.Frame(start, 0, "abc");
+    const ConnectionId old = start.first;
+    f.beating.clear();
+    f.Run(Millis(2'600));
+    CHECK_FALSE(f.link.IsOpen(old));
+    REQUIRE(f.ConnectionTo(0) != ConnectionId(0));
+    f.SayHello(0);
+    const auto resumes = f.link.All<CallResume>();
+    REQUIRE(resumes.size() == 1);
+    CHECK(resumes[0].first == f.ConnectionTo(0));
+    CHECK(resumes[0].second.offset == 3);
+    CHECK(resumes[0].second.attempt == Attempt(1));
+    start.first = f.ConnectionTo(0);
+    f.Frame(start, 3, "def");
+    f.Answer(start, OutcomeKind::kCompleted, Reason::kNone, 6);
+    CHECK(sink->data == "abcdef");
+    CHECK(sink->end.kind == OutcomeKind::kCompleted);
+    CHECK(f.link.Count<CallStart>() == 1);
+    CHECK(f.invariants.TotalViolations() == 0);
+  }
+}
+
+// Guards against a second run of an order, a mixed answer, and a repeatable call given up, when
+// the runner of a call is gone.
+TEST_CASE("a call whose runner is gone") {
+  struct Case {
+    const char* name;
+    bool order;
+    bool stream;
+    bool frame;
+    size_t starts;
+    OutcomeKind end;
+  };
+  const std::vector<Case> cases = {
+      {"repeatable", false, false, true, 2, OutcomeKind::kCompleted},
+      {"stream without bytes", false, true, false, 2, OutcomeKind::kCompleted},
+      {"stream with bytes", false, true, true, 1, OutcomeKind::kFailed},
+      {"order", true, false, false, 1, OutcomeKind::kUnknown},
+  };
+  for (const char* how : {"unlisted", "silent", "restarted"}) {
+    for (const Case& c : cases) {
+      CAPTURE(how);
+      CAPTURE(c.name);
+      RouterFixture f;
+      f.Start();
+      const auto sink = f.Submit(c.order ? RouterFixture::OrderRequest("k", Millis(30'000))
+                                         : RouterFixture::ModelRequest(c.stream, Millis(30'000)));
+      const auto first = f.LastStart();
+      if (c.frame) f.Frame(first, 0, "abc");
+      const int n = f.ConnectionTo(0) == first.first ? 0 : 1;
+      f.beating.erase(n);
+      if (std::string(how) == "unlisted") {
+        f.instances.erase(f.instances.begin() + n);
+        f.List();
+        CHECK_FALSE(f.link.IsOpen(first.first));
+      } else if (std::string(how) == "restarted") {
+        f.core.OnDisconnect(first.first);
+        f.Run(Millis(300));
+        f.SayHello(n, 2);
+      } else {
+        f.Run(Millis(13'000));
+      }
+      f.Run(Millis(300));
+      REQUIRE(f.link.Count<CallStart>() == c.starts);
+      if (c.starts == 2) {
+        const auto second = f.LastStart();
+        CHECK(second.second.attempt == Attempt(2));
+        f.Frame(second, 0, "xy");
+        f.Answer(second, OutcomeKind::kCompleted, Reason::kNone, 2);
+        CHECK(sink->data == "xy");
+      }
+      CHECK(sink->ends == 1);
+      CHECK(sink->end.kind == c.end);
+      if (c.end != OutcomeKind::kCompleted) CHECK(sink->end.reason == Reason::kConnectionLost);
+      CHECK(f.invariants.TotalViolations() == 0);
+    }
+  }
+}
+
+// Guards against calls that outlive their deadline and against outcomes that claim too much.
+TEST_CASE("each call ends at its deadline") {
+  struct Case {
+    const char* name;
+    bool order;
+    bool connected;
+    bool answer_cancel;
+    OutcomeKind end;
+  };
+  const std::vector<Case> cases = {
+      {"unsent", false, false, false, OutcomeKind::kNotRun},
+      {"unsent order", true, false, false, OutcomeKind::kNotRun},
+      {"queued", false, true, true, OutcomeKind::kNotRun},
+      {"queued order", true, true, true, OutcomeKind::kNotRun},
+      {"no answer", false, true, false, OutcomeKind::kFailed},
+      {"no answer to an order", true, true, false, OutcomeKind::kUnknown},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.name);
+    RouterFixture f;
+    if (c.connected) f.Start();
+    if (!c.connected) f.List();
+    const Millis deadline(1'000);
+    CallerRequest request = c.order ? RouterFixture::OrderRequest("k", deadline)
+                                    : RouterFixture::ModelRequest(false, deadline);
+    request.call_class = "premium";
+    const auto sink = f.Submit(request);
+    f.Run(Millis(880));
+    CHECK(f.link.Count<CallCancel>() == 0);
+    f.Run(Millis(60));
+    CHECK(f.link.Count<CallCancel>() == (c.connected ? 1 : 0));
+    CHECK(sink->ends == 0);
+    if (c.answer_cancel) f.Answer(f.LastStart(), OutcomeKind::kNotRun, Reason::kCancelled);
+    f.Run(Millis(80));
+    CHECK(sink->ends == 1);
+    CHECK(sink->end.kind == c.end);
+    CHECK(sink->end.reason == Reason::kDeadline);
+    CHECK(f.invariants.TotalViolations() == 0);
+  }
+}
+
+// Guards against a running answer that is taken back although it may still be in time.
+TEST_CASE("a call that has sent data is not cancelled before its deadline") {
+  RouterFixture f;
+  f.Start();
+  const auto sink = f.Submit(RouterFixture::ModelRequest(true, Millis(1'000)));
+  f.Frame(f.LastStart(), 0, "abc");
+  f.Run(Millis(980));
+  CHECK(f.link.Count<CallCancel>() == 0);
+  f.Run(Millis(40));
+  CHECK(f.link.Count<CallCancel>() == 1);
+  CHECK(sink->end.kind == OutcomeKind::kFailed);
+}
+
+// Guards against an answer that hangs on a lost frame, or ends without its last bytes.
+TEST_CASE("missing bytes are asked for again") {
+  RouterFixture f;
+  f.Start();
+  const auto sink = f.Submit(RouterFixture::ModelRequest(true));
+  const auto start = f.LastStart();
+  f.Frame(start, 0, "ab");
+  f.Frame(start, 4, "ef");
+  f.Run(Millis(280));
+  CHECK(f.link.Count<CallResume>() == 0);
+  f.Run(Millis(60));
+  REQUIRE(f.link.Count<CallResume>() == 1);
+  CHECK(f.link.All<CallResume>()[0].second.offset == 2);
+  f.Frame(start, 2, "cd");
+  f.Answer(start, OutcomeKind::kCompleted, Reason::kNone, 8);
+  CHECK(sink->ends == 0);
+  f.Run(Millis(400));
+  REQUIRE(f.link.Count<CallResume>() == 2);
+  CHECK(f.link.All<CallResume>()[1].second.offset == 6);
+  f.Frame(start, 6, "gh");
+  CHECK(sink->data == "abcdefgh");
+  CHECK(sink->end.kind == OutcomeKind::kCompleted);
+}
+
+// Guards against a call that waits for its deadline because one message was lost.
+TEST_CASE("a call without any message asks again after a while") {
+  RouterFixture f;
+  f.Start();
+  f.Submit(RouterFixture::ModelRequest(false, Millis(20'000)));
+  f.Run(Millis(5'100));
+  CHECK(f.link.Count<CallResume>() == 1);
+}
+
+// Guards against an answer that is longer than the agent announced being passed as whole.
+TEST_CASE("an answer longer than announced fails") {
+  RouterFixture f;
+  f.Start();
+  const auto sink = f.Submit(RouterFixture::ModelRequest());
+  f.Frame(f.LastStart(), 0, "abcdef");
+  f.Answer(f.LastStart(), OutcomeKind::kCompleted, Reason::kNone, 3);
+  CHECK(sink->end.kind == OutcomeKind::kFailed);
+  CHECK(sink->data.empty());
+  CHECK(f.invariants.violations(Invariant::kWholeAnswer) == 1);
+}
+
+// Guards against an agent's claim of "not run" that is passed on although data came.
+TEST_CASE("not run after data is not believed") {
+  RouterFixture f;
+  f.Start();
+  const auto sink = f.Submit(RouterFixture::ModelRequest(true));
+  f.Frame(f.LastStart(), 0, "abc");
+  f.Answer(f.LastStart(), OutcomeKind::kNotRun, Reason::kQueueFull);
+  CHECK(sink->end.kind == OutcomeKind::kFailed);
+  CHECK(f.invariants.violations(Invariant::kNotRunDidNotRun) == 1);
+}
+
+// Guards against new work for a runner that stops, and against running calls cut by that.
+TEST_CASE("a leaving or draining runner gets no new calls") {
+  for (const char* how : {"leaving", "draining", "not serving"}) {
+    CAPTURE(how);
+    RouterFixture f;
+    f.Start();
+    const auto running = f.Submit(RouterFixture::ModelRequest());
+    const auto first = f.LastStart();
+    const int n = f.ConnectionTo(0) == first.first ? 0 : 1;
+    f.beating.clear();
+    if (std::string(how) == "leaving") {
+      f.instances[static_cast<size_t>(n)].leaving = true;
+      f.List();
+    } else if (std::string(how) == "draining") {
+      f.Beat(n, true);
+    } else {
+      f.load.serving = false;
+      f.Beat(n);
+    }
+    for (int i = 0; i < 10; ++i) {
+      f.Submit(RouterFixture::ModelRequest());
+      CHECK(f.LastStart().first != first.first);
+    }
+    f.Answer(first, OutcomeKind::kCompleted);
+    CHECK(running->end.kind == OutcomeKind::kCompleted);
+    CHECK(f.invariants.TotalViolations() == 0);
+  }
+}
+
+// Guards against calls held for ever, or premium calls dropped early, when no runner is usable.
+TEST_CASE("without a runner a call is held for a while and then refused") {
+  struct Case {
+    const char* call_class;
+    Millis held;
+  };
+  for (const Case& c : {Case{"interactive", Millis(3'000)}, Case{"premium", Millis(10'000)}}) {
+    CAPTURE(c.call_class);
+    RouterFixture f(0);
+    f.Start();
+    CallerRequest request = RouterFixture::ModelRequest();
+    request.call_class = c.call_class;
+    const auto sink = f.Submit(request);
+    f.Run(c.held - Millis(100));
+    CHECK(sink->ends == 0);
+    f.Run(Millis(200));
+    CHECK(sink->ends == 1);
+    CHECK(sink->end.kind == OutcomeKind::kNotRun);
+    CHECK(f.control.demand.size() == 1);
+    CHECK(f.control.demand[0].second);
+  }
+}
+
+// Guards against a call that is refused although its runner is listed a moment later.
+TEST_CASE("a held call goes to a runner that appears") {
+  RouterFixture f(1);
+  const auto sink = f.Submit(RouterFixture::ModelRequest());
+  f.Run(Millis(500));
+  f.Start();
+  f.Run(Millis(100));
+  REQUIRE(f.link.Count<CallStart>() == 1);
+  CHECK(f.LastStart().second.remaining < Millis(9'500));
+  f.Answer(f.LastStart(), OutcomeKind::kCompleted);
+  CHECK(sink->end.kind == OutcomeKind::kCompleted);
+}
+
+// Guards against a call that waits for a runner which does not answer while another one does.
+TEST_CASE("a call whose runner does not connect goes to another one unsent") {
+  RouterFixture f;
+  f.List();
+  f.Run(Millis(40));
+  f.SayHello(1);
+  f.beating.insert(1);
+  std::vector<std::shared_ptr<FakeSink>> sinks;
+  for (int i = 0; i < 8; ++i) sinks.push_back(f.Submit(RouterFixture::ModelRequest()));
+  f.Run(Millis(2'500));
+  CHECK(f.link.Count<CallStart>() == 8);
+  for (const auto& [connection, start] : f.link.All<CallStart>()) {
+    CHECK(connection == f.ConnectionTo(1));
+    CHECK(start.call.attempt == Attempt(1));
+  }
+}
+
+// Guards against duplicates of an order that are sent to different agents by different routers.
+TEST_CASE("orders with the same key meet at one runner") {
+  RouterFixture a(4);
+  RouterFixture b(4);
+  a.Start();
+  b.Start();
+  std::set<std::string> addresses;
+  for (int i = 0; i < 20; ++i) {
+    const CallerRequest order = RouterFixture::OrderRequest("key-" + std::to_string(i));
+    b.Submit(RouterFixture::ModelRequest());
+    a.Submit(order);
+    b.Submit(order);
+    const std::string address = a.link.AddressOf(a.LastStart().first);
+    CHECK(address == b.link.AddressOf(b.LastStart().first));
+    addresses.insert(address);
+  }
+  CHECK(addresses.size() > 1);
+}
+
+// Guards against work for callers that went away, and against a second end of their calls.
+TEST_CASE("a caller that goes away cancels its call") {
+  struct Case {
+    bool order;
+    bool sent;
+    OutcomeKind end;
+  };
+  for (const Case& c :
+       {Case{false, true, OutcomeKind::kFailed}, Case{true, true, OutcomeKind::kUnknown},
+        Case{false, false, OutcomeKind::kNotRun}}) {
+    RouterFixture f;
+    if (c.sent) f.Start();
+    const auto sink =
+        f.Submit(c.order ? RouterFixture::OrderRequest("k") : RouterFixture::ModelRequest());
+    f.core.CancelByCaller(f.last_call);
+    f.core.CancelByCaller(f.last_call);
+    CHECK(sink->ends == 1);
+    CHECK(sink->end.kind == c.end);
+    CHECK(sink->end.reason == Reason::kCancelled);
+    CHECK(f.link.Count<CallCancel>() == (c.sent ? 1 : 0));
+    if (!c.sent) continue;
+    f.Answer(f.LastStart(), OutcomeKind::kNotRun, Reason::kCancelled);
+    CHECK(f.link.Count<CallAck>() == 1);
+    CHECK(sink->ends == 1);
+  }
+}
+
+// Guards against the breaker not being asked: a runner whose backend fails gets no more calls.
+TEST_CASE("a runner with a failing backend is left out") {
+  RouterFixture f;
+  f.Start();
+  size_t to_first = 0;
+  for (int i = 0; i < 60; ++i) {
+    f.Submit(RouterFixture::ModelRequest());
+    const auto start = f.LastStart();
+    if (start.first == f.ConnectionTo(0)) {
+      ++to_first;
+      f.Answer(start, OutcomeKind::kFailed, Reason::kBackendError);
+    } else {
+      f.Answer(start, OutcomeKind::kCompleted);
+    }
+  }
+  CHECK(to_first == CircuitBreaker::kFailureLimit);
+}
+
+// Guards against a transport that refuses a message being taken for a sent call.
+TEST_CASE("a call that the transport refuses stays unsent and is sent later") {
+  RouterFixture f;
+  f.Start();
+  f.link.SetFull(true);
+  const auto sink = f.Submit(RouterFixture::ModelRequest());
+  CHECK(f.link.Count<CallStart>() == 0);
+  f.link.SetFull(false);
+  f.Run(Millis(40));
+  CHECK(f.link.Count<CallStart>() == 1);
+  CHECK(sink->ends == 0);
+}
+
+// Guards against a status page that is not JSON or lacks what operators look for.
+TEST_CASE("status and readiness") {
+  RouterFixture f;
+  CHECK_FALSE(f.core.Ready());
+  f.Start();
+  CHECK(f.core.Ready());
+  CallerRequest unknown = RouterFixture::ModelRequest();
+  unknown.entry = EntryId("nobody");
+  f.Submit(unknown);
+  const auto status = nlohmann::json::parse(f.core.StatusJson());
+  CHECK(status["config_revision"] == 7);
+  CHECK(status["runners"].size() == 2);
+  CHECK(status["runners"][0]["loaded"][0] == "m");
+  CHECK(status["runners"][0]["connected"] == true);
+  CHECK(status["refusals"]["unknown-entry"] == 1);
+  CHECK(status["control"]["leases"] == 0);
+  f.core.BeginDrain();
+  CHECK_FALSE(f.core.Ready());
+  const auto sink = f.Submit(RouterFixture::ModelRequest());
+  CHECK(sink->end.reason == Reason::kDraining);
+}
+
 }  // namespace
 }  // namespace shallot
