--- a/core/ids.h
+++ b/core/ids.h
@@ -19,7 +19,7 @@
   /// The identifier as text.
   const std::string& value() const { return value_; }
   bool empty() const { return value_.empty(); }
-  auto operator<=>(const StrongId&) const = default;
+  auto operator<=>(const StrongId&) const = default;  // NOLINT(modernize-use-nullptr)
 
  private:
   std::string value_;
@@ -34,7 +34,7 @@
 
   constexpr uint64_t value() const { return value_; }
   constexpr StrongNumber Next() const { return StrongNumber(value_ + 1); }
-  constexpr auto operator<=>(const StrongNumber&) const = default;
+  constexpr auto operator<=>(const StrongNumber&) const = default;  // NOLINT(modernize-use-nullptr)
 
  private:
   uint64_t value_ = 0;
--- a/servers/config_editor.cc
+++ b/servers/config_editor.cc
@@ -115,7 +115,7 @@
                      fmt::gmtime(std::chrono::system_clock::to_time_t(now)));
 }
 
-void ConfigEditor::Read(ReadCallback done) {
+void ConfigEditor::Read(const ReadCallback& done) {
   store_->Get(kHeadKey, [this, done](const Result<VersionedValue>& value) {
     if (!IsOk(value)) return done(ErrorOf(value));
     auto state = std::make_shared<ConfigState>();
@@ -263,8 +263,9 @@
                          [this, attempt](const Result<StoreVersion>& written) {
                            if (IsOk(written)) return attempt->done(attempt->head.revision);
                            const ErrorKind kind = ErrorOf(written).kind;
-                           if (kind == ErrorKind::kUnavailable)
+                           if (kind == ErrorKind::kUnavailable) {
                              return attempt->done(ErrorOf(written));
+                           }
                            ReadBack(attempt, kind != ErrorKind::kConflict, kReadBackTries);
                          });
 }
--- a/servers/config_editor.h
+++ b/servers/config_editor.h
@@ -60,7 +60,7 @@
   /// `session` makes change ids unique; draw it anew for each process.
   ConfigEditor(PlatformStore* store, const Clock* clock, uint64_t session);
 
-  void Read(ReadCallback done);
+  void Read(const ReadCallback& done);
   /// Makes the configuration equal to `text`.
   void ApplyText(const std::string& text, const ChangeNote& note, ChangeCallback done);
   void ApplySections(const std::vector<SectionChange>& sections, const ChangeNote& note,
