--- a/bench/trace.cc
+++ b/bench/trace.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <sstream>
+#include <utility>
 
 #include "core/random.h"
 
@@ -9,7 +11,6 @@
 namespace {
 
 constexpr double kZipfExponent = 0.9;
-constexpr uint64_t kGigabyte = 1'000'000'000;
 constexpr double kSecondsPerDay = 86'400;
 constexpr double kSecondsPerHour = 3'600;
 
@@ -125,10 +126,10 @@
   shape.runners = 12;
   shape.models = 40;
   shape.adapters = 80;
-  shape.runner_memory = Bytes(80 * kGigabyte);
-  shape.model_size = Bytes(16 * kGigabyte);
-  shape.model_kv_cache = Bytes(6 * kGigabyte);
-  shape.adapter_size = Bytes(kGigabyte / 5);
+  shape.runner_memory_mb = 80'000;
+  shape.model_mb = 24'000;
+  shape.model_kv_mb = 8'000;
+  shape.adapter_mb = 200;
   shape.sessions_per_day = 900;
   shape.calls_per_session = 8;
   shape.gap_in_session = Seconds(25);
@@ -149,10 +150,10 @@
   shape.runners = 9;
   shape.models = 20;
   shape.adapters = 60;
-  shape.runner_memory = Bytes(80 * kGigabyte);
-  shape.model_size = Bytes(24 * kGigabyte);
-  shape.model_kv_cache = Bytes(10 * kGigabyte);
-  shape.adapter_size = Bytes(kGigabyte / 5);
+  shape.runner_memory_mb = 80'000;
+  shape.model_mb = 28'000;
+  shape.model_kv_mb = 10'000;
+  shape.adapter_mb = 200;
   shape.sessions_per_day = 300;
   shape.calls_per_session = 12;
   shape.gap_in_session = Seconds(40);
@@ -166,30 +167,23 @@
   return shape;
 }
 
-FleetConfig MakeCatalog(const TraceShape& shape) {
-  FleetConfig config;
-  config.revision = ConfigRevision(1);
-  config.fleet_name = shape.name;
-  EntryPolicy policy;
-  policy.cold_weight = shape.cold_weight;
-  policy.idle_weight = shape.idle_weight;
-  const auto add = [&](const EntryId& id, const EntryId& base, LoadKind kind) {
-    CatalogEntry entry;
-    entry.id = id;
-    entry.base = base;
-    entry.kind = kind;
-    entry.backend = shape.backend;
-    entry.version = "1";
-    entry.size = kind == LoadKind::kModel ? shape.model_size : shape.adapter_size;
-    entry.kv_cache = kind == LoadKind::kModel ? shape.model_kv_cache : Bytes();
-    entry.policy = policy;
-    config.entries[id] = entry;
-  };
-  for (int i = 0; i < shape.models; ++i) add(ModelId(i), ModelId(i), LoadKind::kModel);
-  for (int i = 0; i < shape.adapters; ++i) {
-    add(AdapterId(i), ModelId(i % shape.models), LoadKind::kAdapter);
+std::string MakeFleetText(const TraceShape& shape, Millis keep_alive_max) {
+  std::ostringstream text;
+  text << "[fleet]\nname = " << shape.name << "\nshards = 1\n[defaults]\nmin_replicas = 1\n"
+       << "max_replicas = 1\ncold_weight = " << shape.cold_weight
+       << "\nidle_weight = " << shape.idle_weight << "\nkeep_alive_min_ms = 0\n"
+       << "keep_alive_max_ms = " << keep_alive_max.count() << "\n[models " << shape.backend.value()
+       << "]\n";
+  for (int i = 0; i < shape.models; ++i) {
+    text << ModelId(i).value() << " = 1 " << shape.model_mb << " " << shape.model_kv_mb << "\n";
   }
-  return config;
+  for (int model = 0; model < shape.models; ++model) {
+    text << "[adapters " << ModelId(model).value() << "]\n";
+    for (int i = model; i < shape.adapters; i += shape.models) {
+      text << AdapterId(i).value() << " = 1 " << shape.adapter_mb << "\n";
+    }
+  }
+  return text.str();
 }
 
 std::vector<TraceCall> MakeTrace(const TraceShape& shape, int days, uint64_t seed) {
--- a/bench/trace.h
+++ b/bench/trace.h
@@ -8,7 +8,7 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
-#include "servers/fleet_config.h"
+#include "servers/call.h"
 
 namespace shallot::bench {
 
@@ -29,11 +29,11 @@
   int runners = 0;
   int models = 0;
   int adapters = 0;
-  /// Accelerator memory of a runner.
-  Bytes runner_memory;
-  Bytes model_size;
-  Bytes model_kv_cache;
-  Bytes adapter_size;
+  /// Accelerator memory of a runner, in megabytes.
+  uint64_t runner_memory_mb = 0;
+  uint64_t model_mb = 0;
+  uint64_t model_kv_mb = 0;
+  uint64_t adapter_mb = 0;
   /// Working sessions a day over all entries.
   double sessions_per_day = 0;
   /// Mean number of calls in a session after its opening burst, and mean gap between them.
@@ -56,8 +56,9 @@
 /// Checking of long manuscripts: longer sessions, editors who wait.
 TraceShape ManuscriptShape();
 
-/// Catalogue and policies of a shape.
-FleetConfig MakeCatalog(const TraceShape& shape);
+/// INI text of a fleet configuration with the catalogue and the weights of a shape.
+/// `keep_alive_max` bounds the keep-alive time of every entry.
+std::string MakeFleetText(const TraceShape& shape, Millis keep_alive_max);
 
 /// Calls of `days` days in order of time. Entries have Zipf popularity (exponent 0.9); sessions
 /// arrive as a Poisson process that follows the daily shape. The same seed gives the same trace.
