--- a/servers/agent_execution.cc
+++ b/servers/agent_execution.cc
@@ -56,7 +56,8 @@
 }
 
 void AgentCore::State::Dispatch() {
-  while (running_ids.size() < Concurrency()) {
+  // Calls that start after the grace could only be cut.
+  while (!grace_over && running_ids.size() < Concurrency()) {
     const std::optional<CallKey> key =
         queue.Pop(Now(), [this](const QueuedCall& queued) { return CanStart(queued); });
     if (!key) return;
--- /dev/null
+++ b/tests/agent_orders_test.cc
@@ -0,0 +1,168 @@
+#include <doctest/doctest.h>
+
+#include "tests/fake_agent_env.h"
+
+namespace shallot::agent_test {
+namespace {
+
+const IdempotencyKey kKey("k1");
+
+/// An agent beside a plain service.
+struct ServiceAgent : AgentFixture {
+  ServiceAgent() : AgentFixture(false) { Begin(); }
+};
+
+// Guards against an outcome that is sent before the answer is recorded, so that a copy of the order
+// could miss it.
+TEST_CASE("an order is claimed, run once and recorded before its outcome") {
+  ServiceAgent fixture;
+  fixture.claims.hold_records = true;
+  fixture.Start(fixture.MakeOrder("c1", "k1"));
+  REQUIRE(fixture.service.calls.running.size() == 1);
+  fixture.service.calls.Complete(CallId("c1"), "done");
+  CHECK(fixture.claims.answers.at(kKey).body == "done");
+  CHECK(fixture.Ended("c1") == "none");
+  fixture.claims.held_records[0](OkStatus());
+  CHECK(fixture.Ended("c1") == "completed/none");
+  CHECK(fixture.service.calls.starts[CallId("c1")] == 1);
+  CHECK(fixture.invariants.TotalViolations() == 0);
+}
+
+// Guards against an order whose outcome hangs on an outage of the store.
+TEST_CASE("the outcome of an order waits at most 2 s for its record") {
+  ServiceAgent fixture;
+  fixture.claims.hold_records = true;
+  fixture.Start(fixture.MakeOrder("c1", "k1"));
+  fixture.service.calls.Complete(CallId("c1"));
+  fixture.Run(Millis(1980));
+  CHECK(fixture.Ended("c1") == "none");
+  fixture.Run(Millis(40));
+  CHECK(fixture.Ended("c1") == "completed/none");
+  fixture.claims.held_records[0](OkStatus());
+  CHECK(fixture.Outcomes("c1").size() == 1);
+}
+
+struct ClaimCase {
+  const char* name;
+  ClaimState state;
+  const char* expected;
+  int given_back;
+};
+
+// Guards against orders that run without their claim and against untrue outcomes.
+TEST_CASE("an order that does not get its claim is not run here") {
+  const std::vector<ClaimCase> cases = {
+      {"answered", ClaimState::kAnswered, "completed/none", 0},
+      {"in progress", ClaimState::kInProgress, "unknown/in-progress", 0},
+      {"key reused", ClaimState::kKeyReused, "not-run/key-reused", 0},
+      {"store down", ClaimState::kUnavailable, "not-run/store-unavailable", 0},
+      {"unresolved", ClaimState::kUnresolved, "not-run/store-unavailable", 1},
+  };
+  for (const ClaimCase& test : cases) {
+    CAPTURE(test.name);
+    ServiceAgent fixture;
+    fixture.claims.reply.state = test.state;
+    fixture.claims.reply.answer.outcome.kind = OutcomeKind::kCompleted;
+    fixture.claims.reply.answer.outcome.http_status = 201;
+    fixture.claims.reply.answer.body = "recorded";
+    fixture.Start(fixture.MakeOrder("c1", "k1"));
+    CHECK(fixture.Ended("c1") == test.expected);
+    CHECK(fixture.service.calls.starts.empty());
+    CHECK(fixture.claims.not_run[kKey] == test.given_back);
+    if (test.state != ClaimState::kAnswered) continue;
+    CHECK(fixture.link.Sent<CallFrame>(kRouter)[0].payload == "recorded");
+    CHECK(fixture.Outcomes("c1")[0].http_status == 201);
+    CHECK(fixture.Outcomes("c1")[0].total_length == 8);
+  }
+}
+
+// Guards against a key that stays claimed although its order never ran.
+TEST_CASE("an order that ends before it is sent gives its claim back") {
+  ServiceAgent fixture;
+  fixture.Start(fixture.MakeOrder("running", "k0"));
+  fixture.Start(fixture.MakeOrder("cancelled", "k1"));
+  Call late = fixture.MakeOrder("late", "k2");
+  late.remaining = Millis(500);
+  fixture.Start(late);
+  fixture.agent->OnMessage(kRouter, CallCancel{CallId("cancelled"), Attempt(1)});
+  fixture.Run(Millis(500));
+  CHECK(fixture.Ended("cancelled") == "not-run/cancelled");
+  CHECK(fixture.Ended("late") == "not-run/deadline");
+  CHECK(fixture.claims.not_run[IdempotencyKey("k1")] == 1);
+  CHECK(fixture.claims.not_run[IdempotencyKey("k2")] == 1);
+  CHECK(fixture.claims.not_run.count(IdempotencyKey("k0")) == 0);
+}
+
+// Guards against an order that runs because its claim came after it was refused.
+TEST_CASE("a claim that is granted after the refusal is given back") {
+  ServiceAgent fixture;
+  fixture.claims.hold = true;
+  fixture.Start(fixture.MakeOrder("c1", "k1"));
+  CHECK(fixture.service.calls.starts.empty());
+  fixture.agent->OnMessage(kRouter, CallCancel{CallId("c1"), Attempt(1)});
+  CHECK(fixture.Ended("c1") == "not-run/cancelled");
+  ClaimReply granted;
+  granted.state = ClaimState::kGranted;
+  fixture.claims.held[0](granted);
+  CHECK(fixture.service.calls.starts.empty());
+  CHECK(fixture.claims.not_run[kKey] == 1);
+}
+
+// Guards against an order that is reported as failed although it may have taken effect.
+TEST_CASE("a cancelled running order is unknown") {
+  ServiceAgent fixture;
+  fixture.Start(fixture.MakeOrder("c1", "k1"));
+  fixture.agent->OnMessage(kRouter, CallCancel{CallId("c1"), Attempt(1)});
+  CHECK(fixture.Ended("c1") == "unknown/cancelled");
+  CHECK(fixture.claims.answers.at(kKey).outcome.kind == OutcomeKind::kUnknown);
+}
+
+// Guards against an order that the backend server never got but whose key stays claimed.
+TEST_CASE("an order that was not started at the service gives its claim back") {
+  ServiceAgent fixture;
+  fixture.Start(fixture.MakeOrder("c1", "k1"));
+  fixture.service.calls.End(CallId("c1"), ExecutionEnd::kNotStarted);
+  CHECK(fixture.Ended("c1") == "not-run/backend-error");
+  CHECK(fixture.claims.not_run[kKey] == 1);
+  CHECK(fixture.claims.answers.empty());
+  CHECK(fixture.invariants.TotalViolations() == 0);
+}
+
+// Guards against orders that are cut because their router is gone.
+TEST_CASE("an order without a router finishes and is recorded") {
+  ServiceAgent fixture;
+  fixture.Start(fixture.MakeOrder("c1", "k1"));
+  fixture.agent->OnDisconnect(kRouter);
+  fixture.Run(Millis(15'000), {});
+  CHECK(fixture.service.calls.cancelled.empty());
+  fixture.service.calls.Complete(CallId("c1"));
+  CHECK(fixture.claims.answers.contains(kKey));
+}
+
+TEST_CASE("an order without a key is refused, and the hash tells requests apart") {
+  ServiceAgent fixture;
+  fixture.Start(fixture.MakeOrder("none", ""));
+  CHECK(fixture.Ended("none") == "not-run/invalid-request");
+  Call other = fixture.MakeOrder("c2", "k1");
+  other.body = "x";
+  fixture.Start(fixture.MakeOrder("c1", "k1"));
+  fixture.Start(other);
+  fixture.Start(fixture.MakeOrder("c3", "k1"));
+  const std::vector<uint64_t> hashes = fixture.claims.hashes.at(kKey);
+  REQUIRE(hashes.size() == 3);
+  CHECK(hashes[0] != hashes[1]);
+  CHECK(hashes[0] == hashes[2]);
+}
+
+// Guards against a second run of an order that the claims wrongly granted twice: the invariant must
+// see it.
+TEST_CASE("a second run of a key is counted as a violation") {
+  ServiceAgent fixture;
+  fixture.Start(fixture.MakeOrder("c1", "k1"));
+  fixture.service.calls.Complete(CallId("c1"));
+  fixture.Start(fixture.MakeOrder("c2", "k1"));
+  CHECK(fixture.invariants.violations(Invariant::kOrderAtMostOnce) == 1);
+}
+
+}  // namespace
+}  // namespace shallot::agent_test
