--- /dev/null
+++ b/tests/router_overload_test.cc
@@ -0,0 +1,96 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/router_sim.h"
+
+namespace shallot {
+namespace {
+
+struct Load {
+  double calls_per_second;
+  Millis deadline;
+  const char* call_class;
+};
+
+struct Result {
+  size_t sent = 0;
+  size_t in_time = 0;
+  size_t refused = 0;
+  size_t other = 0;
+};
+
+/// Poisson arrivals of several classes for 60 s on two agents that serve 80 calls/s together.
+std::vector<Result> RunLoads(const std::vector<Load>& loads, uint64_t seed) {
+  RouterSim sim(
+      {.agents = 2, .concurrency = 4, .service = Millis(100), .exponential = true, .seed = seed},
+      {});
+  sim.Run(Millis(1'000));
+  Random random(seed + 7);
+  std::vector<std::vector<std::shared_ptr<FakeSink>>> sinks(loads.size());
+  std::vector<double> next(loads.size(), 0.0);
+  for (int step = 0; step < 6'000; ++step) {
+    const double time = step / 100.0;
+    for (size_t i = 0; i < loads.size(); ++i) {
+      while (next[i] <= time) {
+        CallerRequest request = RouterFixture::ModelRequest(false, loads[i].deadline);
+        request.call_class = loads[i].call_class;
+        sinks[i].push_back(sim.f.Submit(request));
+        next[i] += random.Exponential(1.0 / loads[i].calls_per_second);
+      }
+    }
+    sim.Step();
+  }
+  sim.Run(Millis(60'000));
+  std::vector<Result> results(loads.size());
+  for (size_t i = 0; i < loads.size(); ++i) {
+    results[i].sent = sinks[i].size();
+    for (const auto& sink : sinks[i]) {
+      REQUIRE(sink->ends == 1);
+      if (sink->end.kind == OutcomeKind::kCompleted) {
+        ++results[i].in_time;
+      } else if (sink->end.kind == OutcomeKind::kNotRun) {
+        ++results[i].refused;
+        CHECK(sink->end.retry_after >= Millis(0));
+      } else {
+        ++results[i].other;
+      }
+    }
+  }
+  return results;
+}
+
+// Guards against a collapse under overload: calls that are queued too long to be of use take the
+// places of those that could still be answered. The target is 95% of the peak at twice the
+// capacity.
+TEST_CASE("goodput at twice the capacity stays at 95% of the peak") {
+  for (const uint64_t seed : {1, 2, 3}) {
+    size_t peak = 0;
+    for (const double share : {0.8, 1.0, 1.25, 1.5}) {
+      const auto result = RunLoads({{80 * share, Millis(1'000), "interactive"}}, seed);
+      peak = std::max(peak, result[0].in_time);
+    }
+    const auto overload = RunLoads({{160, Millis(1'000), "interactive"}}, seed)[0];
+    CAPTURE(seed);
+    CAPTURE(peak);
+    CAPTURE(overload.in_time);
+    CHECK(static_cast<double>(overload.in_time) >= 0.95 * static_cast<double>(peak));
+  }
+}
+
+// Guards against premium calls that are refused because lower classes fill the fleet.
+TEST_CASE("premium is not refused for lower classes") {
+  for (const uint64_t seed : {1, 2, 3}) {
+    const auto results =
+        RunLoads({{20, Millis(5'000), "premium"}, {160, Millis(1'000), "interactive"}}, seed);
+    CAPTURE(seed);
+    CHECK(results[0].refused == 0);
+    CHECK(results[0].in_time == results[0].sent);
+  }
+}
+
+}  // namespace
+}  // namespace shallot
--- /dev/null
+++ b/tests/router_sim.h
@@ -0,0 +1,293 @@
+#ifndef TESTS_ROUTER_SIM_H_
+#define TESTS_ROUTER_SIM_H_
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/random.h"
+#include "tests/router_fixture.h"
+
+namespace shallot {
+
+/// How badly the connections of a simulated fleet behave; probabilities for each message.
+struct SimFaults {
+  double lose = 0;
+  double repeat = 0;
+  /// Upper bound of the random delay of a message; messages overtake each other.
+  Millis jitter{0};
+};
+
+/// Simple agents behind a router core: first in, first out, with tombstones, resume and restart.
+class RouterSim {
+ public:
+  struct Limits {
+    int agents = 2;
+    uint64_t concurrency = 4;
+    Millis service{100};
+    bool exponential = false;
+    uint64_t seed = 1;
+  };
+
+  RouterSim(Limits limits, SimFaults faults)
+      : f(limits.agents), limits_(limits), faults_(faults), random_(limits.seed) {
+    agents_.resize(static_cast<size_t>(limits.agents));
+    f.List();
+  }
+
+  /// One step of 10 ms.
+  void Step() {
+    f.clock.Advance(Millis(10));
+    f.core.OnTick();
+    for (const FakeLink::Sent& sent : f.link.Take()) Receive(sent.connection, sent.message);
+    for (size_t n = 0; n < agents_.size(); ++n) StepAgent(n);
+    Deliver();
+  }
+  void Run(Millis time) {
+    for (Millis done{0}; done < time; done += Millis(10)) Step();
+  }
+
+  /// All calls of the agent are lost; `heard`: the router sees its connection close.
+  void Restart(size_t n, bool heard) {
+    Agent& agent = agents_[n];
+    ++agent.incarnation;
+    agent.jobs.clear();
+    agent.tombstones.clear();
+    agent.known.clear();
+    if (heard) f.core.OnDisconnect(f.ConnectionTo(static_cast<int>(n)));
+  }
+  /// The present connection of the agent carries nothing from now on, in one or both directions.
+  void Silence(size_t n, bool to_agent, bool to_router) {
+    const ConnectionId connection = f.ConnectionTo(static_cast<int>(n));
+    if (to_agent) deaf_.insert(connection);
+    if (to_router) mute_.insert(connection);
+  }
+  /// The instance of the runner is replaced by one with another id.
+  void Replace(size_t n) {
+    Restart(n, false);
+    f.instances[n].id = InstanceId(f.instances[n].id.value() + "x");
+    f.List();
+  }
+  void SetDraining(size_t n, bool draining) { agents_[n].draining = draining; }
+
+  /// How often calls with this key were run to their end or into a restart.
+  std::map<IdempotencyKey, int> runs;
+  /// Calls that were run, whatever became of their answer.
+  std::set<std::pair<CallId, Attempt>> started;
+  RouterFixture f;
+
+  /// Answer to a call; differs between attempts and agents, as engines are not deterministic.
+  static std::string AnswerOf(const Call& call, size_t agent) {
+    const std::string tag = "<" + call.id.value() + "/" + std::to_string(call.attempt.value()) +
+                            "/" + std::to_string(agent) + ">";
+    std::string answer;
+    for (int i = 0; i < 8; ++i) answer += tag;
+    return answer;
+  }
+
+ private:
+  struct Job {
+    Call call;
+    ConnectionId connection;
+    bool running = false;
+    bool cancelled = false;
+    SteadyTime done_at;
+    bool done = false;
+    Outcome outcome;
+    std::string answer;
+  };
+  struct Agent {
+    uint64_t incarnation = 1;
+    bool draining = false;
+    std::vector<Job> jobs;
+    std::set<std::pair<CallId, Attempt>> tombstones;
+    std::set<ConnectionId> known;
+    SteadyTime next_beat;
+  };
+  struct Flight {
+    ConnectionId connection;
+    Message message;
+  };
+
+  void ToRouter(ConnectionId connection, const Message& message, bool fragile) {
+    if (mute_.contains(connection)) return;
+    if (fragile && random_.Unit() < faults_.lose) return;
+    const int copies = fragile && random_.Unit() < faults_.repeat ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      Duration delay{0};
+      if (fragile && faults_.jitter > Millis(0)) {
+        delay = Millis(random_.Below(static_cast<uint64_t>(faults_.jitter.count())));
+      }
+      flights_.emplace(f.clock.SteadyNow() + delay, Flight{connection, message});
+    }
+  }
+
+  void Deliver() {
+    while (!flights_.empty() && flights_.begin()->first <= f.clock.SteadyNow()) {
+      const Flight flight = flights_.begin()->second;
+      flights_.erase(flights_.begin());
+      if (f.link.IsOpen(flight.connection)) f.core.OnMessage(flight.connection, flight.message);
+    }
+  }
+
+  void Receive(ConnectionId connection, const Message& message) {
+    if (deaf_.contains(connection)) return;
+    const std::string& address = f.link.AddressOf(connection);
+    const auto n = static_cast<size_t>(std::stoi(address.substr(address.find(':') + 1)));
+    Agent& agent = agents_[n];
+    if (std::holds_alternative<Hello>(message)) {
+      agent.known.insert(connection);
+      Hello hello;
+      hello.sender = f.instances[n].id;
+      hello.incarnation = Incarnation(agent.incarnation);
+      hello.role = PeerRole::kAgent;
+      hello.runner = RouterFixture::Runner(static_cast<int>(n));
+      hello.draining = agent.draining;
+      ToRouter(connection, hello, false);
+      agent.next_beat = f.clock.SteadyNow();
+      return;
+    }
+    if (!agent.known.contains(connection)) return;
+    if (const auto* start = std::get_if<CallStart>(&message)) OnStart(n, connection, start->call);
+    if (const auto* cancel = std::get_if<CallCancel>(&message)) OnCancel(n, connection, *cancel);
+    if (const auto* resume = std::get_if<CallResume>(&message)) OnResume(n, connection, *resume);
+    if (const auto* ack = std::get_if<CallAck>(&message)) {
+      std::erase_if(agent.jobs, [&](const Job& job) {
+        return job.call.id == ack->call && job.call.attempt == ack->attempt && job.done;
+      });
+    }
+  }
+
+  void Say(ConnectionId connection, const CallId& call, Attempt attempt, OutcomeKind kind,
+           Reason reason) {
+    Outcome outcome;
+    outcome.kind = kind;
+    outcome.reason = reason;
+    ToRouter(connection, CallOutcome{call, attempt, outcome}, true);
+  }
+
+  Job* Find(Agent* agent, const CallId& call, Attempt attempt) {
+    for (Job& job : agent->jobs) {
+      if (job.call.id == call && job.call.attempt == attempt) return &job;
+    }
+    return nullptr;
+  }
+
+  void OnStart(size_t n, ConnectionId connection, const Call& call) {
+    Agent& agent = agents_[n];
+    if (agent.draining || agent.tombstones.contains({call.id, call.attempt})) {
+      agent.tombstones.insert({call.id, call.attempt});
+      Say(connection, call.id, call.attempt, OutcomeKind::kNotRun, Reason::kDraining);
+      return;
+    }
+    Job job;
+    job.call = call;
+    job.connection = connection;
+    agent.jobs.push_back(job);
+  }
+
+  void OnCancel(size_t n, ConnectionId connection, const CallCancel& cancel) {
+    Agent& agent = agents_[n];
+    Job* job = Find(&agent, cancel.call, cancel.attempt);
+    if (job == nullptr) {
+      Say(connection, cancel.call, cancel.attempt,
+          agent.tombstones.contains({cancel.call, cancel.attempt}) ? OutcomeKind::kNotRun
+                                                                   : OutcomeKind::kUnknown,
+          Reason::kCancelled);
+      return;
+    }
+    if (job->done || (job->running && !job->call.repeatable)) return;
+    const bool ran = job->running;
+    agent.tombstones.insert({cancel.call, cancel.attempt});
+    std::erase_if(agent.jobs, [&](const Job& each) { return &each == job; });
+    if (ran) agent.tombstones.erase({cancel.call, cancel.attempt});
+    Say(connection, cancel.call, cancel.attempt, ran ? OutcomeKind::kFailed : OutcomeKind::kNotRun,
+        Reason::kCancelled);
+  }
+
+  void OnResume(size_t n, ConnectionId connection, const CallResume& resume) {
+    Agent& agent = agents_[n];
+    Job* job = Find(&agent, resume.call, resume.attempt);
+    if (job == nullptr) {
+      const bool tombstone = agent.tombstones.contains({resume.call, resume.attempt});
+      Say(connection, resume.call, resume.attempt,
+          tombstone ? OutcomeKind::kNotRun : OutcomeKind::kUnknown,
+          tombstone ? Reason::kDraining : Reason::kConnectionLost);
+      return;
+    }
+    job->connection = connection;
+    if (job->done) SendAnswer(*job, resume.offset);
+  }
+
+  void SendAnswer(const Job& job, uint64_t from) {
+    for (uint64_t at = from; at < job.answer.size(); at += 32) {
+      ToRouter(job.connection,
+               CallFrame{job.call.id, job.call.attempt, at, job.answer.substr(at, 32)}, true);
+    }
+    ToRouter(job.connection, CallOutcome{job.call.id, job.call.attempt, job.outcome}, true);
+  }
+
+  void StepAgent(size_t n) {
+    Agent& agent = agents_[n];
+    const SteadyTime now = f.clock.SteadyNow();
+    uint64_t running = 0;
+    uint64_t queued = 0;
+    for (Job& job : agent.jobs) {
+      if (job.running && !job.done && now >= job.done_at) Finish(n, &job);
+      if (job.running && !job.done) ++running;
+    }
+    for (Job& job : agent.jobs) {
+      if (job.running) continue;
+      if (running < limits_.concurrency) {
+        Begin(&job);
+        ++running;
+      } else {
+        ++queued;
+      }
+    }
+    if (now < agent.next_beat) return;
+    agent.next_beat = now + Millis(500);
+    Heartbeat heartbeat;
+    heartbeat.draining = agent.draining;
+    heartbeat.load.running = running;
+    heartbeat.load.queued = queued;
+    heartbeat.load.concurrency = limits_.concurrency;
+    heartbeat.load.mean_service = limits_.service;
+    heartbeat.load.loaded = {EntryId("m")};
+    for (const ConnectionId connection : agent.known) ToRouter(connection, heartbeat, false);
+  }
+
+  void Begin(Job* job) {
+    job->running = true;
+    const double mean = static_cast<double>(limits_.service.count());
+    const double service = limits_.exponential ? random_.Exponential(mean) : mean;
+    job->done_at = f.clock.SteadyNow() + std::chrono::duration_cast<Duration>(
+                                             std::chrono::duration<double, std::milli>(service));
+    if (!job->call.repeatable) ++runs[job->call.idempotency_key];
+    started.insert({job->call.id, job->call.attempt});
+  }
+
+  void Finish(size_t n, Job* job) {
+    job->done = true;
+    job->answer = AnswerOf(job->call, n);
+    job->outcome.kind = OutcomeKind::kCompleted;
+    job->outcome.http_status = 200;
+    job->outcome.total_length = job->answer.size();
+    SendAnswer(*job, 0);
+  }
+
+  Limits limits_;
+  SimFaults faults_;
+  Random random_;
+  std::vector<Agent> agents_;
+  std::set<ConnectionId> deaf_;
+  std::set<ConnectionId> mute_;
+  std::multimap<SteadyTime, Flight> flights_;
+};
+
+}  // namespace shallot
+
+#endif  // TESTS_ROUTER_SIM_H_
