--- /dev/null
+++ b/servers/lease_keeper.cc
@@ -0,0 +1,94 @@
+#include "servers/lease_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shallot {
+namespace {
+
+/// Tries of the preferred holder while another one holds the lease.
+constexpr Millis kPreferredInterval{1000};
+/// A new preferred holder must be listed this long before the lease is handed over.
+constexpr Seconds kHandOverAfter{15};
+/// When the preferred holder did not take the lease, the next hand-over waits this long.
+constexpr Seconds kHandOverInterval{300};
+
+}  // namespace
+
+LeaseKeeper::LeaseKeeper(const Clock* clock, PlatformStore* store, StoreKey key, InstanceId holder,
+                         uint64_t seed)
+    : clock_(clock),
+      store_(store),
+      key_(std::move(key)),
+      holder_(std::move(holder)),
+      backoff_(Millis(200), Millis(5000), seed) {}
+
+bool LeaseKeeper::Held() const {
+  return !stopped_ && expiry_ != BootTime() && clock_->BootNow() < expiry_ - kMargin;
+}
+
+void LeaseKeeper::OnTick(uint64_t rank) {
+  const SteadyTime now = clock_->SteadyNow();
+  if (stopped_ || in_flight_ || !backoff_.Ready(now)) return;
+  if (Held()) {
+    if (clock_->BootNow() - renewed_ >= kRenewInterval) Acquire();
+    return HandOver(rank, now);
+  }
+  if (rank >= kCandidates) return;
+  if (rank > 0 && next_try_ == SteadyTime::min())
+    next_try_ = now + Millis(kTtl.count() * static_cast<int64_t>(rank));
+  if (now < next_try_) return;
+  next_try_ =
+      now + (rank == 0 ? kPreferredInterval : Millis(kTtl.count() * static_cast<int64_t>(rank)));
+  Acquire();
+}
+
+void LeaseKeeper::HandOver(uint64_t rank, SteadyTime now) {
+  if (rank == 0) {
+    outranked_since_ = SteadyTime::max();
+    return;
+  }
+  outranked_since_ = std::min(outranked_since_, now);
+  if (in_flight_ || now < next_hand_over_ || now - outranked_since_ < kHandOverAfter) return;
+  next_hand_over_ = now + kHandOverInterval;
+  next_try_ = now + kTtl;
+  outranked_since_ = SteadyTime::max();
+  Release();
+}
+
+void LeaseKeeper::Acquire() {
+  in_flight_ = true;
+  const BootTime sent = clock_->BootNow();
+  store_->AcquireLease(key_, holder_, kTtl,
+                       [this, sent](const Result<LeaseGrant>& grant) { OnAnswer(sent, grant); });
+}
+
+void LeaseKeeper::OnAnswer(BootTime sent, const Result<LeaseGrant>& grant) {
+  in_flight_ = false;
+  if (IsOk(grant)) {
+    backoff_.Succeeded();
+    expiry_ = sent + ValueOf(grant).ttl;
+    renewed_ = sent;
+    if (stopped_) Release();
+    return;
+  }
+  if (ErrorOf(grant).kind == ErrorKind::kConflict) {
+    expiry_ = BootTime();
+    return;
+  }
+  backoff_.Failed(clock_->SteadyNow());
+}
+
+void LeaseKeeper::Release() {
+  expiry_ = BootTime();
+  // A lost release only means that the lease runs out by itself.
+  store_->ReleaseLease(key_, holder_, [](const Status&) {});
+}
+
+void LeaseKeeper::Stop() {
+  const bool held = Held();
+  stopped_ = true;
+  if (held) Release();
+}
+
+}  // namespace shallot
--- /dev/null
+++ b/servers/placement_owner.cc
@@ -0,0 +1,140 @@
+#include "servers/placement_owner.h"
+
+#include <algorithm>
+#include <map>
+
+#include "core/log.h"
+#include "servers/placement_codec.h"
+
+namespace shallot {
+namespace {
+
+StoreKey LeaseKey(ShardId shard) {
+  return StoreKey("leases/placement/" + std::to_string(shard.value()));
+}
+
+bool Matches(const SlotReleased& released, const Slot& slot) {
+  return released.entry == slot.entry && released.runner == slot.runner &&
+         released.generation == slot.generation;
+}
+
+std::map<EntryId, uint64_t> CountByEntry(const std::vector<Slot>& slots) {
+  std::map<EntryId, uint64_t> counts;
+  for (const Slot& slot : slots) ++counts[slot.entry];
+  return counts;
+}
+
+}  // namespace
+
+PlacementOwner::PlacementOwner(ShardId shard, const InstanceId& self, const Clock* clock,
+                               PlatformStore* store, PlacementReplica* replica, PlacementView* view,
+                               InvariantMonitor* invariants, uint64_t seed)
+    : shard_(shard),
+      clock_(clock),
+      store_(store),
+      replica_(replica),
+      view_(view),
+      invariants_(invariants),
+      lease_(clock, store, LeaseKey(shard), self, seed),
+      backoff_(Millis(200), Millis(5000), seed + 1) {}
+
+void PlacementOwner::OnTick(uint64_t rank) {
+  lease_.OnTick(rank);
+  const bool held = lease_.Held();
+  if (held && !held_before_) awaited_read_ = replica_->RequestRead();
+  held_before_ = held;
+  const SteadyTime now = clock_->SteadyNow();
+  if (now < next_plan_) return;
+  next_plan_ = now + kPlanInterval;
+  DropOutdatedReleases();
+  if (!held || write_in_flight_ || !backoff_.Ready(now)) return;
+  if (!replica_->ReadDone(awaited_read_)) return;
+  Plan();
+}
+
+void PlacementOwner::OnReleased(const SlotReleased& released) {
+  if (released.shard != shard_) return;
+  if (std::find(released_.begin(), released_.end(), released) == released_.end()) {
+    released_.push_back(released);
+  }
+}
+
+/// A confirmation of a slot that is not in the newest placement has been written, or concerns a
+/// generation that is over. One that is newer than the placement known here comes again.
+void PlacementOwner::DropOutdatedReleases() {
+  const std::vector<Slot>& slots = replica_->current().slots;
+  std::erase_if(released_, [&](const SlotReleased& released) {
+    return std::none_of(slots.begin(), slots.end(),
+                        [&](const Slot& slot) { return Matches(released, slot); });
+  });
+}
+
+std::vector<Slot> PlacementOwner::WithoutReleased() const {
+  std::vector<Slot> slots = replica_->current().slots;
+  std::erase_if(slots, [&](const Slot& slot) {
+    return std::any_of(released_.begin(), released_.end(),
+                       [&](const SlotReleased& released) { return Matches(released, slot); });
+  });
+  return slots;
+}
+
+void PlacementOwner::Plan() {
+  PlannerInput input;
+  input.shard = shard_;
+  input.slots = WithoutReleased();
+  const ShardPlacement& current = replica_->current();
+  uint64_t highest = current.version.value();
+  for (const Slot& slot : current.slots) highest = std::max(highest, slot.generation.value());
+  input.lowest_new_generation = Generation(highest + 1);
+  if (!view_->FillInput(current.slots, &input)) return;
+  const std::vector<Slot> next = PlanPlacement(input);
+  if (next == current.slots) return;
+  const bool within = GrowthWithinMaximum(*input.config, next);
+  if (!invariants_->Check(Invariant::kReplicasWithinDecision, within,
+                          "a plan adds slots beyond max_replicas")) {
+    return;
+  }
+  Write(next);
+}
+
+/// Slots beyond a maximum that was lowered may remain until they are released, but none is added.
+bool PlacementOwner::GrowthWithinMaximum(const FleetConfig& config,
+                                         const std::vector<Slot>& next) const {
+  const std::map<EntryId, uint64_t> before = CountByEntry(replica_->current().slots);
+  for (const auto& [id, count] : CountByEntry(next)) {
+    const auto old = before.find(id);
+    if (old != before.end() && count <= old->second) continue;
+    const CatalogEntry* entry = config.FindEntry(id);
+    if (entry == nullptr || count > entry->policy.max_replicas) return false;
+  }
+  return true;
+}
+
+void PlacementOwner::Write(const std::vector<Slot>& slots) {
+  if (!lease_.Held()) return;
+  write_in_flight_ = true;
+  store_->CompareAndSwap(
+      PlacementKey(shard_), replica_->current().version, FormatSlots(slots), Millis(0),
+      [this, slots](const Result<StoreVersion>& version) { OnWritten(slots, version); });
+}
+
+void PlacementOwner::OnWritten(const std::vector<Slot>& slots,
+                               const Result<StoreVersion>& version) {
+  write_in_flight_ = false;
+  if (IsOk(version)) {
+    backoff_.Succeeded();
+    replica_->OnWritten(ValueOf(version), slots);
+    return;
+  }
+  const ErrorKind kind = ErrorOf(version).kind;
+  if (kind == ErrorKind::kConflict) {
+    ++lost_writes_;
+    LogInfo("placement", "shard " + std::to_string(shard_.value()) +
+                             ": another writer won; the placement is read again");
+  } else {
+    backoff_.Failed(clock_->SteadyNow());
+  }
+  if (kind != ErrorKind::kUnavailable) awaited_read_ = replica_->RequestRead();
+}
+
+}  // namespace shallot
--- /dev/null
+++ b/servers/placement_replica.h
@@ -0,0 +1,58 @@
+#ifndef SERVERS_PLACEMENT_REPLICA_H_
+#define SERVERS_PLACEMENT_REPLICA_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "servers/backoff.h"
+#include "servers/platform_store.h"
+#include "servers/slot.h"
+
+namespace shallot {
+
+/// The newest known placement of one shard, kept up to date by a watch. Must outlive its calls to
+/// the store.
+class PlacementReplica {
+ public:
+  using NewerCallback = std::function<void(const ShardPlacement&)>;
+
+  PlacementReplica(const Clock* clock, PlatformStore* store, ShardId shard, uint64_t seed,
+                   NewerCallback newer);
+
+  void OnTick();
+  /// Asks for a read that begins after this call; returns its ticket.
+  uint64_t RequestRead();
+  /// True when the read of the ticket has completed; current() is not older than that read.
+  bool ReadDone(uint64_t ticket) const { return completed_read_ >= ticket; }
+  /// Takes over a placement that this process wrote.
+  void OnWritten(StoreVersion version, const std::vector<Slot>& slots);
+  /// The newest placement; version 0 when the key is absent or nothing was read yet.
+  const ShardPlacement& current() const { return current_; }
+  /// Message of the last error of the store; empty after a success.
+  const std::string& last_error() const { return last_error_; }
+
+ private:
+  void Read();
+  void Watch();
+  bool Take(const Result<VersionedValue>& value);
+
+  const Clock* clock_;
+  PlatformStore* store_;
+  StoreKey key_;
+  ShardPlacement current_;
+  Backoff backoff_;
+  NewerCallback newer_;
+  uint64_t started_read_ = 0;
+  uint64_t completed_read_ = 0;
+  uint64_t requested_read_ = 1;
+  bool read_in_flight_ = false;
+  bool watch_in_flight_ = false;
+  std::string last_error_;
+};
+
+}  // namespace shallot
+
+#endif  // SERVERS_PLACEMENT_REPLICA_H_
