Add the load budget of the weight store

Cause: all runners share about 2 model loads a second, 4 in flight, and 32 adapter loads in flight. Change: LoadBudget grants permits in order of deadline; permits expire. Conclusion: a new holder starts without saved-up loads.

--- /dev/null
+++ b/servers/load_budget.cc
@@ -0,0 +1,111 @@
+#include "servers/load_budget.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace shallot {
+
+LoadBudget::LoadBudget(const Clock* clock) : clock_(clock), refilled_(clock->SteadyNow()) {}
+
+void LoadBudget::SetLimits(const FleetConfig& config) {
+  loads_per_second_ = config.weight_loads_per_second;
+  max_models_ = config.weight_loads_in_flight;
+  max_adapters_ = config.adapter_loads_in_flight;
+}
+
+uint64_t& LoadBudget::InFlight(LoadKind kind) {
+  return kind == LoadKind::kModel ? models_in_flight_ : adapters_in_flight_;
+}
+
+bool LoadBudget::HasRoom(LoadKind kind) const {
+  if (kind == LoadKind::kAdapter) return adapters_in_flight_ < max_adapters_;
+  return models_in_flight_ < max_models_ && tokens_ >= 1;
+}
+
+void LoadBudget::Request(const LoadPermitRequest& request, const InstanceId& via) {
+  const SteadyTime now = clock_->SteadyNow();
+  Expire(now);
+  const PermitKey key{request.runner, request.permit_id};
+  const auto granted = granted_.find(key);
+  if (granted != granted_.end()) {
+    const auto left = std::chrono::duration_cast<Millis>(granted->second.expiry - now);
+    outbox_.push_back({{request.permit_id, request.runner, left}, via});
+    return;
+  }
+  const auto waiting = waiting_.find(key);
+  if (waiting != waiting_.end()) {
+    waiting->second.deadline = now + request.remaining;
+    waiting->second.via = via;
+    return;
+  }
+  if (waiting_.size() >= kMaxWaiting) return;
+  waiting_[key] = {now + request.remaining, ++arrivals_, request.kind, via};
+}
+
+void LoadBudget::Return(const RunnerId& runner, uint64_t permit_id) {
+  const PermitKey key{runner, permit_id};
+  waiting_.erase(key);
+  const auto granted = granted_.find(key);
+  if (granted == granted_.end()) return;
+  --InFlight(granted->second.kind);
+  granted_.erase(granted);
+}
+
+void LoadBudget::Expire(SteadyTime now) {
+  for (auto it = granted_.begin(); it != granted_.end();) {
+    if (now < it->second.expiry) {
+      ++it;
+      continue;
+    }
+    --InFlight(it->second.kind);
+    it = granted_.erase(it);
+  }
+  std::erase_if(waiting_, [now](const auto& item) { return now >= item.second.deadline; });
+}
+
+void LoadBudget::Refill(SteadyTime now) {
+  const double passed = std::chrono::duration<double>(now - refilled_).count();
+  // At most one second's worth is saved up, and at least one load.
+  tokens_ = std::min(tokens_ + passed * loads_per_second_, std::max(1.0, loads_per_second_));
+  refilled_ = now;
+}
+
+void LoadBudget::Grant(const PermitKey& key, const Waiting& waiting, SteadyTime now) {
+  const bool model = waiting.kind == LoadKind::kModel;
+  const Millis valid = model ? kModelPermitTime : kAdapterPermitTime;
+  if (model) tokens_ -= 1;
+  ++InFlight(waiting.kind);
+  granted_[key] = {now + valid, waiting.kind};
+  outbox_.push_back({{key.second, key.first, valid}, waiting.via});
+}
+
+std::vector<BudgetGrant> LoadBudget::Take() {
+  const SteadyTime now = clock_->SteadyNow();
+  Expire(now);
+  Refill(now);
+  std::vector<std::pair<PermitKey, Waiting>> order(waiting_.begin(), waiting_.end());
+  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+    return std::tie(a.second.deadline, a.second.arrival) <
+           std::tie(b.second.deadline, b.second.arrival);
+  });
+  for (const auto& [key, waiting] : order) {
+    if (!HasRoom(waiting.kind)) continue;
+    Grant(key, waiting, now);
+    waiting_.erase(key);
+  }
+  std::vector<BudgetGrant> grants;
+  grants.swap(outbox_);
+  return grants;
+}
+
+void LoadBudget::Clear() {
+  waiting_.clear();
+  granted_.clear();
+  outbox_.clear();
+  models_in_flight_ = 0;
+  adapters_in_flight_ = 0;
+  tokens_ = 0;
+  refilled_ = clock_->SteadyNow();
+}
+
+}  // namespace shallot
