Add the control plane of a router

Cause: routers need the configuration, the instances, the placement and the grants that follow from them. Change: ControlPlaneCore joins ConfigFollower, RunnerRegistry, GrantSender, the placement owners and the load budget; all store calls are counted.

--- /dev/null
+++ b/servers/control_plane_state.cc
@@ -0,0 +1,347 @@
+#include "servers/control_plane_state.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "core/hashing.h"
+
+namespace shallot {
+namespace {
+
+constexpr Millis kListInterval{1000};
+/// Routers that hold a watch on `config/head` in each failure domain.
+constexpr size_t kWatchersPerDomain = 2;
+/// A new revision is announced to the failure domain this long and this often.
+constexpr Millis kAnnounceFor{6000};
+constexpr Millis kAnnounceInterval{1500};
+constexpr Millis kAskInterval{1000};
+/// A confirmation is forwarded this often until the slot is gone from the placement.
+constexpr Millis kForwardInterval{1000};
+constexpr Seconds kReleaseLife{60};
+/// Without a permit for this long, requests go to the other candidates in turn.
+constexpr Seconds kBudgetAnswerLife{5};
+constexpr const char* kBudgetKey = "budget/weights";
+constexpr const char* kRouterPrefix = "router ";
+constexpr const char* kRunnerPrefix = "runner ";
+
+std::string ShardKey(ShardId shard) { return "placement/" + std::to_string(shard.value()); }
+
+}  // namespace
+
+ControlPlaneCore::State::State(ControlPlaneOptions options, const Clock* clock,
+                               PlatformStore* store, InstanceList* instances,
+                               MetricsRegistry* metrics, InvariantMonitor* invariants)
+    : options_(std::move(options)),
+      clock_(clock),
+      store_(store, metrics),
+      instances_(instances),
+      invariants_(invariants),
+      seed_(StableHash(options_.id.value())),
+      registry_(clock, options_.id),
+      follower_(
+          clock, &store_, invariants, seed_,
+          [this](const std::string& peer, const Message& message) { SendToPeer(peer, message); },
+          [this] { OnNewConfig(); }),
+      grants_(clock, [this](const RunnerId& runner,
+                            const Message& message) { listener->SendToRunner(runner, message); }),
+      budget_lease_(clock, &store_, StoreKey(kBudgetKey), options_.id, seed_ + 1),
+      budget_(clock),
+      list_backoff_(Millis(500), Millis(5000), seed_ + 2) {}
+
+void ControlPlaneCore::State::OnTick() {
+  const SteadyTime now = clock_->SteadyNow();
+  FetchInstances(now);
+  follower_.OnTick(IsWatcher());
+  AskPeersForConfig(now);
+  AnnounceRevision(now);
+  TickShards();
+  TickReleases(now);
+  TickBudget();
+  grants_.OnTick();
+}
+
+void ControlPlaneCore::State::FetchInstances(SteadyTime now) {
+  if (list_in_flight_ || now < next_list_ || !list_backoff_.Ready(now)) return;
+  list_in_flight_ = true;
+  next_list_ = now + kListInterval;
+  instances_->Fetch([this](const Result<std::vector<InstanceRecord>>& list) {
+    list_in_flight_ = false;
+    if (!IsOk(list)) {
+      list_error_ = FormatError(ErrorOf(list));
+      return list_backoff_.Failed(clock_->SteadyNow());
+    }
+    list_backoff_.Succeeded();
+    list_error_.clear();
+    registry_.OnList(ValueOf(list));
+    listener->OnInstances(ValueOf(list));
+  });
+}
+
+void ControlPlaneCore::State::OnNewConfig() {
+  const std::shared_ptr<const FleetConfig> config = follower_.replica().current();
+  if (shards_.empty()) CreateShards(config->shard_count);
+  budget_.SetLimits(*config);
+  announce_until_ = clock_->SteadyNow() + kAnnounceFor;
+  next_announce_ = SteadyTime::min();
+  listener->OnConfig(config);
+}
+
+void ControlPlaneCore::State::CreateShards(uint64_t count) {
+  for (uint64_t i = 0; i < count; ++i) {
+    const ShardId id(i);
+    Shard& shard = shards_[id];
+    shard.replica = std::make_unique<PlacementReplica>(clock_, &store_, id, seed_ + 10 + 3 * i,
+                                                       [this](const ShardPlacement& placement) {
+                                                         listener->OnPlacement(placement);
+                                                         grants_.OnPlacement(placement);
+                                                       });
+    shard.owner =
+        std::make_unique<PlacementOwner>(id, options_.id, clock_, &store_, shard.replica.get(),
+                                         this, invariants_, seed_ + 11 + 3 * i);
+    if (draining_) shard.owner->Stop();
+    grants_.AddShard(id, shard.replica.get());
+  }
+}
+
+std::vector<InstanceId> ControlPlaneCore::State::RankedRouters(const std::string& key) const {
+  std::vector<InstanceId> routers;
+  if (!draining_) routers.push_back(options_.id);
+  for (const InstanceRecord& record : registry_.routers()) {
+    if (!record.leaving && record.id != options_.id) routers.push_back(record.id);
+  }
+  std::sort(routers.begin(), routers.end(), [&](const InstanceId& a, const InstanceId& b) {
+    return RendezvousWeight(key, a.value()) > RendezvousWeight(key, b.value());
+  });
+  return routers;
+}
+
+uint64_t ControlPlaneCore::State::RankFor(const std::string& key) const {
+  const uint64_t own = RendezvousWeight(key, options_.id.value());
+  uint64_t rank = 0;
+  for (const InstanceRecord& record : registry_.routers()) {
+    if (record.leaving || record.id == options_.id) continue;
+    rank += RendezvousWeight(key, record.id.value()) > own ? 1 : 0;
+  }
+  return rank;
+}
+
+bool ControlPlaneCore::State::IsWatcher() const {
+  const uint64_t own = RendezvousWeight("config/head", options_.id.value());
+  size_t better = 0;
+  for (const InstanceRecord& record : registry_.routers()) {
+    if (record.leaving || record.failure_domain != options_.failure_domain) continue;
+    better += RendezvousWeight("config/head", record.id.value()) > own ? 1 : 0;
+  }
+  return better < kWatchersPerDomain;
+}
+
+/// The watchers tell their failure domain; everyone else hears of a revision from heartbeats too.
+void ControlPlaneCore::State::AnnounceRevision(SteadyTime now) {
+  if (now >= announce_until_ || now < next_announce_ || !IsWatcher()) return;
+  next_announce_ = now + kAnnounceInterval;
+  const ConfigPush notice{follower_.replica().revision(), "", ""};
+  for (const InstanceRecord& record : registry_.routers()) {
+    if (record.id == options_.id || record.failure_domain != options_.failure_domain) continue;
+    listener->SendToRouter(record.id, notice);
+  }
+}
+
+void ControlPlaneCore::State::AskPeersForConfig(SteadyTime now) {
+  if (follower_.replica().current() != nullptr || now < next_ask_) return;
+  next_ask_ = now + kAskInterval;
+  const std::vector<InstanceRecord>& routers = registry_.routers();
+  for (size_t i = 0; i < routers.size(); ++i) {
+    const InstanceId& peer = routers[asked_++ % routers.size()].id;
+    if (peer != options_.id) return follower_.AskPeer(kRouterPrefix + peer.value());
+  }
+}
+
+void ControlPlaneCore::State::SendToPeer(const std::string& peer, const Message& message) {
+  const std::string name = peer.substr(std::string(kRouterPrefix).size());
+  if (peer.starts_with(kRouterPrefix)) return listener->SendToRouter(InstanceId(name), message);
+  listener->SendToRunner(RunnerId(name), message);
+}
+
+void ControlPlaneCore::State::TickShards() {
+  for (auto& [id, shard] : shards_) {
+    shard.replica->OnTick();
+    // Ranks mean nothing before the first list.
+    if (registry_.lists() > 0) shard.owner->OnTick(RankFor(ShardKey(id)));
+  }
+}
+
+bool ControlPlaneCore::State::FillInput(const std::vector<Slot>& slots, PlannerInput* input) {
+  const std::shared_ptr<const FleetConfig>& config = follower_.replica().current();
+  if (config == nullptr || registry_.lists() == 0) return false;
+  input->config = config.get();
+  input->runners = registry_.Runners();
+  std::set<RunnerId> known;
+  for (const PlannerRunner& runner : input->runners) known.insert(runner.id);
+  for (const Slot& slot : slots) {
+    if (known.contains(slot.runner) || registry_.IsGone(slot.runner)) continue;
+    const CatalogEntry* entry = config->FindEntry(slot.entry);
+    const BackendName backend = entry == nullptr ? BackendName() : entry->backend;
+    input->runners.push_back(RunnerRegistry::MissingRunner(slot.runner, backend));
+    known.insert(slot.runner);
+  }
+  const double routers = std::max<double>(1, static_cast<double>(registry_.routers().size()));
+  input->wanted = demand_.Wanted(clock_->SteadyNow(), routers, registry_.CallsPerReplica());
+  for (const auto& [id, shard] : shards_) {
+    if (id == input->shard) continue;
+    for (const Slot& slot : shard.replica->current().slots) {
+      const CatalogEntry* entry = config->FindEntry(slot.entry);
+      if (entry == nullptr) continue;
+      input->other_bytes[slot.runner] += entry->size.value() + entry->kv_cache.value();
+    }
+  }
+  return true;
+}
+
+void ControlPlaneCore::State::OnRunnerMessage(const RunnerId& runner, const Message& message) {
+  const std::string peer = kRunnerPrefix + runner.value();
+  if (const auto* pull = std::get_if<ConfigPull>(&message)) return follower_.OnPull(peer, *pull);
+  if (const auto* push = std::get_if<ConfigPush>(&message)) return follower_.OnPush(peer, *push);
+  if (const auto* released = std::get_if<SlotReleased>(&message)) {
+    return OnReleased(*released, false);
+  }
+  if (const auto* request = std::get_if<LoadPermitRequest>(&message)) {
+    return OnPermitRequest(*request, InstanceId());
+  }
+  if (const auto* returned = std::get_if<LoadPermitReturn>(&message)) {
+    return OnPermitReturn(*returned, false);
+  }
+}
+
+void ControlPlaneCore::State::OnRouterMessage(const InstanceId& router, const Message& message) {
+  const std::string peer = kRouterPrefix + router.value();
+  if (const auto* pull = std::get_if<ConfigPull>(&message)) return follower_.OnPull(peer, *pull);
+  if (const auto* push = std::get_if<ConfigPush>(&message)) return follower_.OnPush(peer, *push);
+  if (const auto* released = std::get_if<SlotReleased>(&message)) {
+    return OnReleased(*released, true);
+  }
+  if (const auto* request = std::get_if<LoadPermitRequest>(&message)) {
+    return OnPermitRequest(*request, router);
+  }
+  if (const auto* returned = std::get_if<LoadPermitReturn>(&message)) {
+    return OnPermitReturn(*returned, true);
+  }
+  const auto* permit = std::get_if<LoadPermit>(&message);
+  if (permit == nullptr) return;
+  budget_router_ = router;
+  budget_answered_ = clock_->SteadyNow();
+  listener->SendToRunner(permit->runner, *permit);
+}
+
+void ControlPlaneCore::State::TickBudget() {
+  if (registry_.lists() > 0) budget_lease_.OnTick(RankFor(kBudgetKey));
+  const bool held = budget_lease_.Held();
+  if (held != held_budget_) budget_.Clear();
+  held_budget_ = held;
+  if (!held) return;
+  for (const BudgetGrant& grant : budget_.Take()) SendPermit(grant);
+}
+
+void ControlPlaneCore::State::SendPermit(const BudgetGrant& grant) {
+  if (grant.via.empty()) return listener->SendToRunner(grant.permit.runner, grant.permit);
+  listener->SendToRouter(grant.via, grant.permit);
+}
+
+void ControlPlaneCore::State::OnPermitRequest(const LoadPermitRequest& request,
+                                              const InstanceId& via) {
+  if (held_budget_) return budget_.Request(request, via);
+  // A request of another router is not passed on again, so that it cannot go in circles.
+  if (!via.empty()) return;
+  const bool answered = clock_->SteadyNow() - budget_answered_ < kBudgetAnswerLife;
+  if (answered && !budget_router_.empty()) return listener->SendToRouter(budget_router_, request);
+  const std::vector<InstanceId> routers = RankedRouters(kBudgetKey);
+  const size_t candidates = std::min<size_t>(routers.size(), LeaseKeeper::kCandidates);
+  for (size_t i = 0; i < candidates; ++i) {
+    const InstanceId& router = routers[budget_tries_++ % candidates];
+    if (router != options_.id) return listener->SendToRouter(router, request);
+  }
+}
+
+void ControlPlaneCore::State::OnPermitReturn(const LoadPermitReturn& returned, bool from_router) {
+  if (held_budget_) return budget_.Return(returned.runner, returned.permit_id);
+  if (!from_router && !budget_router_.empty()) listener->SendToRouter(budget_router_, returned);
+}
+
+void ControlPlaneCore::State::OnReleased(const SlotReleased& released, bool from_router) {
+  const SteadyTime now = clock_->SteadyNow();
+  const auto same = [&](const Release& release) { return release.released == released; };
+  const auto it = std::find_if(releases_.begin(), releases_.end(), same);
+  if (it == releases_.end()) {
+    releases_.push_back({released, now, now, 0, from_router});
+  } else {
+    it->received = now;
+  }
+}
+
+bool ControlPlaneCore::State::SlotExists(const SlotReleased& released) const {
+  const auto shard = shards_.find(released.shard);
+  if (shard == shards_.end()) return false;
+  const std::vector<Slot>& slots = shard->second.replica->current().slots;
+  return std::any_of(slots.begin(), slots.end(), [&](const Slot& slot) {
+    return slot.entry == released.entry && slot.runner == released.runner &&
+           slot.generation == released.generation;
+  });
+}
+
+void ControlPlaneCore::State::TickReleases(SteadyTime now) {
+  std::erase_if(releases_, [&](const Release& release) {
+    const Seconds life = SlotExists(release.released) ? kReleaseLife : Seconds(5);
+    return now - release.received >= life;
+  });
+  for (Release& release : releases_) {
+    const auto shard = shards_.find(release.released.shard);
+    if (shard == shards_.end()) continue;
+    if (shard->second.owner->HoldsLease()) {
+      shard->second.owner->OnReleased(release.released);
+      continue;
+    }
+    if (release.forwarded_here || now < release.next_forward) continue;
+    release.next_forward = now + kForwardInterval;
+    const std::vector<InstanceId> routers = RankedRouters(ShardKey(release.released.shard));
+    const size_t candidates = std::min<size_t>(routers.size(), LeaseKeeper::kCandidates);
+    if (candidates == 0) continue;
+    const InstanceId& router = routers[release.forwards++ % candidates];
+    if (router != options_.id) listener->SendToRouter(router, release.released);
+  }
+}
+
+void ControlPlaneCore::State::BeginDrain() {
+  draining_ = true;
+  for (auto& [id, shard] : shards_) shard.owner->Stop();
+  budget_lease_.Stop();
+}
+
+std::string ControlPlaneCore::State::StatusJson() const {
+  using Json = nlohmann::json;
+  Json shards = Json::array();
+  for (const auto& [id, shard] : shards_) {
+    const ShardPlacement& placement = shard.replica->current();
+    shards.push_back({{"shard", id.value()},
+                      {"version", placement.version.value()},
+                      {"slots", placement.slots.size()},
+                      {"lease", shard.owner->HoldsLease()},
+                      {"lost_writes", shard.owner->lost_writes()},
+                      {"error", shard.replica->last_error()}});
+  }
+  const Json json = {{"config_revision", follower_.replica().revision().value()},
+                     {"config_watcher", IsWatcher()},
+                     {"config_error", follower_.last_error()},
+                     {"instance_lists", registry_.lists()},
+                     {"instance_error", list_error_},
+                     {"draining", draining_},
+                     {"budget",
+                      {{"lease", held_budget_},
+                       {"waiting", budget_.waiting()},
+                       {"models_in_flight", budget_.models_in_flight()},
+                       {"adapters_in_flight", budget_.adapters_in_flight()}}},
+                     {"shards", std::move(shards)}};
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+}  // namespace shallot
--- /dev/null
+++ b/servers/control_plane_state.h
@@ -0,0 +1,106 @@
+#ifndef SERVERS_CONTROL_PLANE_STATE_H_
+#define SERVERS_CONTROL_PLANE_STATE_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "servers/config_follower.h"
+#include "servers/control_plane_core.h"
+#include "servers/counted_store.h"
+#include "servers/demand_tracker.h"
+#include "servers/grant_sender.h"
+#include "servers/lease_keeper.h"
+#include "servers/load_budget.h"
+#include "servers/placement_owner.h"
+#include "servers/placement_replica.h"
+#include "servers/runner_registry.h"
+
+namespace shallot {
+
+/// The parts of a ControlPlaneCore and the paths between them.
+class ControlPlaneCore::State final : public PlacementView {
+ public:
+  State(ControlPlaneOptions options, const Clock* clock, PlatformStore* store,
+        InstanceList* instances, MetricsRegistry* metrics, InvariantMonitor* invariants);
+
+  bool FillInput(const std::vector<Slot>& slots, PlannerInput* input) override;
+
+  void OnTick();
+  void OnRunnerMessage(const RunnerId& runner, const Message& message);
+  void OnRouterMessage(const InstanceId& router, const Message& message);
+  void BeginDrain();
+  std::string StatusJson() const;
+
+  ControlListener* listener = nullptr;
+
+ private:
+  friend class ControlPlaneCore;
+
+  struct Shard {
+    std::unique_ptr<PlacementReplica> replica;
+    std::unique_ptr<PlacementOwner> owner;
+  };
+  /// A confirmation that waits until the owner of its shard has written it.
+  struct Release {
+    SlotReleased released;
+    SteadyTime received;
+    SteadyTime next_forward;
+    uint64_t forwards = 0;
+    /// True when it came from another router, which goes on forwarding it.
+    bool forwarded_here = false;
+  };
+
+  void FetchInstances(SteadyTime now);
+  void OnNewConfig();
+  void CreateShards(uint64_t count);
+  void AnnounceRevision(SteadyTime now);
+  void AskPeersForConfig(SteadyTime now);
+  bool IsWatcher() const;
+  /// Routers that are not leaving, this one included unless it drains, best first for `key`.
+  std::vector<InstanceId> RankedRouters(const std::string& key) const;
+  uint64_t RankFor(const std::string& key) const;
+  void TickShards();
+  void TickBudget();
+  void SendPermit(const BudgetGrant& grant);
+  void OnPermitRequest(const LoadPermitRequest& request, const InstanceId& via);
+  void OnPermitReturn(const LoadPermitReturn& returned, bool from_router);
+  void OnReleased(const SlotReleased& released, bool from_router);
+  void TickReleases(SteadyTime now);
+  bool SlotExists(const SlotReleased& released) const;
+  void SendToPeer(const std::string& peer, const Message& message);
+
+  ControlPlaneOptions options_;
+  const Clock* clock_;
+  CountedStore store_;
+  InstanceList* instances_;
+  InvariantMonitor* invariants_;
+  uint64_t seed_;
+  RunnerRegistry registry_;
+  DemandTracker demand_;
+  ConfigFollower follower_;
+  GrantSender grants_;
+  LeaseKeeper budget_lease_;
+  LoadBudget budget_;
+  bool held_budget_ = false;
+  /// Router that last sent a permit, and when; requests go to it first.
+  InstanceId budget_router_;
+  SteadyTime budget_answered_ = SteadyTime::min();
+  uint64_t budget_tries_ = 0;
+  std::map<ShardId, Shard> shards_;
+  std::vector<Release> releases_;
+  Backoff list_backoff_;
+  bool list_in_flight_ = false;
+  SteadyTime next_list_ = SteadyTime::min();
+  std::string list_error_;
+  SteadyTime announce_until_ = SteadyTime::min();
+  SteadyTime next_announce_ = SteadyTime::min();
+  SteadyTime next_ask_ = SteadyTime::min();
+  uint64_t asked_ = 0;
+  bool draining_ = false;
+};
+
+}  // namespace shallot
+
+#endif  // SERVERS_CONTROL_PLANE_STATE_H_
--- /dev/null
+++ b/servers/runner_registry.cc
@@ -0,0 +1,106 @@
+#include "servers/runner_registry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shallot {
+namespace {
+
+/// Runners that have been missing for this many lists are forgotten.
+constexpr uint64_t kMissesUntilForgotten = 3600;
+/// Share of a runner's concurrency that placement plans to use.
+constexpr double kPlannedUse = 0.7;
+/// Without reports: 8 calls at once of 2 s each.
+constexpr double kDefaultCallsPerReplica = kPlannedUse * 8 / 2;
+
+}  // namespace
+
+RunnerRegistry::RunnerRegistry(const Clock* clock, InstanceId self)
+    : clock_(clock), self_(std::move(self)) {}
+
+void RunnerRegistry::OnList(const std::vector<InstanceRecord>& list) {
+  const bool credible = std::any_of(list.begin(), list.end(), [this](const InstanceRecord& record) {
+    return record.id == self_;
+  });
+  ++lists_;
+  if (credible) {
+    for (auto& [id, known] : known_) ++known.misses;
+  }
+  routers_.clear();
+  std::map<RunnerId, bool> listed;
+  for (const InstanceRecord& record : list) {
+    if (record.role == PeerRole::kRouter) {
+      routers_.push_back(record);
+      continue;
+    }
+    // A replaced instance may be listed beside its successor; the live one counts.
+    if (listed.contains(record.runner) && record.leaving) continue;
+    listed[record.runner] = true;
+    known_[record.runner] = {record, 0};
+  }
+  std::sort(routers_.begin(), routers_.end(),
+            [](const InstanceRecord& a, const InstanceRecord& b) { return a.id < b.id; });
+  std::erase_if(known_,
+                [](const auto& item) { return item.second.misses > kMissesUntilForgotten; });
+}
+
+void RunnerRegistry::OnReport(const RunnerId& runner, const Heartbeat& heartbeat) {
+  reports_[runner] = {heartbeat, clock_->SteadyNow()};
+}
+
+bool RunnerRegistry::IsGone(const RunnerId& runner) const {
+  const auto it = known_.find(runner);
+  if (it == known_.end()) return lists_ >= kMissesOfUnseen;
+  return it->second.misses >= kMissesUntilGone;
+}
+
+PlannerRunner RunnerRegistry::Describe(const Known& known) const {
+  PlannerRunner runner;
+  runner.id = known.record.runner;
+  runner.backend = known.record.backend;
+  runner.failure_domain = known.record.failure_domain;
+  if (known.misses > 0) runner.state = PlannerRunner::State::kMissing;
+  if (known.record.leaving) runner.state = PlannerRunner::State::kLeaving;
+  const auto it = reports_.find(runner.id);
+  if (it == reports_.end()) return runner;
+  const LoadSummary& load = it->second.heartbeat.load;
+  runner.memory_capacity = load.memory_capacity;
+  runner.loaded.insert(load.loaded.begin(), load.loaded.end());
+  runner.cached_in_memory.insert(load.cached_in_memory.begin(), load.cached_in_memory.end());
+  runner.cached_on_disk.insert(load.cached_on_disk.begin(), load.cached_on_disk.end());
+  if (clock_->SteadyNow() - it->second.received > kReportLife) return runner;
+  runner.serving = load.serving;
+  if (it->second.heartbeat.draining) runner.state = PlannerRunner::State::kLeaving;
+  return runner;
+}
+
+std::vector<PlannerRunner> RunnerRegistry::Runners() const {
+  std::vector<PlannerRunner> runners;
+  for (const auto& [id, known] : known_) {
+    if (known.misses < kMissesUntilGone) runners.push_back(Describe(known));
+  }
+  return runners;
+}
+
+PlannerRunner RunnerRegistry::MissingRunner(const RunnerId& runner, const BackendName& backend) {
+  PlannerRunner missing;
+  missing.id = runner;
+  missing.backend = backend;
+  missing.state = PlannerRunner::State::kMissing;
+  return missing;
+}
+
+double RunnerRegistry::CallsPerReplica() const {
+  double total = 0;
+  uint64_t count = 0;
+  for (const auto& [runner, report] : reports_) {
+    const LoadSummary& load = report.heartbeat.load;
+    if (load.concurrency == 0 || load.mean_service <= Millis(0)) continue;
+    const double seconds = static_cast<double>(load.mean_service.count()) / 1000;
+    total += kPlannedUse * static_cast<double>(load.concurrency) / seconds;
+    ++count;
+  }
+  return count == 0 ? kDefaultCallsPerReplica : total / static_cast<double>(count);
+}
+
+}  // namespace shallot
