Add the HTTP adapters to engine, service, platform and weight store

Cause: the cores reach the outside through interfaces that had no implementation. Change: http_connection (POCO client session over a socket that records whether a byte was sent and whether the peer closed), http_worker_pool, http_call_runner and the four adapters.

--- /dev/null
+++ b/drivers/engine_http.h
@@ -0,0 +1,52 @@
+#ifndef DRIVERS_ENGINE_HTTP_H_
+#define DRIVERS_ENGINE_HTTP_H_
+
+#include <string>
+#include <vector>
+
+#include "core/bounded_ring.h"
+#include "drivers/http_call_runner.h"
+#include "drivers/http_worker_pool.h"
+#include "servers/backend_server.h"
+
+namespace shallot {
+
+/// A model engine over HTTP. Callbacks are posted to the ring of the core that uses it.
+class EngineHttp final : public ModelEngine {
+ public:
+  /// `address` is "IP:port". `ring` must outlive this object.
+  EngineHttp(const std::string& address, TaskRing* ring);
+
+  void StartCall(const Call& call, AnswerSink* sink) override;
+  void CancelCall(const CallId& call, CancelCallback done) override;
+  void Load(const EngineOrder& order, DoneCallback done) override;
+  void Unload(const EngineOrder& order, DoneCallback done) override;
+  void FetchInventory(InventoryCallback done) override;
+  void FetchLoadReport(LoadReportCallback done) override;
+  void FetchCacheEvents(uint64_t since, CacheEventsCallback done) override;
+  void SetRole(EngineRole role, FencingNumber fencing, DoneCallback done) override;
+  void ExportKvCache(const CallId& call, KvCallback done) override;
+  void ImportKvCache(const CallId& call, const std::string& data, DoneCallback done) override;
+
+  /// Breaks what is in progress and joins the threads; the ring must still be run meanwhile.
+  void Stop();
+
+ private:
+  void SendOrder(const std::string& path, const EngineOrder& order, DoneCallback done);
+
+  TaskRing* ring_;
+  HttpCallRunner calls_;
+  /// Loads take seconds to minutes and have threads of their own.
+  HttpWorkerPool orders_;
+  HttpWorkerPool queries_;
+};
+
+/// Parse the answers of `GET /admin/inventory`, `/admin/load-report` and `/admin/cache-events`.
+/// kInternal when malformed.
+Result<EngineInventory> ParseInventory(const std::string& json);
+Result<EngineLoadReport> ParseLoadReport(const std::string& json);
+Result<std::vector<CacheEvent>> ParseCacheEvents(const std::string& json);
+
+}  // namespace shallot
+
+#endif  // DRIVERS_ENGINE_HTTP_H_
--- /dev/null
+++ b/drivers/http_worker_pool.h
@@ -0,0 +1,67 @@
+#ifndef DRIVERS_HTTP_WORKER_POOL_H_
+#define DRIVERS_HTTP_WORKER_POOL_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "core/clock.h"
+#include "drivers/http_connection.h"
+
+namespace shallot {
+
+/// Threads that make HTTP requests to one address. Starts threads as they are needed and hands
+/// out the most recently used connection first, which is the least likely to be stale.
+class HttpWorkerPool {
+ public:
+  using Job = std::function<void(HttpConnection&)>;
+
+  struct Options {
+    /// "IP:port".
+    std::string address;
+    size_t max_threads = 4;
+    /// Jobs that wait for a thread; beyond it Submit() refuses.
+    size_t max_queue = 256;
+  };
+
+  explicit HttpWorkerPool(Options options);
+  ~HttpWorkerPool();
+  HttpWorkerPool(const HttpWorkerPool&) = delete;
+  HttpWorkerPool& operator=(const HttpWorkerPool&) = delete;
+
+  /// Queues a job. Returns false, and the job never runs, when the queue is full or the pool stops.
+  [[nodiscard]] bool Submit(Job job);
+  /// Waits unless the pool stops first; for pauses between tries within a job.
+  void Pause(Millis time);
+  /// True once Stop() was called; jobs then finish early.
+  bool stopping() const { return stopping_.load(); }
+  /// Breaks the requests in progress, runs the queued jobs on aborted connections, so that each
+  /// still reports its failure, and joins the threads.
+  void Stop();
+
+ private:
+  void Run();
+  std::shared_ptr<HttpConnection> TakeConnection();
+
+  Options options_;
+  std::mutex mutex_;
+  std::condition_variable work_;
+  std::condition_variable stopped_;
+  std::deque<Job> jobs_;
+  std::vector<std::thread> threads_;
+  std::vector<std::shared_ptr<HttpConnection>> free_;
+  std::vector<std::shared_ptr<HttpConnection>> all_;
+  size_t idle_ = 0;
+  std::atomic<bool> stopping_{false};
+};
+
+}  // namespace shallot
+
+#endif  // DRIVERS_HTTP_WORKER_POOL_H_
--- /dev/null
+++ b/drivers/weights_http.h
@@ -0,0 +1,29 @@
+#ifndef DRIVERS_WEIGHTS_HTTP_H_
+#define DRIVERS_WEIGHTS_HTTP_H_
+
+#include <string>
+
+#include "core/bounded_ring.h"
+#include "drivers/http_worker_pool.h"
+#include "servers/weight_store.h"
+
+namespace shallot {
+
+/// The condition of the platform's weight store over HTTP.
+class WeightsHttp final : public WeightStore {
+ public:
+  /// `address` is "IP:port". `ring` must outlive this object.
+  WeightsHttp(const std::string& address, TaskRing* ring);
+
+  void FetchStatus(StatusCallback done) override;
+  /// Fails the requests in progress and joins the thread; the ring must still be run meanwhile.
+  void Stop();
+
+ private:
+  TaskRing* ring_;
+  HttpWorkerPool requests_;
+};
+
+}  // namespace shallot
+
+#endif  // DRIVERS_WEIGHTS_HTTP_H_
