Add the burn report

Cause: operators need to see how fast each class uses up its error budget. Change: BurnReport takes call counters sampled over time and gives the burn in windows of 5 min, 1 h, 6 h and 3 d as text, CSV, JSON and a gnuplot script. A restarted router counts from zero again.

--- /dev/null
+++ b/servers/burn_report.h
@@ -0,0 +1,84 @@
+#ifndef SERVERS_BURN_REPORT_H_
+#define SERVERS_BURN_REPORT_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/result.h"
+#include "servers/call.h"
+
+namespace shallot {
+
+/// Calls of one class since the start of a router.
+struct ClassCounts {
+  /// Completed in time.
+  uint64_t good = 0;
+  uint64_t total = 0;
+
+  bool operator==(const ClassCounts&) const = default;
+};
+
+using CallCounts = std::array<ClassCounts, kCallClassCount>;
+
+/// Reads the counters `shallot_router_calls_total` from the Prometheus text of a router's
+/// /metrics. kInvalidArgument: the text has no such counter, or a value is not a number.
+Result<CallCounts> ParseCallCounts(const std::string& metrics);
+
+/// Use of the error budget of one class in one window.
+struct BurnRow {
+  CallClass call_class = CallClass::kPremium;
+  Seconds window{0};
+  /// Part of the window that the samples cover.
+  Seconds covered{0};
+  uint64_t good = 0;
+  uint64_t bad = 0;
+  /// Share of bad calls over the share that the objective allows; 1 uses the budget up exactly.
+  /// Infinite when the objective allows none and there was one.
+  double burn = 0;
+};
+
+/// Service-level burn of each class in windows of 5 min, 1 h, 6 h and 3 d, from counters that
+/// were sampled over time. A longer window appears once the samples reach beyond the shorter one.
+class BurnReport {
+ public:
+  /// `objectives`: share of calls that must complete in time, 0 to 1, by class.
+  explicit BurnReport(const std::array<double, kCallClassCount>& objectives);
+
+  /// Adds what one router counted. The first sample of a router only sets its starting point. A
+  /// count that fell means that the router restarted; all its calls since then are new.
+  void AddSample(SteadyTime time, const std::string& router, const CallCounts& counts);
+
+  /// Rows for the newest sample, by class and window.
+  std::vector<BurnRow> Rows() const;
+  std::string FormatText() const;
+  /// One row for each sample, class and window, with a head line.
+  std::string FormatCsv() const;
+  std::string FormatJson() const;
+  /// Data for gnuplot: one block for each class with the burn in the shortest and longest window.
+  std::string FormatPlotData() const;
+  /// Script that plots the data file as SVG into `image_path`.
+  std::string FormatPlotScript(const std::string& data_path, const std::string& image_path) const;
+
+ private:
+  struct Point {
+    SteadyTime time;
+    /// Sums over all routers since the first sample.
+    CallCounts sums;
+  };
+
+  std::vector<BurnRow> RowsAt(size_t point) const;
+  size_t StartOfWindow(size_t point, Seconds window) const;
+  double Burn(size_t class_index, const ClassCounts& calls) const;
+
+  std::array<double, kCallClassCount> objectives_;
+  std::map<std::string, CallCounts> last_;
+  std::vector<Point> points_;
+};
+
+}  // namespace shallot
+
+#endif  // SERVERS_BURN_REPORT_H_
