Measure slopes of processor time, memory and bytes

Cause: the capacity page must be worked out from slopes measured here. Change: bench/slopes_bench measures per catalogue entry, per configuration change, per slot, per runner connection, per call and per frame, four points each.

--- /dev/null
+++ b/bench/slopes_bench.cc
@@ -0,0 +1,293 @@
+// Slopes of processor time, memory and bytes for docs/CAPACITY.md. Each slope has at least four
+// points; the least-squares line through them is printed with its points.
+#include <malloc.h>
+
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "bench/bench_report.h"
+#include "drivers/proto_codec.h"
+#include "servers/config_head.h"
+#include "servers/config_replica.h"
+#include "servers/placement_codec.h"
+#include "tests/fake_agent_env.h"
+#include "tests/router_fixture.h"
+
+namespace shallot::bench {
+namespace {
+
+/// One measured point: the size and what it costs.
+struct Point {
+  double size = 0;
+  double cost = 0;
+};
+
+double CpuSeconds() {
+  timespec now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) * 1e-9;
+}
+
+double HeapBytes() {
+  const struct mallinfo2 info = mallinfo2();
+  return static_cast<double>(info.uordblks) + static_cast<double>(info.hblkhd);
+}
+
+double CpuOf(const std::function<void()>& work) {
+  const double begin = CpuSeconds();
+  work();
+  return CpuSeconds() - begin;
+}
+
+/// Prints the slope and the intercept of the line through the points.
+void PrintSlope(const std::string& name, const std::string& unit,
+                const std::vector<Point>& points) {
+  double x = 0;
+  double y = 0;
+  for (const Point& point : points) {
+    x += point.size / static_cast<double>(points.size());
+    y += point.cost / static_cast<double>(points.size());
+    std::fprintf(stderr, "  %s at %.0f: %.6g %s\n", name.c_str(), point.size, point.cost,
+                 unit.c_str());
+  }
+  double xx = 0;
+  double xy = 0;
+  for (const Point& point : points) {
+    xx += (point.size - x) * (point.size - x);
+    xy += (point.size - x) * (point.cost - y);
+  }
+  Print({"slope." + name, xy / xx, unit, 0});
+  Print({"intercept." + name, y - xy / xx * x, unit, 0});
+}
+
+std::string WireBytes(const Message& message) { return ValueOf(EncodeMessage(message)); }
+
+std::string FleetText(int entries) {
+  constexpr int kModels = 100;
+  std::string text = "[fleet]\nname = slopes\nshards = 100\n[models gpu]\n";
+  for (int i = 0; i < kModels; ++i) text += "model-" + std::to_string(i) + " = 1 16000 6000\n";
+  for (int model = 0; model < kModels; ++model) {
+    text += "[adapters model-" + std::to_string(model) + "]\n";
+    for (int i = model; i < entries - kModels; i += kModels) {
+      text += "adapter-" + std::to_string(i) + " = 1 200\n";
+    }
+  }
+  return text;
+}
+
+ConfigPush PushWithChange(const std::string& snapshot, uint64_t revision) {
+  ConfigHead head;
+  head.revision = ConfigRevision(revision);
+  head.snapshot = ConfigRevision(1);
+  for (uint64_t i = 2; i <= revision; ++i) {
+    ConfigChange change;
+    change.revision = ConfigRevision(i);
+    change.id = "change-" + std::to_string(i);
+    change.author = OperatorName("operator");
+    change.time = "2026-12-04T06:00:00Z";
+    change.reason = "raise the limit of one entry for a known peak";
+    change.sections.push_back({"exception e" + std::to_string(i),
+                               false,
+                               {{"target", "entry adapter-" + std::to_string(i)},
+                                {"reason", "peak"},
+                                {"max_replicas", "3"}}});
+    head.changes.push_back(change);
+  }
+  return {ConfigRevision(revision), FormatConfigHead(head), snapshot};
+}
+
+void MeasureCatalogue() {
+  std::vector<Point> cpu;
+  std::vector<Point> memory;
+  std::vector<Point> change_cpu;
+  std::vector<Point> text_bytes;
+  for (const int entries : {2'500, 5'000, 10'000, 20'000}) {
+    const std::string text = FleetText(entries);
+    InvariantMonitor invariants;
+    const double before = HeapBytes();
+    auto replica = std::make_unique<ConfigReplica>(&invariants);
+    cpu.push_back({double(entries), CpuOf([&] { replica->Apply(PushWithChange(text, 1)); })});
+    memory.push_back({double(entries), HeapBytes() - before});
+    change_cpu.push_back({double(entries), CpuOf([&] { replica->Apply(PushWithChange("", 2)); })});
+    text_bytes.push_back({double(entries), double(text.size())});
+    if (replica->revision() != ConfigRevision(2)) std::fprintf(stderr, "change was not applied\n");
+  }
+  PrintSlope("config_first_apply_cpu_per_entry", "s", cpu);
+  PrintSlope("config_memory_per_entry", "B", memory);
+  PrintSlope("config_change_cpu_per_entry", "s", change_cpu);
+  PrintSlope("config_snapshot_per_entry", "B", text_bytes);
+}
+
+void MeasureConfigBytes() {
+  std::vector<Point> bytes;
+  for (const uint64_t changes : {1, 16, 32, 64}) {
+    const ConfigPush push = PushWithChange("", changes + 1);
+    bytes.push_back({double(changes), double(WireBytes(push).size())});
+  }
+  PrintSlope("config_push_per_change", "B", bytes);
+}
+
+void MeasurePlacement() {
+  std::vector<Point> bytes;
+  std::vector<Point> cpu;
+  for (const int slots : {100, 200, 400, 800}) {
+    ShardPlacement placement;
+    for (int i = 0; i < slots; ++i) {
+      placement.slots.push_back({EntryId("adapter-" + std::to_string(i)),
+                                 RunnerId("runner-" + std::to_string(i % 2000)), Generation(3),
+                                 SlotState::kActive});
+    }
+    const std::string text = FormatSlots(placement.slots);
+    bytes.push_back({double(slots), double(text.size())});
+    cpu.push_back({double(slots), CpuOf([&] { ParseSlots(text); })});
+  }
+  PrintSlope("placement_bytes_per_slot", "B", bytes);
+  PrintSlope("placement_decode_cpu_per_slot", "s", cpu);
+}
+
+void MeasureHeartbeats() {
+  std::vector<Point> bytes;
+  for (const int loaded : {5, 20, 40, 80}) {
+    Heartbeat beat;
+    for (int i = 0; i < loaded; ++i) beat.load.loaded.emplace_back("adapter-" + std::to_string(i));
+    bytes.push_back({double(loaded), double(WireBytes(beat).size())});
+  }
+  PrintSlope("heartbeat_per_loaded_entry", "B", bytes);
+  constexpr int kSimulatedSeconds = 20;
+  std::vector<Point> cpu;
+  std::vector<Point> memory;
+  for (const int runners : {10, 20, 40, 80}) {
+    const double before = HeapBytes();
+    auto fixture = std::make_unique<RouterFixture>(runners);
+    fixture->load.loaded.clear();
+    for (int i = 0; i < 40; ++i) {
+      fixture->load.loaded.emplace_back("adapter-" + std::to_string(i));
+    }
+    fixture->Start();
+    fixture->Run(Millis(1000));
+    fixture->link.Take();
+    memory.push_back({double(runners), HeapBytes() - before});
+    const double spent = CpuOf([&] {
+      for (int second = 0; second < kSimulatedSeconds; ++second) {
+        fixture->Run(Millis(1000));
+        fixture->link.Take();
+      }
+    });
+    cpu.push_back({double(runners), spent / kSimulatedSeconds});
+  }
+  PrintSlope("router_cpu_per_connected_runner_second", "s", cpu);
+  PrintSlope("router_memory_per_connected_runner", "B", memory);
+}
+
+void MeasureRouterCalls() {
+  std::vector<Point> cpu;
+  for (const int calls : {2'000, 4'000, 8'000, 16'000}) {
+    RouterFixture fixture(4);
+    fixture.Start();
+    const double spent = CpuOf([&] {
+      for (int i = 0; i < calls; ++i) {
+        fixture.link.Take();
+        const auto sink = fixture.Submit(RouterFixture::ModelRequest());
+        const auto start = fixture.LastStart();
+        fixture.Frame(start, 0, "answer");
+        fixture.Answer(start, OutcomeKind::kCompleted, Reason::kNone, 6);
+        if (sink->end.kind != OutcomeKind::kCompleted) std::fprintf(stderr, "call failed\n");
+      }
+    });
+    cpu.push_back({double(calls), spent});
+  }
+  PrintSlope("router_cpu_per_call", "s", cpu);
+}
+
+void MeasureRouterFrames() {
+  std::vector<Point> cpu;
+  std::vector<Point> bytes;
+  const std::string chunk(180, 'x');
+  for (const int frames : {1'000, 2'000, 4'000, 8'000}) {
+    RouterFixture fixture(1);
+    fixture.Start();
+    const auto sink = fixture.Submit(RouterFixture::ModelRequest(true));
+    const auto start = fixture.LastStart();
+    double wire = 0;
+    const double spent = CpuOf([&] {
+      for (int i = 0; i < frames; ++i) {
+        const CallFrame frame{start.second.id, start.second.attempt, i * chunk.size(), chunk};
+        const std::string encoded = WireBytes(frame);
+        wire += double(encoded.size());
+        const Result<Message> decoded = DecodeMessage(encoded);
+        fixture.core.OnMessage(start.first, ValueOf(decoded));
+      }
+    });
+    cpu.push_back({double(frames), spent});
+    bytes.push_back({double(frames), wire});
+  }
+  PrintSlope("router_cpu_per_frame_with_codec", "s", cpu);
+  PrintSlope("wire_bytes_per_frame", "B", bytes);
+}
+
+void MeasureAgent() {
+  std::vector<Point> cpu;
+  for (const int calls : {2'000, 4'000, 8'000, 16'000}) {
+    agent_test::AgentFixture fixture;
+    fixture.Begin();
+    fixture.Grant({"m1"});
+    fixture.Start(fixture.MakeCall("warm", "m1"));
+    fixture.GivePermit();
+    fixture.Run(Millis(100));
+    fixture.engine.calls.Complete(CallId("warm"));
+    const double spent = CpuOf([&] {
+      for (int i = 0; i < calls; ++i) {
+        const std::string id = std::to_string(i);
+        fixture.Start(fixture.MakeCall(id, "m1"));
+        fixture.engine.calls.Complete(CallId(id));
+        fixture.agent->OnMessage(agent_test::kRouter, CallAck{CallId(id), Attempt(1)});
+        fixture.link.sent.clear();
+      }
+    });
+    cpu.push_back({double(calls), spent});
+  }
+  PrintSlope("agent_cpu_per_call", "s", cpu);
+  std::vector<Point> idle;
+  constexpr int kSimulatedSeconds = 10;
+  for (const int routers : {2, 4, 8, 16}) {
+    agent_test::AgentFixture fixture;
+    fixture.Begin();
+    std::vector<ConnectionId> alive;
+    for (int i = 1; i <= routers; ++i) {
+      alive.emplace_back(static_cast<uint64_t>(i));
+      fixture.Greet(alive.back());
+    }
+    const double spent = CpuOf([&] {
+      for (int i = 0; i < kSimulatedSeconds * 50; ++i) {
+        fixture.clock.Advance(Millis(20));
+        if (i % 25 == 0) {
+          for (const ConnectionId router : alive) fixture.agent->OnMessage(router, Heartbeat{});
+        }
+        fixture.agent->OnTick();
+        fixture.link.sent.clear();
+      }
+    });
+    idle.push_back({double(routers), spent / kSimulatedSeconds});
+  }
+  PrintSlope("agent_cpu_per_connected_router_second", "s", idle);
+}
+
+}  // namespace
+}  // namespace shallot::bench
+
+int main() {
+  shallot::bench::MeasureCatalogue();
+  shallot::bench::MeasureConfigBytes();
+  shallot::bench::MeasurePlacement();
+  shallot::bench::MeasureHeartbeats();
+  shallot::bench::MeasureRouterCalls();
+  shallot::bench::MeasureRouterFrames();
+  shallot::bench::MeasureAgent();
+  return 0;
+}
