Judge cold entries by observed loads, bound buffered answers

Cause: the fixed guess of 8 s for a remote model refused every call with a shorter deadline until a probe got through; a runner without a report counted as cold; a plain answer had no size limit. Change: loads are learned per entry and, for entries without observations, per kind and tier; the first guesses are lower. A runner without a report refuses nothing here. A plain answer over 32 MiB ends as failed. The generation of an active slot is sent, not that of a releasing one.

--- a/servers/admission.cc
+++ b/servers/admission.cc
@@ -11,8 +11,10 @@
 constexpr std::array<double, kCallClassCount> kInFlightShare = {1.0, 0.9, 0.8, 0.7, 0.5};
 // Upper part of the observed durations: a call that is admitted should usually make its deadline.
 constexpr double kLearnedQuantile = 0.9;
-constexpr std::array<Millis, kCacheTierCount> kDefaultModelLoad = {Millis(0), Millis(500),
-                                                                   Millis(2'000), Millis(8'000)};
+// Used until a load was observed. Rather too low: a call that waits for a slow load is still
+// answered or refused in time by its agent, a call refused here teaches nothing.
+constexpr std::array<Millis, kCacheTierCount> kDefaultModelLoad = {Millis(0), Millis(250),
+                                                                   Millis(1'000), Millis(3'000)};
 constexpr std::array<Millis, kCacheTierCount> kDefaultAdapterLoad = {Millis(0), Millis(10),
                                                                      Millis(20), Millis(100)};
 constexpr Millis kDefaultService{500};
@@ -58,8 +60,10 @@
 PredictedWait Admission::Predict(const EntryId& entry, LoadKind kind,
                                  const WaitInput& input) const {
   const auto tier = static_cast<size_t>(input.tier);
-  const Duration default_load =
+  const Duration first_guess =
       kind == LoadKind::kAdapter ? kDefaultAdapterLoad[tier] : kDefaultModelLoad[tier];
+  const Duration default_load =
+      loads_of_kind_[static_cast<size_t>(kind)][tier].Quantile(kLearnedQuantile, first_guess);
   const Duration reported = input.mean_service > Millis(0) ? input.mean_service : kDefaultService;
   const auto it = learned_.find(entry);
   PredictedWait wait;
@@ -104,7 +108,8 @@
   --total_;
 }
 
-void Admission::LearnLoad(const EntryId& entry, CacheTier tier, Duration load) {
+void Admission::LearnLoad(const EntryId& entry, LoadKind kind, CacheTier tier, Duration load) {
+  loads_of_kind_[static_cast<size_t>(kind)][static_cast<size_t>(tier)].Add(load);
   LearnedOf(entry).load[static_cast<size_t>(tier)].Add(load);
 }
 
--- a/servers/admission.h
+++ b/servers/admission.h
@@ -87,7 +87,7 @@
     return in_flight_[static_cast<size_t>(call_class)];
   }
 
-  void LearnLoad(const EntryId& entry, CacheTier tier, Duration load);
+  void LearnLoad(const EntryId& entry, LoadKind kind, CacheTier tier, Duration load);
   void LearnService(const EntryId& entry, Duration service);
 
  private:
@@ -102,6 +102,8 @@
   uint64_t deadline_refusals_ = 0;
   std::array<uint64_t, kCallClassCount> in_flight_{};
   std::map<EntryId, Learned> learned_;
+  /// Loads of all entries, by kind and tier; the estimate for an entry without own observations.
+  std::array<std::array<DurationSamples, kCacheTierCount>, 2> loads_of_kind_;
 };
 
 }  // namespace shallot
--- a/servers/call_dispatcher.h
+++ b/servers/call_dispatcher.h
@@ -152,6 +152,7 @@
   SteadyTime CancelTime(const ActiveCall& active) const;
   void SendCancel(ActiveCall* active);
   void SendResume(ActiveCall* active);
+  void RefuseLongAnswer(const CallPtr& active);
   void Deliver(const CallPtr& active, const std::string& ready);
   void TryFinish(const CallPtr& active);
   void FinishCompleted(const CallPtr& active);
--- a/servers/call_outcomes.cc
+++ b/servers/call_outcomes.cc
@@ -241,7 +241,7 @@
   if (finished || !active.call.stream) {
     load -= admission_.Predict(key, active.kind, WaitInput{}).service;
   }
-  admission_.LearnLoad(key, active.tier, std::max(load, Duration(0)));
+  admission_.LearnLoad(key, active.kind, active.tier, std::max(load, Duration(0)));
 }
 
 void CallDispatcher::EndAtDeadline(const CallPtr& active) {
--- a/servers/call_placement.cc
+++ b/servers/call_placement.cc
@@ -219,7 +219,7 @@
   const auto it = slots_.find(entry);
   if (it == slots_.end()) return {};
   for (const Slot& slot : it->second) {
-    if (slot.runner == runner) return slot.generation;
+    if (slot.runner == runner && slot.state == SlotState::kActive) return slot.generation;
   }
   return {};
 }
--- a/servers/call_progress.cc
+++ b/servers/call_progress.cc
@@ -16,6 +16,8 @@
 constexpr Millis kGoneLimit{5'000};
 // Orders wait longer, because giving up leaves their caller with an unknown outcome.
 constexpr Millis kGoneLimitOrder{10'000};
+// An agent keeps at most this much of all its answers.
+constexpr size_t kMaxBufferedBytes = 32U << 20U;
 constexpr Millis kGapLimit{300};
 constexpr Millis kResumePause{1'000};
 // A sent call without any message for this long asks again, in case a message was lost.
@@ -206,9 +208,19 @@
   Reschedule(active);
 }
 
+void CallDispatcher::RefuseLongAnswer(const CallPtr& active) {
+  SendCancel(active.get());
+  Outcome outcome;
+  outcome.kind = active->call.repeatable ? OutcomeKind::kFailed : OutcomeKind::kUnknown;
+  outcome.reason = Reason::kBackendError;
+  outcome.message = "the answer is too long to be passed on whole; ask for a streamed answer";
+  End(active, outcome);
+}
+
 void CallDispatcher::Deliver(const CallPtr& active, const std::string& ready) {
   if (!active->call.stream) {
     active->buffered += ready;
+    if (active->buffered.size() > kMaxBufferedBytes) RefuseLongAnswer(active);
     return;
   }
   if (!active->began) {
--- a/tests/router_core_test.cc
+++ b/tests/router_core_test.cc
@@ -543,6 +543,76 @@
   CHECK(sink->ends == 0);
 }
 
+// Guards against a router that runs out of memory on one endless answer.
+TEST_CASE("a plain answer without end is refused") {
+  RouterFixture f;
+  f.Start();
+  const auto sink = f.Submit(RouterFixture::ModelRequest());
+  const std::string block(8U << 20U, 'x');
+  for (uint64_t i = 0; i < 5; ++i) f.Frame(f.LastStart(), i * block.size(), block);
+  CHECK(sink->ends == 1);
+  CHECK(sink->end.kind == OutcomeKind::kFailed);
+  CHECK(f.link.Count<CallCancel>() == 1);
+}
+
+// Guards against refusals by guesses: only what is known about a runner may refuse a call.
+TEST_CASE("a cold entry is judged by its cache tier and by observed loads") {
+  RouterFixture f(1);
+  f.load.loaded.clear();
+  f.load.mean_service = Millis(100);
+  f.Start();
+  CHECK(f.Submit(RouterFixture::ModelRequest(true, Millis(2'000)))->end.reason ==
+        Reason::kDeadline);
+  f.load.cached_on_disk = {EntryId("m")};
+  f.Beat(0);
+  const auto sink = f.Submit(RouterFixture::ModelRequest(true, Millis(20'000)));
+  REQUIRE(f.link.Count<CallStart>() == 1);
+  CHECK(f.control.demand.back().second);
+  f.Run(Millis(6'000));
+  f.Frame(f.LastStart(), 0, "a");
+  f.Answer(f.LastStart(), OutcomeKind::kCompleted, Reason::kNone, 1);
+  CHECK(sink->end.kind == OutcomeKind::kCompleted);
+  // The load took 6 s, so that 5 s are too little for another one.
+  f.Run(Millis(2'000));
+  CHECK(f.Submit(RouterFixture::ModelRequest(true, Millis(5'000)))->end.reason ==
+        Reason::kDeadline);
+  const auto joined = f.Submit(RouterFixture::ModelRequest(true, Millis(10'000)));
+  CHECK(joined->ends == 0);
+  // A call that comes late in a load waits only for the rest of it.
+  f.Run(Millis(4'000));
+  CHECK(f.Submit(RouterFixture::ModelRequest(true, Millis(5'000)))->ends == 0);
+}
+
+// Guards against calls refused because a runner has not reported yet.
+TEST_CASE("a runner without a report is taken as able to serve") {
+  RouterFixture f(1);
+  f.List();
+  f.Run(Millis(40));
+  const auto sink = f.Submit(RouterFixture::ModelRequest(true, Millis(1'000)));
+  CHECK(sink->ends == 0);
+  f.SayHello(0);
+  CHECK(f.link.Count<CallStart>() == 1);
+}
+
+// Guards against calls that are sent to a slot which moves away, or with an old generation.
+TEST_CASE("only active slots of the newest placement are used") {
+  RouterFixture f;
+  f.Start();
+  ShardPlacement placement;
+  placement.version = StoreVersion(2);
+  placement.slots = {{EntryId("m"), RouterFixture::Runner(0), Generation(1), SlotState::kReleasing},
+                     {EntryId("m"), RouterFixture::Runner(1), Generation(9), SlotState::kActive}};
+  f.core.OnPlacement(placement);
+  placement.version = StoreVersion(1);
+  placement.slots.pop_back();
+  f.core.OnPlacement(placement);
+  for (int i = 0; i < 10; ++i) {
+    f.Submit(RouterFixture::ModelRequest());
+    CHECK(f.LastStart().first == f.ConnectionTo(1));
+    CHECK(f.LastStart().second.slot_generation == Generation(9));
+  }
+}
+
 // Guards against a status page that is not JSON or lacks what operators look for.
 TEST_CASE("status and readiness") {
   RouterFixture f;
