--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -11,7 +11,7 @@
 
 #include "servers/router_core.h"
 
-namespace shallot {
+namespace shallot::inline router_test {
 
 /// Records what the core sends, and on which connection.
 class FakeLink final : public PeerLink {
@@ -293,6 +293,6 @@
   uint64_t ticks_ = 0;
 };
 
-}  // namespace shallot
+}  // namespace shallot::inline router_test
 
 #endif  // TESTS_ROUTER_FIXTURE_H_
--- a/tests/router_sim.h
+++ b/tests/router_sim.h
@@ -11,7 +11,7 @@
 #include "core/random.h"
 #include "tests/router_fixture.h"
 
-namespace shallot {
+namespace shallot::inline router_test {
 
 /// How badly the connections of a simulated fleet behave; probabilities for each message.
 struct SimFaults {
@@ -288,6 +288,6 @@
   std::multimap<SteadyTime, Flight> flights_;
 };
 
-}  // namespace shallot
+}  // namespace shallot::inline router_test
 
 #endif  // TESTS_ROUTER_SIM_H_
