--- a/servers/call_outcomes.cc
+++ b/servers/call_outcomes.cc
@@ -97,6 +97,7 @@
     active->began = true;
     active->sink->OnBegin(outcome.http_status, outcome.content_type);
   }
+  if (active->ended) return;
   if (!active->call.stream && !active->buffered.empty()) {
     active->forwarded += active->buffered.size();
     active->sink->OnData(active->buffered);
@@ -241,7 +242,7 @@
   if (finished || !active.call.stream) {
     load -= admission_.Predict(key, active.kind, WaitInput{}).service;
   }
-  admission_.LearnLoad(key, active.tier, std::max(load, Duration(0)));
+  admission_.LearnLoad(key, active.kind, active.tier, std::max(load, Duration(0)));
 }
 
 void CallDispatcher::EndAtDeadline(const CallPtr& active) {
