--- a/servers/config_follower.cc
+++ b/servers/config_follower.cc
@@ -94,7 +94,7 @@
 }
 
 Result<bool> ConfigFollower::Apply(const ConfigPush& push) {
-  const Result<bool> applied = replica_.Apply(push);
+  Result<bool> applied = replica_.Apply(push);
   if (IsOk(applied)) {
     if (ValueOf(applied)) newer_();
     return applied;
--- a/servers/lease_keeper.cc
+++ b/servers/lease_keeper.cc
@@ -35,11 +35,10 @@
     return HandOver(rank, now);
   }
   if (rank >= kCandidates) return;
-  if (rank > 0 && next_try_ == SteadyTime::min())
-    next_try_ = now + Millis(kTtl.count() * static_cast<int64_t>(rank));
+  const Millis turn(kTtl.count() * static_cast<int64_t>(rank));
+  if (rank > 0 && next_try_ == SteadyTime::min()) next_try_ = now + turn;
   if (now < next_try_) return;
-  next_try_ =
-      now + (rank == 0 ? kPreferredInterval : Millis(kTtl.count() * static_cast<int64_t>(rank)));
+  next_try_ = now + (rank == 0 ? kPreferredInterval : turn);
   Acquire();
 }
 
--- a/servers/placement_planner.cc
+++ b/servers/placement_planner.cc
@@ -259,18 +259,22 @@
   }
 
   bool CheaperElsewhere(const CatalogEntry& entry, const SlotList& slots, const Slot& slot) {
-    const RunnerUse& now = uses_.at(slot.runner);
+    RunnerUse& now = uses_.at(slot.runner);
     if (!now.TakesNew() || now.runner->loaded.contains(entry.id)) return false;
     const uint64_t demand = input_.wanted.contains(entry.id) ? input_.wanted.at(entry.id) : 0;
     if (demand > 0 && CountServing(slots) < 2) return false;
-    const RunnerUse* other = ChooseRunner(entry, slots);
-    if (other == nullptr) return false;
-    if (InDomain(slots, *other->runner) > InDomain(slots, *now.runner)) return false;
-    const double moved = static_cast<double>(FootprintOf(entry)) /
-                         static_cast<double>(other->runner->memory_capacity.value() == 0
-                                                 ? kAssumedCapacity
-                                                 : other->runner->memory_capacity.value());
-    return CostOf(entry, *other) + moved + kMoveGain < CostOf(entry, now);
+    // Chooses as if the slot were gone, which is how its new place will be chosen.
+    SlotList others = slots;
+    std::erase(others, slot);
+    const RunnerUse before = now;
+    now.bytes -= FootprintOf(entry);
+    --now.slots;
+    const RunnerUse* other = ChooseRunner(entry, others);
+    const bool cheaper = other != nullptr && other != &now &&
+                         InDomain(others, *other->runner) <= InDomain(others, *now.runner) &&
+                         CostOf(entry, *other) + kMoveGain < CostOf(entry, now);
+    now = before;
+    return cheaper;
   }
 
   std::vector<Slot> Collect() {
--- a/servers/store_order_claims.cc
+++ b/servers/store_order_claims.cc
@@ -86,10 +86,10 @@
 }
 
 void StoreOrderClaims::WriteClaim(const PendingPtr& pending) {
+  const ClaimReply granted = Reply(ClaimState::kGranted, "");
   store_.CompareAndSwap(pending->key, pending->expected, FormatOrderRecord(pending->record),
-                        window_, [this, pending](const Result<StoreVersion>& written) {
-                          if (IsOk(written))
-                            return Finish(pending, Reply(ClaimState::kGranted, ""));
+                        window_, [this, pending, granted](const Result<StoreVersion>& written) {
+                          if (IsOk(written)) return Finish(pending, granted);
                           const ErrorKind kind = ErrorOf(written).kind;
                           if (kind == ErrorKind::kConflict) return ReadClaim(pending);
                           if (kind == ErrorKind::kUnavailable) return RetryClaim(pending);
@@ -137,7 +137,7 @@
     reply.message = fmt::format("the answer was too long to be recorded: {} bytes, hash {:016x}",
                                 record.body_length, record.body_hash);
   }
-  Finish(pending, std::move(reply));
+  Finish(pending, reply);
 }
 
 void StoreOrderClaims::RetryClaim(const PendingPtr& pending) {
@@ -155,7 +155,7 @@
   RecordNotRun(pending->order, pending->record.claim, [](const Status&) {});
 }
 
-void StoreOrderClaims::Finish(const PendingPtr& pending, ClaimReply reply) {
+void StoreOrderClaims::Finish(const PendingPtr& pending, const ClaimReply& reply) {
   const ClaimCallback done = std::move(pending->done);
   pending->done = nullptr;
   if (done) done(reply);
--- a/servers/store_order_claims.h
+++ b/servers/store_order_claims.h
@@ -56,7 +56,7 @@
   void ReadClaim(const PendingPtr& pending);
   void OnClaimRead(const PendingPtr& pending, const VersionedValue& value);
   void RetryClaim(const PendingPtr& pending);
-  void Finish(const PendingPtr& pending, ClaimReply reply);
+  void Finish(const PendingPtr& pending, const ClaimReply& reply);
   void AddRecord(const RecordPtr& record);
   void ReadRecord(const RecordPtr& record);
   void WriteRecord(const RecordPtr& record, const VersionedValue& value);
--- /dev/null
+++ b/tests/load_budget_test.cc
@@ -0,0 +1,114 @@
+#include "servers/load_budget.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "core/random.h"
+
+namespace shallot {
+namespace {
+
+struct Fixture {
+  Fixture() { clock.Advance(Seconds(10)); }
+
+  void Request(uint64_t id, int seconds_left, LoadKind kind = LoadKind::kModel) {
+    budget.Request({id, RunnerId("r"), EntryId("e"), kind, Millis(1000 * seconds_left)},
+                   InstanceId("router"));
+  }
+  std::vector<uint64_t> Take() {
+    std::vector<uint64_t> ids;
+    for (const BudgetGrant& grant : budget.Take()) ids.push_back(grant.permit.permit_id);
+    return ids;
+  }
+
+  ManualClock clock;
+  LoadBudget budget{&clock};
+};
+
+// Guards against more loads than the weight store serves at full speed.
+TEST_CASE("models are limited by rate and in flight, in order of deadline") {
+  Fixture f;
+  f.clock.Advance(Seconds(10));
+  for (uint64_t id = 1; id <= 8; ++id) f.Request(id, 100 - static_cast<int>(id));
+  CHECK(f.Take() == std::vector<uint64_t>{8, 7});
+  CHECK(f.Take().empty());
+  f.clock.Advance(Millis(500));
+  CHECK(f.Take() == std::vector<uint64_t>{6});
+  f.clock.Advance(Millis(2000));
+  CHECK(f.Take() == std::vector<uint64_t>{5});
+  CHECK(f.budget.models_in_flight() == 4);
+  f.budget.Return(RunnerId("r"), 8);
+  CHECK(f.Take() == std::vector<uint64_t>{4});
+}
+
+TEST_CASE("adapters are limited in flight only") {
+  Fixture f;
+  for (uint64_t id = 1; id <= 40; ++id) f.Request(id, 50, LoadKind::kAdapter);
+  CHECK(f.Take().size() == 32);
+  f.Request(100, 50);
+  CHECK(f.Take() == std::vector<uint64_t>{100});
+  f.budget.Return(RunnerId("r"), 1);
+  CHECK(f.Take() == std::vector<uint64_t>{33});
+}
+
+// Guards against permits of dead agents blocking the budget for good.
+TEST_CASE("permits expire") {
+  Fixture f;
+  f.clock.Advance(Seconds(10));
+  for (uint64_t id = 1; id <= 4; ++id) f.Request(id, 100);
+  for (int i = 0; i < 10; ++i) {
+    f.Take();
+    f.clock.Advance(Seconds(1));
+  }
+  f.Request(9, 100);
+  CHECK(f.Take().empty());
+  f.clock.Advance(LoadBudget::kModelPermitTime);
+  CHECK(f.Take() == std::vector<uint64_t>{9});
+}
+
+TEST_CASE("a repeated request gets its permit again and takes no second share") {
+  Fixture f;
+  f.Request(1, 100);
+  REQUIRE(f.Take() == std::vector<uint64_t>{1});
+  f.clock.Advance(Seconds(10));
+  f.Request(1, 90);
+  const std::vector<BudgetGrant> again = f.budget.Take();
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].permit.valid_for == LoadBudget::kModelPermitTime - Seconds(10));
+  CHECK(f.budget.models_in_flight() == 1);
+}
+
+TEST_CASE("a request whose deadline passed is dropped") {
+  Fixture f;
+  f.Request(1, 1);
+  f.clock.Advance(Seconds(1));
+  CHECK(f.Take().empty());
+  CHECK(f.budget.waiting() == 0);
+}
+
+// Guards against counts that drift from the permits, after which the budget closes or opens.
+TEST_CASE("random requests, returns and expiries stay within the limits") {
+  Fixture f;
+  Random random(11);
+  for (int step = 0; step < 5000; ++step) {
+    const auto kind = random.Below(2) == 0 ? LoadKind::kModel : LoadKind::kAdapter;
+    if (random.Below(2) == 0) {
+      f.Request(random.Below(200), static_cast<int>(random.Below(60)), kind);
+    } else {
+      f.budget.Return(RunnerId("r"), random.Below(200));
+    }
+    f.Take();
+    CHECK(f.budget.models_in_flight() <= 4);
+    CHECK(f.budget.adapters_in_flight() <= 32);
+    f.clock.Advance(Millis(random.Below(400)));
+  }
+  f.clock.Advance(Seconds(100));
+  f.Take();
+  CHECK(f.budget.models_in_flight() == 0);
+  CHECK(f.budget.adapters_in_flight() == 0);
+}
+
+}  // namespace
+}  // namespace shallot
