--- /dev/null
+++ b/drivers/daemon.cc
@@ -0,0 +1,71 @@
+#include "drivers/daemon.h"
+
+#include <csignal>
+#include <ctime>
+#include <iostream>
+
+#include "core/log.h"
+
+namespace shallot {
+namespace {
+
+constexpr Millis kStep{100};
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+/// Waits for a stop signal; returns false after `limit`.
+bool WaitForSignal(Millis limit) {
+  const sigset_t signals = StopSignals();
+  const timespec timeout{limit.count() / 1000, (limit.count() % 1000) * 1'000'000};
+  return sigtimedwait(&signals, nullptr, &timeout) > 0;
+}
+
+/// Waits until the drain ends, its limit passes or a second signal comes.
+void FinishDrain(Daemon* daemon) {
+  const SystemClock clock;
+  const SteadyTime end = clock.SteadyNow() + daemon->drain_limit();
+  while (clock.SteadyNow() < end) {
+    if (daemon->WaitUntilDrained(kStep)) {
+      LogInfo("daemon", "drain is complete");
+      return;
+    }
+    if (WaitForSignal(Millis(0))) break;
+  }
+  LogWarning("daemon", "stopping before the drain is complete");
+}
+
+}  // namespace
+
+void BlockStopSignals() {
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  // A caller that closes its connection must not end the process.
+  (void)std::signal(SIGPIPE, SIG_IGN);
+}
+
+int RunDaemon(const std::string& name, Daemon* daemon) {
+  const Status started = daemon->Start();
+  if (!IsOk(started)) {
+    std::cerr << name << ": " << FormatError(ErrorOf(started)) << '\n';
+    return kExitUnavailable;
+  }
+  LogInfo("daemon", "started");
+  // A drain that an operator or a router ordered ends the process without a signal.
+  while (!WaitForSignal(kStep)) {
+    if (!daemon->WaitUntilDrained(Millis(0))) continue;
+    daemon->Stop();
+    return kExitOk;
+  }
+  daemon->BeginDrain("stop signal");
+  FinishDrain(daemon);
+  daemon->Stop();
+  return kExitOk;
+}
+
+}  // namespace shallot
--- /dev/null
+++ b/drivers/late_service.h
@@ -0,0 +1,37 @@
+#ifndef DRIVERS_LATE_SERVICE_H_
+#define DRIVERS_LATE_SERVICE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "core/service_kernel.h"
+
+namespace shallot {
+
+/// Builds a service once the core runs, and passes Start and Stop on to it.
+template <class Inner>
+class LateService final : public Service {
+ public:
+  using Factory = std::function<std::unique_ptr<Inner>()>;
+  LateService(std::string name, Factory make) : name_(std::move(name)), make_(std::move(make)) {}
+
+  std::string Name() const override { return name_; }
+  Status Start(ServiceKernel& kernel) override {
+    inner_ = make_();
+    return inner_->Start(kernel);
+  }
+  void Stop() override { inner_->Stop(); }
+  /// Null before Start().
+  const Inner* inner() const { return inner_.get(); }
+
+ private:
+  std::string name_;
+  Factory make_;
+  std::unique_ptr<Inner> inner_;
+};
+
+}  // namespace shallot
+
+#endif  // DRIVERS_LATE_SERVICE_H_
