--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -23,6 +23,8 @@
 namespace {
 
 constexpr size_t kReadBytes = 64U << 10U;
+// Multiple of the limit up to which a body that is too large is read and discarded.
+constexpr size_t kMaxDiscard = 4;
 // Time that handlers in progress get to send their answers when the server stops.
 constexpr Seconds kStopGrace{5};
 
@@ -38,24 +40,23 @@
   std::string Header(const std::string& name) const override { return request_->get(name, ""); }
 
   Result<std::string> ReadBody(size_t limit) override {
-    const Error too_large{ErrorKind::kResourceExhausted, "request body is larger than the limit",
-                          "send at most " + std::to_string(limit) + " bytes"};
-    if (request_->hasContentLength() &&
-        request_->getContentLength64() > static_cast<int64_t>(limit)) {
-      // The rest of the body stays unread, so the connection cannot be used again.
-      response_->setKeepAlive(false);
-      return too_large;
-    }
     std::string body;
     std::string part(kReadBytes, '\0');
     std::istream& in = request_->stream();
-    while (in.read(part.data(), static_cast<std::streamsize>(part.size())) || in.gcount() > 0) {
-      body.append(part, 0, static_cast<size_t>(in.gcount()));
-      if (body.size() <= limit) continue;
-      response_->setKeepAlive(false);
-      return too_large;
+    size_t size = 0;
+    // A body over the limit is still read, within bounds: if the server closed a connection with
+    // unread data, the peer's system would discard the answer.
+    while (size <= limit * kMaxDiscard) {
+      in.read(part.data(), static_cast<std::streamsize>(part.size()));
+      const auto got = static_cast<size_t>(in.gcount());
+      if (got == 0) break;
+      size += got;
+      if (size <= limit) body.append(part, 0, got);
     }
-    return body;
+    if (size <= limit) return body;
+    response_->setKeepAlive(false);
+    return Error{ErrorKind::kResourceExhausted, "request body is larger than the limit",
+                 "send at most " + std::to_string(limit) + " bytes"};
   }
 
   void SetHeader(const std::string& name, const std::string& value) override {
