Add shallotctl

Cause: operators change and inspect a fleet from a shell. A drain marks the instance as leaving in the platform's list. Conclusion: status, catalog and config wait still need a run against routers.

--- /dev/null
+++ b/main/ctl/commands.h
@@ -0,0 +1,18 @@
+#ifndef MAIN_CTL_COMMANDS_H_
+#define MAIN_CTL_COMMANDS_H_
+
+#include "main/ctl/ctl_options.h"
+
+namespace shallot::ctl {
+
+/// Each runs one command and returns the exit code.
+int RunConfigCommand(const CtlOptions& options);
+int RunExceptionCommand(const CtlOptions& options);
+int RunStatus(const CtlOptions& options);
+int RunCatalog(const CtlOptions& options);
+int RunDrain(const CtlOptions& options);
+int RunReport(const CtlOptions& options);
+
+}  // namespace shallot::ctl
+
+#endif  // MAIN_CTL_COMMANDS_H_
--- /dev/null
+++ b/main/ctl/config_commands.cc
@@ -0,0 +1,244 @@
+#include <charconv>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "main/ctl/commands.h"
+#include "main/ctl/session.h"
+#include "servers/fleet_config.h"
+
+namespace shallot::ctl {
+namespace {
+
+using nlohmann::json;
+
+constexpr Millis kPollInterval{100};
+
+ChangeNote NoteOf(const CtlOptions& options) {
+  return ChangeNote{OperatorName(options.author), options.reason, ConfigRevision(options.base)};
+}
+
+/// The file as a document, after it was checked as a fleet configuration.
+Result<IniDocument> LoadChecked(const std::string& path) {
+  Result<IniDocument> document = LoadIni(path);
+  if (!IsOk(document)) return document;
+  const Result<FleetConfig> config =
+      ParseFleetConfig(FormatIni(ValueOf(document)), path, ConfigRevision(0));
+  if (!IsOk(config)) return ErrorOf(config);
+  return document;
+}
+
+int Show(const CtlOptions& options) {
+  Session session(options.platform);
+  const Result<ConfigState> state = session.ReadConfig();
+  if (!IsOk(state)) return Fail(options, ErrorOf(state));
+  const ConfigState& read = ValueOf(state);
+  const std::string text = FormatIni(read.document);
+  if (options.json) {
+    json changes = json::array();
+    for (const ConfigChange& change : read.head.changes) {
+      changes.push_back({{"revision", change.revision.value()},
+                         {"author", change.author.value()},
+                         {"time", change.time},
+                         {"reason", change.reason}});
+    }
+    std::cout << json{{"revision", read.head.revision.value()},
+                      {"changes", changes},
+                      {"text", text}}
+                     .dump()
+              << std::endl;
+    return kExitOk;
+  }
+  std::cout << "; revision " << read.head.revision.value() << "\n";
+  for (const ConfigChange& change : read.head.changes) {
+    std::cout << "; change " << change.revision.value() << " by " << change.author.value() << " at "
+              << change.time << ": " << change.reason << "\n";
+  }
+  std::cout << "\n" << text << std::flush;
+  return kExitOk;
+}
+
+int Diff(const CtlOptions& options) {
+  const Result<IniDocument> file = LoadIni(Word(options, 2));
+  if (!IsOk(file)) return Fail(options, ErrorOf(file));
+  Session session(options.platform);
+  const Result<ConfigState> state = session.ReadConfig();
+  if (!IsOk(state)) return Fail(options, ErrorOf(state));
+  const std::string diff = FormatDiff(ValueOf(state).document, ValueOf(file));
+  if (options.json) {
+    const uint64_t revision = ValueOf(state).head.revision.value();
+    std::cout << json{{"revision", revision}, {"diff", diff}}.dump() << std::endl;
+  } else {
+    std::cout << diff << std::flush;
+  }
+  return kExitOk;
+}
+
+int Check(const CtlOptions& options) {
+  const std::string path = Word(options, 2);
+  const Result<IniDocument> document = LoadChecked(path);
+  if (!IsOk(document)) return Fail(options, ErrorOf(document));
+  if (options.json) {
+    std::cout << json{{"file", path}, {"valid", true}}.dump() << std::endl;
+  } else {
+    std::cout << path << " is valid" << std::endl;
+  }
+  return kExitOk;
+}
+
+int PrintRevision(const CtlOptions& options, const Result<ConfigRevision>& revision) {
+  if (!IsOk(revision)) return Fail(options, ErrorOf(revision));
+  const uint64_t value = ValueOf(revision).value();
+  if (options.json) {
+    std::cout << json{{"revision", value}}.dump() << std::endl;
+  } else {
+    std::cout << "accepted as revision " << value << std::endl;
+  }
+  return kExitOk;
+}
+
+int Apply(const CtlOptions& options) {
+  const Result<IniDocument> document = LoadChecked(Word(options, 2));
+  if (!IsOk(document)) return Fail(options, ErrorOf(document));
+  Session session(options.platform);
+  const auto start = [&](const ConfigEditor::ChangeCallback& done) {
+    session.editor().ApplyText(FormatIni(ValueOf(document)), NoteOf(options), done);
+  };
+  return PrintRevision(options, session.Wait<ConfigRevision>(start));
+}
+
+/// Revision in force at a daemon; 0 when it does not answer.
+uint64_t RevisionAt(const std::string& address) {
+  const Result<std::string> status = Fetch(address, "GET", "/status");
+  if (!IsOk(status)) return 0;
+  const json parsed = json::parse(ValueOf(status), nullptr, false);
+  return parsed.is_object() ? parsed.value("config_revision", uint64_t{0}) : 0;
+}
+
+bool AllAtLeast(const std::map<std::string, uint64_t>& revisions, uint64_t wanted) {
+  for (const auto& [address, revision] : revisions) {
+    if (revision < wanted) return false;
+  }
+  return true;
+}
+
+int WaitForRevision(const CtlOptions& options) {
+  const std::string text = Word(options, 2);
+  uint64_t wanted = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), wanted);
+  if (parsed.ec != std::errc() || wanted == 0) return UsageError("config wait needs a revision");
+  if (options.routers.empty()) return UsageError("config wait needs --router IP:PORT");
+  const SystemClock clock;
+  const SteadyTime end = clock.SteadyNow() + options.timeout;
+  std::map<std::string, uint64_t> revisions;
+  while (true) {
+    for (const std::string& router : options.routers) revisions[router] = RevisionAt(router);
+    if (AllAtLeast(revisions, wanted) || clock.SteadyNow() >= end) break;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  if (options.json) {
+    std::cout << json(revisions).dump() << std::endl;
+  } else {
+    for (const auto& [address, revision] : revisions) {
+      std::cout << address << " has revision " << revision << "\n";
+    }
+  }
+  if (AllAtLeast(revisions, wanted)) return kExitOk;
+  std::cerr << "shallotctl: revision " << wanted << " is not in force everywhere after "
+            << options.timeout.count() << " s; see shallotctl status" << std::endl;
+  return kExitUnavailable;
+}
+
+/// The settings of "key=value" words; an empty map when one is malformed.
+std::map<std::string, std::string> ParseSets(const std::vector<std::string>& sets) {
+  std::map<std::string, std::string> values;
+  for (const std::string& set : sets) {
+    const size_t equals = set.find('=');
+    if (equals == std::string::npos || equals == 0) return {};
+    values[set.substr(0, equals)] = set.substr(equals + 1);
+  }
+  return values;
+}
+
+int ListExceptions(const CtlOptions& options) {
+  Session session(options.platform);
+  const Result<ConfigState> state = session.ReadConfig();
+  if (!IsOk(state)) return Fail(options, ErrorOf(state));
+  const ConfigState& read = ValueOf(state);
+  const Result<FleetConfig> config =
+      ParseFleetConfig(FormatIni(read.document), read.document.source, read.head.revision);
+  if (!IsOk(config)) return Fail(options, ErrorOf(config));
+  json list = json::array();
+  for (const ConfigException& each : ValueOf(config).exceptions) {
+    list.push_back({{"name", each.name},
+                    {"target", each.target},
+                    {"reason", each.reason},
+                    {"author", each.author.value()},
+                    {"time", each.time},
+                    {"values", each.values}});
+    if (options.json) continue;
+    std::cout << each.name << " (" << each.target << ")\n  reason: " << each.reason << "\n  by "
+              << each.author.value() << " at " << each.time << "\n";
+    for (const auto& [key, value] : each.values) std::cout << "  " << key << " = " << value << "\n";
+  }
+  if (options.json) std::cout << list.dump() << std::endl;
+  return kExitOk;
+}
+
+int AddException(const CtlOptions& options) {
+  const std::map<std::string, std::string> values = ParseSets(options.sets);
+  if (options.target.empty()) return UsageError("exception add needs --target \"entry NAME\"");
+  if (values.empty()) return UsageError("exception add needs --set KEY=VALUE");
+  Session session(options.platform);
+  const auto start = [&](const ConfigEditor::ChangeCallback& done) {
+    session.editor().SetException(Word(options, 2), options.target, values, NoteOf(options), done);
+  };
+  return PrintRevision(options, session.Wait<ConfigRevision>(start));
+}
+
+int RemoveException(const CtlOptions& options) {
+  Session session(options.platform);
+  const auto start = [&](const ConfigEditor::ChangeCallback& done) {
+    session.editor().RemoveException(Word(options, 2), NoteOf(options), done);
+  };
+  return PrintRevision(options, session.Wait<ConfigRevision>(start));
+}
+
+/// What a command that changes the configuration lacks; empty when it is complete.
+std::string MissingForChange(const CtlOptions& options) {
+  if (Word(options, 2).empty()) return "a file or name is missing";
+  if (options.reason.empty()) return "--reason is missing; each change has a written reason";
+  if (options.author.empty()) return "--author is missing";
+  if (options.platform.empty()) return "--platform IP:PORT is missing";
+  return "";
+}
+
+}  // namespace
+
+int RunConfigCommand(const CtlOptions& options) {
+  const std::string verb = Word(options, 1);
+  if (verb == "wait") return WaitForRevision(options);
+  if (verb != "show" && Word(options, 2).empty()) return UsageError("a file is missing");
+  if (verb == "check") return Check(options);
+  if (options.platform.empty()) return UsageError("--platform IP:PORT is missing");
+  if (verb == "show") return Show(options);
+  if (verb == "diff") return Diff(options);
+  if (verb != "apply") return UsageError("unknown command \"config " + verb + "\"");
+  const std::string missing = MissingForChange(options);
+  return missing.empty() ? Apply(options) : UsageError(missing);
+}
+
+int RunExceptionCommand(const CtlOptions& options) {
+  const std::string verb = Word(options, 1);
+  if (options.platform.empty()) return UsageError("--platform IP:PORT is missing");
+  if (verb == "list") return ListExceptions(options);
+  if (verb != "add" && verb != "remove") {
+    return UsageError("unknown command \"exception " + verb + "\"");
+  }
+  const std::string missing = MissingForChange(options);
+  if (!missing.empty()) return UsageError(missing);
+  return verb == "add" ? AddException(options) : RemoveException(options);
+}
+
+}  // namespace shallot::ctl
--- /dev/null
+++ b/main/ctl/ctl_options.h
@@ -0,0 +1,56 @@
+#ifndef MAIN_CTL_CTL_OPTIONS_H_
+#define MAIN_CTL_CTL_OPTIONS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/result.h"
+
+namespace shallot::ctl {
+
+/// Exit codes of shallotctl.
+enum ExitCode {
+  kExitOk = 0,
+  kExitFailure = 1,
+  kExitUsage = 2,
+  kExitBadSettings = 3,
+  kExitUnavailable = 4,
+  kExitConflict = 5,
+};
+
+/// The command line.
+struct CtlOptions {
+  /// Command and its arguments, for example {"config", "show"}.
+  std::vector<std::string> words;
+  /// "IP:port" of the platform service; empty when not given.
+  std::string platform;
+  /// Admin addresses of routers.
+  std::vector<std::string> routers;
+  bool json = false;
+  std::string author;
+  std::string reason;
+  /// Revision that a change builds on; 0: whichever is current.
+  uint64_t base = 0;
+  std::string target;
+  /// "key=value" of an exception.
+  std::vector<std::string> sets;
+  Seconds timeout{30};
+  Seconds interval{5};
+  uint64_t samples = 2;
+  std::string csv;
+  std::string plot;
+};
+
+/// Word `index` of the command line; empty when there are fewer.
+std::string Word(const CtlOptions& options, size_t index);
+
+/// Error for a command line that lacks something; ends with exit code 2.
+int UsageError(const std::string& problem);
+/// Prints the error, as JSON when asked for, and returns its exit code.
+int Fail(const CtlOptions& options, const Error& error);
+
+}  // namespace shallot::ctl
+
+#endif  // MAIN_CTL_CTL_OPTIONS_H_
--- /dev/null
+++ b/main/ctl/fleet_commands.cc
@@ -0,0 +1,180 @@
+#include <fmt/format.h>
+
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "drivers/http_connection.h"
+#include "main/ctl/commands.h"
+#include "main/ctl/session.h"
+#include "servers/fleet_config.h"
+
+namespace shallot::ctl {
+namespace {
+
+using nlohmann::json;
+
+Result<json> FetchJson(const std::string& address, const std::string& path) {
+  const Result<std::string> body = Fetch(address, "GET", path);
+  if (!IsOk(body)) return ErrorOf(body);
+  json parsed = json::parse(ValueOf(body), nullptr, false);
+  if (parsed.is_discarded()) {
+    return Error{ErrorKind::kInternal, address + path + " did not answer with JSON",
+                 "check that the address is the right one"};
+  }
+  return parsed;
+}
+
+std::string Joined(const json& names) {
+  std::string text;
+  for (const json& name : names) text += (text.empty() ? "" : " ") + name.get<std::string>();
+  return text;
+}
+
+void PrintRunner(const json& runner) {
+  const json none = json::array();
+  std::cout << fmt::format("  {:<20} {:<14} {:<10} running {:<4} queued {:<4} loaded: {}\n",
+                           runner.value("runner", ""), runner.value("failure_domain", ""),
+                           runner.value("draining", false) || runner.value("leaving", false)
+                               ? "leaving"
+                               : (runner.value("connected", false) ? "connected" : "idle"),
+                           runner.value("running", 0), runner.value("queued", 0),
+                           Joined(runner.value("loaded", none)));
+}
+
+void PrintDaemon(const std::string& address, const json& status) {
+  const json none = json::array();
+  const std::string name = status.value("router", status.value("agent", std::string("daemon")));
+  std::cout << fmt::format("{} at {}: configuration revision {}, {} calls in progress\n", name,
+                           address, status.value("config_revision", 0),
+                           status.value("calls_in_progress", 0));
+  for (const json& runner : status.value("runners", none)) PrintRunner(runner);
+  for (const auto& [reason, count] : status.value("refusals", json::object()).items()) {
+    std::cout << fmt::format("  refused {}: {}\n", reason, count.dump());
+  }
+}
+
+int StatusOfDaemons(const CtlOptions& options) {
+  json all = json::object();
+  int exit_code = kExitOk;
+  for (const std::string& address : options.routers) {
+    const Result<json> status = FetchJson(address, "/status");
+    if (!IsOk(status)) {
+      exit_code = kExitUnavailable;
+      std::cerr << "shallotctl: " << FormatError(ErrorOf(status)) << std::endl;
+      all[address] = nullptr;
+      continue;
+    }
+    all[address] = ValueOf(status);
+    if (!options.json) PrintDaemon(address, ValueOf(status));
+  }
+  if (options.json) std::cout << all.dump() << std::endl;
+  return exit_code;
+}
+
+int StatusOfInstances(const CtlOptions& options) {
+  const Result<json> list = FetchJson(options.platform, "/instances");
+  if (!IsOk(list)) return Fail(options, ErrorOf(list));
+  if (options.json) {
+    std::cout << ValueOf(list).dump() << std::endl;
+    return kExitOk;
+  }
+  for (const json& each : ValueOf(list)) {
+    std::cout << fmt::format("{:<28} {:<8} {:<22} {:<14} {:<20} {}\n", each.value("id", ""),
+                             each.value("role", ""), each.value("address", ""),
+                             each.value("failure_domain", ""), each.value("runner", ""),
+                             each.value("leaving", false) ? "leaving" : "live");
+  }
+  return kExitOk;
+}
+
+/// Runners that hold an entry in accelerator memory, as far as the routers know.
+std::map<std::string, std::set<std::string>> LoadedByEntry(const CtlOptions& options) {
+  std::map<std::string, std::set<std::string>> loaded;
+  const json none = json::array();
+  for (const std::string& address : options.routers) {
+    const Result<json> status = FetchJson(address, "/status");
+    if (!IsOk(status)) {
+      std::cerr << "shallotctl: " << FormatError(ErrorOf(status)) << std::endl;
+      continue;
+    }
+    for (const json& runner : ValueOf(status).value("runners", none)) {
+      for (const json& entry : runner.value("loaded", none)) {
+        loaded[entry.get<std::string>()].insert(runner.value("runner", ""));
+      }
+    }
+  }
+  return loaded;
+}
+
+int MarkLeaving(const CtlOptions& options, json record) {
+  record["leaving"] = true;
+  const std::string path = "/instances/" + EncodePath(record.value("id", ""));
+  const Result<std::string> done = Fetch(options.platform, "PUT", path, record.dump());
+  if (!IsOk(done)) return Fail(options, ErrorOf(done));
+  if (options.json) {
+    std::cout << record.dump() << std::endl;
+  } else {
+    std::cout << record.value("id", "") << " is marked as leaving" << std::endl;
+  }
+  return kExitOk;
+}
+
+}  // namespace
+
+int RunStatus(const CtlOptions& options) {
+  if (!options.routers.empty()) return StatusOfDaemons(options);
+  if (!options.platform.empty()) return StatusOfInstances(options);
+  return UsageError("status needs --router IP:PORT or --platform IP:PORT");
+}
+
+int RunCatalog(const CtlOptions& options) {
+  if (options.platform.empty()) return UsageError("catalog needs --platform IP:PORT");
+  Session session(options.platform);
+  const Result<ConfigState> state = session.ReadConfig();
+  if (!IsOk(state)) return Fail(options, ErrorOf(state));
+  const ConfigState& read = ValueOf(state);
+  const Result<FleetConfig> config =
+      ParseFleetConfig(FormatIni(read.document), read.document.source, read.head.revision);
+  if (!IsOk(config)) return Fail(options, ErrorOf(config));
+  const auto loaded = LoadedByEntry(options);
+  json list = json::array();
+  for (const auto& [id, entry] : ValueOf(config).entries) {
+    const auto at = loaded.find(id.value());
+    const json runners = at == loaded.end() ? json::array() : json(at->second);
+    const char* kind = entry.kind == LoadKind::kModel ? "model" : "adapter";
+    list.push_back({{"entry", id.value()},
+                    {"kind", kind},
+                    {"base", entry.base.value()},
+                    {"backend", entry.backend.value()},
+                    {"version", entry.version},
+                    {"size_bytes", entry.size.value()},
+                    {"min_replicas", entry.policy.min_replicas},
+                    {"max_replicas", entry.policy.max_replicas},
+                    {"loaded", runners}});
+    if (options.json) continue;
+    std::cout << fmt::format("{:<24} {:<8} {:<16} version {:<6} {:>7} MB  replicas {}-{}  {}\n",
+                             id.value(), kind, entry.base.value(), entry.version,
+                             entry.size.value() >> 20, entry.policy.min_replicas,
+                             entry.policy.max_replicas, Joined(runners));
+  }
+  if (options.json) std::cout << list.dump() << std::endl;
+  return kExitOk;
+}
+
+int RunDrain(const CtlOptions& options) {
+  const std::string name = Word(options, 1);
+  if (name.empty()) return UsageError("drain needs a runner or an instance id");
+  if (options.platform.empty()) return UsageError("drain needs --platform IP:PORT");
+  const Result<json> list = FetchJson(options.platform, "/instances");
+  if (!IsOk(list)) return Fail(options, ErrorOf(list));
+  for (const json& each : ValueOf(list)) {
+    if (each.value("runner", "") != name && each.value("id", "") != name) continue;
+    return MarkLeaving(options, each);
+  }
+  return Fail(options, Error{ErrorKind::kNotFound, "no instance or runner \"" + name + "\"",
+                             "list them with shallotctl status --platform IP:PORT"});
+}
+
+}  // namespace shallot::ctl
--- /dev/null
+++ b/main/ctl/session.cc
@@ -0,0 +1,60 @@
+#include "main/ctl/session.h"
+
+#include "core/random.h"
+#include "drivers/http_connection.h"
+
+namespace shallot::ctl {
+namespace {
+
+constexpr size_t kRingSize = 256;
+constexpr Millis kFetchTimeout{5'000};
+
+}  // namespace
+
+Session::Session(const std::string& platform)
+    : ring_(kRingSize, [this] { posted_.notify_one(); }),
+      platform_(platform, &ring_),
+      editor_(&platform_, &clock_, EntropySeed()) {}
+
+Session::~Session() { platform_.Stop(); }
+
+void Session::RunOne() {
+  if (ring_.RunPending(1) > 0) return;
+  // A task that is posted between the check above and the wait is found after the short timeout.
+  std::unique_lock lock(mutex_);
+  posted_.wait_for(lock, Millis(1));
+}
+
+Result<ConfigState> Session::ReadConfig() {
+  Result<ConfigState> state =
+      Wait<ConfigState>([this](const ConfigEditor::ReadCallback& done) { editor_.Read(done); });
+  if (IsOk(state) && ValueOf(state).version == StoreVersion(0)) {
+    return Error{ErrorKind::kNotFound, "the fleet has no configuration yet",
+                 "apply one with shallotctl config apply FILE"};
+  }
+  return state;
+}
+
+Result<std::string> Fetch(const std::string& address, const std::string& method,
+                          const std::string& path, const std::string& body) {
+  HttpConnection connection(address);
+  HttpRequest request;
+  request.method = method;
+  request.path = path;
+  request.body = body;
+  request.content_type = body.empty() ? "" : "application/json";
+  const Result<HttpReply> reply = connection.Exchange(request, kFetchTimeout);
+  if (!IsOk(reply)) {
+    return Error{ErrorKind::kUnavailable, address + ": " + ErrorOf(reply).message,
+                 "check the address and that the process runs"};
+  }
+  const int status = ValueOf(reply).status;
+  if (status / 100 != 2) {
+    return Error{ErrorKind::kUnavailable,
+                 address + path + " answered with status " + std::to_string(status),
+                 "check that the address is the right one"};
+  }
+  return ValueOf(reply).body;
+}
+
+}  // namespace shallot::ctl
