--- a/main/ctl/fleet_commands.cc
+++ b/main/ctl/fleet_commands.cc
@@ -48,7 +48,7 @@
   const std::string name = status.value("router", status.value("agent", std::string("daemon")));
   std::cout << fmt::format("{} at {}: configuration revision {}, {} calls in progress\n", name,
                            address, status.value("config_revision", 0),
-                           status.value("calls_in_progress", 0));
+                           status.value("calls_in_progress", status.value("running", 0)));
   for (const json& runner : status.value("runners", none)) PrintRunner(runner);
   for (const auto& [reason, count] : status.value("refusals", json::object()).items()) {
     std::cout << fmt::format("  refused {}: {}\n", reason, count.dump());
@@ -108,6 +108,32 @@
   return loaded;
 }
 
+/// Whether a daemon's status is that of the named router, agent or runner.
+bool IsNamed(const json& status, const std::string& name) {
+  return status.value("router", "") == name || status.value("agent", "") == name ||
+         status.value("runner", "") == name;
+}
+
+/// Drains the daemon of that name among the given admin addresses.
+int DrainDirectly(const CtlOptions& options, const std::string& name) {
+  Error error{ErrorKind::kNotFound, "none of the given addresses belongs to \"" + name + "\"",
+              "give the admin address of that router or agent"};
+  for (const std::string& address : options.routers) {
+    const Result<json> status = FetchJson(address, "/status");
+    if (!IsOk(status)) error = ErrorOf(status);
+    if (!IsOk(status) || !IsNamed(ValueOf(status), name)) continue;
+    const Result<std::string> done = Fetch(address, "POST", "/drain");
+    if (!IsOk(done)) return Fail(options, ErrorOf(done));
+    if (options.json) {
+      std::cout << json{{"draining", name}, {"address", address}}.dump() << std::endl;
+    } else {
+      std::cout << name << " at " << address << " drains" << std::endl;
+    }
+    return kExitOk;
+  }
+  return Fail(options, error);
+}
+
 int MarkLeaving(const CtlOptions& options, json record) {
   record["leaving"] = true;
   const std::string path = "/instances/" + EncodePath(record.value("id", ""));
@@ -166,7 +192,8 @@
 int RunDrain(const CtlOptions& options) {
   const std::string name = Word(options, 1);
   if (name.empty()) return UsageError("drain needs a runner or an instance id");
-  if (options.platform.empty()) return UsageError("drain needs --platform IP:PORT");
+  if (!options.routers.empty()) return DrainDirectly(options, name);
+  if (options.platform.empty()) return UsageError("drain needs --router or --platform IP:PORT");
   const Result<json> list = FetchJson(options.platform, "/instances");
   if (!IsOk(list)) return Fail(options, ErrorOf(list));
   for (const json& each : ValueOf(list)) {
--- a/main/shallotctl_main.cc
+++ b/main/shallotctl_main.cc
@@ -20,7 +20,8 @@
   exception remove NAME
   exception list
   status                           of the given routers, or the instances that the platform lists
-  drain RUNNER|INSTANCE            mark the instance as leaving
+  drain RUNNER|INSTANCE            at its admin address (--router), or mark it as leaving
+                                   in the platform's list (--platform)
   catalog                          entries, their policy and where they are loaded
   report burn                      use of the error budget by class
 
