Estimate other routers' calls between load reports

Each router compared its own calls with a report up to 500 ms old, so all of them filled the same gap. Change: the calls ahead are the router's own now plus the other routers' at the report, scaled by the change of its own calls since.

--- a/servers/admission.cc
+++ b/servers/admission.cc
@@ -79,8 +79,8 @@
   const auto waiting = static_cast<double>(input.calls_ahead + 1 - concurrency);
   const Duration pace = input.mean_service > Millis(0) ? reported : wait.service;
   // The wait behind a queue is a sum of service times that vary about as much as their mean, so
-  // one standard deviation of the sum is added. Without it 10 to 12% of the admitted calls
-  // missed their deadline at twice the capacity, with it 4 to 9%.
+  // one standard deviation of the sum is added. With the mean alone 10 to 12% of the admitted calls
+  // missed their deadline at twice the capacity.
   const double services = (waiting + std::sqrt(waiting)) / static_cast<double>(concurrency);
   wait.queue = std::chrono::duration_cast<Duration>(pace * services);
   return wait;
--- a/servers/call_placement.cc
+++ b/servers/call_placement.cc
@@ -11,6 +11,9 @@
 // calls of its own to judge the mix by.
 constexpr double kUnknownMixShare = 0.5;
 
+// Bounds on the estimated change of other routers' calls since a report.
+constexpr double kMinGrowth = 0.5;
+constexpr double kMaxGrowth = 2.0;
 constexpr size_t kMaxColdStarts = 4096;
 // A report is at most this much older than the end of a load.
 constexpr Millis kReportLag{1'500};
@@ -97,9 +100,14 @@
       admission_.in_flight() == 0
           ? kUnknownMixShare
           : static_cast<double>(in_flight) / static_cast<double>(admission_.in_flight());
-  const auto reported =
-      static_cast<uint64_t>(static_cast<double>(view.load.running + view.load.queued) * share);
-  return std::max(own, reported);
+  const uint64_t reported = view.load.running + view.load.queued;
+  const uint64_t others = reported - std::min(reported, view.outstanding_at_report);
+  // Other routers see the same load, so their calls are taken to change since the report as this
+  // router's own did. Counting them unchanged lets all routers fill the same gap.
+  const double change = static_cast<double>(view.TotalOutstanding() + 1) /
+                        static_cast<double>(view.outstanding_at_report + 1);
+  const double present = static_cast<double>(others) * std::clamp(change, kMinGrowth, kMaxGrowth);
+  return own + static_cast<uint64_t>(present * share);
 }
 
 PredictedWait CallDispatcher::PredictOn(const ActiveCall& active, const RunnerView& view) const {
--- a/servers/runner_directory.h
+++ b/servers/runner_directory.h
@@ -53,6 +53,8 @@
   std::optional<SteadyTime> reported_at;
   /// Calls of this router in progress there, by class.
   std::array<uint64_t, kCallClassCount> outstanding{};
+  /// Sum of `outstanding` when the last report came.
+  uint64_t outstanding_at_report = 0;
   /// Last time that a connection was lost or did not come up; none since the last Hello.
   std::optional<SteadyTime> failed_at;
   CircuitBreaker breaker;
--- a/servers/runner_directory_events.cc
+++ b/servers/runner_directory_events.cc
@@ -86,6 +86,7 @@
   }
   view.load = heartbeat.load;
   view.reported_at = clock_->SteadyNow();
+  view.outstanding_at_report = view.TotalOutstanding();
   listener_->OnRunnerHeartbeat(id, heartbeat);
 }
 
