Test that calls wait for a retry token when many lose their runner at once

Cause: the path on which a call waits for the retry budget had no test. Conclusion: all 60 calls are answered.

--- a/tests/router_faults_test.cc
+++ b/tests/router_faults_test.cc
@@ -145,5 +145,24 @@
   }
 }
 
+// Guards against calls that fail because more of them lost their runner at once than the retry
+// budget has tokens; they wait for a token instead.
+TEST_CASE("many calls that lose their runner at once are all answered") {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    CAPTURE(seed);
+    RouterSim sim({.agents = 2, .concurrency = 4, .service = Millis(500), .seed = seed}, {});
+    sim.Run(Millis(200));
+    std::vector<std::shared_ptr<FakeSink>> sinks;
+    for (int i = 0; i < 60; ++i) {
+      sinks.push_back(sim.f.Submit(RouterFixture::ModelRequest(false, Millis(60'000))));
+    }
+    sim.Run(Millis(100));
+    sim.Replace(0);
+    sim.Run(Millis(60'000));
+    for (const auto& sink : sinks) CHECK(sink->end.kind == OutcomeKind::kCompleted);
+    CHECK(sim.f.invariants.TotalViolations() == 0);
+  }
+}
+
 }  // namespace
 }  // namespace shallot
