Say in the router's status why each entry is loaded

Cause: the status listed what is loaded on a runner but not why. Change: each loaded entry names the slot that allows it. Conclusion: a loaded entry without a slot is visible to operators.

--- a/servers/call_dispatcher.h
+++ b/servers/call_dispatcher.h
@@ -106,6 +106,8 @@
   const std::map<std::string, uint64_t>& refusals() const { return refusals_; }
   /// Versions of the placements in use, by shard.
   std::map<ShardId, StoreVersion> PlacementVersions() const;
+  /// The slot of an entry on a runner, or null.
+  const Slot* FindSlot(const EntryId& entry, const RunnerId& runner) const;
   double retry_tokens() const { return budget_.tokens(); }
 
  private:
@@ -140,7 +142,6 @@
   void Assign(const CallPtr& active, const RunnerId& runner);
   void Start(const CallPtr& active);
   void Release(ActiveCall* active);
-  Generation SlotGeneration(const EntryId& entry, const RunnerId& runner) const;
 
   // Progress.
   void Advance(const CallPtr& active);
--- a/servers/call_placement.cc
+++ b/servers/call_placement.cc
@@ -212,7 +212,8 @@
                                  "call " + active->call.id.value() + " to a leaving runner");
   const SteadyTime now = Now();
   active->call.remaining = std::chrono::floor<Millis>(active->deadline - now);
-  active->call.slot_generation = SlotGeneration(active->call.entry, active->runner);
+  const Slot* slot = FindSlot(active->call.entry, active->runner);
+  active->call.slot_generation = slot == nullptr ? Generation() : slot->generation;
   if (!directory_->SendToRunner(active->runner, CallStart{active->call})) return;
   if (!active->call.entry.empty()) view->hints.Remember(active->prefix_key);
   active->phase = ActiveCall::Phase::kSent;
@@ -223,13 +224,16 @@
   active->next_resume = now + Millis(5'000);
 }
 
-Generation CallDispatcher::SlotGeneration(const EntryId& entry, const RunnerId& runner) const {
+const Slot* CallDispatcher::FindSlot(const EntryId& entry, const RunnerId& runner) const {
   const auto it = slots_.find(entry);
-  if (it == slots_.end()) return {};
+  if (it == slots_.end()) return nullptr;
+  const Slot* found = nullptr;
   for (const Slot& slot : it->second) {
-    if (slot.runner == runner && slot.state == SlotState::kActive) return slot.generation;
+    if (slot.runner != runner) continue;
+    if (slot.state == SlotState::kActive) return &slot;
+    found = &slot;
   }
-  return {};
+  return found;
 }
 
 void CallDispatcher::Release(ActiveCall* active) {
--- a/servers/router_status.cc
+++ b/servers/router_status.cc
@@ -13,7 +13,24 @@
   return names;
 }
 
-Json RunnerJson(const RunnerId& id, const RunnerDirectory& directory, SteadyTime now) {
+/// Why a runner may have each of its entries loaded.
+Json LoadedWhy(const RunnerId& id, const std::vector<EntryId>& loaded,
+               const CallDispatcher& calls) {
+  Json why = Json::object();
+  for (const EntryId& entry : loaded) {
+    const Slot* slot = calls.FindSlot(entry, id);
+    if (slot == nullptr) {
+      why[entry.value()] = "no slot; the agent unloads it, or a newer placement is on its way";
+      continue;
+    }
+    why[entry.value()] = std::string(slot->state == SlotState::kActive ? "active" : "releasing") +
+                         " slot, generation " + std::to_string(slot->generation.value());
+  }
+  return why;
+}
+
+Json RunnerJson(const RunnerId& id, const RunnerDirectory& directory, const CallDispatcher& calls,
+                SteadyTime now) {
   const RunnerView& view = *directory.Find(id);
   Json json = {{"runner", id.value()},
                {"backend", view.record.backend.value()},
@@ -29,6 +46,7 @@
                {"running", view.load.running},
                {"queued", view.load.queued},
                {"loaded", Names(view.load.loaded)},
+               {"loaded_why", LoadedWhy(id, view.load.loaded, calls)},
                {"memory_capacity", view.load.memory_capacity.value()},
                {"memory_reserved", view.load.memory_reserved.value()}};
   if (view.reported_at.has_value()) {
@@ -53,7 +71,7 @@
                {"connections", directory.connections()}};
   json["runners"] = Json::array();
   for (const RunnerId& id : directory.runners()) {
-    json["runners"].push_back(RunnerJson(id, directory, now));
+    json["runners"].push_back(RunnerJson(id, directory, calls, now));
   }
   json["refusals"] = Json::object();
   for (const auto& [reason, count] : calls.refusals()) json["refusals"][reason] = count;
--- a/tests/router_core_test.cc
+++ b/tests/router_core_test.cc
@@ -626,6 +626,7 @@
   CHECK(status["config_revision"] == 7);
   CHECK(status["runners"].size() == 2);
   CHECK(status["runners"][0]["loaded"][0] == "m");
+  CHECK(status["runners"][0]["loaded_why"]["m"] == "active slot, generation 1");
   CHECK(status["runners"][0]["connected"] == true);
   CHECK(status["refusals"]["unknown-entry"] == 1);
   CHECK(status["control"]["leases"] == 0);
