Write the inline namespace of the router fixtures in a form that stays formatted

Cause: clang-format rejects its own closing comment of a nested inline namespace. Change: two nested namespaces. Conclusion: none further.

--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -11,7 +11,8 @@
 
 #include "servers/router_core.h"
 
-namespace shallot::inline router_test {
+namespace shallot {
+inline namespace router_test {
 
 /// Records what the core sends, and on which connection.
 class FakeLink final : public PeerLink {
@@ -294,6 +295,7 @@
   uint64_t ticks_ = 0;
 };
 
-}  // namespace shallot::inline router_test
+}  // namespace router_test
+}  // namespace shallot
 
 #endif  // TESTS_ROUTER_FIXTURE_H_
--- a/tests/router_sim.h
+++ b/tests/router_sim.h
@@ -12,7 +12,8 @@
 #include "core/random.h"
 #include "tests/router_fixture.h"
 
-namespace shallot::inline router_test {
+namespace shallot {
+inline namespace router_test {
 
 /// How badly the connections of a simulated fleet behave; probabilities for each message.
 struct SimFaults {
@@ -309,6 +310,7 @@
   std::multimap<SteadyTime, Flight> flights_;
 };
 
-}  // namespace shallot::inline router_test
+}  // namespace router_test
+}  // namespace shallot
 
 #endif  // TESTS_ROUTER_SIM_H_
