--- a/servers/config_head.cc
+++ b/servers/config_head.cc
@@ -50,7 +50,7 @@
 }
 
 bool IsConsecutive(const ConfigHead& head) {
-  ConfigRevision expected = head.snapshot;
+  ConfigRevision expected = std::max(head.snapshot, head.base);
   for (const ConfigChange& change : head.changes) {
     expected = expected.Next();
     if (change.revision != expected) return false;
@@ -66,6 +66,7 @@
     const Json json = Json::parse(text);
     head.revision = ConfigRevision(json.at("revision").get<uint64_t>());
     head.snapshot = ConfigRevision(json.at("snapshot").get<uint64_t>());
+    head.base = ConfigRevision(json.value("base", uint64_t{0}));
     for (const Json& change : json.at("changes")) head.changes.push_back(ChangeFromJson(change));
   } catch (const Json::exception& error) {
     return MalformedHead(error.what());
@@ -77,9 +78,10 @@
 std::string FormatConfigHead(const ConfigHead& head) {
   Json changes = Json::array();
   for (const ConfigChange& change : head.changes) changes.push_back(ToJson(change));
-  const Json json = {{"revision", head.revision.value()},
-                     {"snapshot", head.snapshot.value()},
-                     {"changes", std::move(changes)}};
+  Json json = {{"revision", head.revision.value()},
+               {"snapshot", head.snapshot.value()},
+               {"changes", std::move(changes)}};
+  if (head.base != ConfigRevision(0)) json["base"] = head.base.value();
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
--- a/servers/config_head.h
+++ b/servers/config_head.h
@@ -41,7 +41,10 @@
   ConfigRevision revision;
   /// Revision of the snapshot at `config/snapshot/REVISION`.
   ConfigRevision snapshot;
-  /// One change for each revision after the snapshot, in order.
+  /// Revision after which the changes begin when a peer was sent only what it lacked; 0 in the
+  /// store, where the changes begin after the snapshot.
+  ConfigRevision base;
+  /// One change for each revision after the snapshot or base, in order.
   std::vector<ConfigChange> changes;
 
   bool operator==(const ConfigHead&) const = default;
--- a/servers/config_replica.cc
+++ b/servers/config_replica.cc
@@ -26,6 +26,27 @@
   return FormatIni(ValueOf(folded));
 }
 
+/// Puts the changes that the receiver has in front of those that a peer sent. False when some are
+/// missing in between.
+bool Complete(ConfigHead* head, const std::string& own_head) {
+  if (head->base == ConfigRevision(0)) return true;
+  const Result<ConfigHead> own = ParseConfigHead(own_head);
+  if (!IsOk(own) || ValueOf(own).revision < head->base) return false;
+  std::vector<ConfigChange> changes;
+  for (const ConfigChange& change : ValueOf(own).changes) {
+    if (change.revision > head->snapshot && change.revision <= head->base) {
+      changes.push_back(change);
+    }
+  }
+  const uint64_t needed =
+      head->base <= head->snapshot ? 0 : head->base.value() - head->snapshot.value();
+  if (changes.size() != needed) return false;
+  changes.insert(changes.end(), head->changes.begin(), head->changes.end());
+  head->changes = std::move(changes);
+  head->base = ConfigRevision(0);
+  return true;
+}
+
 std::string LastChangeId(const ConfigHead& head) {
   return head.changes.empty() ? "" : head.changes.back().id;
 }
@@ -39,18 +60,22 @@
 }
 
 Result<bool> ConfigReplica::Apply(const ConfigPush& push) {
+  if (config_ != nullptr && push.head == head_) return false;
   const Result<ConfigHead> parsed = ParseConfigHead(push.head);
   if (!IsOk(parsed)) return ErrorOf(parsed);
-  const ConfigHead& head = ValueOf(parsed);
+  ConfigHead head = ValueOf(parsed);
   if (head.revision < revision()) return false;
   if (head.revision == revision()) {
-    if (push.head == head_) return false;
     const Result<ConfigHead> own = ParseConfigHead(head_);
     const bool same = IsOk(own) && LastChangeId(ValueOf(own)) == LastChangeId(head);
     invariants_->Check(Invariant::kConfigNeverReverts, same,
                        "two changes claim revision " + std::to_string(head.revision.value()));
     return false;
   }
+  if (!Complete(&head, head_)) {
+    return Error{ErrorKind::kNotFound, "changes before those that were sent are not known here",
+                 "pull with revision 0"};
+  }
   const Result<std::string> snapshot = FindSnapshot(head, push.snapshot, head_, snapshot_);
   if (!IsOk(snapshot)) return ErrorOf(snapshot);
   const Result<IniDocument> document = BuildDocument(head, ValueOf(snapshot), head.revision);
@@ -60,7 +85,7 @@
   if (!IsOk(config)) return ErrorOf(config);
   const ConfigRevision before = revision();
   config_ = std::make_shared<const FleetConfig>(ValueOf(std::move(config)));
-  head_ = push.head;
+  head_ = FormatConfigHead(head);
   snapshot_ = ValueOf(snapshot);
   invariants_->Check(Invariant::kConfigNeverReverts, revision() > before,
                      "revision went from " + std::to_string(before.value()) + " to " +
@@ -73,10 +98,17 @@
   push.revision = revision();
   push.head = head_;
   if (config_ == nullptr) return push;
-  const Result<ConfigHead> head = ParseConfigHead(head_);
-  if (known == ConfigRevision(0) || !IsOk(head) || known < ValueOf(head).snapshot) {
+  const Result<ConfigHead> parsed = ParseConfigHead(head_);
+  if (known == ConfigRevision(0) || !IsOk(parsed) || known < ValueOf(parsed).snapshot) {
     push.snapshot = snapshot_;
+    return push;
   }
+  // The changes that the receiver has would make up most of the push.
+  ConfigHead head = ValueOf(parsed);
+  if (known >= head.revision) return push;
+  head.base = known;
+  std::erase_if(head.changes, [&](const ConfigChange& change) { return change.revision <= known; });
+  push.head = FormatConfigHead(head);
   return push;
 }
 
--- a/servers/config_replica.h
+++ b/servers/config_replica.h
@@ -21,7 +21,8 @@
   /// force, false when it was not newer. kInvalidArgument: it cannot be parsed; the old one stays.
   /// kNotFound: it builds on a snapshot that this process does not have; pull with revision 0.
   Result<bool> Apply(const ConfigPush& push);
-  /// What a peer that knows `known` needs; the snapshot is included only when it lacks it.
+  /// What a peer that knows `known` needs; the snapshot is included only when it lacks it, and
+  /// otherwise the head holds only the changes after `known`.
   ConfigPush MakePush(ConfigRevision known) const;
   /// Null until the first configuration was applied.
   std::shared_ptr<const FleetConfig> current() const { return config_; }
--- a/servers/control_plane_state.cc
+++ b/servers/control_plane_state.cc
@@ -20,6 +20,8 @@
 /// A confirmation is forwarded this often until the slot is gone from the placement.
 constexpr Millis kForwardInterval{1000};
 constexpr Seconds kReleaseLife{60};
+/// A confirmation may come before the placement that it concerns; then it is kept this long.
+constexpr Seconds kReleaseGoneLife{5};
 /// Without a permit for this long, requests go to the other candidates in turn.
 constexpr Seconds kBudgetAnswerLife{5};
 constexpr const char* kBudgetKey = "budget/weights";
@@ -56,6 +58,7 @@
   follower_.OnTick(IsWatcher());
   AskPeersForConfig(now);
   AnnounceRevision(now);
+  UpdateDemand(now);
   TickShards();
   TickReleases(now);
   TickBudget();
@@ -85,6 +88,7 @@
   budget_.SetLimits(*config);
   announce_until_ = clock_->SteadyNow() + kAnnounceFor;
   next_announce_ = SteadyTime::min();
+  ++input_version_;
   listener->OnConfig(config);
 }
 
@@ -164,6 +168,17 @@
   listener->SendToRunner(RunnerId(name), message);
 }
 
+/// Callers spread over all routers alike, so this router's calls stand for those of the others.
+void ControlPlaneCore::State::UpdateDemand(SteadyTime now) {
+  if (now < next_demand_) return;
+  next_demand_ = now + PlacementOwner::kPlanInterval;
+  const double routers = std::max<double>(1, static_cast<double>(registry_.routers().size()));
+  std::map<EntryId, uint64_t> wanted = demand_.Wanted(now, routers, registry_.CallsPerReplica());
+  if (wanted == wanted_) return;
+  wanted_ = std::move(wanted);
+  ++input_version_;
+}
+
 void ControlPlaneCore::State::TickShards() {
   for (auto& [id, shard] : shards_) {
     shard.replica->OnTick();
@@ -186,8 +201,7 @@
     input->runners.push_back(RunnerRegistry::MissingRunner(slot.runner, backend));
     known.insert(slot.runner);
   }
-  const double routers = std::max<double>(1, static_cast<double>(registry_.routers().size()));
-  input->wanted = demand_.Wanted(clock_->SteadyNow(), routers, registry_.CallsPerReplica());
+  input->wanted = wanted_;
   for (const auto& [id, shard] : shards_) {
     if (id == input->shard) continue;
     for (const Slot& slot : shard.replica->current().slots) {
@@ -279,20 +293,25 @@
   }
 }
 
-bool ControlPlaneCore::State::SlotExists(const SlotReleased& released) const {
+const Slot* ControlPlaneCore::State::FindSlot(const SlotReleased& released) const {
   const auto shard = shards_.find(released.shard);
-  if (shard == shards_.end()) return false;
-  const std::vector<Slot>& slots = shard->second.replica->current().slots;
-  return std::any_of(slots.begin(), slots.end(), [&](const Slot& slot) {
-    return slot.entry == released.entry && slot.runner == released.runner &&
-           slot.generation == released.generation;
-  });
+  if (shard == shards_.end()) return nullptr;
+  for (const Slot& slot : shard->second.replica->current().slots) {
+    if (slot.entry == released.entry && slot.runner == released.runner &&
+        slot.generation == released.generation) {
+      return &slot;
+    }
+  }
+  return nullptr;
 }
 
 void ControlPlaneCore::State::TickReleases(SteadyTime now) {
   std::erase_if(releases_, [&](const Release& release) {
-    const Seconds life = SlotExists(release.released) ? kReleaseLife : Seconds(5);
-    return now - release.received >= life;
+    const Slot* slot = FindSlot(release.released);
+    if (slot != nullptr && slot->state == SlotState::kActive) {
+      registry_.OnGaveUpSlot(slot->runner);
+    }
+    return now - release.received >= (slot == nullptr ? kReleaseGoneLife : kReleaseLife);
   });
   for (Release& release : releases_) {
     const auto shard = shards_.find(release.released.shard);
--- a/servers/control_plane_state.h
+++ b/servers/control_plane_state.h
@@ -26,6 +26,7 @@
         InstanceList* instances, MetricsRegistry* metrics, InvariantMonitor* invariants);
 
   bool FillInput(const std::vector<Slot>& slots, PlannerInput* input) override;
+  uint64_t InputVersion() const override { return input_version_ + registry_.changes(); }
 
   void OnTick();
   void OnRunnerMessage(const RunnerId& runner, const Message& message);
@@ -61,6 +62,7 @@
   /// Routers that are not leaving, this one included unless it drains, best first for `key`.
   std::vector<InstanceId> RankedRouters(const std::string& key) const;
   uint64_t RankFor(const std::string& key) const;
+  void UpdateDemand(SteadyTime now);
   void TickShards();
   void TickBudget();
   void SendPermit(const BudgetGrant& grant);
@@ -68,7 +70,8 @@
   void OnPermitReturn(const LoadPermitReturn& returned, bool from_router);
   void OnReleased(const SlotReleased& released, bool from_router);
   void TickReleases(SteadyTime now);
-  bool SlotExists(const SlotReleased& released) const;
+  /// The slot that was given up, as the newest placement has it; null when it is gone.
+  const Slot* FindSlot(const SlotReleased& released) const;
   void SendToPeer(const std::string& peer, const Message& message);
 
   ControlPlaneOptions options_;
@@ -79,6 +82,9 @@
   uint64_t seed_;
   RunnerRegistry registry_;
   DemandTracker demand_;
+  std::map<EntryId, uint64_t> wanted_;
+  SteadyTime next_demand_ = SteadyTime::min();
+  uint64_t input_version_ = 0;
   ConfigFollower follower_;
   GrantSender grants_;
   LeaseKeeper budget_lease_;
--- a/servers/placement_owner.cc
+++ b/servers/placement_owner.cc
@@ -49,7 +49,15 @@
   DropOutdatedReleases();
   if (!held || write_in_flight_ || !backoff_.Ready(now)) return;
   if (!replica_->ReadDone(awaited_read_)) return;
+  const uint64_t input = view_->InputVersion();
+  const bool changed = replan_ || input != planned_input_ || !released_.empty() ||
+                       replica_->current().version != planned_version_;
+  if (!changed && now < next_idle_plan_) return;
+  replan_ = false;
+  planned_input_ = input;
+  planned_version_ = replica_->current().version;
   Plan();
+  next_idle_plan_ = now + kIdlePlanInterval;
 }
 
 void PlacementOwner::OnReleased(const SlotReleased& released) {
@@ -126,6 +134,7 @@
     replica_->OnWritten(ValueOf(version), slots);
     return;
   }
+  replan_ = true;
   const ErrorKind kind = ErrorOf(version).kind;
   if (kind == ErrorKind::kConflict) {
     ++lost_writes_;
--- a/servers/placement_owner.h
+++ b/servers/placement_owner.h
@@ -25,6 +25,8 @@
   /// Fills the plan's input for the shard, except for the slots and the lowest generation. False
   /// when too little is known to decide.
   virtual bool FillInput(const std::vector<Slot>& slots, PlannerInput* input) = 0;
+  /// Rises when the plan of the shard may change at once, for reasons other than its slots.
+  virtual uint64_t InputVersion() const = 0;
 };
 
 /// Decides the placement of one shard while it holds the lease `leases/placement/SHARD`. The lease
@@ -33,6 +35,8 @@
  public:
   /// Changes are collected for this time and written together.
   static constexpr Millis kPlanInterval{500};
+  /// Without a change a plan is made this often, for what changes slowly: loaded entries, caches.
+  static constexpr Millis kIdlePlanInterval{5000};
 
   PlacementOwner(ShardId shard, const InstanceId& self, const Clock* clock, PlatformStore* store,
                  PlacementReplica* replica, PlacementView* view, InvariantMonitor* invariants,
@@ -69,6 +73,11 @@
   uint64_t awaited_read_ = 0;
   bool write_in_flight_ = false;
   SteadyTime next_plan_ = SteadyTime::min();
+  SteadyTime next_idle_plan_ = SteadyTime::min();
+  /// The last plan was not written.
+  bool replan_ = false;
+  uint64_t planned_input_ = 0;
+  StoreVersion planned_version_;
   std::vector<SlotReleased> released_;
   uint64_t lost_writes_ = 0;
 };
--- a/servers/runner_registry.cc
+++ b/servers/runner_registry.cc
@@ -23,12 +23,19 @@
     return record.id == self_;
   });
   ++lists_;
+  std::vector<InstanceRecord> sorted = list;
+  std::sort(sorted.begin(), sorted.end(),
+            [](const InstanceRecord& a, const InstanceRecord& b) { return a.id < b.id; });
+  // The first lists count misses up to the limits even when nothing else changes.
+  if (sorted != list_ || lists_ <= kMissesOfUnseen) changes_at_ = lists_;
+  if (lists_ - changes_at_ <= kMissesUntilGone) ++changes_;
+  list_ = std::move(sorted);
   if (credible) {
     for (auto& [id, known] : known_) ++known.misses;
   }
   routers_.clear();
   std::map<RunnerId, bool> listed;
-  for (const InstanceRecord& record : list) {
+  for (const InstanceRecord& record : list_) {
     if (record.role == PeerRole::kRouter) {
       routers_.push_back(record);
       continue;
@@ -38,14 +45,22 @@
     listed[record.runner] = true;
     known_[record.runner] = {record, 0};
   }
-  std::sort(routers_.begin(), routers_.end(),
-            [](const InstanceRecord& a, const InstanceRecord& b) { return a.id < b.id; });
   std::erase_if(known_,
                 [](const auto& item) { return item.second.misses > kMissesUntilForgotten; });
 }
 
 void RunnerRegistry::OnReport(const RunnerId& runner, const Heartbeat& heartbeat) {
-  reports_[runner] = {heartbeat, clock_->SteadyNow()};
+  Report& report = reports_[runner];
+  const bool same = report.heartbeat.draining == heartbeat.draining &&
+                    report.heartbeat.load.serving == heartbeat.load.serving &&
+                    report.heartbeat.load.memory_capacity == heartbeat.load.memory_capacity;
+  if (!same) ++changes_;
+  report = {heartbeat, clock_->SteadyNow()};
+}
+
+void RunnerRegistry::OnGaveUpSlot(const RunnerId& runner) {
+  if (!gave_up_.contains(runner)) ++changes_;
+  gave_up_[runner] = clock_->SteadyNow();
 }
 
 bool RunnerRegistry::IsGone(const RunnerId& runner) const {
@@ -61,6 +76,11 @@
   runner.failure_domain = known.record.failure_domain;
   if (known.misses > 0) runner.state = PlannerRunner::State::kMissing;
   if (known.record.leaving) runner.state = PlannerRunner::State::kLeaving;
+  const SteadyTime now = clock_->SteadyNow();
+  const auto gave_up = gave_up_.find(runner.id);
+  if (gave_up != gave_up_.end() && now - gave_up->second <= kReportLife) {
+    runner.state = PlannerRunner::State::kLeaving;
+  }
   const auto it = reports_.find(runner.id);
   if (it == reports_.end()) return runner;
   const LoadSummary& load = it->second.heartbeat.load;
@@ -68,7 +88,7 @@
   runner.loaded.insert(load.loaded.begin(), load.loaded.end());
   runner.cached_in_memory.insert(load.cached_in_memory.begin(), load.cached_in_memory.end());
   runner.cached_on_disk.insert(load.cached_on_disk.begin(), load.cached_on_disk.end());
-  if (clock_->SteadyNow() - it->second.received > kReportLife) return runner;
+  if (now - it->second.received > kReportLife) return runner;
   runner.serving = load.serving;
   if (it->second.heartbeat.draining) runner.state = PlannerRunner::State::kLeaving;
   return runner;
--- a/servers/runner_registry.h
+++ b/servers/runner_registry.h
@@ -29,6 +29,9 @@
   /// A fetched list. A list that lacks this process proves nothing about runners that it lacks.
   void OnList(const std::vector<InstanceRecord>& list);
   void OnReport(const RunnerId& runner, const Heartbeat& heartbeat);
+  /// The runner gave up an active slot, which only a draining one does; its own reports may go to
+  /// other routers. It gets no new slots for `kReportLife`.
+  void OnGaveUpSlot(const RunnerId& runner);
 
   /// True when a runner without a live instance may lose its slots.
   bool IsGone(const RunnerId& runner) const;
@@ -40,6 +43,8 @@
   const std::vector<InstanceRecord>& routers() const { return routers_; }
   /// Lists that were fetched.
   uint64_t lists() const { return lists_; }
+  /// Rises with each change that can change a plan, other than in what runners have loaded.
+  uint64_t changes() const { return changes_; }
   /// Mean calls per second that one replica serves, from the reports; a default without any.
   double CallsPerReplica() const;
 
@@ -58,8 +63,14 @@
   const Clock* clock_;
   InstanceId self_;
   uint64_t lists_ = 0;
+  uint64_t changes_ = 0;
+  /// The list that last differed from the one before.
+  uint64_t changes_at_ = 0;
+  /// The newest list, in order of id.
+  std::vector<InstanceRecord> list_;
   std::map<RunnerId, Known> known_;
   std::map<RunnerId, Report> reports_;
+  std::map<RunnerId, SteadyTime> gave_up_;
   std::vector<InstanceRecord> routers_;
 };
 
--- a/tests/config_replica_test.cc
+++ b/tests/config_replica_test.cc
@@ -15,7 +15,7 @@
 }
 
 ConfigHead FirstHead() {
-  ConfigHead head{ConfigRevision(1), ConfigRevision(0), {}};
+  ConfigHead head{ConfigRevision(1), ConfigRevision(0), ConfigRevision(0), {}};
   head.changes.push_back(MakeChange(1, "c1", {"fleet", false, {{"name", "f"}}}));
   return head;
 }
@@ -92,6 +92,34 @@
   CHECK(invariants.violations(Invariant::kConfigNeverReverts) == 1);
 }
 
+// Guards against 12 runners behind each router being sent up to 64 changes for every new one.
+TEST_CASE("a peer is sent only the changes that it lacks") {
+  InvariantMonitor invariants;
+  ConfigReplica source(&invariants);
+  ConfigReplica peer(&invariants);
+  ConfigReplica behind(&invariants);
+  ConfigHead head = FirstHead();
+  REQUIRE(IsOk(source.Apply(Push(head, EmptySnapshot()))));
+  REQUIRE(IsOk(behind.Apply(source.MakePush(ConfigRevision(0)))));
+  for (uint64_t i = 2; i <= 40; ++i) AddChange(&head, i % 9, "c" + std::to_string(i));
+  REQUIRE(IsOk(source.Apply(Push(head, ""))));
+  REQUIRE(IsOk(peer.Apply(source.MakePush(ConfigRevision(0)))));
+  AddChange(&head, 3, "c41");
+  REQUIRE(IsOk(source.Apply(Push(head, ""))));
+
+  const ConfigPush push = source.MakePush(ConfigRevision(40));
+  CHECK(push.snapshot.empty());
+  CHECK(push.head.size() * 10 < source.head().size());
+  CHECK(peer.Apply(push) == Result<bool>(true));
+  CHECK(peer.head() == source.head());
+  const Result<bool> gap = behind.Apply(push);
+  REQUIRE_FALSE(IsOk(gap));
+  CHECK(ErrorOf(gap).kind == ErrorKind::kNotFound);
+  CHECK(behind.Apply(source.MakePush(ConfigRevision(1))) == Result<bool>(true));
+  CHECK(behind.head() == source.head());
+  CHECK(invariants.TotalViolations() == 0);
+}
+
 // Guards against a peer that has to transfer the whole text after each new snapshot.
 TEST_CASE("a replica makes the next snapshot from what it has") {
   InvariantMonitor invariants;
@@ -105,7 +133,7 @@
 
   const Result<IniDocument> document = BuildDocument(head, EmptySnapshot(), ConfigRevision(2));
   REQUIRE(IsOk(document));
-  ConfigHead folded{ConfigRevision(2), ConfigRevision(2), {}};
+  ConfigHead folded{ConfigRevision(2), ConfigRevision(2), ConfigRevision(0), {}};
   AddChange(&folded, 3, "c3");
   REQUIRE(source.Apply(Push(folded, FormatIni(ValueOf(document)))) == Result<bool>(true));
 
