--- /dev/null
+++ b/bench/hops_bench.cc
@@ -0,0 +1,249 @@
+// Median latency that router and agent add to a call, against the bare hops of the same libraries
+// in the same run: a POCO HTTP round trip and a ZeroMQ round trip with protobuf and 2 kB.
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <iostream>
+#include <semaphore>
+#include <string>
+#include <thread>
+#include <vector>
+#include <zmq.hpp>
+
+#include "bench/bench_platform.h"
+#include "bench/bench_report.h"
+#include "drivers/agent_daemon.h"
+#include "drivers/http_server.h"
+#include "drivers/platform_http.h"
+#include "drivers/router_daemon.h"
+#include "drivers/wire/shallot.pb.h"
+#include "servers/config_editor.h"
+
+namespace shallot::bench {
+namespace {
+
+constexpr int kRounds = 3000;
+constexpr int kWarmUp = 300;
+constexpr size_t kBody = 2000;
+
+const char* const kConfig =
+    "[fleet]\nname = bench\nshards = 1\n[service desk]\ndescription = x\n[route desk all]\nmethod "
+    "= GET\npath = /\nrepeatable = true\n";
+
+double Microseconds(const std::function<void()>& work) {
+  const auto start = std::chrono::steady_clock::now();
+  work();
+  return std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - start)
+      .count();
+}
+
+double Median(std::vector<double> values) {
+  std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2),
+                   values.end());
+  return values[values.size() / 2];
+}
+
+/// A client of one HTTP server over one open connection.
+class HttpClient {
+ public:
+  explicit HttpClient(int port) : session_("127.0.0.1", static_cast<uint16_t>(port)) {
+    session_.setKeepAlive(true);
+  }
+  /// Status of a GET; the body is read and dropped.
+  int Get(const std::string& path) {
+    Poco::Net::HTTPRequest request("GET", path, "HTTP/1.1");
+    request.setKeepAlive(true);
+    session_.sendRequest(request);
+    Poco::Net::HTTPResponse response;
+    std::string body;
+    Poco::StreamCopier::copyToString(session_.receiveResponse(response), body);
+    return response.getStatus();
+  }
+
+ private:
+  Poco::Net::HTTPClientSession session_;
+};
+
+/// A DEALER and a ROUTER on two threads that exchange protobuf messages of 2 kB.
+class ZmqEcho {
+ public:
+  ZmqEcho() : server_(context_, zmq::socket_type::router), client_(context_, ZMQ_DEALER) {
+    server_.bind("tcp://127.0.0.1:*");
+    client_.connect(server_.get(zmq::sockopt::last_endpoint));
+    thread_ = std::thread([this] { Serve(); });
+  }
+  ~ZmqEcho() {
+    client_.send(zmq::str_buffer("end"), zmq::send_flags::none);
+    thread_.join();
+  }
+  ZmqEcho(const ZmqEcho&) = delete;
+  ZmqEcho& operator=(const ZmqEcho&) = delete;
+
+  void RoundTrip() {
+    wire::Envelope envelope;
+    envelope.mutable_call_start()->set_body(body_);
+    client_.send(zmq::buffer(envelope.SerializeAsString()), zmq::send_flags::none);
+    zmq::message_t reply;
+    if (client_.recv(reply).has_value()) envelope.ParseFromArray(reply.data(), Size(reply));
+  }
+
+ private:
+  static int Size(const zmq::message_t& message) { return static_cast<int>(message.size()); }
+  void Serve() {
+    while (true) {
+      zmq::message_t identity;
+      zmq::message_t request;
+      if (!server_.recv(identity).has_value() || !server_.recv(request).has_value()) return;
+      wire::Envelope envelope;
+      if (!envelope.ParseFromArray(request.data(), Size(request))) return;
+      server_.send(identity, zmq::send_flags::sndmore);
+      server_.send(zmq::buffer(envelope.SerializeAsString()), zmq::send_flags::none);
+    }
+  }
+
+  std::string body_ = std::string(kBody, 'x');
+  zmq::context_t context_;
+  zmq::socket_t server_;
+  zmq::socket_t client_;
+  std::thread thread_;
+};
+
+/// Writes the fleet configuration through the platform's HTTP interface.
+bool ApplyConfig(const std::string& platform_address) {
+  std::counting_semaphore<> wake(0);
+  TaskRing ring(64, [&] { wake.release(); });
+  PlatformHttp platform(platform_address, &ring);
+  const SystemClock clock;
+  ConfigEditor editor(&platform, &clock, 1);
+  bool done = false;
+  bool applied = false;
+  editor.ApplyText(kConfig, {OperatorName("bench"), "benchmark", ConfigRevision(0)},
+                   [&](const Result<ConfigRevision>& revision) {
+                     done = true;
+                     applied = IsOk(revision);
+                     if (!applied) std::cerr << FormatError(ErrorOf(revision)) << '\n';
+                   });
+  while (!done) {
+    wake.acquire();
+    ring.RunPending(64);
+  }
+  platform.Stop();
+  return applied;
+}
+
+ProcessSettings MakeProcess(const std::string& id) {
+  ProcessSettings process;
+  process.id = InstanceId(id);
+  process.failure_domain = FailureDomain("d1");
+  process.region = Region("r1");
+  return process;
+}
+
+std::string Instance(const std::string& id, const std::string& role, int port,
+                     const std::string& runner) {
+  return R"({"id":")" + id + R"(","role":")" + role + R"(","address":"127.0.0.1:)" +
+         std::to_string(port) + R"(","failure_domain":"d1","region":"r1","runner":")" + runner +
+         R"(","backend":"desk","leaving":false})";
+}
+
+/// One router and one agent in this process, in front of a plain service.
+class SmallFleet {
+ public:
+  SmallFleet(const std::string& platform, const std::string& service)
+      : agent_(MakeAgent(platform, service)), router_(MakeRouter(platform)) {}
+
+  bool Start(BenchPlatform* platform) {
+    if (!IsOk(agent_.Start()) || !IsOk(router_.Start())) return false;
+    platform->SetInstances("[" + Instance("a1", "agent", agent_.control_port(), "w1") + "," +
+                           Instance("r1", "router", router_.peer_port(), "") + "]");
+    return true;
+  }
+  int caller_port() const { return router_.caller_port(); }
+  void Stop() {
+    router_.Stop();
+    agent_.Stop();
+  }
+
+ private:
+  static AgentSettings MakeAgent(const std::string& platform, const std::string& service) {
+    AgentSettings settings;
+    settings.process = MakeProcess("a1");
+    settings.runner = RunnerId("w1");
+    settings.backend = BackendName("desk");
+    settings.control_address = settings.admin_address = "127.0.0.1:0";
+    settings.service_address = service;
+    settings.platform_address = platform;
+    return settings;
+  }
+  static RouterSettings MakeRouter(const std::string& platform) {
+    RouterSettings settings;
+    settings.process = MakeProcess("r1");
+    settings.caller_address = settings.peer_address = settings.admin_address = "127.0.0.1:0";
+    settings.platform_address = platform;
+    settings.caller_threads = 8;
+    return settings;
+  }
+
+  AgentDaemon agent_;
+  RouterDaemon router_;
+};
+
+/// Waits until calls are served; false when they are not within 10 s.
+bool WaitUntilServed(HttpClient* caller) {
+  const auto end = std::chrono::steady_clock::now() + Seconds(10);
+  while (std::chrono::steady_clock::now() < end) {
+    if (caller->Get("/services/desk/x") == 200) return true;
+    std::this_thread::sleep_for(Millis(50));
+  }
+  return false;
+}
+
+int Measure() {
+  const std::string answer(kBody, 'x');
+  HttpServer service({.address = "127.0.0.1:0", .threads = 8}, [&](HttpExchange& exchange) {
+    exchange.SendWhole(200, "text/plain", answer);
+  });
+  BenchPlatform platform;
+  if (!IsOk(service.Start()) || !IsOk(platform.Start())) return 1;
+  if (!ApplyConfig(platform.address())) return 1;
+  SmallFleet fleet(platform.address(), "127.0.0.1:" + std::to_string(service.port()));
+  if (!fleet.Start(&platform)) return 1;
+  HttpClient caller(fleet.caller_port());
+  HttpClient direct(service.port());
+  ZmqEcho echo;
+  if (!WaitUntilServed(&caller)) {
+    std::cerr << "hops_bench: calls are not served\n";
+    return 1;
+  }
+  std::vector<double> through;
+  std::vector<double> http;
+  std::vector<double> zmq;
+  int failures = 0;
+  // Interleaved, so that noise of the machine hits all three alike.
+  for (int i = 0; i < kWarmUp + kRounds; ++i) {
+    const double a = Microseconds([&] { failures += caller.Get("/services/desk/x") != 200; });
+    const double b = Microseconds([&] { failures += direct.Get("/x") != 200; });
+    const double c = Microseconds([&] { echo.RoundTrip(); });
+    if (i < kWarmUp) continue;
+    through.push_back(a);
+    http.push_back(b);
+    zmq.push_back(c);
+  }
+  const double added = Median(through) - Median(http);
+  Print({"hops_http_round_trip_median", Median(http), "us", 0});
+  Print({"hops_zmq_round_trip_median", Median(zmq), "us", 0});
+  Print({"hops_added_by_router_and_agent_median", added, "us", Median(http) + Median(zmq)});
+  Print({"hops_failed_calls", static_cast<double>(failures), "calls", 0});
+  fleet.Stop();
+  return failures == 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace shallot::bench
+
+int main() { return shallot::bench::Measure(); }
