Return load permits through any router

Cause: an agent sends requests and returns to any of its routers in turn. A return through a router that had not seen the permit was dropped, so the permit stayed in use for 60 s. Change: a router that does not hold the budget sends the return to all candidates for it; those that do not hold it ignore it. Ran: load_permits_test fails before the change (second permit never granted) and passes after it; 34 of 34 ctest entries pass.

--- a/servers/control_plane_state.cc
+++ b/servers/control_plane_state.cc
@@ -265,7 +265,14 @@
 
 void ControlPlaneCore::State::OnPermitReturn(const LoadPermitReturn& returned, bool from_router) {
   if (held_budget_) return budget_.Return(returned.runner, returned.permit_id);
-  if (!from_router && !budget_router_.empty()) listener->SendToRouter(budget_router_, returned);
+  if (from_router) return;
+  // An agent may return a permit through another router than the one that asked for it, which then
+  // does not know the holder. A router that does not hold the budget ignores the return.
+  const std::vector<InstanceId> routers = RankedRouters(kBudgetKey);
+  const size_t candidates = std::min<size_t>(routers.size(), LeaseKeeper::kCandidates);
+  for (size_t i = 0; i < candidates; ++i) {
+    if (routers[i] != options_.id) listener->SendToRouter(routers[i], returned);
+  }
 }
 
 void ControlPlaneCore::State::OnReleased(const SlotReleased& released, bool from_router) {
