--- a/servers/config_editor.cc
+++ b/servers/config_editor.cc
@@ -35,6 +35,11 @@
   return text;
 }
 
+Error MissingSnapshot() {
+  return Error{ErrorKind::kInternal, "the snapshot that config/head builds on is missing",
+               "restore the key config/snapshot/REVISION in the platform store"};
+}
+
 Error ConflictWith(const ConfigHead& head) {
   return Error{ErrorKind::kConflict, WinnerOf(head) + " was accepted first",
                "read it with shallotctl config show, then run the same command again"};
@@ -140,6 +145,7 @@
     store_->Get(SnapshotKey(state->head.snapshot),
                 [finish, done](const Result<VersionedValue>& snapshot) {
                   if (!IsOk(snapshot)) return done(ErrorOf(snapshot));
+                  if (ValueOf(snapshot).version == StoreVersion(0)) return done(MissingSnapshot());
                   finish(ValueOf(snapshot).value);
                 });
   });
--- a/servers/config_follower.cc
+++ b/servers/config_follower.cc
@@ -19,13 +19,14 @@
       store_(store),
       replica_(invariants),
       backoff_(Millis(100), Millis(5000), seed),
+      snapshot_backoff_(Millis(500), Millis(10'000), seed + 1),
       send_(std::move(send)),
       newer_(std::move(newer)),
       read_jitter_(seed % 10'000) {}
 
 void ConfigFollower::OnTick(bool watcher) {
   const SteadyTime now = clock_->SteadyNow();
-  if (!backoff_.Ready(now) || snapshot_in_flight_) return;
+  if (!backoff_.Ready(now) || !snapshot_backoff_.Ready(now) || snapshot_in_flight_) return;
   const bool unknown = replica_.current() == nullptr;
   if (!read_in_flight_ && (unknown || !watcher) && now >= next_read_) ReadHead();
   if (watcher && !unknown && !watch_in_flight_ && backoff_.Ready(now)) WatchHead();
@@ -71,7 +72,7 @@
   const Result<bool> applied = Apply(push);
   if (!IsOk(applied) && ErrorOf(applied).kind == ErrorKind::kNotFound) {
     ReadSnapshot(push, snapshot);
-    return true;
+    return false;
   }
   head_version_ = ValueOf(value).version;
   return IsOk(applied);
@@ -83,10 +84,14 @@
   const StoreKey key("config/snapshot/" + std::to_string(snapshot.value()));
   store_->Get(key, [this, push](const Result<VersionedValue>& value) {
     snapshot_in_flight_ = false;
-    if (!IsOk(value)) {
-      next_read_ = clock_->SteadyNow();
-      return StoreFailed(ErrorOf(value));
+    const Error missing{ErrorKind::kNotFound, "the snapshot of config/head is missing",
+                        "restore the key config/snapshot/REVISION in the platform store"};
+    if (!IsOk(value) || ValueOf(value).version == StoreVersion(0)) {
+      snapshot_backoff_.Failed(clock_->SteadyNow());
+      last_error_ = FormatError(IsOk(value) ? missing : ErrorOf(value));
+      return;
     }
+    snapshot_backoff_.Succeeded();
     ConfigPush full = push;
     full.snapshot = ValueOf(value).value;
     Apply(full);
--- a/servers/config_follower.h
+++ b/servers/config_follower.h
@@ -48,6 +48,7 @@
  private:
   void ReadHead();
   void WatchHead();
+  /// True when the head is in force; otherwise it is read again soon.
   bool OnHead(const Result<VersionedValue>& value);
   void ReadSnapshot(const ConfigPush& push, ConfigRevision snapshot);
   Result<bool> Apply(const ConfigPush& push);
@@ -58,6 +59,8 @@
   PlatformStore* store_;
   ConfigReplica replica_;
   Backoff backoff_;
+  /// Apart from the other, which each read of the head resets.
+  Backoff snapshot_backoff_;
   SendFunction send_;
   NewerCallback newer_;
   StoreVersion head_version_;
--- a/servers/control_plane_core.cc
+++ b/servers/control_plane_core.cc
@@ -18,9 +18,7 @@
 
 void ControlPlaneCore::OnTick() { state_->OnTick(); }
 
-void ControlPlaneCore::OnDemand(const EntryId& entry, bool /*cold*/) {
-  state_->demand_.OnCall(entry, state_->clock_->SteadyNow());
-}
+void ControlPlaneCore::OnDemand(const EntryId& entry, bool /*cold*/) { state_->OnDemand(entry); }
 
 void ControlPlaneCore::OnRunnerUp(const RunnerId& runner, Incarnation incarnation) {
   state_->grants_.OnRunnerUp(runner, incarnation);
--- a/servers/control_plane_state.cc
+++ b/servers/control_plane_state.cc
@@ -55,7 +55,7 @@
 void ControlPlaneCore::State::OnTick() {
   const SteadyTime now = clock_->SteadyNow();
   FetchInstances(now);
-  follower_.OnTick(IsWatcher());
+  follower_.OnTick(watcher_);
   AskPeersForConfig(now);
   AnnounceRevision(now);
   UpdateDemand(now);
@@ -78,6 +78,8 @@
     list_backoff_.Succeeded();
     list_error_.clear();
     registry_.OnList(ValueOf(list));
+    ranks_.clear();
+    watcher_ = IsWatcher();
     listener->OnInstances(ValueOf(list));
   });
 }
@@ -121,7 +123,13 @@
   return routers;
 }
 
-uint64_t ControlPlaneCore::State::RankFor(const std::string& key) const {
+uint64_t ControlPlaneCore::State::RankFor(const std::string& key) {
+  const auto known = ranks_.find(key);
+  if (known != ranks_.end()) return known->second;
+  return ranks_[key] = CountPreferred(key);
+}
+
+uint64_t ControlPlaneCore::State::CountPreferred(const std::string& key) const {
   const uint64_t own = RendezvousWeight(key, options_.id.value());
   uint64_t rank = 0;
   for (const InstanceRecord& record : registry_.routers()) {
@@ -143,7 +151,7 @@
 
 /// The watchers tell their failure domain; everyone else hears of a revision from heartbeats too.
 void ControlPlaneCore::State::AnnounceRevision(SteadyTime now) {
-  if (now >= announce_until_ || now < next_announce_ || !IsWatcher()) return;
+  if (now >= announce_until_ || now < next_announce_ || !watcher_) return;
   next_announce_ = now + kAnnounceInterval;
   const ConfigPush notice{follower_.replica().revision(), "", ""};
   for (const InstanceRecord& record : registry_.routers()) {
@@ -213,6 +221,15 @@
   return true;
 }
 
+/// Calls of an adapter also load its base model, which must serve those of all its adapters.
+void ControlPlaneCore::State::OnDemand(const EntryId& entry) {
+  const SteadyTime now = clock_->SteadyNow();
+  demand_.OnCall(entry, now);
+  const std::shared_ptr<const FleetConfig> config = follower_.replica().current();
+  const CatalogEntry* known = config == nullptr ? nullptr : config->FindEntry(entry);
+  if (known != nullptr && known->base != entry) demand_.OnCall(known->base, now);
+}
+
 void ControlPlaneCore::State::OnRunnerMessage(const RunnerId& runner, const Message& message) {
   const std::string peer = kRunnerPrefix + runner.value();
   if (const auto* pull = std::get_if<ConfigPull>(&message)) return follower_.OnPull(peer, *pull);
@@ -356,7 +373,7 @@
                       {"error", shard.replica->last_error()}});
   }
   const Json json = {{"config_revision", follower_.replica().revision().value()},
-                     {"config_watcher", IsWatcher()},
+                     {"config_watcher", watcher_},
                      {"config_error", follower_.last_error()},
                      {"instance_lists", registry_.lists()},
                      {"instance_error", list_error_},
--- a/servers/control_plane_state.h
+++ b/servers/control_plane_state.h
@@ -29,6 +29,7 @@
   uint64_t InputVersion() const override { return input_version_ + registry_.changes(); }
 
   void OnTick();
+  void OnDemand(const EntryId& entry);
   void OnRunnerMessage(const RunnerId& runner, const Message& message);
   void OnRouterMessage(const InstanceId& router, const Message& message);
   void BeginDrain();
@@ -58,10 +59,12 @@
   void CreateShards(uint64_t count);
   void AnnounceRevision(SteadyTime now);
   void AskPeersForConfig(SteadyTime now);
+  uint64_t CountPreferred(const std::string& key) const;
   bool IsWatcher() const;
   /// Routers that are not leaving, this one included unless it drains, best first for `key`.
   std::vector<InstanceId> RankedRouters(const std::string& key) const;
-  uint64_t RankFor(const std::string& key) const;
+  /// Routers that are preferred to this one for `key`.
+  uint64_t RankFor(const std::string& key);
   void UpdateDemand(SteadyTime now);
   void TickShards();
   void TickBudget();
@@ -96,6 +99,9 @@
   uint64_t budget_tries_ = 0;
   std::map<ShardId, Shard> shards_;
   std::vector<Release> releases_;
+  /// Ranks by the newest instance list; they are asked for on every tick.
+  std::map<std::string, uint64_t> ranks_;
+  bool watcher_ = true;
   Backoff list_backoff_;
   bool list_in_flight_ = false;
   SteadyTime next_list_ = SteadyTime::min();
--- a/servers/placement_planner.cc
+++ b/servers/placement_planner.cc
@@ -187,7 +187,8 @@
   }
 
   bool MayTake(const CatalogEntry& entry, const SlotList& slots, const RunnerUse& use) const {
-    if (!use.TakesNew() || Holds(slots, use.runner->id)) return false;
+    if (!use.TakesNew() || use.runner->backend != entry.backend) return false;
+    if (Holds(slots, use.runner->id)) return false;
     if (entry.kind == LoadKind::kAdapter && !HoldsActive(entry.base, use.runner->id)) return false;
     const uint64_t capacity = use.runner->memory_capacity.value();
     return capacity == 0 || FootprintOf(entry) <= capacity;
@@ -197,11 +198,19 @@
     return use.Load() - CacheBonus(*use.runner, entry.id);
   }
 
+  /// An adapter has few candidates, the runners of its base; most entries are adapters.
+  std::vector<RunnerId> CandidatesFor(const CatalogEntry& entry) {
+    if (entry.kind == LoadKind::kModel) return by_backend_[entry.backend];
+    std::vector<RunnerId> runners;
+    for (const Slot& slot : slots_[entry.base]) runners.push_back(slot.runner);
+    return runners;
+  }
+
   /// The cheapest runner in the least used failure domain; null when none may take the entry.
   RunnerUse* ChooseRunner(const CatalogEntry& entry, const SlotList& slots) {
     RunnerUse* best = nullptr;
     std::tuple<uint64_t, double, uint64_t> best_rank;
-    for (const RunnerId& id : by_backend_[entry.backend]) {
+    for (const RunnerId& id : CandidatesFor(entry)) {
       RunnerUse& use = uses_.at(id);
       if (!MayTake(entry, slots, use)) continue;
       // The inverted weight makes the order among equals differ from entry to entry.
--- a/tests/config_editor_test.cc
+++ b/tests/config_editor_test.cc
@@ -157,6 +157,17 @@
   CHECK(invariants.TotalViolations() == 0);
 }
 
+// Guards against a change on top of a configuration that lost its snapshot: it would remove all
+// other sections.
+TEST_CASE("a missing snapshot is an error") {
+  Fixture f;
+  const ConfigHead head{ConfigRevision(5), ConfigRevision(5), ConfigRevision(0), {}};
+  f.store.Put("config/head", FormatConfigHead(head));
+  const Result<ConfigRevision> result = f.Apply(kText);
+  REQUIRE_FALSE(IsOk(result));
+  CHECK(ErrorOf(result).kind == ErrorKind::kInternal);
+}
+
 TEST_CASE("an exception is added with its reason and removed") {
   Fixture f;
   REQUIRE(IsOk(f.Apply(kText)));
--- a/tests/control_plane_core_test.cc
+++ b/tests/control_plane_core_test.cc
@@ -314,6 +314,24 @@
   CHECK(replicas() == 1);
 }
 
+// Guards against a base model with one replica under many adapters with a few calls each.
+TEST_CASE("a base model has the replicas for the calls of all its adapters") {
+  ControlFleet fleet(1, 6);
+  REQUIRE(fleet.Configure(kText) == ConfigRevision(1));
+  fleet.Run(Millis(5000));
+  // 4 half-lives of the rate: 2 calls a second for each adapter, and one replica serves 2.8.
+  for (int i = 0; i < 2400; ++i) {
+    if (i % 10 == 0) fleet.routers[0]->core->OnDemand(EntryId("a1"), false);
+    if (i % 10 == 5) fleet.routers[0]->core->OnDemand(EntryId("a2"), false);
+    fleet.Run(Millis(50));
+  }
+  std::map<EntryId, int> replicas;
+  for (const Slot& slot : fleet.StoredSlots(4)) ++replicas[slot.entry];
+  CHECK(replicas[EntryId("m1")] == 2);
+  CHECK(replicas[EntryId("a1")] == 1);
+  CHECK(replicas[EntryId("m2")] == 1);
+}
+
 // Guards against routers that load the store in ordinary operation or in an outage.
 TEST_CASE("the calls of a router to the store are few") {
   ControlFleet fleet(3, 3);
@@ -338,6 +356,20 @@
   CHECK(calls() - before < 3 * 11 * 30);
 }
 
+// Guards against a router that reads without a pause because the snapshot is missing, and against
+// one that cannot take over a configuration by its snapshot.
+TEST_CASE("a configuration is read with its snapshot") {
+  ControlFleet fleet(1, 0);
+  const ConfigHead head{ConfigRevision(5), ConfigRevision(5), ConfigRevision(0), {}};
+  fleet.store.Put("config/head", FormatConfigHead(head));
+  fleet.Run(Millis(30'000));
+  CHECK(fleet.routers[0]->core->config_revision() == ConfigRevision(0));
+  CHECK(fleet.store.Calls("get") < 60);
+  fleet.store.Put("config/snapshot/5", kText);
+  fleet.Run(Millis(15'000));
+  CHECK(fleet.routers[0]->core->config_revision() == ConfigRevision(5));
+}
+
 // Guards against slots beyond the maximum, reverted configurations and stuck shards under any mix
 // of paused routers, lost answers, outages and runners that come and go.
 TEST_CASE("random faults keep the invariants and end in a whole placement") {
--- a/tests/placement_planner_test.cc
+++ b/tests/placement_planner_test.cc
@@ -266,6 +266,24 @@
   CHECK(f.Of("m0").at(0) == loaded);
 }
 
+// Guards against a slot that is released for balance and placed on the same runner again, for ever.
+TEST_CASE("a slot is not moved to a domain that its new place would not be in") {
+  Fixture f(Models(1), 3);
+  f.input.wanted[EntryId("m0")] = 2;
+  f.Settle();
+  // The other slot is on a missing runner; a runner of its domain has the entry loaded.
+  const Slot missing = f.Of("m0").at(0);
+  f.RunnerOf(missing).state = PlannerRunner::State::kMissing;
+  PlannerRunner same_domain = Runner(9, 0);
+  same_domain.failure_domain = f.RunnerOf(missing).failure_domain;
+  same_domain.loaded.insert(EntryId("m0"));
+  f.input.runners.push_back(same_domain);
+  f.input.wanted[EntryId("m0")] = 1;
+  f.Settle();
+  const std::vector<Slot> before = f.input.slots;
+  for (int i = 0; i < 10; ++i) CHECK(f.Plan() == before);
+}
+
 // Guards against plans that exceed the maximum, lose slots, or do not settle, over random fleets.
 TEST_CASE("random changes keep the rules of placement") {
   for (uint64_t seed = 1; seed <= 60; ++seed) {
