--- a/drivers/agent_daemon.cc
+++ b/drivers/agent_daemon.cc
@@ -1,6 +1,7 @@
 #include "drivers/agent_daemon.h"
 
 #include <utility>
+#include <variant>
 
 #include "core/invariant.h"
 #include "core/log.h"
@@ -14,6 +15,8 @@
 #include "drivers/service_http.h"
 #include "drivers/weights_http.h"
 #include "servers/agent_core.h"
+#include "servers/config_replica.h"
+#include "servers/gap_keep_alive.h"
 #include "servers/store_order_claims.h"
 
 namespace shallot {
@@ -115,10 +118,14 @@
                                               .engine = backend_.engine(),
                                               .claims = &claims_,
                                               .metrics = metrics,
-                                              .invariants = invariants}) {}
+                                              .invariants = invariants}),
+        config_(invariants) {
+    core_.SetKeepAlivePolicy(&keep_alive_);
+  }
 
   void OnStart() override { core_.Start(); }
   void OnMessage(ConnectionId connection, const Message& message) override {
+    if (const auto* push = std::get_if<ConfigPush>(&message)) ApplyConfig(*push);
     core_.OnMessage(connection, message);
   }
   void OnDisconnect(ConnectionId connection) override { core_.OnDisconnect(connection); }
@@ -139,13 +146,23 @@
   }
 
  private:
+  /// The core does not hand out its configuration, so the parts beside it follow the same pushes.
+  void ApplyConfig(const ConfigPush& push) {
+    const Result<bool> applied = config_.Apply(push);
+    if (!IsOk(applied) || !ValueOf(applied)) return;
+    keep_alive_.SetConfig(config_.current());
+    claims_.SetWindow(config_.current()->order_window);
+  }
+
   const SystemClock clock_{};
   Millis drain_grace_;
   PlatformHttp platform_;
   StoreOrderClaims claims_;
   Backend backend_;
   WeightsWatch weights_;
+  GapKeepAlive keep_alive_;
   AgentCore core_;
+  ConfigReplica config_;
 };
 
 HubOptions MakeHubOptions(const AgentSettings& settings) {
