Test the CURVE keys of the hub

Cause: the optional keys had no test. Change: hubs with matching keys exchange messages; clients without keys or with others are refused. Conclusion: a refused client is reported as disconnected and none of its messages is accepted.

--- a/tests/zmq_hub_test.cc
+++ b/tests/zmq_hub_test.cc
@@ -1,6 +1,7 @@
 #include "drivers/zmq_hub.h"
 
 #include <doctest/doctest.h>
+#include <zmq.h>
 
 #include <functional>
 #include <string>
@@ -138,6 +139,64 @@
   CHECK(std::holds_alternative<DrainOrder>(server_side.messages[1]));
 }
 
+CurveKeys MakeKeys() {
+  CurveKeys keys;
+  const auto make = [](std::string* public_key, std::string* secret_key) {
+    char public_text[41];
+    char secret_text[41];
+    REQUIRE(zmq_curve_keypair(public_text, secret_text) == 0);
+    *public_key = public_text;
+    *secret_key = secret_text;
+  };
+  make(&keys.server_public, &keys.server_secret);
+  make(&keys.client_public, &keys.client_secret);
+  return keys;
+}
+
+TEST_CASE("hubs with matching keys exchange messages") {
+  HubOptions options = Listening();
+  options.keys = MakeKeys();
+  ZmqHub server(options);
+  REQUIRE(IsOk(server.Open()));
+  options.listen_address.clear();
+  ZmqHub client(options);
+  const ConnectionId connection = client.Connect(AddressOf(server));
+  REQUIRE(IsOk(client.Send(connection, ConfigPull{ConfigRevision(3)})));
+  Recorder server_side(&server,
+                       [](Recorder* self, ConnectionId, const Message&) { self->Finish(); });
+  server.Run(&server_side);
+  CHECK(server_side.messages == std::vector<Message>{ConfigPull{ConfigRevision(3)}});
+}
+
+struct KeyCase {
+  const char* name;
+  bool client_has_keys;
+};
+
+// Guards against a peer without the right keys whose messages are accepted.
+TEST_CASE("a hub with keys refuses clients without the right key") {
+  for (const KeyCase& test : {KeyCase{"no keys", false}, KeyCase{"other keys", true}}) {
+    CAPTURE(test.name);
+    HubOptions options = Listening();
+    options.keys = MakeKeys();
+    ZmqHub server(options);
+    REQUIRE(IsOk(server.Open()));
+    HubOptions client_options;
+    if (test.client_has_keys) client_options.keys = MakeKeys();
+    ZmqHub client(client_options);
+    Recorder client_side(&client, [](Recorder*, ConnectionId, const Message&) {});
+    Recorder server_side(&server, [](Recorder*, ConnectionId, const Message&) {});
+    std::thread server_thread([&] { server.Run(&server_side); });
+    const ConnectionId connection = client.Connect(AddressOf(server));
+    REQUIRE(IsOk(client.Send(connection, ConfigPull{})));
+    client.Run(&client_side);
+    server.Stop();
+    server_thread.join();
+    CHECK(client_side.disconnected == std::vector<ConnectionId>{connection});
+    CHECK(server_side.messages.empty());
+  }
+}
+
 // Guards against lost wake-ups: each posted task must run although no socket has traffic.
 TEST_CASE("tasks posted from another thread run on the hub's thread") {
   constexpr int kTasks = 1000;
