Move adapters with their model, and no model whose adapters are called

Cause: a move for balance released a model but left its adapters offered on the same runner until the next plan, and it looked only at calls for the model itself. Change: the plan that releases the model releases its adapters there too; calls for an adapter count as demand for its model.

--- a/servers/placement_planner.cc
+++ b/servers/placement_planner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <tuple>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 #include "core/hashing.h"
@@ -78,6 +79,8 @@
       entries_.push_back(&entry);
       uint64_t& base_wanted = base_wanted_[entry.base];
       base_wanted = std::max(base_wanted, WantedOf(entry));
+      const auto demand = input_.wanted.find(id);
+      if (demand != input_.wanted.end() && demand->second > 0) in_demand_.insert(entry.base);
     }
   }
 
@@ -253,6 +256,11 @@
       for (Slot& slot : slots) {
         if (slot.state != SlotState::kActive || !CheaperElsewhere(*entry, slots, slot)) continue;
         Release(&slot);
+        // In the same plan, so that no adapter is offered on a runner that gives up its base.
+        for (const CatalogEntry* adapter : entries_) {
+          if (adapter->kind != LoadKind::kAdapter || adapter->base != entry->id) continue;
+          ReleaseWithoutBase(*adapter, &slots_[adapter->id]);
+        }
         return;
       }
     }
@@ -261,8 +269,8 @@
   bool CheaperElsewhere(const CatalogEntry& entry, const SlotList& slots, const Slot& slot) {
     RunnerUse& now = uses_.at(slot.runner);
     if (!now.TakesNew() || now.runner->loaded.contains(entry.id)) return false;
-    const uint64_t demand = input_.wanted.contains(entry.id) ? input_.wanted.at(entry.id) : 0;
-    if (demand > 0 && CountServing(slots) < 2) return false;
+    // Calls for an adapter need its base too.
+    if (in_demand_.contains(entry.id) && CountServing(slots) < 2) return false;
     // Chooses as if the slot were gone, which is how its new place will be chosen.
     SlotList others = slots;
     std::erase(others, slot);
@@ -293,6 +301,8 @@
   std::unordered_map<BackendName, std::vector<RunnerId>> by_backend_;
   std::unordered_map<EntryId, SlotList> slots_;
   std::unordered_map<EntryId, uint64_t> base_wanted_;
+  /// Models that are called, or whose adapters are.
+  std::unordered_set<EntryId> in_demand_;
   std::unordered_map<EntryId, Generation> highest_;
 };
 
