Let the demo report malformed answers instead of stopping

Cause: an answer without the expected fields ended the demo with an exception. Change: such an answer counts as wrong and is printed; refusals name the entry.

--- a/misc/demo_calls.py
+++ b/misc/demo_calls.py
@@ -108,11 +108,14 @@
         headers = {"Content-Type": "application/json", "X-Shallot-Class": call_class}
         self.exchange(record, router, "POST", path, json.dumps(body).encode(), headers,
                       on_first_byte)
+        if record.detail:
+            record.detail = f"{entry}: {record.detail}"
         if record.outcome == "completed":
             self.warm.add(entry)
             got = streamed_text(record.body) if stream else plain_text(record.body)
             if got != expected_text(entry, prompt, tokens):
-                record.wrong = f"{entry}: answer differs: {record.body[:200]!r}"
+                record.wrong = (f"{entry}: wrong answer with HTTP {record.status}: "
+                                f"{record.body[:200]!r}")
         return self.add(record)
 
     def service(self, router, method, path, call_class, key=None, body=b""):
@@ -130,9 +133,10 @@
             # The same order is still running: the same key gets its recorded answer later.
             time.sleep(0.1 * (attempt + 1))
         if record.outcome == "completed":
-            answer = json.loads(record.body)
-            if answer["path"] != path or answer["body"] != body.decode():
-                record.wrong = f"{method} {path}: answer differs: {record.body[:200]!r}"
+            answer = parsed(record.body)
+            if answer.get("path") != path or answer.get("body") != body.decode():
+                record.wrong = (f"{method} {path}: wrong answer with HTTP {record.status}: "
+                                f"{record.body[:200]!r}")
         return self.add(record)
 
     def exchange(self, record, router, method, path, body, headers, on_first_byte=None):
@@ -172,19 +176,30 @@
             return [future.result() for future in [pool.submit(call) for call in calls]]
 
 
+def parsed(body):
+    """The JSON object in `body`; empty when there is none."""
+    try:
+        value = json.loads(body)
+    except ValueError:
+        return {}
+    return value if isinstance(value, dict) else {}
+
+
+def choice_text(answer):
+    """Text of an answer or of an event of a stream; empty when it has none."""
+    for choice in answer.get("choices", []):
+        part = choice.get("message") or choice.get("delta") or {}
+        return choice.get("text") or part.get("content", "")
+    return ""
+
+
 def plain_text(body):
-    choice = json.loads(body)["choices"][0]
-    return choice["message"]["content"] if "message" in choice else choice["text"]
+    return choice_text(parsed(body))
 
 
 def streamed_text(body):
-    text = ""
-    for line in body.decode().split("\n"):
-        if not line.startswith("data: {"):
-            continue
-        choice = json.loads(line[6:])["choices"][0]
-        text += choice["delta"].get("content", "") if "delta" in choice else choice["text"]
-    return text
+    return "".join(choice_text(parsed(line[6:])) for line in body.decode().split("\n")
+                   if line.startswith("data: {"))
 
 
 def quantile(values, share):
