Weigh idle time by memory and count adapter calls for the base model

Change: idle cost is scaled by the entry's memory over the largest entry's; a call for an adapter ends a gap of its base; choices are kept until their inputs change. The benchmark prints the curve over cold weights.

--- a/bench/cold_start_bench.cc
+++ b/bench/cold_start_bench.cc
@@ -9,6 +9,7 @@
 
 #include "bench/agent_simulation.h"
 #include "bench/bench_report.h"
+#include "servers/gap_keep_alive.h"
 
 namespace shallot::bench {
 namespace {
@@ -56,21 +57,53 @@
                result.calls - result.completed);
 }
 
-void RunShape(const TraceShape& shape) {
-  const SimulationOptions base = MakeOptions(shape);
-  std::vector<std::pair<std::string, SimulationOptions>> runs = {
-      {"fixed_10_min", WithFixed(base, std::chrono::minutes(10))},
-      {"unload_at_once", WithFixed(base, Millis(0))},
-      {"never_unload", WithFixed(base, kWeek)},
+SimulationOptions WithGaps(SimulationOptions options, double cold_weight) {
+  options.shape.cold_weight = cold_weight;
+  options.shape.idle_weight = 1;
+  options.make_policy = [](const Clock*, const std::shared_ptr<const FleetConfig>& config) {
+    auto policy = std::make_unique<GapKeepAlive>();
+    policy->SetConfig(config);
+    return policy;
   };
-  std::vector<std::future<SimulationResult>> results;
-  results.reserve(runs.size());
-  for (const auto& run : runs) {
-    results.push_back(std::async(std::launch::async, [&run] { return Replay(run.second); }));
+  return options;
+}
+
+/// Replays all at once, one thread each.
+std::vector<SimulationResult> ReplayAll(const std::vector<SimulationOptions>& runs) {
+  std::vector<std::future<SimulationResult>> futures;
+  futures.reserve(runs.size());
+  for (const SimulationOptions& run : runs) {
+    futures.push_back(std::async(std::launch::async, [&run] { return Replay(run); }));
   }
-  for (size_t i = 0; i < runs.size(); ++i) {
-    PrintResult(shape.name + "." + runs[i].first, results[i].get());
+  std::vector<SimulationResult> results;
+  results.reserve(runs.size());
+  for (auto& future : futures) results.push_back(future.get());
+  return results;
+}
+
+void PrintAgainst(const std::string& name, const SimulationResult& result,
+                  const SimulationResult& baseline) {
+  Print({name + ".cold_start_p99", double(result.p99.count()), "ms", double(baseline.p99.count())});
+  Print({name + ".idle_accelerator_hours", result.idle_accelerator_hours, "h",
+         baseline.idle_accelerator_hours});
+}
+
+void RunShape(const TraceShape& shape) {
+  const SimulationOptions base = MakeOptions(shape);
+  const std::vector<double> weights = {shape.cold_weight, 0.5, 2, 5, 10, 30, 100};
+  std::vector<SimulationOptions> runs = {WithFixed(base, std::chrono::minutes(10)),
+                                         WithFixed(base, Millis(0)), WithFixed(base, kWeek)};
+  for (const double weight : weights) runs.push_back(WithGaps(base, weight));
+  const std::vector<SimulationResult> results = ReplayAll(runs);
+  PrintResult(shape.name + ".fixed_10_min", results[0]);
+  PrintResult(shape.name + ".unload_at_once", results[1]);
+  PrintResult(shape.name + ".never_unload", results[2]);
+  for (size_t i = 0; i < weights.size(); ++i) {
+    const std::string weight = std::to_string(weights[i]);
+    PrintResult(shape.name + ".gaps_" + weight.substr(0, weight.find('.') + 2), results[3 + i]);
   }
+  PrintAgainst(shape.name + ".vs_fixed", results[3], results[0]);
+  PrintAgainst(shape.name + ".vs_never_unload", results[3], results[2]);
 }
 
 }  // namespace
--- a/servers/gap_keep_alive.cc
+++ b/servers/gap_keep_alive.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace shallot {
 namespace {
@@ -52,16 +53,45 @@
   return (cold_cost * longer + idle_weight * idle) / weight_;
 }
 
+void GapKeepAlive::SetConfig(std::shared_ptr<const FleetConfig> config) {
+  config_ = std::move(config);
+  choices_.clear();
+  largest_bytes_ = 0;
+  if (config_ == nullptr) return;
+  for (const auto& [id, entry] : config_->entries) {
+    largest_bytes_ = std::max(largest_bytes_, entry.size.value() + entry.kv_cache.value());
+  }
+}
+
+void GapKeepAlive::SetColdTime(const EntryId& entry, Millis cold_time) {
+  cold_times_[entry] = cold_time;
+  choices_.erase(entry);
+}
+
 void GapKeepAlive::OnCall(const EntryId& entry, SteadyTime now) {
+  RecordCall(entry, now);
+  const CatalogEntry* known = config_ == nullptr ? nullptr : config_->FindEntry(entry);
+  if (known != nullptr && known->kind == LoadKind::kAdapter) RecordCall(known->base, now);
+}
+
+void GapKeepAlive::RecordCall(const EntryId& entry, SteadyTime now) {
   const auto [it, first] = histories_.try_emplace(entry);
   History& history = it->second;
   if (!first && now > history.last_call) {
     history.gaps.Record(now - history.last_call);
     fleet_.Record(now - history.last_call);
+    ++fleet_gaps_;
+    choices_.erase(entry);
   }
   history.last_call = first ? now : std::max(now, history.last_call);
 }
 
+double GapKeepAlive::ShareOf(const CatalogEntry& entry) const {
+  if (largest_bytes_ == 0) return 1;
+  const uint64_t bytes = entry.size.value() + entry.kv_cache.value();
+  return static_cast<double>(bytes) / static_cast<double>(largest_bytes_);
+}
+
 Millis GapKeepAlive::ColdTime(const EntryId& entry) const {
   const auto measured = cold_times_.find(entry);
   if (measured != cold_times_.end()) return measured->second;
@@ -72,24 +102,36 @@
 }
 
 Millis GapKeepAlive::KeepAlive(const EntryId& entry) const {
+  const auto it = histories_.find(entry);
+  const bool own = it != histories_.end() && it->second.gaps.weight() >= kFewGaps;
+  const auto known = choices_.find(entry);
+  if (known != choices_.end()) {
+    const uint64_t made_at = known->second.fleet_gaps;
+    if (made_at == 0 ? own : !own && fleet_gaps_ - made_at < kFleetRefresh)
+      return known->second.keep;
+  }
+  const Millis keep = Choose(entry, own ? it->second.gaps : fleet_);
+  choices_[entry] = {keep, own ? 0 : fleet_gaps_};
+  return keep;
+}
+
+Millis GapKeepAlive::Choose(const EntryId& entry, const GapHistogram& gaps) const {
   const CatalogEntry* known = config_ == nullptr ? nullptr : config_->FindEntry(entry);
   const EntryPolicy policy = known == nullptr ? EntryPolicy() : known->policy;
-  if (policy.idle_weight <= 0) return policy.keep_alive_max;
+  const double idle_weight = policy.idle_weight * (known == nullptr ? 1 : ShareOf(*known));
+  if (idle_weight <= 0) return policy.keep_alive_max;
   const double cold_cost = policy.cold_weight * ToSeconds(ColdTime(entry));
   const double shortest = ToSeconds(policy.keep_alive_min);
   const double longest = ToSeconds(policy.keep_alive_max);
-  const auto it = histories_.find(entry);
-  const bool own = it != histories_.end() && it->second.gaps.weight() >= kFewGaps;
-  const GapHistogram& gaps = own ? it->second.gaps : fleet_;
   // Without any experience: keep it until idling has cost as much as a cold start, which is at
   // most twice the cost of the best choice.
   if (gaps.weight() < kFewGaps) {
-    return ToMillis(std::clamp(cold_cost / policy.idle_weight, shortest, longest));
+    return ToMillis(std::clamp(cold_cost / idle_weight, shortest, longest));
   }
   double best = shortest;
-  double best_cost = gaps.Cost(shortest, cold_cost, policy.idle_weight);
+  double best_cost = gaps.Cost(shortest, cold_cost, idle_weight);
   const auto consider = [&](double keep) {
-    const double cost = gaps.Cost(keep, cold_cost, policy.idle_weight);
+    const double cost = gaps.Cost(keep, cold_cost, idle_weight);
     if (cost >= best_cost) return;
     best = keep;
     best_cost = cost;
--- a/servers/gap_keep_alive.h
+++ b/servers/gap_keep_alive.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <unordered_map>
 
@@ -33,32 +34,51 @@
 };
 
 /// Keeps an idle entry loaded for the time t, between the policy's bounds, that minimises
-/// `cold_weight * cold_time * P(gap > t) + idle_weight * E[min(gap, t)]` over the idle gaps seen.
+/// `cold_weight * cold_time * P(gap > t) + idle_weight * share * E[min(gap, t)]` over the idle gaps
+/// seen. `share` is the memory of the entry over that of the largest entry of the catalogue,
+/// because an idle adapter holds far less of an accelerator than an idle model. A call for an
+/// adapter ends a gap of its base model too.
 class GapKeepAlive final : public KeepAlivePolicy {
  public:
   /// Below this many gaps an entry uses the gaps of all entries.
   static constexpr double kFewGaps = 8;
 
   /// Policies of the entries; null means default policies.
-  void SetConfig(std::shared_ptr<const FleetConfig> config) { config_ = std::move(config); }
+  void SetConfig(std::shared_ptr<const FleetConfig> config);
   /// Measured time of a cold start of the entry. Without one it is estimated from the size.
-  void SetColdTime(const EntryId& entry, Millis cold_time) { cold_times_[entry] = cold_time; }
+  void SetColdTime(const EntryId& entry, Millis cold_time);
 
   Millis KeepAlive(const EntryId& entry) const override;
   void OnCall(const EntryId& entry, SteadyTime now) override;
 
  private:
+  /// New gaps of the fleet after which a choice made from them is made anew.
+  static constexpr uint64_t kFleetRefresh = 64;
+
   struct History {
     SteadyTime last_call;
     GapHistogram gaps;
   };
+  /// The time chosen last; asked for on every tick, so it is kept until its inputs change.
+  struct Choice {
+    Millis keep{0};
+    /// Value of `fleet_gaps_` when the choice was made from the gaps of all entries; 0 otherwise.
+    uint64_t fleet_gaps = 0;
+  };
 
+  void RecordCall(const EntryId& entry, SteadyTime now);
   Millis ColdTime(const EntryId& entry) const;
+  double ShareOf(const CatalogEntry& entry) const;
+  Millis Choose(const EntryId& entry, const GapHistogram& gaps) const;
 
   std::shared_ptr<const FleetConfig> config_;
   std::unordered_map<EntryId, Millis> cold_times_;
   std::unordered_map<EntryId, History> histories_;
   GapHistogram fleet_;
+  /// Gaps recorded so far over all entries, from 1.
+  uint64_t fleet_gaps_ = 1;
+  uint64_t largest_bytes_ = 0;
+  mutable std::unordered_map<EntryId, Choice> choices_;
 };
 
 }  // namespace shallot
