Treat an engine's not-loaded answer as a call that did not start

Cause: two demos that ran at once on the same ports returned completed answers without a choice; an engine's 404 for an entry that it does not hold was passed on as a completed answer. Change: 404 of an engine ends the call as not started, so it may be tried on another runner, and the agent reads the inventory at once. The demo reserves a range of ports of its own. Conclusion: an engine that lost its entries no longer answers callers with 404.

--- a/drivers/engine_http.cc
+++ b/drivers/engine_http.cc
@@ -132,7 +132,11 @@
 
 EngineHttp::EngineHttp(const std::string& address, TaskRing* ring)
     : ring_(ring),
-      calls_({.address = address, .resume_path = "/streams", .cancel_path = "/streams"}, ring),
+      calls_({.address = address,
+              .resume_path = "/streams",
+              .cancel_path = "/streams",
+              .not_started_status = 404},
+             ring),
       orders_({.address = address, .max_threads = kOrderThreads}),
       queries_({.address = address, .max_threads = kQueryThreads}) {}
 
--- a/drivers/http_call_runner.cc
+++ b/drivers/http_call_runner.cc
@@ -69,7 +69,8 @@
   bool PassAnswer(HttpConnection& connection, const RunningCallPtr& call, const HttpReply& head,
                   uint64_t* offset);
   bool PassWhole(HttpConnection& connection, const RunningCallPtr& call, const HttpReply& head);
-  void Refuse(HttpConnection& connection, const RunningCallPtr& call, const HttpReply& head);
+  void Refuse(HttpConnection& connection, const RunningCallPtr& call, const HttpReply& head,
+              ExecutionEnd end);
   void ResumeUntilEnd(HttpConnection& connection, const RunningCallPtr& call, uint64_t offset);
   void PostBegin(const RunningCallPtr& call, const HttpReply& head);
   void PostEnd(const RunningCallPtr& call, ExecutionEnd end, const std::string& message);
@@ -127,13 +128,13 @@
 }
 
 void HttpCallRunner::State::Refuse(HttpConnection& connection, const RunningCallPtr& call,
-                                   const HttpReply& head) {
+                                   const HttpReply& head, ExecutionEnd end) {
   const Result<std::string> body = connection.ReadSome(call->timeout);
   std::string detail = IsOk(body) ? ValueOf(body).substr(0, kMaxErrorDetail) : "";
   if (!IsOk(body) || ValueOf(body).size() != static_cast<size_t>(head.content_length)) {
     connection.Reset();
   }
-  PostEnd(call, ExecutionEnd::kFailed,
+  PostEnd(call, end,
           "backend server answered with status " + std::to_string(head.status) + ": " + detail);
 }
 
@@ -159,8 +160,12 @@
 
 bool HttpCallRunner::State::PassAnswer(HttpConnection& connection, const RunningCallPtr& call,
                                        const HttpReply& head, uint64_t* offset) {
+  if (head.status == options.not_started_status) {
+    Refuse(connection, call, head, ExecutionEnd::kNotStarted);
+    return true;
+  }
   if (head.status >= 500) {
-    Refuse(connection, call, head);
+    Refuse(connection, call, head, ExecutionEnd::kFailed);
     return true;
   }
   const bool whole = head.content_length >= 0 && head.content_length <= kWholeAnswerBytes;
--- a/drivers/http_call_runner.h
+++ b/drivers/http_call_runner.h
@@ -22,6 +22,9 @@
   std::string resume_path;
   /// Path of `DELETE PATH/CALLID`, which stops a call.
   std::string cancel_path;
+  /// Status by which the backend server says that it does not run the call, for example because the
+  /// model is not loaded; 0 when no status says so.
+  int not_started_status = 0;
 };
 
 /// Runs calls at a backend server over HTTP, one worker thread for each running call, and resumes
--- a/misc/demo_fleet.py
+++ b/misc/demo_fleet.py
@@ -5,6 +5,7 @@
 import os
 import re
 import signal
+import socket
 import subprocess
 import time
 
@@ -12,6 +13,8 @@
 
 LOAD_TIME_SCALE = 0.05
 FIRST_PORT = 21000
+PORTS_PER_DEMO = 1000
+MAX_DEMOS = 10
 READY_SECONDS = 20
 STOP_SECONDS = 30
 
@@ -59,10 +62,20 @@
 
 
 class Ports:
-    """Hands out loopback addresses."""
+    """Hands out loopback addresses. A listening socket on the first port of a range reserves the
+    range, because two demos on the same ports would answer each other's calls."""
 
     def __init__(self):
-        self.next = FIRST_PORT
+        for index in range(MAX_DEMOS):
+            self.next = FIRST_PORT + index * PORTS_PER_DEMO
+            self.lock = socket.socket()
+            try:
+                self.lock.bind(("127.0.0.1", self.next))
+                self.lock.listen(1)
+                return
+            except OSError:
+                self.lock.close()
+        raise SystemExit("demo: no free range of ports; stop another demo first")
 
     def address(self):
         self.next += 1
--- a/servers/agent_execution.cc
+++ b/servers/agent_execution.cc
@@ -110,6 +110,8 @@
   if (end == ExecutionEnd::kNotStarted) {
     call->sent_to_backend = false;
     ran_orders.erase(call->call.idempotency_key);
+    // An engine that restarted refuses calls for entries that it no longer holds.
+    loads.FetchInventory();
   }
   const Outcome outcome = OutcomeOf(*call, end, message);
   if (call->call.repeatable) {
--- a/tests/agent_calls_test.cc
+++ b/tests/agent_calls_test.cc
@@ -303,5 +303,27 @@
   CHECK(fixture.engine.calls.starts.contains(CallId("c4")));
 }
 
+// Guards against calls that keep going to an engine which lost its entries in a restart.
+TEST_CASE("a call that the engine did not start makes the agent read the inventory") {
+  AgentFixture fixture;
+  fixture.Begin();
+  fixture.Grant({"m1"});
+  fixture.Start(fixture.MakeCall("c1", "m1"));
+  fixture.GivePermit();
+  fixture.Run(Millis(100));
+  REQUIRE(fixture.engine.calls.running.contains(CallId("c1")));
+  const uint64_t before = fixture.engine.inventories;
+  fixture.engine.held.clear();
+  fixture.engine.calls.End(CallId("c1"), ExecutionEnd::kNotStarted);
+  CHECK(fixture.engine.inventories == before + 1);
+  CHECK(fixture.Ended("c1") == "not-run/backend-error");
+  fixture.Start(fixture.MakeCall("c2", "m1"));
+  fixture.Run(Millis(40));
+  fixture.GivePermit();
+  fixture.Run(Millis(40));
+  CHECK(fixture.engine.loads[EntryId("m1")] == 2);
+  CHECK(fixture.engine.calls.running.contains(CallId("c2")));
+}
+
 }  // namespace
 }  // namespace shallot::agent_test
--- a/tests/engine_http_test.cc
+++ b/tests/engine_http_test.cc
@@ -149,6 +149,16 @@
   }
 }
 
+// Guards against an engine's "not loaded" that reaches a caller as a completed answer.
+TEST_CASE("an engine that does not hold the entry did not start the call") {
+  FakeHttpServer server([](const FakeRequest&) {
+    return FakeReply{.status = 404, .body = R"({"error":"entry is not loaded"})"};
+  });
+  const RecordingSink sink = RunCall(server.address());
+  CHECK(sink.end == ExecutionEnd::kNotStarted);
+  CHECK(sink.data.empty());
+}
+
 TEST_CASE("a refused connection means the call was not started") {
   CHECK(RunCall(RefusingAddress()).end == ExecutionEnd::kNotStarted);
 }
