--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: setup build test demo lint format check-format bench clean
+.PHONY: setup build test demo lint format check-format bench slopes clean
 
 setup:
 	@misc/setup.sh
@@ -32,3 +32,7 @@
 
 clean:
 	rm -rf build build-*
+
+slopes: build
+	@$(BUILD)/slopes_bench
+	@$(BUILD)/control_bench
--- a/bench/slopes_bench.cc
+++ b/bench/slopes_bench.cc
@@ -1,18 +1,24 @@
 // Slopes of processor time, memory and bytes for docs/CAPACITY.md. Each slope has at least four
 // points; the least-squares line through them is printed with its points.
 #include <malloc.h>
+#include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <ctime>
+#include <fstream>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
 #include "bench/bench_report.h"
 #include "drivers/proto_codec.h"
+#include "drivers/zmq_hub.h"
 #include "servers/config_head.h"
 #include "servers/config_replica.h"
 #include "servers/placement_codec.h"
@@ -278,10 +284,72 @@
   PrintSlope("agent_cpu_per_connected_router_second", "s", idle);
 }
 
+/// Resident memory of this process in bytes.
+double ResidentBytes() {
+  std::ifstream file("/proc/self/statm");
+  double total = 0;
+  double resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+/// Answers each Hello with a Hello, as the cores do.
+class HelloListener final : public HubListener {
+ public:
+  explicit HelloListener(ZmqHub* hub) : hub_(hub) {}
+  void OnMessage(ConnectionId connection, const Message& message) override {
+    if (!std::holds_alternative<Hello>(message)) return;
+    heard_.fetch_add(1);
+    if (connections_.insert(connection).second) hub_->Send(connection, Hello{});
+  }
+  void OnDisconnect(ConnectionId /*connection*/) override {}
+  void OnTick() override {}
+  int heard() const { return heard_.load(); }
+
+ private:
+  ZmqHub* hub_;
+  std::set<ConnectionId> connections_;
+  std::atomic<int> heard_{0};
+};
+
+/// Memory of both ends of one connection; this process holds both.
+void MeasureConnections() {
+  std::vector<Point> memory;
+  for (const int count : {50, 100, 200, 400}) {
+    HubOptions listening;
+    listening.listen_address = "127.0.0.1:0";
+    ZmqHub server(listening);
+    ZmqHub client{HubOptions()};
+    if (!IsOk(server.Open()) || !IsOk(client.Open())) return;
+    HelloListener at_server(&server);
+    HelloListener at_client(&client);
+    std::thread server_thread([&] { server.Run(&at_server); });
+    std::thread client_thread([&] { client.Run(&at_client); });
+    malloc_trim(0);
+    const double before = ResidentBytes();
+    const std::string address = "127.0.0.1:" + std::to_string(server.port());
+    client.ring().PostCompletion([&] {
+      for (int i = 0; i < count; ++i) client.Send(client.Connect(address), Hello{});
+    });
+    for (int i = 0; i < 500 && at_client.heard() < count; ++i) {
+      std::this_thread::sleep_for(Millis(10));
+    }
+    if (at_client.heard() < count) std::fprintf(stderr, "not all connections came up\n");
+    memory.push_back({double(count), ResidentBytes() - before});
+    client.Stop();
+    server.Stop();
+    client_thread.join();
+    server_thread.join();
+  }
+  PrintSlope("memory_per_connection_both_ends", "B", memory);
+}
+
 }  // namespace
 }  // namespace shallot::bench
 
 int main() {
+  // First, while no freed memory of other measurements hides the growth.
+  shallot::bench::MeasureConnections();
   shallot::bench::MeasureCatalogue();
   shallot::bench::MeasureConfigBytes();
   shallot::bench::MeasurePlacement();
