Admit only listed clients to the ports between processes

Cause: a port with CURVE keys proved its own identity but accepted every client that knew its public key, so any such client could send orders.

Change: [keys] has allowed_clients. A thread per hub answers libzmq's authentication requests (ZAP) from that list; an empty list refuses everyone. A [keys] section without server_secret or allowed_clients is a settings error, since it would leave the port open or useless. shallotctl keys makes the sections, and the demo runs both fleets with a key pair for each router. libzmq 4.3.4 accepts every key while no handler is bound (the option against that is a draft), so the handler starts before the socket is bound and outlives it.

Conclusion: a plain connection, an unknown key and an allowed public key without its secret send nothing to the core; the Hello of an allowed client arrives and is answered. A sender id in a Hello is not yet bound to the key of its connection.

--- a/drivers/process_settings.cc
+++ b/drivers/process_settings.cc
@@ -1,13 +1,13 @@
 #include "drivers/process_settings.h"
 
 #include <algorithm>
+#include <sstream>
+
+#include "drivers/zap_authenticator.h"
 
 namespace shallot {
 namespace {
 
-// Z85 text of a 32 byte key.
-constexpr size_t kKeyLength = 40;
-
 LogLevel ReadLogLevel(SectionReader* reader) {
   const std::string level =
       reader->GetChoice("log_level", "info", {"debug", "info", "warning", "error"});
@@ -18,12 +18,36 @@
 
 std::string ReadKey(SectionReader* reader, const std::string& key) {
   std::string value = reader->GetString(key, "");
-  if (!value.empty() && value.size() != kKeyLength) {
+  if (!value.empty() && !IsCurveKey(value)) {
     reader->Fail(key, "is not a CURVE key", "use the 40 characters of Z85 text");
   }
   return value;
 }
 
+std::vector<std::string> ReadKeyList(SectionReader* reader, const std::string& key) {
+  std::istringstream words(reader->GetString(key, ""));
+  std::vector<std::string> keys;
+  for (std::string word; words >> word; keys.push_back(word)) {
+    if (IsCurveKey(word)) continue;
+    reader->Fail(key, "has a word that is not a CURVE key",
+                 "list public keys of 40 characters of Z85 text, separated by spaces");
+  }
+  return keys;
+}
+
+/// A section that protects only a part of the traffic would leave an open port unnoticed.
+void CheckComplete(const CurveKeys& keys, SectionReader* reader) {
+  if (!reader->present()) return;
+  if (keys.server_secret.empty()) {
+    reader->Fail("server_secret", "is missing, so the port would accept every client",
+                 "add it, for example from shallotctl keys, or remove the section");
+  }
+  if (keys.allowed_clients.empty()) {
+    reader->Fail("allowed_clients", "names no client, so the port would refuse everyone",
+                 "list the public keys of the routers, separated by spaces");
+  }
+}
+
 }  // namespace
 
 Result<ProcessSettings> ReadProcessSettings(const IniDocument& document) {
@@ -48,10 +72,12 @@
   keys.server_public = ReadKey(&reader, "server_public");
   keys.client_public = ReadKey(&reader, "client_public");
   keys.client_secret = ReadKey(&reader, "client_secret");
+  keys.allowed_clients = ReadKeyList(&reader, "allowed_clients");
   const bool client = !keys.client_public.empty() && !keys.client_secret.empty();
   if (!keys.server_public.empty() && !client) {
     reader.Fail("server_public", "needs a client key pair", "add client_public and client_secret");
   }
+  CheckComplete(keys, &reader);
   const Status status = reader.Finish();
   if (!IsOk(status)) return ErrorOf(status);
   return keys;
--- a/drivers/process_settings.h
+++ b/drivers/process_settings.h
@@ -23,7 +23,8 @@
 
 /// Reads [process].
 Result<ProcessSettings> ReadProcessSettings(const IniDocument& document);
-/// Reads the optional section [keys].
+/// Reads the optional section [keys]. When it is present it must protect the process's own port:
+/// `server_secret` and `allowed_clients` are required.
 Result<CurveKeys> ReadCurveKeys(const IniDocument& document);
 /// Rejects sections other than `known`.
 Status CheckSections(const IniDocument& document, const std::vector<std::string>& known);
--- /dev/null
+++ b/drivers/zap_authenticator.cc
@@ -0,0 +1,149 @@
+#include "drivers/zap_authenticator.h"
+
+#include <zmq.h>
+
+#include <array>
+#include <cerrno>
+#include <cstdint>
+#include <string_view>
+#include <thread>
+#include <unordered_set>
+#include <zmq.hpp>
+
+#include "core/log.h"
+
+namespace shallot {
+namespace {
+
+constexpr size_t kKeyBytes = 32;
+constexpr size_t kKeyText = 40;
+// Refused keys that are logged; a client that makes up keys cannot fill the log.
+constexpr size_t kMaxLoggedKeys = 64;
+// Frames of a request: version, request id, domain, address, identity, mechanism, credentials.
+constexpr size_t kRequestFrames = 7;
+constexpr size_t kRequestId = 1;
+constexpr size_t kAddress = 3;
+constexpr size_t kMechanism = 5;
+constexpr size_t kCredentials = 6;
+// Frames of a reply: version, request id, status code, status text, user id, metadata.
+constexpr size_t kReplyFrames = 6;
+
+using Frames = std::vector<std::string>;
+
+/// All frames of the next request.
+Frames ReceiveAll(zmq::socket_t* socket) {
+  Frames frames;
+  zmq::message_t frame;
+  do {
+    if (!socket->recv(frame)) break;
+    frames.emplace_back(static_cast<const char*>(frame.data()), frame.size());
+  } while (frame.more());
+  return frames;
+}
+
+/// The client's public key as Z85 text; empty when the request has no CURVE key.
+std::string ClientKey(const Frames& request) {
+  if (request.size() != kRequestFrames || request[kMechanism] != "CURVE") return "";
+  const std::string& key = request[kCredentials];
+  if (key.size() != kKeyBytes) return "";
+  std::array<char, kKeyText + 1> text{};
+  // The interface takes unsigned bytes.
+  if (zmq_z85_encode(text.data(), reinterpret_cast<const uint8_t*>(key.data()), kKeyBytes) ==
+      nullptr) {
+    return "";
+  }
+  return text.data();
+}
+
+}  // namespace
+
+struct ZapAuthenticator::State {
+  State(zmq::context_t* context, const std::vector<std::string>& keys)
+      : allowed(keys.begin(), keys.end()),
+        handler(*context, zmq::socket_type::rep),
+        stop_receiver(*context, zmq::socket_type::pair),
+        stop_sender(*context, zmq::socket_type::pair) {
+    const std::string stop_endpoint = "inproc://zap-stop";
+    stop_receiver.bind(stop_endpoint);
+    stop_sender.connect(stop_endpoint);
+    stop_sender.set(zmq::sockopt::linger, 0);
+    handler.set(zmq::sockopt::linger, 0);
+    handler.bind("inproc://zeromq.zap.01");
+  }
+
+  void Run();
+  void Answer();
+  bool Allows(const Frames& request);
+  void LogRefusal(const std::string& key, const std::string& address);
+
+  std::unordered_set<std::string> allowed;
+  std::unordered_set<std::string> logged;
+  zmq::socket_t handler;
+  zmq::socket_t stop_receiver;
+  zmq::socket_t stop_sender;
+  std::thread thread;
+};
+
+void ZapAuthenticator::State::Run() {
+  while (true) {
+    std::array<zmq_pollitem_t, 2> items{
+        {{handler.handle(), 0, ZMQ_POLLIN, 0}, {stop_receiver.handle(), 0, ZMQ_POLLIN, 0}}};
+    if (zmq_poll(items.data(), static_cast<int>(items.size()), -1) < 0) {
+      // A signal interrupts the wait; any other error means that the context ended.
+      if (zmq_errno() == EINTR) continue;
+      return;
+    }
+    if ((items[1].revents & ZMQ_POLLIN) != 0) return;
+    if ((items[0].revents & ZMQ_POLLIN) != 0) Answer();
+  }
+}
+
+void ZapAuthenticator::State::Answer() {
+  const Frames request = ReceiveAll(&handler);
+  const bool accepted = Allows(request);
+  const std::string id = request.size() > kRequestId ? request[kRequestId] : "";
+  const std::array<std::string_view, kReplyFrames> reply = {
+      "1.0", id, accepted ? "200" : "400", accepted ? "OK" : "key is not allowed", "", ""};
+  for (size_t i = 0; i < reply.size(); ++i) {
+    const auto flags = i + 1 < reply.size() ? zmq::send_flags::sndmore : zmq::send_flags::none;
+    handler.send(zmq::buffer(reply[i]), flags);
+  }
+}
+
+bool ZapAuthenticator::State::Allows(const Frames& request) {
+  const std::string key = ClientKey(request);
+  if (!key.empty() && allowed.contains(key)) return true;
+  LogRefusal(key, request.size() > kAddress ? request[kAddress] : "unknown");
+  return false;
+}
+
+void ZapAuthenticator::State::LogRefusal(const std::string& key, const std::string& address) {
+  if (logged.size() >= kMaxLoggedKeys || !logged.insert(key).second) return;
+  LogWarning("hub", "client key " + (key.empty() ? "(none)" : key) + " from " + address +
+                        " is refused; add it to allowed_clients if it belongs to the fleet");
+}
+
+ZapAuthenticator::ZapAuthenticator(zmq::context_t* context, const std::vector<std::string>& allowed)
+    : state_(std::make_unique<State>(context, allowed)) {
+  state_->thread = std::thread([this] { state_->Run(); });
+}
+
+ZapAuthenticator::~ZapAuthenticator() {
+  // The C function, because a destructor must not throw.
+  (void)zmq_send(state_->stop_sender.handle(), "stop", 4, 0);
+  state_->thread.join();
+}
+
+bool IsCurveKey(const std::string& text) {
+  std::array<uint8_t, kKeyBytes> bytes{};
+  return text.size() == kKeyText && zmq_z85_decode(bytes.data(), text.c_str()) != nullptr;
+}
+
+CurveKeyPair MakeCurveKeyPair() {
+  std::array<char, kKeyText + 1> public_key{};
+  std::array<char, kKeyText + 1> secret_key{};
+  if (zmq_curve_keypair(public_key.data(), secret_key.data()) != 0) return {};
+  return {public_key.data(), secret_key.data()};
+}
+
+}  // namespace shallot
--- a/drivers/zmq_hub.cc
+++ b/drivers/zmq_hub.cc
@@ -18,6 +18,7 @@
 
 #include "core/log.h"
 #include "drivers/proto_codec.h"
+#include "drivers/zap_authenticator.h"
 
 namespace shallot {
 namespace {
@@ -97,7 +98,7 @@
   }
 
   void SetCommonOptions(zmq::socket_t* socket) const;
-  void SetServerKeys(zmq::socket_t* socket) const;
+  void SetServerKeys(zmq::socket_t* socket);
   void SetClientKeys(zmq::socket_t* socket) const;
   Outgoing MakeOutgoing(const std::string& address, uint64_t id);
 
@@ -119,6 +120,9 @@
   int epoll_fd;
   TaskRing ring;
   zmq::context_t context{1};
+  /// Checks the keys of incoming connections; null without keys. The library accepts every key
+  /// while no handler is bound, so this starts before the router socket and outlives it.
+  std::unique_ptr<ZapAuthenticator> authenticator;
   zmq::socket_t router;
   uint64_t last_id = 0;
   std::unordered_map<ConnectionId, Outgoing> outgoing;
@@ -145,8 +149,12 @@
   socket->set(zmq::sockopt::heartbeat_ivl, 0);
 }
 
-void ZmqHub::State::SetServerKeys(zmq::socket_t* socket) const {
+void ZmqHub::State::SetServerKeys(zmq::socket_t* socket) {
   if (options.keys.server_secret.empty()) return;
+  if (!authenticator) {
+    authenticator = std::make_unique<ZapAuthenticator>(&context, options.keys.allowed_clients);
+  }
+  socket->set(zmq::sockopt::zap_domain, "shallot");
   socket->set(zmq::sockopt::curve_server, true);
   socket->set(zmq::sockopt::curve_secretkey, options.keys.server_secret);
 }
--- a/drivers/zmq_hub.h
+++ b/drivers/zmq_hub.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "core/bounded_ring.h"
 #include "core/clock.h"
@@ -21,6 +22,9 @@
   /// Key pair of this process's outgoing connections.
   std::string client_public;
   std::string client_secret;
+  /// Public keys of the clients that may connect to this process's own port. A port with
+  /// `server_secret` refuses all others, so an empty list refuses everyone.
+  std::vector<std::string> allowed_clients;
 
   bool enabled() const { return !server_secret.empty() || !server_public.empty(); }
 };
@@ -57,8 +61,8 @@
   ZmqHub(const ZmqHub&) = delete;
   ZmqHub& operator=(const ZmqHub&) = delete;
 
-  /// Binds the listen address. kConflict: another process uses it. kInvalidArgument: bad address
-  /// or key.
+  /// Binds the listen address; with keys, starts the check of client keys first. kConflict: another
+  /// process uses it. kInvalidArgument: bad address or key.
   Status Open();
   /// Port that the hub listens on, also when the address named port 0.
   int port() const;
--- a/main/ctl/commands.h
+++ b/main/ctl/commands.h
@@ -12,6 +12,7 @@
 int RunCatalog(const CtlOptions& options);
 int RunDrain(const CtlOptions& options);
 int RunReport(const CtlOptions& options);
+int RunKeys(const CtlOptions& options);
 
 }  // namespace shallot::ctl
 
--- a/main/shallotctl_main.cc
+++ b/main/shallotctl_main.cc
@@ -24,6 +24,9 @@
                                    in the platform's list (--platform)
   catalog                          entries, their policy and where they are loaded
   report burn                      use of the error budget by class
+  keys [ROUTER...]                 make the keys of a fleet: section [keys] for the agents and
+                                   [keys ROUTER] for the [keys] of each router; without names
+                                   one [keys] for all
 
 Changes need --reason and --author.
 Exit codes: 0 ok, 1 failure, 2 usage, 3 bad settings, 4 unavailable, 5 conflict.
@@ -69,6 +72,7 @@
   if (command == "drain") return shallot::ctl::RunDrain(options);
   if (command == "catalog") return shallot::ctl::RunCatalog(options);
   if (command == "report") return shallot::ctl::RunReport(options);
+  if (command == "keys") return shallot::ctl::RunKeys(options);
   if (command.empty()) return shallot::ctl::UsageError("a command is missing");
   return shallot::ctl::UsageError("unknown command \"" + command + "\"");
 }
--- a/misc/demo_fleet.py
+++ b/misc/demo_fleet.py
@@ -100,6 +100,18 @@
         self.config.optionxform = str
         self.config.read_string(self.config_text)
 
+        self.keys = self.make_keys()
+
+    def make_keys(self):
+        """Sections with keys by name: "keys" for agents, "keys NAME" for each router."""
+        run = subprocess.run([self.program("shallotctl"), "keys",
+                              *(f"router-{domain}" for domain in self.plan["domains"])],
+                             capture_output=True, text=True, timeout=30, check=True)
+        # Keys may contain "%", which must not be expanded.
+        keys = configparser.ConfigParser(delimiters=("=",), interpolation=None)
+        keys.read_string(run.stdout)
+        return {name: dict(keys[name]) for name in keys.sections()}
+
     def program(self, name):
         return os.path.join(self.build, name)
 
@@ -117,7 +129,9 @@
 
     def daemon(self, name, program, settings):
         path = os.path.join(self.folder, f"{name}.ini")
-        with open(path, "w", encoding="utf-8") as file:
+        # The file holds secret keys.
+        with open(os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600), "w",
+                  encoding="utf-8") as file:
             for section, values in settings.items():
                 file.write(f"[{section}]\n")
                 file.writelines(f"{key} = {value}\n" for key, value in values.items())
@@ -176,7 +190,8 @@
         else:
             settings["service_concurrency"] = 16
         process = self.daemon(name, "shallot_agent",
-                              {"process": self.process_section(name, domain), "agent": settings})
+                              {"process": self.process_section(name, domain), "agent": settings,
+                               "keys": self.keys["keys"]})
         self.agents.append({"id": name, "control": control, "admin": admin, "domain": domain,
                             "runner": backend["runner"], "process": process})
         self.register(name, {"role": "agent", "address": control, "failure_domain": domain,
@@ -191,7 +206,7 @@
                         "caller_threads": 64, "platform_address": self.platform}
             process = self.daemon(name, "shallot_router",
                                   {"process": self.process_section(name, domain),
-                                   "router": settings})
+                                   "router": settings, "keys": self.keys[f"keys {name}"]})
             self.routers.append({"id": name, "caller": caller, "peer": peer, "admin": admin,
                                  "domain": domain, "process": process})
             self.register(name, {"role": "router", "address": peer, "failure_domain": domain,
--- a/tests/daemon_settings_test.cc
+++ b/tests/daemon_settings_test.cc
@@ -50,6 +50,16 @@
       {"short key", kProcess + kRouter + "[keys]\nserver_secret = abc\n", "key \"server_secret\""},
       {"no key pair", kProcess + kRouter + "[keys]\nserver_public = " + key + "\n",
        "add client_public and client_secret"},
+      {"not Z85", kProcess + kRouter + "[keys]\nserver_secret = " + std::string(40, '~') + "\n",
+       "key \"server_secret\""},
+      {"open port", kProcess + kRouter + "[keys]\nallowed_clients = " + key + "\n",
+       "the port would accept every client"},
+      {"no client", kProcess + kRouter + "[keys]\nserver_secret = " + key + "\n",
+       "key \"allowed_clients\""},
+      {"bad client",
+       kProcess + kRouter + "[keys]\nserver_secret = " + key + "\nallowed_clients = " + key +
+           ",x\n",
+       "separated by spaces"},
   };
   for (const SettingsCase& test : cases) {
     CAPTURE(test.name);
@@ -87,6 +97,25 @@
   }
 }
 
+// Guards against keys that are dropped or mixed up between the file and the hub.
+TEST_CASE("all keys of a settings file are read") {
+  // Z85 text has characters that INI texts use for comments, sections and separators.
+  const auto key = [](char c) { return std::string(14, c) + "#=[].-:+^!/*?&<>(){}@abc%$"; };
+  const auto settings =
+      RouterSettingsBuilder(Parse(kProcess + kRouter + "[keys]\nserver_secret = " + key('a') +
+                                  "\nserver_public = " + key('b') + "\nclient_public = " +
+                                  key('c') + "\nclient_secret = " + key('d') +
+                                  "\nallowed_clients = " + key('c') + "  " + key('e') + "\n"))
+          .Build();
+  REQUIRE(IsOk(settings));
+  const CurveKeys& keys = ValueOf(settings).keys;
+  CHECK(keys.server_secret == key('a'));
+  CHECK(keys.server_public == key('b'));
+  CHECK(keys.client_public == key('c'));
+  CHECK(keys.client_secret == key('d'));
+  CHECK(keys.allowed_clients == std::vector<std::string>{key('c'), key('e')});
+}
+
 TEST_CASE("builders replace addresses and keep the rest") {
   const auto router = RouterSettingsBuilder(Parse(kProcess + kRouter + "caller_threads = 9\n"))
                           .WithCallerAddress("127.0.0.1:0")
--- a/tests/zmq_hub_test.cc
+++ b/tests/zmq_hub_test.cc
@@ -150,10 +150,12 @@
   };
   make(&keys.server_public, &keys.server_secret);
   make(&keys.client_public, &keys.client_secret);
+  keys.allowed_clients = {keys.client_public};
   return keys;
 }
 
-TEST_CASE("hubs with matching keys exchange messages") {
+// Guards against an allow list that refuses the fleet's own processes.
+TEST_CASE("the Hello of an allowed client arrives and is answered") {
   HubOptions options = Listening();
   options.keys = MakeKeys();
   ZmqHub server(options);
@@ -161,34 +163,67 @@
   options.listen_address.clear();
   ZmqHub client(options);
   const ConnectionId connection = client.Connect(AddressOf(server));
-  REQUIRE(IsOk(client.Send(connection, ConfigPull{ConfigRevision(3)})));
-  Recorder server_side(&server,
-                       [](Recorder* self, ConnectionId, const Message&) { self->Finish(); });
+  Hello hello;
+  hello.sender = InstanceId("r1");
+  REQUIRE(IsOk(client.Send(connection, hello)));
+  Recorder server_side(&server, [&](Recorder* self, ConnectionId from, const Message&) {
+    CHECK(IsOk(server.Send(from, ConfigPull{ConfigRevision(3)})));
+    self->Finish();
+  });
   server.Run(&server_side);
-  CHECK(server_side.messages == std::vector<Message>{ConfigPull{ConfigRevision(3)}});
+  CHECK(server_side.messages == std::vector<Message>{hello});
+  Recorder client_side(&client,
+                       [](Recorder* self, ConnectionId, const Message&) { self->Finish(); });
+  client.Run(&client_side);
+  CHECK(client_side.messages == std::vector<Message>{ConfigPull{ConfigRevision(3)}});
 }
 
 struct KeyCase {
   const char* name;
-  bool client_has_keys;
+  /// Makes the keys of the client from those of the server.
+  std::function<CurveKeys(const CurveKeys&)> client_keys;
+  /// Replaces the server's allow list when set.
+  bool empty_allow_list = false;
 };
 
-// Guards against a peer without the right keys whose messages are accepted.
-TEST_CASE("a hub with keys refuses clients without the right key") {
-  for (const KeyCase& test : {KeyCase{"no keys", false}, KeyCase{"other keys", true}}) {
+CurveKeys WithOtherClient(const CurveKeys& server) {
+  CurveKeys keys = MakeKeys();
+  keys.server_public = server.server_public;
+  return keys;
+}
+
+std::vector<KeyCase> RefusedClients() {
+  return {
+      {"plain connection", [](const CurveKeys&) { return CurveKeys{}; }},
+      {"other server key", [](const CurveKeys&) { return MakeKeys(); }},
+      {"unknown client key", WithOtherClient},
+      {"public key of an allowed client without its secret",
+       [](const CurveKeys& server) {
+         CurveKeys keys = WithOtherClient(server);
+         keys.client_public = server.client_public;
+         return keys;
+       }},
+      {"empty allow list", [](const CurveKeys& server) { return server; }, true},
+  };
+}
+
+// Guards against a peer without an allowed key whose messages reach the core.
+TEST_CASE("a hub with keys refuses clients without an allowed key") {
+  for (const KeyCase& test : RefusedClients()) {
     CAPTURE(test.name);
     HubOptions options = Listening();
     options.keys = MakeKeys();
+    HubOptions client_options;
+    client_options.keys = test.client_keys(options.keys);
+    if (test.empty_allow_list) options.keys.allowed_clients.clear();
     ZmqHub server(options);
     REQUIRE(IsOk(server.Open()));
-    HubOptions client_options;
-    if (test.client_has_keys) client_options.keys = MakeKeys();
     ZmqHub client(client_options);
     Recorder client_side(&client, [](Recorder*, ConnectionId, const Message&) {});
     Recorder server_side(&server, [](Recorder*, ConnectionId, const Message&) {});
     std::thread server_thread([&] { server.Run(&server_side); });
     const ConnectionId connection = client.Connect(AddressOf(server));
-    REQUIRE(IsOk(client.Send(connection, ConfigPull{})));
+    REQUIRE(IsOk(client.Send(connection, Hello{})));
     client.Run(&client_side);
     server.Stop();
     server_thread.join();
@@ -197,6 +232,28 @@
   }
 }
 
+// Guards against a refused client that keeps allowed ones from connecting.
+TEST_CASE("an allowed client connects after a refused one") {
+  HubOptions options = Listening();
+  options.keys = MakeKeys();
+  ZmqHub server(options);
+  REQUIRE(IsOk(server.Open()));
+  HubOptions other;
+  other.keys = WithOtherClient(options.keys);
+  ZmqHub refused(other);
+  Recorder refused_side(&refused, [](Recorder*, ConnectionId, const Message&) {});
+  const ConnectionId connection = refused.Connect(AddressOf(server));
+  REQUIRE(IsOk(refused.Send(connection, Hello{})));
+  refused.Run(&refused_side);
+  options.listen_address.clear();
+  ZmqHub client(options);
+  REQUIRE(IsOk(client.Send(client.Connect(AddressOf(server)), ConfigPull{ConfigRevision(5)})));
+  Recorder server_side(&server,
+                       [](Recorder* self, ConnectionId, const Message&) { self->Finish(); });
+  server.Run(&server_side);
+  CHECK(server_side.messages == std::vector<Message>{ConfigPull{ConfigRevision(5)}});
+}
+
 // Guards against lost wake-ups: each posted task must run although no socket has traffic.
 TEST_CASE("tasks posted from another thread run on the hub's thread") {
   constexpr int kTasks = 1000;
