Let running orders run on, and mend five reported faults of calls and loads

Cause: a cancel stopped a running order at its service, so the order was recorded as unknown and its duplicates never got an answer. A permit that came twice, or late for a load of the static share, was returned while its load ran, so that the budget counted the load as ended. The agent daemon kept a second configuration replica, and the keep-alive policy never heard of measured load times. A router ended calls as not run for its retry budget after refusals (not-granted, draining) behind which nothing had run. A stream began as 200 text/event-stream whatever the engine's status was. An order could be replayed after its claim had expired.

Change: - CancelCall reaches the backend server only for repeatable calls. - OnPermit keeps a permit of a load in progress until the load ends. - AgentCore::config() replaces the second replica in AgentDaemon. LoadScheduler reports its smoothed load times, which go to KeepAlivePolicy::SetColdTime. - Passing refusals need no retry token. Lower classes stop after 8 attempts, premium at its deadline. - CallFrame carries status and content type with offset 0. - X-Shallot-Key-Time on orders: refused as not-run/invalid-request when the order window from the key time ends before the call's deadline.

AgentDaemon did apply order_window before, through its own replica; no test could fail there.

Conclusion: a stream that fails after it began with another content type than text/event-stream still gets an event appended by drivers/caller_http.

--- a/drivers/agent_daemon.cc
+++ b/drivers/agent_daemon.cc
@@ -1,7 +1,7 @@
 #include "drivers/agent_daemon.h"
 
+#include <memory>
 #include <utility>
-#include <variant>
 
 #include "core/invariant.h"
 #include "core/log.h"
@@ -15,7 +15,6 @@
 #include "drivers/service_http.h"
 #include "drivers/weights_http.h"
 #include "servers/agent_core.h"
-#include "servers/config_replica.h"
 #include "servers/gap_keep_alive.h"
 #include "servers/store_order_claims.h"
 
@@ -118,15 +117,14 @@
                                               .engine = backend_.engine(),
                                               .claims = &claims_,
                                               .metrics = metrics,
-                                              .invariants = invariants}),
-        config_(invariants) {
+                                              .invariants = invariants}) {
     core_.SetKeepAlivePolicy(&keep_alive_);
   }
 
   void OnStart() override { core_.Start(); }
   void OnMessage(ConnectionId connection, const Message& message) override {
-    if (const auto* push = std::get_if<ConfigPush>(&message)) ApplyConfig(*push);
     core_.OnMessage(connection, message);
+    if (core_.config() != config_) FollowConfig();
   }
   void OnDisconnect(ConnectionId connection) override { core_.OnDisconnect(connection); }
   void OnTick() override {
@@ -146,12 +144,11 @@
   }
 
  private:
-  /// The core does not hand out its configuration, so the parts beside it follow the same pushes.
-  void ApplyConfig(const ConfigPush& push) {
-    const Result<bool> applied = config_.Apply(push);
-    if (!IsOk(applied) || !ValueOf(applied)) return;
-    keep_alive_.SetConfig(config_.current());
-    claims_.SetWindow(config_.current()->order_window);
+  /// Hands the configuration in force to the parts beside the core.
+  void FollowConfig() {
+    config_ = core_.config();
+    keep_alive_.SetConfig(config_);
+    claims_.SetWindow(config_->order_window);
   }
 
   const SystemClock clock_{};
@@ -162,7 +159,8 @@
   WeightsWatch weights_;
   GapKeepAlive keep_alive_;
   AgentCore core_;
-  ConfigReplica config_;
+  /// The configuration that the parts beside the core have.
+  std::shared_ptr<const FleetConfig> config_;
 };
 
 HubOptions MakeHubOptions(const AgentSettings& settings) {
--- a/drivers/caller_http.cc
+++ b/drivers/caller_http.cc
@@ -76,6 +76,7 @@
   request.target = exchange.target();
   request.content_type = exchange.Header("Content-Type");
   request.idempotency_key = exchange.Header("Idempotency-Key");
+  request.key_time = exchange.Header("X-Shallot-Key-Time");
   request.deadline_ms = exchange.Header("X-Shallot-Deadline-Ms");
   request.call_class = exchange.Header("X-Shallot-Class");
   request.request_id = exchange.Header("X-Request-Id");
--- a/drivers/caller_protocol.cc
+++ b/drivers/caller_protocol.cc
@@ -12,6 +12,8 @@
 
 constexpr std::string_view kServicesPrefix = "/services/";
 constexpr int64_t kMaxDeadlineMs = 7LL * 24 * 3'600'000;
+// The clock's range ends in the year 2262; a time in milliseconds is far beyond it.
+constexpr int64_t kMaxUnixSeconds = 9'000'000'000;
 constexpr size_t kMaxHeaderValue = 256;
 
 Error Invalid(const std::string& message, const std::string& remedy) {
@@ -22,6 +24,24 @@
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+/// Reads a whole number from `least` to `most`; false when the text is anything else.
+bool ReadNumber(const std::string& text, int64_t least, int64_t most, int64_t* number) {
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, *number);
+  return parsed.ec == std::errc() && parsed.ptr == end && *number >= least && *number <= most;
+}
+
+Status ReadKeyTime(const std::string& text, CallerRequest* to) {
+  if (text.empty()) return OkStatus();
+  int64_t seconds = 0;
+  if (!ReadNumber(text, 0, kMaxUnixSeconds, &seconds)) {
+    return Invalid("X-Shallot-Key-Time \"" + text + "\" is not valid",
+                   "use whole Unix seconds, as `date +%s` prints them");
+  }
+  to->key_time = WallTime(Seconds(seconds));
+  return OkStatus();
+}
+
 Status ReadHeaders(const CallerHttpRequest& from, CallerRequest* to) {
   if (from.idempotency_key.size() > kMaxHeaderValue || from.request_id.size() > kMaxHeaderValue) {
     return Invalid("Idempotency-Key or X-Request-Id is too long", "use at most 256 characters");
@@ -34,11 +54,10 @@
                    "use premium, status, interactive, manuscript or batch");
   }
   to->call_class = from.call_class;
-  if (from.deadline_ms.empty()) return OkStatus();
+  Status key_time = ReadKeyTime(from.key_time, to);
+  if (!IsOk(key_time) || from.deadline_ms.empty()) return key_time;
   int64_t deadline = 0;
-  const char* end = from.deadline_ms.data() + from.deadline_ms.size();
-  const auto parsed = std::from_chars(from.deadline_ms.data(), end, deadline);
-  if (parsed.ec != std::errc() || parsed.ptr != end || deadline < 1 || deadline > kMaxDeadlineMs) {
+  if (!ReadNumber(from.deadline_ms, 1, kMaxDeadlineMs, &deadline)) {
     return Invalid("X-Shallot-Deadline-Ms \"" + from.deadline_ms + "\" is not valid",
                    "use whole milliseconds from 1 to " + std::to_string(kMaxDeadlineMs));
   }
--- a/drivers/caller_protocol.h
+++ b/drivers/caller_protocol.h
@@ -20,6 +20,7 @@
   std::string target;
   std::string content_type;
   std::string idempotency_key;
+  std::string key_time;
   std::string deadline_ms;
   std::string call_class;
   std::string request_id;
--- a/drivers/proto_codec.cc
+++ b/drivers/proto_codec.cc
@@ -82,6 +82,8 @@
   to->set_attempt(from.attempt.value());
   to->set_offset(from.offset);
   to->set_payload(from.payload);
+  to->set_http_status(from.http_status);
+  to->set_content_type(from.content_type);
 }
 
 void Fill(const CallOutcome& from, wire::Envelope* envelope) {
@@ -254,7 +256,8 @@
 
 Result<Message> Read(wire::CallFrame& from) {
   return Message(CallFrame{CallId(std::move(*from.mutable_call())), Attempt(from.attempt()),
-                           from.offset(), std::move(*from.mutable_payload())});
+                           from.offset(), std::move(*from.mutable_payload()), from.http_status(),
+                           std::move(*from.mutable_content_type())});
 }
 
 Result<Message> Read(wire::CallOutcome& from) {
--- a/servers/agent_core.cc
+++ b/servers/agent_core.cc
@@ -59,6 +59,8 @@
 
 bool AgentCore::Ready() const { return state_->Ready(); }
 
+std::shared_ptr<const FleetConfig> AgentCore::config() const { return state_->config.current(); }
+
 std::string AgentCore::StatusJson() const { return state_->StatusJson(); }
 
 }  // namespace shallot
--- a/servers/agent_core.h
+++ b/servers/agent_core.h
@@ -9,6 +9,7 @@
 #include "core/invariant.h"
 #include "core/metrics.h"
 #include "servers/backend_server.h"
+#include "servers/fleet_config.h"
 #include "servers/keep_alive_policy.h"
 #include "servers/messages.h"
 #include "servers/order_claims.h"
@@ -71,6 +72,8 @@
   bool Drained() const;
   /// True when the inventory is known and a configuration is in force.
   bool Ready() const;
+  /// Configuration in force, or null.
+  std::shared_ptr<const FleetConfig> config() const;
   /// JSON object for /status.
   std::string StatusJson() const;
 
--- a/servers/agent_execution.cc
+++ b/servers/agent_execution.cc
@@ -142,8 +142,6 @@
   outcome.reason = end == ExecutionEnd::kUnknown ? Reason::kConnectionLost : Reason::kBackendError;
   if (!call.cancel_sent || end == ExecutionEnd::kNotStarted) return outcome;
   outcome.reason = call.cancel_reason;
-  // A cancelled order may have taken effect before the cancellation reached it.
-  if (!call.call.repeatable) outcome.kind = OutcomeKind::kUnknown;
   return outcome;
 }
 
@@ -181,7 +179,15 @@
 void AgentCore::State::Pump(AgentCall& call) {
   if (!call.attached) return;
   while (call.sent < call.answer.size()) {
-    CallFrame frame{call.call.id, call.call.attempt, call.sent, call.answer.FrameAt(call.sent)};
+    CallFrame frame;
+    frame.call = call.call.id;
+    frame.attempt = call.call.attempt;
+    frame.offset = call.sent;
+    frame.payload = call.answer.FrameAt(call.sent);
+    if (call.sent == 0) {
+      frame.http_status = call.http_status;
+      frame.content_type = call.content_type;
+    }
     const uint64_t length = frame.payload.size();
     if (!peers.Send(call.connection, frame)) return;
     call.sent += length;
--- a/servers/agent_resume.cc
+++ b/servers/agent_resume.cc
@@ -69,7 +69,9 @@
 }
 
 void AgentCore::State::CancelCall(const CallPtr& call, Reason reason) {
-  if (call->phase == CallPhase::kRunning) CancelAtBackend(call, reason);
+  // An order runs on: stopped half way it may have taken effect, and its duplicates would never get
+  // its answer. Its router ends it as unknown at the deadline unless it is answered before.
+  if (call->phase == CallPhase::kRunning && call->call.repeatable) CancelAtBackend(call, reason);
   if (call->phase == CallPhase::kEnded) call->outcome_sent = false;
   if (call->phase != CallPhase::kQueued) {
     Pump(*call);
--- a/servers/agent_state.cc
+++ b/servers/agent_state.cc
@@ -145,6 +145,10 @@
       reason, retry_after);
 }
 
+void AgentCore::State::OnLoadMeasured(const EntryId& entry, Millis load_time) {
+  if (keep_alive != nullptr) keep_alive->SetColdTime(entry, load_time);
+}
+
 void AgentCore::State::OnLoaded(const EntryId& entry) {
   promised.erase(entry);
   Dispatch();
--- a/servers/agent_state.h
+++ b/servers/agent_state.h
@@ -42,6 +42,7 @@
   bool RequestPermit(const LoadPermitRequest& request) override;
   void ReturnPermit(uint64_t permit_id) override;
   void OnLoadRefused(const EntryId& entry, Reason reason, Millis retry_after) override;
+  void OnLoadMeasured(const EntryId& entry, Millis load_time) override;
   void OnLoaded(const EntryId& entry) override;
   void AdvanceLoads();
 
--- a/servers/call_dispatcher.h
+++ b/servers/call_dispatcher.h
@@ -32,6 +32,9 @@
     kSent,
   };
 
+  static constexpr int kDefaultStatus = 200;
+  static constexpr const char* kDefaultType = "text/event-stream";
+
   uint64_t number = 0;
   Call call;
   std::shared_ptr<CallerSink> sink;
@@ -49,7 +52,8 @@
   SteadyTime next_try;
   SteadyTime give_up_at;
   std::set<RunnerId> tried;
-  bool free_retry_used = false;
+  /// Refusals for a reason that passes by itself; the tries after them need no token.
+  uint64_t transient_refusals = 0;
   bool needs_token = false;
   /// An attempt was sent and given up without proof that it did not run.
   bool maybe_ran = false;
@@ -58,6 +62,9 @@
   std::optional<Outcome> last_not_run;
 
   StreamAssembler assembler;
+  /// Status and content type that came with the first frame; the backend server may name none.
+  int answer_status = kDefaultStatus;
+  std::string answer_type = kDefaultType;
   std::string buffered;
   uint64_t forwarded = 0;
   bool began = false;
@@ -124,6 +131,7 @@
   // Submission.
   Outcome Validate(const CallerRequest& request, ActiveCall* active) const;
   Outcome ValidateService(const CallerRequest& request, ActiveCall* active) const;
+  bool KeyOutlivesClaim(const CallerRequest& request, const ActiveCall& active) const;
   Outcome ResolveClass(const CallerRequest& request, ActiveCall* active) const;
   Outcome Admit(const CallPtr& active);
   void Refuse(const CallPtr& active, const Outcome& outcome);
--- a/servers/call_outcomes.cc
+++ b/servers/call_outcomes.cc
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr Millis kGapLimit{300};
-// Bounds the tries of a call whose runners keep refusing it while the budget has tokens.
+// Bounds the tries of a call whose runners keep refusing it.
 constexpr uint64_t kMaxAttempts = 8;
 // The same as for a new call that finds no runner.
 constexpr Millis kPlaceLimit{3'000};
@@ -46,6 +46,14 @@
   return reason == Reason::kNotGranted || reason == Reason::kDraining;
 }
 
+/// Attempts that count towards the limit. A premium call waits for a passing reason until its
+/// deadline.
+uint64_t CountedAttempts(const ActiveCall& active) {
+  const uint64_t attempts = active.call.attempt.value();
+  const bool premium = active.call.call_class == CallClass::kPremium;
+  return premium ? attempts - active.transient_refusals : attempts;
+}
+
 }  // namespace
 
 void CallDispatcher::OnOutcome(const RunnerId& runner, const CallOutcome& message) {
@@ -126,19 +134,29 @@
     End(active, late);
     return;
   }
-  if (HoldsEverywhere(outcome.reason) || active->call.attempt.value() >= kMaxAttempts) {
+  if (HoldsEverywhere(outcome.reason) || CountedAttempts(*active) >= kMaxAttempts) {
     End(active, outcome);
     return;
   }
   active->tried.insert(runner);
-  const bool other = !FindCandidates(*active, false).all.empty();
-  if (!other && !IsTransient(outcome.reason)) {
+  if (IsTransient(outcome.reason)) {
+    // Nothing ran, so the budget, which bounds repeated work, is not asked; the pause bounds the
+    // messages.
+    ++active->transient_refusals;
+    RetryElsewhere(active, false);
+    return;
+  }
+  bool other = !FindCandidates(*active, false).all.empty();
+  if (!other && active->transient_refusals > 0) {
+    // Runners that refused for a passing reason may take the call by now.
+    active->tried = {runner};
+    other = !FindCandidates(*active, false).all.empty();
+  }
+  if (!other) {
     End(active, outcome);
     return;
   }
-  const bool free = IsTransient(outcome.reason) && !active->free_retry_used;
-  if (free) active->free_retry_used = true;
-  if (!free && !budget_.TryRetry()) {
+  if (!budget_.TryRetry()) {
     Outcome spent = outcome;
     spent.reason = Reason::kRetryBudget;
     spent.message = std::string("not run (") + ReasonName(outcome.reason) +
@@ -212,6 +230,8 @@
                            : std::min(active->deadline, Now() + kPlaceLimit);
   active->assembler = StreamAssembler();
   active->buffered.clear();
+  active->answer_status = ActiveCall::kDefaultStatus;
+  active->answer_type = ActiveCall::kDefaultType;
   active->outcome.reset();
   active->phase = ActiveCall::Phase::kUnplaced;
   if (active->needs_token) {
@@ -219,7 +239,7 @@
     return;
   }
   retries_->Add();
-  if (FindCandidates(*active, false).all.empty()) {
+  if (active->transient_refusals > 1 || FindCandidates(*active, false).all.empty()) {
     WaitForPlace(active, kGrantPause);
     return;
   }
--- a/servers/call_progress.cc
+++ b/servers/call_progress.cc
@@ -195,6 +195,10 @@
   }
   Learn(*active, true, false);
   active->first_frame_seen = true;
+  if (frame.offset == 0 && frame.http_status != 0) {
+    active->answer_status = frame.http_status;
+    active->answer_type = frame.content_type;
+  }
   const bool had_gap = active->assembler.HasGap();
   const std::string ready = active->assembler.Add(frame.offset, frame.payload);
   if (!ready.empty()) Deliver(active, ready);
@@ -227,7 +231,7 @@
     active->began = true;
     const auto call_class = static_cast<size_t>(active->call.call_class);
     class_metrics_[call_class].first_byte->Record(Now() - active->submitted);
-    active->sink->OnBegin(200, "text/event-stream");
+    active->sink->OnBegin(active->answer_status, active->answer_type);
   }
   active->forwarded += ready.size();
   active->sink->OnData(ready);
--- a/servers/call_submit.cc
+++ b/servers/call_submit.cc
@@ -144,6 +144,15 @@
   return NoObjection();
 }
 
+/// The claim of a first run is kept for the order window from then on. A copy may claim the key
+/// until its deadline, so that moment must be within the window.
+bool CallDispatcher::KeyOutlivesClaim(const CallerRequest& request,
+                                      const ActiveCall& active) const {
+  if (!request.key_time.has_value()) return false;
+  const Duration age = environment_.clock->WallNow() - *request.key_time;
+  return age + (active.deadline - active.submitted) > config_->order_window;
+}
+
 Outcome CallDispatcher::ValidateService(const CallerRequest& request, ActiveCall* active) const {
   const ServiceRoute* route = config_->FindRoute(request.service, request.method, request.path);
   if (route == nullptr) {
@@ -159,6 +168,12 @@
                   "this route takes orders that run at most once; add an Idempotency-Key header "
                   "with a value of your own for each order");
   }
+  if (!route->repeatable && KeyOutlivesClaim(request, *active)) {
+    return NotRun(Reason::kInvalidRequest,
+                  "the order was not sent: X-Shallot-Key-Time is so long ago that an earlier run "
+                  "under this key may be forgotten before the deadline; look the order up, then "
+                  "send it under a new Idempotency-Key if it did not run");
+  }
   active->call.service = request.service;
   active->call.repeatable = route->repeatable;
   return NoObjection();
--- a/servers/gap_keep_alive.h
+++ b/servers/gap_keep_alive.h
@@ -42,7 +42,9 @@
   /// Policies of the entries; null means default policies.
   void SetConfig(std::shared_ptr<const FleetConfig> config) { config_ = std::move(config); }
   /// Measured time of a cold start of the entry. Without one it is estimated from the size.
-  void SetColdTime(const EntryId& entry, Millis cold_time) { cold_times_[entry] = cold_time; }
+  void SetColdTime(const EntryId& entry, Millis cold_time) override {
+    cold_times_[entry] = cold_time;
+  }
 
   Millis KeepAlive(const EntryId& entry) const override;
   void OnCall(const EntryId& entry, SteadyTime now) override;
--- a/servers/keep_alive_policy.h
+++ b/servers/keep_alive_policy.h
@@ -14,6 +14,8 @@
   virtual Millis KeepAlive(const EntryId& entry) const = 0;
   /// A call for the entry arrived.
   virtual void OnCall(const EntryId& entry, SteadyTime now) = 0;
+  /// Measured time of a cold start of the entry; ignored unless the policy weighs it.
+  virtual void SetColdTime(const EntryId& /*entry*/, Millis /*cold_time*/) {}
 };
 
 }  // namespace shallot
--- a/servers/load_scheduler.cc
+++ b/servers/load_scheduler.cc
@@ -286,6 +286,11 @@
 void LoadScheduler::OnPermit(const LoadPermit& permit) {
   for (auto& [id, entry] : entries_) {
     if (entry.permit_id != permit.permit_id) continue;
+    if (entry.phase == Phase::kLoading) {
+      // Sent again, or too late for a load of the static share: in use until the load ends.
+      entry.permit_held = true;
+      return;
+    }
     if (entry.phase != Phase::kWaiting || !host_->MayLoad(id)) break;
     entry.permit_held = true;
     StartLoad(entry);
@@ -336,6 +341,7 @@
   const auto weight = entry.load_time == Duration::zero() ? 1.0 : kLoadTimeWeight;
   entry.load_time =
       std::chrono::duration_cast<Duration>(entry.load_time * (1 - weight) + took * weight);
+  host_->OnLoadMeasured(entry.info.id, std::chrono::ceil<Millis>(entry.load_time));
   entry.failures = 0;
   entry.retiring = false;
   entry.last_used = now;
--- a/servers/load_scheduler.h
+++ b/servers/load_scheduler.h
@@ -33,6 +33,8 @@
   virtual void ReturnPermit(uint64_t permit_id) = 0;
   /// The entry cannot be loaded now. `retry_after` zero: no time is known.
   virtual void OnLoadRefused(const EntryId& entry, Reason reason, Millis retry_after) = 0;
+  /// Smoothed duration of the entry's loads, after each load.
+  virtual void OnLoadMeasured(const EntryId& entry, Millis load_time) = 0;
   /// Calls for the entry can start.
   virtual void OnLoaded(const EntryId& entry) = 0;
 };
--- a/servers/messages.h
+++ b/servers/messages.h
@@ -83,6 +83,9 @@
   /// Position of the first byte of `payload` in the answer.
   uint64_t offset = 0;
   std::string payload;
+  /// Of the backend server's answer; set in frames with offset 0 only. 0: it named none.
+  int http_status = 0;
+  std::string content_type = {};
   bool operator==(const CallFrame&) const = default;
 };
 
--- a/servers/router_core.h
+++ b/servers/router_core.h
@@ -2,6 +2,7 @@
 #define SERVERS_ROUTER_CORE_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,8 @@
   /// Zero: the deadline of the class.
   Millis deadline{0};
   IdempotencyKey idempotency_key;
+  /// When the caller made the key of an order; the router refuses keys that are too old.
+  std::optional<WallTime> key_time;
   /// Answer bytes are passed on as they come; otherwise only a whole answer is.
   bool stream = false;
   std::string method;
--- a/tests/agent_core_test.cc
+++ b/tests/agent_core_test.cc
@@ -42,5 +42,16 @@
   CHECK(fixture.invariants.TotalViolations() == 0);
 }
 
+// Guards against parts beside the core that follow another configuration than the core does.
+TEST_CASE("the agent hands out the configuration in force") {
+  AgentFixture fixture;
+  CHECK(fixture.agent->config() == nullptr);
+  fixture.agent->OnMessage(kRouter, PushOf(ConfigText("[defaults]\norder_window_ms = 60000\n"), 2));
+  REQUIRE(fixture.agent->config() != nullptr);
+  CHECK(fixture.agent->config()->order_window == Millis(60'000));
+  fixture.agent->OnMessage(kRouter, PushOf(ConfigText(), 1));
+  CHECK(fixture.agent->config()->revision == ConfigRevision(2));
+}
+
 }  // namespace
 }  // namespace shallot::agent_test
--- a/tests/agent_loads_test.cc
+++ b/tests/agent_loads_test.cc
@@ -84,6 +84,36 @@
   CHECK(fixture.engine.loads.empty());
 }
 
+// Guards against a permit that is free for another load while the load it is for still runs:
+// requests are repeated each second, so the budget may send a permit twice or late.
+TEST_CASE("a permit is in use until its load ends") {
+  struct PermitCase {
+    const char* name;
+    bool before;
+    bool during;
+  };
+  for (const PermitCase& test : {PermitCase{"repeated", true, true},
+                                 PermitCase{"after a load of the static share", false, true}}) {
+    CAPTURE(test.name);
+    AgentFixture fixture;
+    fixture.engine.automatic = false;
+    fixture.Begin();
+    fixture.Grant({"m1"});
+    fixture.Start(fixture.MakeCall("c1", "m1"));
+    if (test.before) fixture.GivePermit();
+    fixture.Run(Millis(1100));
+    REQUIRE(fixture.engine.orders.size() == 1);
+    if (test.during) fixture.GivePermit();
+    fixture.Run(Millis(100));
+    CHECK(fixture.link.Sent<LoadPermitReturn>(kRouter).empty());
+    fixture.engine.Settle();
+    CHECK(fixture.link.Sent<LoadPermitReturn>(kRouter).size() == 1);
+    fixture.GivePermit();
+    CHECK(fixture.link.Sent<LoadPermitReturn>(kRouter).size() == 2);
+    CHECK(fixture.engine.loads[kM1] == 1);
+  }
+}
+
 // Guards against an adapter order for a base model that is not loaded, and against the unload of a
 // base model under its adapter.
 TEST_CASE("an adapter is loaded after its base model and unloaded before it") {
@@ -288,9 +318,27 @@
  public:
   Millis KeepAlive(const EntryId&) const override { return Millis(1000); }
   void OnCall(const EntryId&, SteadyTime) override { ++calls; }
+  void SetColdTime(const EntryId& entry, Millis time) override { cold_times[entry] = time; }
   int calls = 0;
+  std::map<EntryId, Millis> cold_times;
 };
 
+// Guards against a keep-alive time that weighs a guessed cold start although loads were measured.
+TEST_CASE("the keep-alive policy learns the measured load times") {
+  AgentFixture fixture;
+  fixture.engine.automatic = false;
+  FixedKeepAlive policy;
+  fixture.agent->SetKeepAlivePolicy(&policy);
+  fixture.Begin();
+  fixture.Grant({"m1"});
+  fixture.Start(fixture.MakeCall("c1", "m1"));
+  fixture.GivePermit();
+  fixture.Run(Millis(4000));
+  CHECK(policy.cold_times.empty());
+  fixture.engine.Settle();
+  CHECK(policy.cold_times == std::map<EntryId, Millis>{{kM1, Millis(4000)}});
+}
+
 // Guards against idle entries that stay loaded, and against unloading one that is in use.
 TEST_CASE("an entry idle longer than its keep-alive time is unloaded") {
   AgentFixture fixture;
--- a/tests/caller_protocol_test.cc
+++ b/tests/caller_protocol_test.cc
@@ -39,6 +39,12 @@
   call_class.call_class = "urgent";
   CallerHttpRequest key = ModelRequest(good);
   key.idempotency_key = std::string(257, 'k');
+  CallerHttpRequest time_text = ModelRequest(good);
+  time_text.key_time = "yesterday";
+  CallerHttpRequest time_millis = ModelRequest(good);
+  time_millis.key_time = "1796000000000";
+  CallerHttpRequest time_negative = ModelRequest(good);
+  time_negative.key_time = "-1";
   CallerHttpRequest service = ModelRequest("");
   service.target = "/services/";
   const std::vector<BadRequestCase> cases = {
@@ -55,6 +61,9 @@
       {"deadline zero", zero, ErrorKind::kInvalidArgument, "X-Shallot-Deadline-Ms"},
       {"class", call_class, ErrorKind::kInvalidArgument, "X-Shallot-Class"},
       {"long key", key, ErrorKind::kInvalidArgument, "too long"},
+      {"key time text", time_text, ErrorKind::kInvalidArgument, "X-Shallot-Key-Time"},
+      {"key time in ms", time_millis, ErrorKind::kInvalidArgument, "X-Shallot-Key-Time"},
+      {"key time negative", time_negative, ErrorKind::kInvalidArgument, "X-Shallot-Key-Time"},
       {"no service", service, ErrorKind::kInvalidArgument, "names no service"},
   };
   for (const BadRequestCase& test : cases) {
@@ -72,6 +81,7 @@
   request.deadline_ms = "1500";
   request.call_class = "premium";
   request.idempotency_key = "k";
+  request.key_time = "1796000000";
   request.request_id = "r";
   const Result<CallerRequest> parsed = ParseCallerRequest(request);
   REQUIRE(IsOk(parsed));
@@ -80,6 +90,7 @@
   CHECK(ValueOf(parsed).deadline == Millis(1500));
   CHECK(ValueOf(parsed).call_class == "premium");
   CHECK(ValueOf(parsed).idempotency_key == IdempotencyKey("k"));
+  CHECK(ValueOf(parsed).key_time == WallTime(Seconds(1'796'000'000)));
   CHECK(ValueOf(parsed).request_id == RequestId("r"));
   CHECK(ValueOf(parsed).path == "/v1/chat/completions");
   CHECK(ValueOf(parsed).body == request.body);
--- a/tests/router_agent_test.cc
+++ b/tests/router_agent_test.cc
@@ -130,6 +130,47 @@
   CHECK(f.resumes >= 1);
 }
 
+// Guards against an error of the engine that looks like a stream of events to its caller.
+TEST_CASE("a streaming call begins with the status and content type of the backend server") {
+  struct BeginCase {
+    int status;
+    const char* content_type;
+  };
+  for (const BeginCase& test : {BeginCase{400, "application/json"}, BeginCase{200, "text/plain"}}) {
+    CAPTURE(test.status);
+    RouterWithAgent f;
+    const auto sink = f.SubmitModel(true);
+    f.agent.engine.calls.running.at(f.router.last_call)
+        .sink->OnBegin(test.status, test.content_type);
+    f.agent.engine.calls.Data(f.router.last_call, "first");
+    f.Run(Millis(40));
+    CHECK(sink->begins == 1);
+    CHECK(sink->status == test.status);
+    CHECK(sink->type == test.content_type);
+    f.agent.engine.calls.Data(f.router.last_call, "second");
+    f.agent.engine.calls.End(f.router.last_call, ExecutionEnd::kCompleted);
+    f.Run(Millis(40));
+    CHECK(sink->begins == 1);
+    CHECK(sink->data == "firstsecond");
+    CHECK(sink->end.http_status == test.status);
+  }
+}
+
+// Guards against a second begin, or one without its status, when the first frame comes late.
+TEST_CASE("a stream that is resumed from its start has its status") {
+  RouterWithAgent f;
+  const auto sink = f.SubmitModel(true);
+  f.silent.insert(f.Connection());
+  f.agent.engine.calls.running.at(f.router.last_call).sink->OnBegin(429, "application/json");
+  f.agent.engine.calls.Data(f.router.last_call, "busy");
+  f.agent.engine.calls.End(f.router.last_call, ExecutionEnd::kCompleted);
+  f.Run(Millis(3'500));
+  CHECK(sink->begins == 1);
+  CHECK(sink->status == 429);
+  CHECK(sink->type == "application/json");
+  CHECK(sink->end.kind == OutcomeKind::kCompleted);
+}
+
 // Guards against an outcome that is lost or untrue when a queued call reaches its deadline.
 TEST_CASE("a queued call that reaches its deadline did not run") {
   RouterWithAgent f;
@@ -168,6 +209,21 @@
     CHECK(sink->end.kind == OutcomeKind::kUnknown);
     CHECK(f.starts == 1);
   }
+  SUBCASE("the caller goes away while it runs") {
+    const auto sink = f.router.Submit(order);
+    f.Run(Millis(40));
+    const CallId id = f.router.last_call;
+    REQUIRE(f.agent.service.calls.running.contains(id));
+    f.router.core.CancelByCaller(id);
+    f.Run(Millis(40));
+    CHECK(sink->end.kind == OutcomeKind::kUnknown);
+    CHECK(f.agent.service.calls.cancelled.empty());
+    REQUIRE(f.agent.service.calls.running.contains(id));
+    f.agent.service.calls.Complete(id, "printed");
+    f.Run(Millis(40));
+    CHECK(sink->ends == 1);
+    CHECK(f.agent.claims.answers.at(IdempotencyKey("key-1")).body == "printed");
+  }
   SUBCASE("the agent drains") {
     f.agent.agent->BeginDrain("test", Millis(5'000));
     f.Run(Millis(40));
--- a/tests/router_submit_test.cc
+++ b/tests/router_submit_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,47 @@
   }
 }
 
+// Guards against a late replay of an order whose claim has expired: it would run a second time.
+TEST_CASE("an order whose key may outlive its claim is refused") {
+  struct KeyCase {
+    const char* name;
+    std::optional<Millis> age;
+    bool accepted;
+  };
+  const Millis day(24 * 3'600'000);
+  const std::vector<KeyCase> cases = {
+      {"no key time", std::nullopt, true},
+      {"new", Millis(0), true},
+      {"clock of the caller ahead", Millis(-60'000), true},
+      {"its deadline ends with the window", day - Millis(10'000), true},
+      {"the window ends before its deadline", day - Millis(9'000), false},
+      {"older than the window", day + Millis(1'000), false},
+  };
+  for (const KeyCase& c : cases) {
+    CAPTURE(c.name);
+    RouterFixture f;
+    f.Start();
+    CallerRequest order = RouterFixture::OrderRequest("k", Millis(10'000));
+    if (c.age.has_value()) order.key_time = f.clock.WallNow() - *c.age;
+    const auto sink = f.Submit(order);
+    CHECK(f.link.Count<CallStart>() == (c.accepted ? 1 : 0));
+    CHECK(sink->ends == (c.accepted ? 0 : 1));
+    if (c.accepted) continue;
+    CHECK(sink->end.kind == OutcomeKind::kNotRun);
+    CHECK(sink->end.reason == Reason::kInvalidRequest);
+    CHECK(sink->end.message.find("X-Shallot-Key-Time") != std::string::npos);
+  }
+}
+
+TEST_CASE("the key time matters to orders only") {
+  RouterFixture f;
+  f.Start();
+  CallerRequest call = RouterFixture::ModelRequest();
+  call.key_time = WallTime{};
+  f.Submit(call);
+  CHECK(f.link.Count<CallStart>() == 1);
+}
+
 // Guards against a wrong class: the caller's wins over the route's, which wins over the default.
 TEST_CASE("the class comes from the caller, the route or the default") {
   struct Case {
