--- a/bench/trace.cc
+++ b/bench/trace.cc
@@ -77,9 +77,10 @@
     const double end = days * kSecondsPerDay;
     // Thinning of a Poisson process at the peak rate; the mean of the shape is about a third.
     const double peak_rate = shape_.sessions_per_day / kSecondsPerDay * 3;
-    for (double at = random_.Exponential(1 / peak_rate); at < end;
-         at += random_.Exponential(1 / peak_rate)) {
+    double at = random_.Exponential(1 / peak_rate);
+    while (at < end) {
       if (random_.Unit() < DailyShape(shape_, std::fmod(at, kSecondsPerDay))) AddSession(at, end);
+      at += random_.Exponential(1 / peak_rate);
     }
     std::stable_sort(calls_.begin(), calls_.end(),
                      [](const TraceCall& a, const TraceCall& b) { return a.at < b.at; });
@@ -91,9 +92,9 @@
     const EntryId& entry = entries_[static_cast<size_t>(picker_.Pick(random_))];
     const auto burst = 1 + random_.Below(static_cast<uint64_t>(shape_.opening_burst));
     for (uint64_t i = 0; i < burst; ++i) AddCall(at, entry);
-    const double more = random_.Exponential(shape_.calls_per_session);
+    const auto more = std::llround(std::ceil(random_.Exponential(shape_.calls_per_session)));
     const double gap = std::chrono::duration<double>(shape_.gap_in_session).count();
-    for (double i = 0; i < more; ++i) {
+    for (int64_t i = 0; i < more; ++i) {
       at += random_.Exponential(gap);
       if (at >= end) return;
       AddCall(at, entry);
