Let a router return to a runner that it last heard draining

Cause: a router that is not the home of a runner connects to it only for a call, and a call goes only to runners that are neither draining nor without their engine. The last report of a lost connection stayed in force, so after a drain and restart under the same instance id such a router never connected again and answered all calls of the runner's entries with "no-runner". Found by the fault matrix: "agent paused past its lease" at "drain: begun" (calls at router0 were refused for 25 s and more while the restarted agent held m1).

Change: what a lost connection said last rules the runner out for 5 s (kFailureMemory). After that the next call connects, and the agent's Hello says whether it still drains; Start checks that before it sends.

--- a/servers/runner_directory.cc
+++ b/servers/runner_directory.cc
@@ -262,7 +262,9 @@
   Drop(&entry.connection);
   entry.view.up = false;
   entry.view.reported_at.reset();
-  if (was_up) listener_->OnRunnerLost(runner);
+  if (!was_up) return;
+  entry.view.lost_at = clock_->SteadyNow();
+  listener_->OnRunnerLost(runner);
 }
 
 void RunnerDirectory::Backoff(Connection* connection) {
--- a/servers/runner_directory.h
+++ b/servers/runner_directory.h
@@ -57,6 +57,8 @@
   uint64_t outstanding_at_report = 0;
   /// Last time that a connection was lost or did not come up; none since the last Hello.
   std::optional<SteadyTime> failed_at;
+  /// Time that the last connection ended; none while one is up.
+  std::optional<SteadyTime> lost_at;
   CircuitBreaker breaker;
   PrefixHints hints;
 
@@ -71,7 +73,8 @@
   static constexpr Millis kSilenceLimit{2'000};
   /// Two reports missed.
   static constexpr Millis kQuietLimit{1'200};
-  /// After this time a runner that could not be reached is tried again beside others.
+  /// After this time a runner that could not be reached is tried again beside others, and what it
+  /// said last no longer rules it out.
   static constexpr Millis kFailureMemory{5'000};
   static constexpr Millis kIdleLimit{60'000};
   static constexpr Millis kFirstBackoff{100};
@@ -163,6 +166,7 @@
   void LoseRunner(const RunnerId& runner);
   void Backoff(Connection* connection);
   bool Needed(const RunnerEntry& entry) const;
+  void ForgetLastReport(RunnerView* view) const;
   void TickRunner(const RunnerId& id, RunnerEntry* entry);
   void TickRouter(RouterEntry* entry);
   void TickIncoming();
--- a/servers/runner_directory_events.cc
+++ b/servers/runner_directory_events.cc
@@ -69,6 +69,7 @@
   // Failures to connect are over; a backend that fails opens the breaker again.
   entry->view.breaker.OnSuccess();
   entry->view.failed_at.reset();
+  entry->view.lost_at.reset();
   listener_->OnRunnerConnected(id, hello.incarnation);
 }
 
@@ -158,10 +159,21 @@
   return entry.connection.keep || entry.view.TotalOutstanding() > 0;
 }
 
+/// Without a connection nothing tells that a runner serves again, and a router that is not its home
+/// connects only to runners that it takes for usable.
+void RunnerDirectory::ForgetLastReport(RunnerView* view) const {
+  if (!view->lost_at.has_value()) return;
+  if (clock_->SteadyNow() - *view->lost_at < kFailureMemory) return;
+  view->lost_at.reset();
+  view->draining = false;
+  view->load.serving = true;
+}
+
 void RunnerDirectory::TickRunner(const RunnerId& id, RunnerEntry* entry) {
   Connection& connection = entry->connection;
   const SteadyTime now = clock_->SteadyNow();
   if (!connection.id.has_value()) {
+    ForgetLastReport(&entry->view);
     if (!Needed(*entry) || now < connection.next_dial) return;
     Dial(&connection, entry->view.record.address, {.runner = id, .router = {}});
     return;
--- a/tests/runner_directory_test.cc
+++ b/tests/runner_directory_test.cc
@@ -124,6 +124,34 @@
   }
 }
 
+// Guards against a router that never again connects to a runner that it last heard draining, or
+// without its engine, on a connection that it does not keep.
+TEST_CASE("the last report of a lost connection rules a runner out only for 5 s") {
+  for (const bool draining : {true, false}) {
+    CAPTURE(draining);
+    RouterFixture f(1);
+    f.instances.push_back(RouterFixture::Router("b1", "d9"));
+    f.instances.push_back(RouterFixture::Router("b2", "d9"));
+    f.instances[0].failure_domain = FailureDomain("d9");
+    f.List();
+    f.Submit(RouterFixture::ModelRequest());
+    f.SayHello(0);
+    f.load.serving = draining;
+    f.Beat(0, draining);
+    f.core.OnDisconnect(f.ConnectionTo(0));
+    f.Run(Millis(4'800));
+    const size_t dials = f.link.DialsTo(RouterFixture::Address(0));
+    f.Submit(RouterFixture::ModelRequest());
+    CHECK(f.link.DialsTo(RouterFixture::Address(0)) == dials);
+    f.Run(Millis(400));
+    CHECK(f.link.DialsTo(RouterFixture::Address(0)) == dials + 1);
+    const size_t starts = f.link.Count<CallStart>();
+    f.SayHello(0, 2);
+    f.Run(Millis(100));
+    CHECK(f.link.Count<CallStart>() > starts);
+  }
+}
+
 // Guards against connections on demand that are never closed, or closed under a call.
 TEST_CASE("a connection on demand is closed after 60 s without calls") {
   RouterFixture f(1);
