Add a composed test fleet and the fault matrix

Cause: cores were tested alone or in pairs, so a fault that needs router, control plane, agent and store together had no test.

Change: ComposedFleet joins three RouterCore + ControlPlaneCore and three AgentCore + StoreOrderClaims by an in-memory network over the existing fakes.

--- /dev/null
+++ b/tests/composed_backend.h
@@ -0,0 +1,194 @@
+#ifndef TESTS_COMPOSED_BACKEND_H_
+#define TESTS_COMPOSED_BACKEND_H_
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tests/fake_agent_env.h"
+
+namespace shallot::composed {
+
+/// A backend server of a composed fleet that works at its own pace. It outlives its agent.
+class Backend {
+ public:
+  static constexpr int kChunks = 4;
+  static constexpr Millis kChunkTime{60};
+  static constexpr Millis kModelLoad{300};
+  static constexpr Millis kAdapterLoad{40};
+  static constexpr Millis kUnloadTime{60};
+  /// Transit time of an order that outlives the agent that sent it.
+  static constexpr Millis kLateBy{1000};
+
+  Backend(std::string backend_name, bool is_engine)
+      : name(std::move(backend_name)), has_engine(is_engine) {
+    engine.automatic = false;
+  }
+
+  agent_test::FakeCalls& calls() { return has_engine ? engine.calls : service.calls; }
+  BackendServer* server() {
+    if (has_engine) return &engine;
+    return &service;
+  }
+
+  /// Part `index` of the answer to an attempt that runs here; differs between attempts.
+  std::string Chunk(const Call& call, int index) const {
+    return "<" + call.id.value() + "/" + std::to_string(call.attempt.value()) + "/" + name + "/" +
+           std::to_string(index) + ">";
+  }
+  std::string Answer(const Call& call) const {
+    std::string answer;
+    for (int i = 0; i < kChunks; ++i) answer += Chunk(call, i);
+    return answer;
+  }
+
+  /// Moves loads and calls on. `paused`: the agent is paused and hears nothing.
+  void Step(SteadyTime now, bool paused) {
+    NoteOrders();
+    RunLateOrders(now);
+    if (!paused) StepOrder(now);
+    NoteCalls(now);
+    if (!paused && !hold_calls) StepCalls(now);
+  }
+  /// The agent died. Calls and orders that the backend server has received go on without it.
+  /// `late`: its orders are still in transit and arrive later.
+  void LoseAgent(SteadyTime now, bool late) {
+    for (agent_test::FakeEngine::Order& order : engine.orders) {
+      if (!late) continue;
+      late_orders_.emplace_back(now + kLateBy, order.order);
+      const auto held = engine.held.find(order.order.entry);
+      const bool begun = held != engine.held.end() &&
+                         held->second.presence == EntryPresence::kLoading && order.load;
+      if (begun) engine.held.erase(held);
+    }
+    if (late) engine.orders.clear();
+    front_due_ = {};
+    calls().EndAll();
+    progress_.clear();
+  }
+  /// The machine is replaced by an empty one.
+  void Wipe() {
+    engine.orders.clear();
+    engine.held.clear();
+    late_orders_.clear();
+    stale.clear();
+    front_due_ = {};
+  }
+  bool Loading() const {
+    return std::any_of(engine.orders.begin(), engine.orders.end(),
+                       [](const auto& order) { return order.load; });
+  }
+  bool Unloading() const {
+    return std::any_of(engine.orders.begin(), engine.orders.end(),
+                       [](const auto& order) { return !order.load; });
+  }
+  bool Has(const EntryId& entry) const { return engine.held.contains(entry); }
+
+  std::string name;
+  bool has_engine;
+  agent_test::FakeEngine engine;
+  agent_test::FakeService service;
+  /// Factor on load times; above 1 while the weight store is slow.
+  int slowness = 1;
+  /// Calls that run stay where they are.
+  bool hold_calls = false;
+  /// False: an order with a fencing number below the highest seen is carried out.
+  bool checks_fencing = true;
+  /// Orders whose memory did not fit when they arrived.
+  int overcommits = 0;
+  /// Entries that a late order of an earlier agent loaded, and when.
+  std::map<EntryId, SteadyTime> stale;
+  /// All attempts that were started, with their answers.
+  std::map<std::pair<CallId, Attempt>, std::string> started;
+
+ private:
+  struct Progress {
+    SteadyTime next;
+    int chunk = 0;
+  };
+
+  /// Loads that were ordered show in the inventory before they end.
+  void NoteOrders() {
+    for (const agent_test::FakeEngine::Order& order : engine.orders) {
+      highest_fencing_ = std::max(highest_fencing_, order.order.fencing);
+      if (!order.load || engine.held.contains(order.order.entry)) continue;
+      if (Fits(order.order)) {
+        Hold(order.order, EntryPresence::kLoading);
+      } else if (stale.empty()) {
+        ++overcommits;
+      }
+    }
+  }
+  bool Fits(const EngineOrder& order) const {
+    return engine.HeldBytes() + order.size.value() <= engine.capacity.value();
+  }
+  void Hold(const EngineOrder& order, EntryPresence presence) {
+    engine.held[order.entry] = {order.entry, order.kind, order.version, order.size, presence};
+  }
+  Millis TimeOf(const agent_test::FakeEngine::Order& order) const {
+    if (!order.load) return kUnloadTime;
+    return (order.order.kind == LoadKind::kModel ? kModelLoad : kAdapterLoad) * slowness;
+  }
+  void StepOrder(SteadyTime now) {
+    if (engine.orders.empty()) return;
+    if (front_due_ == SteadyTime()) front_due_ = now + TimeOf(engine.orders.front());
+    if (now < front_due_) return;
+    front_due_ = {};
+    const agent_test::FakeEngine::Order& front = engine.orders.front();
+    if (front.load && !engine.held.contains(front.order.entry)) {
+      engine.Settle(Error{ErrorKind::kResourceExhausted, "no memory", ""}, false);
+    } else {
+      engine.Settle();
+    }
+  }
+  void RunLateOrders(SteadyTime now) {
+    while (!late_orders_.empty() && late_orders_.front().first <= now) {
+      const EngineOrder order = late_orders_.front().second;
+      late_orders_.pop_front();
+      const bool fenced = checks_fencing && order.fencing < highest_fencing_;
+      if (fenced || engine.held.contains(order.entry) || !Fits(order)) continue;
+      Hold(order, EntryPresence::kLoaded);
+      stale[order.entry] = now;
+    }
+    std::erase_if(stale, [this](const auto& item) { return !Has(item.first); });
+  }
+  void NoteCalls(SteadyTime now) {
+    for (const auto& [id, running] : calls().running) {
+      const auto key = std::pair(id, running.call.attempt);
+      if (started.contains(key)) continue;
+      started[key] = Answer(running.call);
+      progress_[id] = {now + kChunkTime, 0};
+    }
+  }
+  void StepCalls(SteadyTime now) {
+    std::vector<CallId> ids;
+    for (const auto& [id, running] : calls().running) ids.push_back(id);
+    for (const CallId& id : ids) StepCall(now, id);
+  }
+  void StepCall(SteadyTime now, const CallId& id) {
+    const auto running = calls().running.find(id);
+    if (running == calls().running.end()) return;
+    Progress& progress = progress_[id];
+    if (now < progress.next) return;
+    progress.next = now + kChunkTime;
+    if (progress.chunk == 0) running->second.sink->OnBegin(200, "text/plain");
+    if (progress.chunk < kChunks) {
+      calls().Data(id, Chunk(running->second.call, progress.chunk++));
+      return;
+    }
+    calls().End(id, ExecutionEnd::kCompleted);
+  }
+
+  FencingNumber highest_fencing_;
+  SteadyTime front_due_;
+  std::deque<std::pair<SteadyTime, EngineOrder>> late_orders_;
+  std::map<CallId, Progress> progress_;
+};
+
+}  // namespace shallot::composed
+
+#endif  // TESTS_COMPOSED_BACKEND_H_
--- /dev/null
+++ b/tests/composed_checks.cc
@@ -0,0 +1,127 @@
+#include <algorithm>
+
+#include "tests/composed_fixture.h"
+
+namespace shallot::composed {
+namespace {
+
+/// The deadline falls between two ticks, and the store and the links add a step each.
+constexpr Millis kDeadlineMargin{100};
+/// An agent fetches the inventory every 3 s, and unloads what it finds within a second.
+constexpr Millis kStaleLimit{5000};
+
+}  // namespace
+
+void ComposedFleet::Violate(const std::string& what) {
+  if (std::find(violations_.begin(), violations_.end(), what) != violations_.end()) return;
+  violations_.push_back(what);
+}
+
+/// Heartbeats and greetings carry the revision that is in force at their sender.
+void ComposedFleet::NoteSent(const std::string& address, const Message& message) {
+  if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
+    NoteRevision(address, heartbeat->config_revision);
+  }
+  if (const auto* hello = std::get_if<Hello>(&message)) {
+    NoteRevision(address, hello->config_revision);
+  }
+}
+
+void ComposedFleet::NoteRevision(const std::string& address, ConfigRevision revision) {
+  const auto note = [&](auto& member) {
+    if (member.record.address != address) return;
+    if (revision < member.revision) Violate("the configuration of " + address + " went back");
+    member.revision = std::max(member.revision, revision);
+  };
+  for (auto& member : routers_) note(member);
+  for (auto& member : agents_) note(member);
+}
+
+void ComposedFleet::CheckMemory() {
+  for (const auto& server : backends_) {
+    if (server->overcommits > 0 || server->engine.HeldBytes() > server->engine.capacity.value()) {
+      Violate("memory of " + server->name + " is overcommitted");
+    }
+  }
+}
+
+void ComposedFleet::CheckReplicas() {
+  std::map<EntryId, size_t> loaded;
+  for (const auto& server : backends_) {
+    for (const auto& [entry, item] : server->engine.held) {
+      const auto stale = server->stale.find(entry);
+      const bool allowed =
+          stale != server->stale.end() && clock.SteadyNow() - stale->second < kStaleLimit;
+      if (!allowed) ++loaded[entry];
+    }
+  }
+  if (loaded.empty()) return;
+  const std::vector<Slot> slots = StoredSlots();
+  for (const auto& [entry, count] : loaded) {
+    const auto decided = static_cast<size_t>(std::count_if(
+        slots.begin(), slots.end(), [&id = entry](const Slot& slot) { return slot.entry == id; }));
+    if (count <= decided) continue;
+    Violate("entry " + entry.value() + " is loaded on more runners than it has slots");
+  }
+}
+
+void ComposedFleet::CheckDeadlines() {
+  const SteadyTime now = clock.SteadyNow();
+  for (const auto& call : calls) {
+    if (call->cut || call->sink->ends > 0 || now <= call->deadline + kDeadlineMargin) continue;
+    const RouterProcess* process = router(call->router);
+    const auto resumed = resumed_at_.find(call->router);
+    const bool excused = process == nullptr || process->gate.paused() ||
+                         (resumed != resumed_at_.end() && now <= resumed->second + kDeadlineMargin);
+    if (!excused) Violate("call " + call->id.value() + " has no outcome at its deadline");
+  }
+}
+
+bool ComposedFleet::Started(const CallId& id) const {
+  return std::any_of(backends_.begin(), backends_.end(),
+                     [&](const auto& server) { return server->calls().starts.contains(id); });
+}
+
+int ComposedFleet::Executions(const IdempotencyKey& key) const {
+  int executions = 0;
+  for (const auto& call : calls) {
+    if (call->key != key) continue;
+    for (const auto& server : backends_) {
+      const auto starts = server->calls().starts.find(call->id);
+      if (starts != server->calls().starts.end()) executions += starts->second;
+    }
+  }
+  return executions;
+}
+
+void ComposedFleet::CheckAnswer(const SubmittedCall& call) {
+  std::set<CallId> sources{call.id};
+  // A repeated order gets the recorded answer of another call with its key.
+  for (const auto& other : calls) {
+    if (!call.key.empty() && other->key == call.key) sources.insert(other->id);
+  }
+  const auto is_answer = [&](const auto& item) {
+    return sources.contains(item.first.first) && item.second == call.sink->data;
+  };
+  const bool right = std::any_of(backends_.begin(), backends_.end(), [&](const auto& server) {
+    return std::any_of(server->started.begin(), server->started.end(), is_answer);
+  });
+  if (!right) Violate("call " + call.id.value() + " completed with a wrong answer");
+}
+
+void ComposedFleet::CheckCalls() {
+  for (const auto& call : calls) {
+    const router_test::FakeSink& sink = *call->sink;
+    const std::string name = "call " + call->id.value();
+    if (sink.ends > 1) Violate(name + " has more than one outcome");
+    if (!call->key.empty() && Executions(call->key) > 1) Violate(name + " ran twice");
+    if (call->cut || sink.ends == 0) continue;
+    if (sink.end.kind == OutcomeKind::kCompleted) CheckAnswer(*call);
+    if (sink.end.kind == OutcomeKind::kNotRun && Started(call->id)) {
+      Violate(name + " ran and was reported as not run");
+    }
+  }
+  if (invariants.TotalViolations() > 0) Violate("an invariant asserted by the program failed");
+}
+
+}  // namespace shallot::composed
--- /dev/null
+++ b/tests/composed_fixture.h
@@ -0,0 +1,161 @@
+#ifndef TESTS_COMPOSED_FIXTURE_H_
+#define TESTS_COMPOSED_FIXTURE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tests/composed_backend.h"
+#include "tests/composed_network.h"
+#include "tests/control_plane_fixture.h"
+#include "tests/router_fixture.h"
+
+namespace shallot::composed {
+
+/// A call that a test submitted, and what its caller saw.
+struct SubmittedCall {
+  CallId id;
+  size_t router = 0;
+  IdempotencyKey key;
+  SteadyTime deadline;
+  std::shared_ptr<router_test::FakeSink> sink;
+  /// The router died, and the caller's connection with it.
+  bool cut = false;
+};
+
+/// A change of the configuration, and what its operator was told.
+struct SubmittedChange {
+  std::string exception;
+  /// Revision that it was made against; 0 for the newest.
+  ConfigRevision base;
+  bool answered = false;
+  bool accepted = false;
+};
+
+/// Three routers and three runners (engines "g0" and "g1", service "s0") with the real cores, over
+/// one fake store and one instance list. Each step takes 20 ms and checks the invariants.
+class ComposedFleet {
+ public:
+  static constexpr Millis kStep{20};
+  static constexpr size_t kRouters = 3;
+  static constexpr size_t kRunners = 3;
+  static constexpr size_t kService = 2;
+
+  explicit ComposedFleet(uint64_t seed = 1);
+
+  void Step();
+  void Run(Millis time);
+  /// Steps until the condition holds; false when it does not within the limit.
+  bool RunUntil(const std::function<bool()>& condition, Millis limit);
+
+  /// Submits to a live router; null when the router is not alive.
+  std::shared_ptr<SubmittedCall> SubmitModel(size_t router, const std::string& entry,
+                                             bool stream = false);
+  std::shared_ptr<SubmittedCall> SubmitOrder(size_t router, const std::string& key);
+  /// Adds an exception to the configuration, as a change by one more operator.
+  std::shared_ptr<SubmittedChange> Change(ConfigRevision base = ConfigRevision(0));
+
+  // Processes. Agents and runners have the same index.
+  void KillRouter(size_t index);
+  void StartRouter(size_t index);
+  void PauseRouter(size_t index);
+  void ResumeRouter(size_t index);
+  /// `late`: the engine receives the agent's open orders only later.
+  void KillAgent(size_t index, bool late = false);
+  void StartAgent(size_t index);
+  void PauseAgent(size_t index);
+  void ResumeAgent(size_t index);
+  /// The instance is gone without a word; it stays listed until Unlist.
+  void ReclaimAgent(size_t index);
+  /// Starts an empty instance with another id for the same runner.
+  void ReplaceAgent(size_t index);
+  void ListAgent(size_t index, bool listed);
+  void SetLeaving(size_t index, bool leaving);
+  void DrainAgent(size_t index);
+  /// The list that processes read does not change while it lags.
+  void SetListLag(bool lagging);
+  /// While slow, the store answers only once a second.
+  void SetStoreSlow(bool slow) { store_slow_ = slow; }
+  void SetSlowLoads(bool slow);
+
+  RouterProcess* router(size_t index) const { return routers_[index].process.get(); }
+  AgentProcess* agent(size_t index) const { return agents_[index].process.get(); }
+  Backend& backend(size_t index) { return *backends_[index]; }
+  /// Index of a router that is alive and not paused; prefers `first`.
+  size_t LiveRouter(size_t first = 0) const;
+  /// Index of the router that holds the lease of the only shard; `kRouters` when there is none.
+  size_t Owner() const;
+  /// Index of the engine with an active slot of the entry; `kRunners` when there is none.
+  size_t HolderOf(const std::string& entry) const;
+  std::vector<Slot> StoredSlots() const;
+  ConfigRevision StoredRevision() const;
+  /// True when all live processes have the revision in the store.
+  bool ConfigEverywhere() const;
+  /// The exception is part of the configuration that is in force at the router.
+  bool InForce(const SubmittedChange& change, size_t router) const;
+  /// How often an order with the key was started at the service.
+  int Executions(const IdempotencyKey& key) const;
+
+  /// What was violated so far.
+  const std::vector<std::string>& violations() const { return violations_; }
+  void Violate(const std::string& what);
+  /// Checks of all calls that can only be made at the end.
+  void CheckCalls();
+
+  ManualClock clock;
+  FakePlatformStore store{&clock};
+  FakeInstanceList live_list;
+  FakeInstanceList seen_list;
+  InvariantMonitor invariants;
+  Network network;
+  std::vector<std::shared_ptr<SubmittedCall>> calls;
+  std::vector<std::shared_ptr<SubmittedChange>> changes;
+
+ private:
+  template <class T>
+  struct Member {
+    InstanceRecord record;
+    std::unique_ptr<T> process;
+    uint64_t starts = 0;
+    ConfigRevision revision;
+  };
+
+  void AddRouter(size_t index);
+  void AddRunner(size_t index);
+  void Configure();
+  void ListRecords();
+  ProcessWorld World();
+  std::shared_ptr<SubmittedCall> Submit(size_t router, const CallerRequest& request);
+  template <class T>
+  void Tick(std::vector<Member<T>>* members);
+  void StepBackends();
+  void ReplaceDrained();
+  void NoteSent(const std::string& address, const Message& message);
+  void NoteRevision(const std::string& address, ConfigRevision revision);
+  void CheckMemory();
+  void CheckReplicas();
+  void CheckDeadlines();
+  void CheckAnswer(const SubmittedCall& call);
+  bool Started(const CallId& id) const;
+
+  uint64_t seed_;
+  uint64_t steps_ = 0;
+  bool store_slow_ = false;
+  bool list_lags_ = false;
+  std::vector<Member<RouterProcess>> routers_{kRouters};
+  std::vector<Member<AgentProcess>> agents_{kRunners};
+  std::vector<std::unique_ptr<Backend>> backends_;
+  std::set<InstanceId> unlisted_;
+  std::map<size_t, SteadyTime> restart_at_;
+  std::map<size_t, SteadyTime> resumed_at_;
+  std::vector<std::unique_ptr<ConfigEditor>> editors_;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace shallot::composed
+
+#endif  // TESTS_COMPOSED_FIXTURE_H_
--- /dev/null
+++ b/tests/composed_network.h
@@ -0,0 +1,165 @@
+#ifndef TESTS_COMPOSED_NETWORK_H_
+#define TESTS_COMPOSED_NETWORK_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tests/composed_process.h"
+
+namespace shallot::composed {
+
+/// Connections between the processes of a test fleet. A message arrives within the step it was
+/// sent in, unless its connection is silent or its receiver is paused.
+class Network {
+ public:
+  struct Silence {
+    bool to_listener = false;
+    bool to_dialer = false;
+  };
+
+  /// The link of a process that listens at `address`.
+  std::unique_ptr<PeerLink> LinkOf(const std::string& address) {
+    return std::make_unique<Link>(this, address);
+  }
+  void Attach(const std::string& address, Process* process) { processes_[address] = process; }
+  /// The process at the address is gone. `noticed`: its connections break at once; otherwise the
+  /// whole instance is gone and they go silent.
+  void Detach(const std::string& address, bool noticed) {
+    processes_.erase(address);
+    if (!noticed) lost_hosts_.insert(address);
+    for (auto& [id, connection] : connections_) {
+      if (connection.dialer == address) connection.open = false;
+      if (connection.listener == address && noticed) connection.open = false;
+      const bool broken = noticed && connection.listener == address;
+      if (broken && processes_.contains(connection.dialer)) broken_.push_back(id);
+    }
+    std::erase_if(flights_, [&](const Flight& flight) { return flight.to == address; });
+  }
+  /// All present connections stop carrying messages in the given directions, for good.
+  void SilenceAll(Silence silence) {
+    for (auto& [id, connection] : connections_) {
+      connection.silence.to_listener |= silence.to_listener;
+      connection.silence.to_dialer |= silence.to_dialer;
+    }
+  }
+  /// Carries messages until none is left that can arrive now.
+  void Deliver() {
+    ReportBroken();
+    for (size_t rounds = 0; rounds < kMaxRounds && DeliverRound(); ++rounds) continue;
+    std::erase_if(connections_, [](const auto& item) { return !item.second.open; });
+  }
+
+  /// Messages for which it returns true are lost.
+  std::function<bool(const Message&)> lose;
+  /// Sees each message that is sent, with the address of the sender.
+  std::function<void(const std::string&, const Message&)> on_sent;
+
+ private:
+  // Far more exchanges than any protocol step needs; ends a loop of two processes.
+  static constexpr size_t kMaxRounds = 100;
+
+  struct Connection {
+    std::string dialer;
+    std::string listener;
+    Silence silence;
+    bool open = true;
+  };
+  struct Flight {
+    ConnectionId connection;
+    std::string to;
+    Message message;
+  };
+
+  class Link final : public PeerLink {
+   public:
+    Link(Network* network, std::string address) : network_(network), address_(std::move(address)) {}
+    ConnectionId Connect(const std::string& address) override {
+      return network_->Dial(address_, address);
+    }
+    void Close(ConnectionId connection) override { network_->Close(connection); }
+    Status Send(ConnectionId connection, const Message& message) override {
+      network_->Send(address_, connection, message);
+      return OkStatus();
+    }
+
+   private:
+    Network* network_;
+    std::string address_;
+  };
+
+  ConnectionId Dial(const std::string& from, const std::string& to) {
+    const ConnectionId id(++last_);
+    connections_[id] = {from, to, {}, true};
+    // A port without a process refuses; an instance that is gone does not answer at all.
+    if (!processes_.contains(to) && !lost_hosts_.contains(to)) broken_.push_back(id);
+    return id;
+  }
+  void Close(ConnectionId id) {
+    const auto found = connections_.find(id);
+    if (found != connections_.end()) found->second.open = false;
+  }
+  void Send(const std::string& from, ConnectionId id, const Message& message) {
+    if (on_sent) on_sent(from, message);
+    const auto found = connections_.find(id);
+    if (found == connections_.end() || !found->second.open) return;
+    const Connection& connection = found->second;
+    const bool to_listener = connection.dialer == from;
+    if (to_listener ? connection.silence.to_listener : connection.silence.to_dialer) return;
+    if (lose && lose(message)) return;
+    flights_.push_back({id, to_listener ? connection.listener : connection.dialer, message});
+  }
+  void ReportBroken() {
+    for (const ConnectionId id : std::exchange(broken_, {})) {
+      const auto found = connections_.find(id);
+      if (found == connections_.end()) continue;
+      const auto dialer = processes_.find(found->second.dialer);
+      if (dialer == processes_.end()) continue;
+      if (dialer->second->gate.paused()) {
+        broken_.push_back(id);
+        continue;
+      }
+      dialer->second->OnDisconnect(id);
+      Close(id);
+    }
+  }
+  /// Messages to a paused process wait in front of those sent later.
+  std::vector<Flight> TakeDeliverable() {
+    std::vector<Flight> ready;
+    for (Flight& flight : std::exchange(flights_, {})) {
+      const auto receiver = processes_.find(flight.to);
+      if (receiver == processes_.end()) continue;
+      if (receiver->second->gate.paused()) {
+        flights_.push_back(std::move(flight));
+      } else {
+        ready.push_back(std::move(flight));
+      }
+    }
+    return ready;
+  }
+  bool DeliverRound() {
+    const std::vector<Flight> ready = TakeDeliverable();
+    for (const Flight& flight : ready) {
+      const auto connection = connections_.find(flight.connection);
+      if (connection == connections_.end() || !connection->second.open) continue;
+      processes_.at(flight.to)->OnMessage(flight.connection, flight.message);
+    }
+    return !ready.empty();
+  }
+
+  uint64_t last_ = 0;
+  std::map<std::string, Process*> processes_;
+  std::set<std::string> lost_hosts_;
+  std::map<ConnectionId, Connection> connections_;
+  std::vector<ConnectionId> broken_;
+  std::deque<Flight> flights_;
+};
+
+}  // namespace shallot::composed
+
+#endif  // TESTS_COMPOSED_NETWORK_H_
--- /dev/null
+++ b/tests/fault_matrix_cell.cc
@@ -0,0 +1,152 @@
+#include "tests/fault_matrix_cell.h"
+
+#include <algorithm>
+#include <map>
+
+#include "core/log.h"
+
+namespace shallot::composed {
+namespace {
+
+/// After a fault: the lease of 10 s runs out, two lists of 1 s miss an instance, connections are
+/// silent for 2 s, and the entry loads.
+constexpr Millis kRecoveryLimit{15'000};
+constexpr Millis kRetryPause{500};
+/// A configuration is in force everywhere within this time of its acceptance.
+constexpr Millis kConfigLimit{5000};
+constexpr Millis kChangeLimit{3000};
+
+void HoldNothing(ComposedFleet& fleet) {
+  for (size_t i = 0; i < ComposedFleet::kRunners; ++i) fleet.backend(i).hold_calls = false;
+  fleet.SetStoreSlow(false);
+}
+
+void RunFault(ComposedFleet& fleet, const Fault& fault, const CellTarget& target) {
+  Millis at{0};
+  for (const FaultAction& action : fault.actions) {
+    fleet.Run(action.at - at);
+    at = action.at;
+    action.run(fleet, target);
+  }
+}
+
+template <class SubmitFunction>
+bool Succeeds(ComposedFleet& fleet, SubmitFunction submit) {
+  const SteadyTime until = fleet.clock.SteadyNow() + kRecoveryLimit;
+  while (fleet.clock.SteadyNow() < until) {
+    const auto call = submit();
+    const auto left = std::chrono::ceil<Millis>(until - fleet.clock.SteadyNow());
+    fleet.RunUntil([&] { return call->sink->ends > 0; }, left);
+    if (call->sink->ends > 0 && call->sink->end.kind == OutcomeKind::kCompleted) return true;
+    fleet.Run(kRetryPause);
+  }
+  return false;
+}
+
+void CheckChanges(ComposedFleet& fleet) {
+  std::shared_ptr<SubmittedChange> last;
+  const SteadyTime until = fleet.clock.SteadyNow() + kChangeLimit;
+  do {
+    last = fleet.Change();
+    fleet.RunUntil([&] { return last->answered; }, kChangeLimit);
+  } while (!last->accepted && fleet.clock.SteadyNow() < until);
+  if (!last->accepted) return fleet.Violate("a configuration change is refused after the fault");
+  if (!fleet.RunUntil([&] { return fleet.ConfigEverywhere(); }, kConfigLimit)) {
+    fleet.Violate("the configuration is not the same everywhere after 5 s");
+  }
+  for (const auto& change : fleet.changes) {
+    for (size_t i = 0; i < ComposedFleet::kRouters; ++i) {
+      if (!change->accepted || fleet.InForce(*change, i)) continue;
+      fleet.Violate("the accepted change " + change->exception + " is not in force");
+    }
+  }
+}
+
+/// Of the changes made against one revision, one wins at most; each operator gets an answer.
+void CheckRaces(ComposedFleet& fleet) {
+  std::map<ConfigRevision, int> winners;
+  for (const auto& change : fleet.changes) {
+    if (!change->answered) fleet.Violate("the change " + change->exception + " has no answer");
+    if (change->base != ConfigRevision(0) && change->accepted) ++winners[change->base];
+  }
+  for (const auto& [base, count] : winners) {
+    if (count > 1) fleet.Violate("two changes against one revision were accepted");
+  }
+}
+
+/// An order that is repeated after the fault gets its recorded answer or runs for the first time.
+void RepeatOrders(ComposedFleet& fleet) {
+  std::map<IdempotencyKey, bool> completed;
+  for (const auto& call : fleet.calls) {
+    if (call->key.empty()) continue;
+    completed[call->key] |= call->sink->ends > 0 && call->sink->end.kind == OutcomeKind::kCompleted;
+  }
+  for (const auto& [key, done] : completed) {
+    const auto repeat = [&, &id = key] {
+      return fleet.SubmitOrder(fleet.LiveRouter(), id.value());
+    };
+    // Until the answer is recorded, which is tried every 10 s, a repeat gets "unknown" with
+    // retry-after.
+    const bool answered = Succeeds(fleet, repeat);
+    if (done && !answered) fleet.Violate("the recorded answer of an order is lost");
+  }
+}
+
+bool AllEnded(const ComposedFleet& fleet) {
+  return std::all_of(fleet.calls.begin(), fleet.calls.end(),
+                     [](const auto& call) { return call->cut || call->sink->ends > 0; });
+}
+
+void CheckAllCompleted(ComposedFleet& fleet) {
+  for (const auto& call : fleet.calls) {
+    if (call->cut || (call->sink->ends > 0 && call->sink->end.kind == OutcomeKind::kCompleted)) {
+      continue;
+    }
+    fleet.Violate("call " + call->id.value() + " did not complete without a fault");
+  }
+}
+
+}  // namespace
+
+void CheckRecovery(ComposedFleet& fleet) {
+  const auto model = [&] { return fleet.SubmitModel(fleet.LiveRouter(), "m1"); };
+  if (!Succeeds(fleet, model)) fleet.Violate("no model call succeeds after the fault");
+  int tries = 0;
+  const auto order = [&] {
+    return fleet.SubmitOrder(fleet.LiveRouter(), "fresh-" + std::to_string(++tries));
+  };
+  if (!Succeeds(fleet, order)) fleet.Violate("no order succeeds after the fault");
+  if (!fleet.RunUntil([&] { return AllEnded(fleet); }, kRecoveryLimit)) {
+    fleet.Violate("a call has no outcome");
+  }
+  RepeatOrders(fleet);
+  CheckChanges(fleet);
+  CheckRaces(fleet);
+  fleet.CheckCalls();
+}
+
+const Fault& NoFault() {
+  // A router asks for an outcome that it misses after 5 s.
+  static const Fault none{"none", {{Millis(6000), [](ComposedFleet&, const CellTarget&) {}}}};
+  return none;
+}
+
+std::vector<std::string> RunCell(const Fault& fault, const ProtocolStep& step) {
+  static const bool quiet = [] {
+    InitLogging(LogLevel::kError, LogFormat::kText, "fault-matrix");
+    return true;
+  }();
+  (void)quiet;
+  ComposedFleet fleet;
+  CellTarget target;
+  if (!step.reach(fleet, &target)) return {"the step was not reached"};
+  HoldNothing(fleet);
+  RunFault(fleet, fault, target);
+  fleet.network.lose = nullptr;
+  if (target.leaving) fleet.SetLeaving(target.runner, false);
+  if (&fault == &NoFault()) CheckAllCompleted(fleet);
+  CheckRecovery(fleet);
+  return fleet.violations();
+}
+
+}  // namespace shallot::composed
