--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: setup build test demo lint format check-format bench clean
+.PHONY: setup build test demo lint format check-format bench soak clean
 
 setup:
 	@misc/setup.sh
@@ -30,5 +30,12 @@
 bench: build
 	@misc/bench.sh $(BUILD)
 
+# Random faults with new seeds from SEED on; stops at the first seed that breaks a promise.
+DURATION_S ?= 60
+SEED ?= 1
+soak: build
+	@SHALLOT_SOAK_S=$(DURATION_S) SHALLOT_SOAK_SEED=$(SEED) $(BUILD)/shallot_tests \
+		--source-file='*/tests/fault_random_test.cc' --test-case=soak
+
 clean:
 	rm -rf build build-*
--- a/tests/composed_fixture.cc
+++ b/tests/composed_fixture.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include <fmt/format.h>
+
 #include "servers/config_head.h"
 
 namespace shallot::composed {
@@ -131,7 +133,7 @@
 
 void ComposedFleet::StartAgent(size_t index) {
   auto& member = agents_[index];
-  if (member.process != nullptr) return;
+  if (member.process != nullptr || member.reclaimed) return;
   AgentOptions options;
   options.id = member.record.id;
   options.incarnation = Incarnation(100 * (index + 1) + ++member.starts);
@@ -169,6 +171,7 @@
   auto& member = agents_[index];
   network.Detach(member.record.address, false);
   member.process.reset();
+  member.reclaimed = true;
   backend(index).LoseAgent(clock.SteadyNow(), false);
   backend(index).Wipe();
 }
@@ -180,17 +183,14 @@
   member.record.id = InstanceId("agent-" + name);
   member.record.address = "agent-" + name + ":1";
   member.record.leaving = false;
+  member.reclaimed = false;
   ListRecords();
   StartAgent(index);
 }
 
-void ComposedFleet::ListAgent(size_t index, bool listed) {
-  const InstanceId& id = agents_[index].record.id;
-  if (listed) {
-    unlisted_.erase(id);
-  } else {
-    unlisted_.insert(id);
-  }
+void ComposedFleet::UnlistReclaimed(size_t index) {
+  if (!agents_[index].reclaimed) return;
+  unlisted_.insert(agents_[index].record.id);
   ListRecords();
 }
 
@@ -286,7 +286,8 @@
 
 std::shared_ptr<SubmittedChange> ComposedFleet::Change(ConfigRevision base) {
   auto change = std::make_shared<SubmittedChange>();
-  change->exception = "x" + std::to_string(changes.size());
+  change->exception = "x" + std::to_string(changes.size() % kTargets.size());
+  change->value = fmt::format("{:.6f}", 0.000001 * static_cast<double>(changes.size() + 1));
   change->base = base;
   // Two exceptions for one target are refused.
   const std::string target = kTargets.at(changes.size() % kTargets.size());
@@ -295,10 +296,12 @@
   // Each operator works in a process of its own, with a session of its own.
   editors_.push_back(std::make_unique<ConfigEditor>(&store, &clock, 1000 + editors_.size()));
   editors_.back()->SetException(
-      change->exception, target, {{of_class ? "objective" : "cold_weight", "0.5"}},
+      change->exception, target, {{of_class ? "objective" : "cold_weight", change->value}},
       {OperatorName("kim"), "test", base}, [change](const Result<ConfigRevision>& result) {
         change->answered = true;
         change->accepted = IsOk(result);
+        if (IsOk(result)) change->revision = ValueOf(result);
+        change->unknown = !IsOk(result) && ErrorOf(result).kind == ErrorKind::kUnknownOutcome;
       });
   return change;
 }
@@ -347,11 +350,24 @@
          std::all_of(agents_.begin(), agents_.end(), has);
 }
 
+bool ComposedFleet::RecordsWritten() const {
+  return std::all_of(agents_.begin(), agents_.end(), [](const auto& member) {
+    return member.process == nullptr || member.process->claims.pending_records() == 0;
+  });
+}
+
 bool ComposedFleet::InForce(const SubmittedChange& change, size_t index) const {
   const auto config = router(index)->core.config();
-  return config != nullptr &&
-         std::any_of(config->exceptions.begin(), config->exceptions.end(),
-                     [&](const auto& exception) { return exception.name == change.exception; });
+  if (config == nullptr) return false;
+  const auto found = std::find_if(
+      config->exceptions.begin(), config->exceptions.end(),
+      [&](const ConfigException& exception) { return exception.name == change.exception; });
+  if (found == config->exceptions.end()) return false;
+  const std::string& value = found->values.begin()->second;
+  return std::any_of(changes.begin(), changes.end(), [&](const auto& other) {
+    const bool replaces = other->unknown || other->revision >= change.revision;
+    return other->exception == change.exception && other->value == value && replaces;
+  });
 }
 
 }  // namespace shallot::composed
--- a/tests/composed_fixture.h
+++ b/tests/composed_fixture.h
@@ -30,10 +30,16 @@
 /// A change of the configuration, and what its operator was told.
 struct SubmittedChange {
   std::string exception;
+  /// Objective or weight that only this change sets.
+  std::string value;
   /// Revision that it was made against; 0 for the newest.
   ConfigRevision base;
   bool answered = false;
   bool accepted = false;
+  /// The operator was told that the change may have been accepted.
+  bool unknown = false;
+  /// Revision that it produced, when accepted.
+  ConfigRevision revision;
 };
 
 /// Three routers and three runners (engines "g0" and "g1", service "s0") with the real cores, over
@@ -69,11 +75,11 @@
   void StartAgent(size_t index);
   void PauseAgent(size_t index);
   void ResumeAgent(size_t index);
-  /// The instance is gone without a word; it stays listed until Unlist.
+  /// The instance is gone without a word; it stays listed until UnlistReclaimed.
   void ReclaimAgent(size_t index);
+  void UnlistReclaimed(size_t index);
   /// Starts an empty instance with another id for the same runner.
   void ReplaceAgent(size_t index);
-  void ListAgent(size_t index, bool listed);
   void SetLeaving(size_t index, bool leaving);
   void DrainAgent(size_t index);
   /// The list that processes read does not change while it lags.
@@ -95,8 +101,10 @@
   ConfigRevision StoredRevision() const;
   /// True when all live processes have the revision in the store.
   bool ConfigEverywhere() const;
-  /// The exception is part of the configuration that is in force at the router.
+  /// The change, or one that replaced it, is part of the configuration in force at the router.
   bool InForce(const SubmittedChange& change, size_t router) const;
+  /// No agent still has to record the answer of an order.
+  bool RecordsWritten() const;
   /// How often an order with the key was started at the service.
   int Executions(const IdempotencyKey& key) const;
 
@@ -122,6 +130,8 @@
     std::unique_ptr<T> process;
     uint64_t starts = 0;
     ConfigRevision revision;
+    /// The instance is gone for good; only a replacement may start.
+    bool reclaimed = false;
   };
 
   void AddRouter(size_t index);
--- a/tests/fault_matrix_cell.cc
+++ b/tests/fault_matrix_cell.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 #include "core/log.h"
+#include "servers/order_record.h"
+#include "servers/store_order_claims.h"
 
 namespace shallot::composed {
 namespace {
@@ -62,6 +65,10 @@
   }
 }
 
+void Settle(ComposedFleet& fleet, const std::shared_ptr<SubmittedCall>& call) {
+  fleet.RunUntil([&] { return call->sink->ends > 0; }, kRecoveryLimit);
+}
+
 /// Of the changes made against one revision, one wins at most; each operator gets an answer.
 void CheckRaces(ComposedFleet& fleet) {
   std::map<ConfigRevision, int> winners;
@@ -74,21 +81,30 @@
   }
 }
 
-/// An order that is repeated after the fault gets its recorded answer or runs for the first time.
+bool HasRecordedAnswer(const ComposedFleet& fleet, const IdempotencyKey& key) {
+  const auto record = ParseOrderRecord(fleet.store.Value(OrderKey(key).value()));
+  return IsOk(record) && ValueOf(record).state == OrderState::kDone &&
+         ValueOf(record).answer.outcome.kind == OutcomeKind::kCompleted;
+}
+
+/// Each order that ran is repeated. It gets the recorded answer, unless its agent died before the
+/// answer was recorded; then it must not run again, which CheckCalls checks.
 void RepeatOrders(ComposedFleet& fleet) {
-  std::map<IdempotencyKey, bool> completed;
+  std::set<IdempotencyKey> keys;
   for (const auto& call : fleet.calls) {
-    if (call->key.empty()) continue;
-    completed[call->key] |= call->sink->ends > 0 && call->sink->end.kind == OutcomeKind::kCompleted;
+    if (!call->key.empty() && fleet.Executions(call->key) > 0) keys.insert(call->key);
   }
-  for (const auto& [key, done] : completed) {
+  // Records are tried every 10 s while the store does not answer.
+  fleet.RunUntil([&] { return fleet.RecordsWritten(); }, kRecoveryLimit);
+  if (!fleet.RecordsWritten()) fleet.Violate("the answer of an order is not recorded");
+  for (const IdempotencyKey& key : keys) {
+    const bool recorded = HasRecordedAnswer(fleet, key);
     const auto repeat = [&, &id = key] {
       return fleet.SubmitOrder(fleet.LiveRouter(), id.value());
     };
-    // Until the answer is recorded, which is tried every 10 s, a repeat gets "unknown" with
-    // retry-after.
-    const bool answered = Succeeds(fleet, repeat);
-    if (done && !answered) fleet.Violate("the recorded answer of an order is lost");
+    const bool answered = recorded && Succeeds(fleet, repeat);
+    if (!recorded) Settle(fleet, repeat());
+    if (recorded && !answered) fleet.Violate("the recorded answer of an order is lost");
   }
 }
 
@@ -125,6 +141,14 @@
   fleet.CheckCalls();
 }
 
+void QuietLogs() {
+  static const bool quiet = [] {
+    InitLogging(LogLevel::kError, LogFormat::kText, "fault-matrix");
+    return true;
+  }();
+  (void)quiet;
+}
+
 const Fault& NoFault() {
   // A router asks for an outcome that it misses after 5 s.
   static const Fault none{"none", {{Millis(6000), [](ComposedFleet&, const CellTarget&) {}}}};
@@ -132,11 +156,7 @@
 }
 
 std::vector<std::string> RunCell(const Fault& fault, const ProtocolStep& step) {
-  static const bool quiet = [] {
-    InitLogging(LogLevel::kError, LogFormat::kText, "fault-matrix");
-    return true;
-  }();
-  (void)quiet;
+  QuietLogs();
   ComposedFleet fleet;
   CellTarget target;
   if (!step.reach(fleet, &target)) return {"the step was not reached"};
--- a/tests/fault_matrix_cell.h
+++ b/tests/fault_matrix_cell.h
@@ -8,6 +8,9 @@
 
 namespace shallot::composed {
 
+/// Leaves out the many warnings that injected faults cause.
+void QuietLogs();
+
 /// Stands for the absence of a fault; then all calls must complete.
 const Fault& NoFault();
 
--- a/tests/fault_matrix_faults.cc
+++ b/tests/fault_matrix_faults.cc
@@ -47,7 +47,7 @@
 Fault Reclaimed() {
   return {"instance reclaimed",
           {{Millis(0), [](Fleet& f, const CellTarget& t) { f.ReclaimAgent(t.runner); }},
-           {Millis(3000), [](Fleet& f, const CellTarget& t) { f.ListAgent(t.runner, false); }},
+           {Millis(3000), [](Fleet& f, const CellTarget& t) { f.UnlistReclaimed(t.runner); }},
            {Millis(8000), [](Fleet& f, const CellTarget& t) { f.ReplaceAgent(t.runner); }}}};
 }
 
