Test that an agent claims orders for the configured window

Change: a test drives a whole AgentDaemon by a hub and reads the expiry of the claim at a fake platform.

Conclusion: the daemon follows the order window through the core's configuration.

--- a/tests/agent_daemon_test.cc
+++ b/tests/agent_daemon_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "drivers/zmq_hub.h"
+#include "tests/fake_agent_env.h"
 #include "tests/fake_http_server.h"
 
 namespace shallot {
@@ -60,5 +61,55 @@
   agent.Stop();
 }
 
+/// Ignores what the agent sends.
+class IgnoringListener final : public HubListener {
+ public:
+  void OnMessage(ConnectionId, const Message&) override {}
+  void OnDisconnect(ConnectionId) override {}
+  void OnTick() override {}
+};
+
+// Guards against claims that expire after the default window although the configuration in force
+// has another one: a late copy of an order could run again, or a key be refused too long.
+TEST_CASE("orders are claimed for the window of the configuration in force") {
+  ZmqHub router{HubOptions{}};
+  REQUIRE(IsOk(router.Open()));
+  std::atomic<bool> first{true};
+  std::string claim;
+  FakeHttpServer platform([&](const FakeRequest& request) {
+    if (request.method != "PUT") return FakeReply{.status = 404};
+    if (first.exchange(false)) {
+      claim = request.target;
+      router.Stop();
+    }
+    return FakeReply{.status = 503};
+  });
+  AgentSettings settings = MakeSettings("127.0.0.1:0", "");
+  settings.service_address = RefusingAddress();
+  settings.platform_address = platform.address();
+  AgentDaemon agent(settings);
+  REQUIRE(IsOk(agent.Start()));
+  const ConnectionId connection =
+      router.Connect("127.0.0.1:" + std::to_string(agent.control_port()));
+  CHECK(IsOk(router.Send(connection, Hello{})));
+  const std::string text =
+      "[fleet]\nname = f\n[defaults]\norder_window_ms = 61000\n[service b1]\ndescription = x\n";
+  CHECK(IsOk(router.Send(connection, agent_test::PushOf(text))));
+  Call order;
+  order.id = CallId("c1");
+  order.service = BackendName("b1");
+  order.repeatable = false;
+  order.idempotency_key = IdempotencyKey("k1");
+  order.remaining = Millis(600'000);
+  order.method = "POST";
+  order.path = "/orders";
+  CHECK(IsOk(router.Send(connection, CallStart{order})));
+  IgnoringListener listener;
+  router.Run(&listener);
+  agent.Stop();
+  CHECK(claim.find("orders") != std::string::npos);
+  CHECK(claim.find("ttl_ms=61000") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace shallot
