Add ten selectable defects and make mutants

Cause: nothing showed that the matrix and the other tests find a defect.

Change: HasDefect() of core/test_defects.h marks ten places. `make mutants` builds such a tree and checks that a named test passes without a defect and fails with it. Two tests are new: no test found "drop-attempt-check" (frames of an earlier attempt on the same runner), and only random runs found "release-memory-early".

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: setup build test demo lint format check-format bench soak clean
+.PHONY: setup build test demo lint format check-format bench soak mutants clean
 
 setup:
 	@misc/setup.sh
@@ -37,5 +37,9 @@
 	@SHALLOT_SOAK_S=$(DURATION_S) SHALLOT_SOAK_SEED=$(SEED) $(BUILD)/shallot_tests \
 		--source-file='*/tests/fault_random_test.cc' --test-case=soak
 
+# Builds the library with selectable defects and shows that a named test finds each.
+mutants: setup
+	@misc/mutants.sh $(BUILD)-mutants $(JOBS)
+
 clean:
 	rm -rf build build-*
--- a/servers/agent_admission.cc
+++ b/servers/agent_admission.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/test_defects.h"
 #include "servers/agent_state.h"
 
 namespace shallot {
@@ -93,7 +94,8 @@
   if (IsTombstone(call.key)) {
     return NotRun(Reason::kCancelled, Millis(0), "the call was cancelled before it arrived");
   }
-  if (draining) return NotRun(Reason::kDraining, Millis(0), "the runner is leaving");
+  const bool refuses = draining && !HasDefect(TestDefect::kAcceptWhileDraining);
+  if (refuses) return NotRun(Reason::kDraining, Millis(0), "the runner is leaving");
   if (!Ready()) {
     return NotRun(Reason::kNotGranted, Millis(500), "the agent does not know its engine yet");
   }
@@ -225,6 +227,7 @@
 }
 
 void AgentCore::State::AddTombstone(const CallKey& key, bool proven) {
+  if (HasDefect(TestDefect::kForgetTombstones)) return;
   tombstones[key] = {Now(), proven};
   if (tombstones.size() <= kMaxTombstones) return;
   const auto oldest = std::min_element(
--- a/servers/agent_orders.cc
+++ b/servers/agent_orders.cc
@@ -3,6 +3,7 @@
 
 #include "core/hashing.h"
 #include "core/log.h"
+#include "core/test_defects.h"
 #include "servers/agent_state.h"
 
 namespace shallot {
@@ -38,7 +39,7 @@
 
 void AgentCore::State::OnClaim(const CallPtr& call, const ClaimReply& reply) {
   if (call->claim_phase != ClaimPhase::kPending) return;
-  if (reply.state == ClaimState::kGranted) {
+  if (reply.state == ClaimState::kGranted || HasDefect(TestDefect::kRunWithoutClaim)) {
     OnClaimGranted(call);
     return;
   }
--- a/servers/call_outcomes.cc
+++ b/servers/call_outcomes.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "core/log.h"
+#include "core/test_defects.h"
 #include "servers/call_dispatcher.h"
 
 namespace shallot {
@@ -186,7 +187,7 @@
     if (view != nullptr && view->up) SendCancel(active.get());
     active->cancel_sent = false;
   }
-  if (!active->call.repeatable) {
+  if (!active->call.repeatable && !HasDefect(TestDefect::kRetryOrder)) {
     End(active, MakeOutcome(OutcomeKind::kUnknown, Reason::kConnectionLost,
                             message + " while it had the order; look the order up before sending "
                                       "it under another key"));
@@ -298,6 +299,9 @@
 
 void CallDispatcher::End(const CallPtr& active, Outcome outcome) {
   if (active->ended) return;
+  if (outcome.kind == OutcomeKind::kUnknown && HasDefect(TestDefect::kNotRunAfterSending)) {
+    outcome.kind = OutcomeKind::kNotRun;
+  }
   if (outcome.kind == OutcomeKind::kNotRun && active->maybe_ran) {
     outcome.kind = OutcomeKind::kFailed;
   }
--- a/servers/call_progress.cc
+++ b/servers/call_progress.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "core/log.h"
+#include "core/test_defects.h"
 #include "servers/call_dispatcher.h"
 
 namespace shallot {
@@ -189,7 +190,9 @@
 
 void CallDispatcher::OnFrame(const RunnerId& runner, const CallFrame& frame) {
   const CallPtr active = FindCall(frame.call);
-  if (active == nullptr || active->call.attempt != frame.attempt || active->runner != runner ||
+  const bool checked = !HasDefect(TestDefect::kDropAttemptCheck);
+  const bool other = active != nullptr && checked && active->call.attempt != frame.attempt;
+  if (active == nullptr || other || active->runner != runner ||
       active->phase != ActiveCall::Phase::kSent) {
     superseded_frames_->Add();
     return;
--- a/servers/config_replica.cc
+++ b/servers/config_replica.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/settings.h"
+#include "core/test_defects.h"
 #include "servers/config_head.h"
 
 namespace shallot {
@@ -64,7 +65,8 @@
   const Result<ConfigHead> parsed = ParseConfigHead(push.head);
   if (!IsOk(parsed)) return ErrorOf(parsed);
   ConfigHead head = ValueOf(parsed);
-  if (head.revision < revision()) return false;
+  const bool older = head.revision < revision();
+  if (older && !HasDefect(TestDefect::kAcceptOlderConfig)) return false;
   if (head.revision == revision()) {
     const Result<ConfigHead> own = ParseConfigHead(head_);
     const bool same = IsOk(own) && LastChangeId(ValueOf(own)) == LastChangeId(head);
--- a/servers/load_scheduler_unload.cc
+++ b/servers/load_scheduler_unload.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "core/log.h"
+#include "core/test_defects.h"
 #include "servers/load_scheduler.h"
 
 namespace shallot {
@@ -104,6 +105,7 @@
   metrics_->GetCounter("shallot_agent_unloads_total").Add();
   SetPhase(entry, Phase::kUnloading);
   const EntryId id = entry.info.id;
+  if (HasDefect(TestDefect::kReleaseMemoryEarly)) ledger_.Release(id);
   const std::weak_ptr<LoadScheduler*> weak = self_;
   engine_->Unload(OrderFor(entry), [weak, id](const Status& status) {
     if (const auto self = weak.lock()) (*self)->OnUnloadDone(id, status);
--- a/servers/placement_owner.cc
+++ b/servers/placement_owner.cc
@@ -4,6 +4,7 @@
 #include <map>
 
 #include "core/log.h"
+#include "core/test_defects.h"
 #include "servers/placement_codec.h"
 
 namespace shallot {
@@ -80,6 +81,8 @@
 std::vector<Slot> PlacementOwner::WithoutReleased() const {
   std::vector<Slot> slots = replica_->current().slots;
   std::erase_if(slots, [&](const Slot& slot) {
+    const bool leaving = slot.state == SlotState::kReleasing;
+    if (leaving && HasDefect(TestDefect::kMoveBeforeRelease)) return true;
     return std::any_of(released_.begin(), released_.end(),
                        [&](const SlotReleased& released) { return Matches(released, slot); });
   });
--- a/servers/slot_book.cc
+++ b/servers/slot_book.cc
@@ -3,13 +3,16 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/test_defects.h"
+
 namespace shallot {
 
 SlotBook::SlotBook(RunnerId runner, Incarnation incarnation)
     : runner_(std::move(runner)), incarnation_(incarnation) {}
 
 GrantResult SlotBook::Apply(const SlotGrant& grant) {
-  if (grant.incarnation != incarnation_) return GrantResult::kOtherIncarnation;
+  const bool checked = !HasDefect(TestDefect::kSkipIncarnation);
+  if (checked && grant.incarnation != incarnation_) return GrantResult::kOtherIncarnation;
   const auto found = shards_.find(grant.shard);
   if (found != shards_.end() && grant.version < found->second.version) {
     return GrantResult::kOutdated;
--- a/tests/agent_loads_test.cc
+++ b/tests/agent_loads_test.cc
@@ -142,6 +142,28 @@
   CHECK(fixture.invariants.TotalViolations() == 0);
 }
 
+// Guards against a load that starts while the engine still unloads what it replaces.
+TEST_CASE("memory is free only when the engine confirmed the unload") {
+  AgentFixture fixture;
+  fixture.Begin();
+  fixture.Grant({"m1", "m2", "m3"});
+  Warm(&fixture, "m1");
+  Warm(&fixture, "m2");
+  fixture.engine.automatic = false;
+  fixture.Start(fixture.MakeCall("c3", "m3"));
+  fixture.Run(Millis(1000));
+  fixture.GivePermit();
+  fixture.Run(Millis(2000));
+  REQUIRE(fixture.engine.orders.size() == 1);
+  CHECK_FALSE(fixture.engine.orders.front().load);
+  CHECK(fixture.engine.loads[EntryId("m3")] == 0);
+  fixture.engine.Settle();
+  fixture.Run(Millis(20));
+  fixture.GivePermit();
+  fixture.Run(Millis(20));
+  CHECK(fixture.engine.loads[EntryId("m3")] == 1);
+}
+
 // Guards against calls that wait in vain, and against the wrong reason for it.
 TEST_CASE("a load that cannot fit ends its calls with the reason no-memory") {
   AgentFixture fixture;
--- a/tests/router_core_test.cc
+++ b/tests/router_core_test.cc
@@ -102,6 +102,24 @@
   CHECK(sink->end.kind == OutcomeKind::kCompleted);
 }
 
+// Guards against an answer that mixes two attempts when late frames of the first come from the
+// runner that also runs the second.
+TEST_CASE("frames of an earlier attempt on the same runner are dropped") {
+  RouterFixture f(1);
+  f.Start();
+  const auto sink = f.Submit(RouterFixture::ModelRequest(true));
+  const auto first = f.LastStart();
+  f.Answer(first, OutcomeKind::kNotRun, Reason::kNotGranted);
+  f.Run(Millis(1'000));
+  const auto second = f.LastStart();
+  REQUIRE(second.second.attempt == Attempt(2));
+  f.Frame(first, 0, "old!");
+  f.Frame(second, 0, "new!");
+  f.Answer(second, OutcomeKind::kCompleted, Reason::kNone, 4);
+  CHECK(sink->data == "new!");
+  CHECK(sink->end.kind == OutcomeKind::kCompleted);
+}
+
 // Guards against retries beyond the budget.
 TEST_CASE("retries stop when the budget is spent") {
   RouterFixture f;
