--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: setup build test demo lint format check-format bench curve slopes soak clean
+.PHONY: setup build test demo lint format check-format bench curve slopes soak mutants clean
 
 setup:
 	@misc/setup.sh
@@ -37,6 +37,7 @@
 	@SHALLOT_SOAK_S=$(DURATION_S) SHALLOT_SOAK_SEED=$(SEED) $(BUILD)/shallot_tests \
 		--source-file='*/tests/fault_random_test.cc' --test-case=soak
 
+<<<<<<< HEAD
 # Trade-off of cold-start wait and idle hours over the cold weight, as CSV and PNG.
 curve: build
 	@$(BUILD)/cold_start_bench $(BUILD)/cold_start.csv
@@ -45,6 +46,11 @@
 slopes: build
 	@$(BUILD)/slopes_bench
 	@$(BUILD)/control_bench
+=======
+# Builds the library with selectable defects and shows that a named test finds each.
+mutants: setup
+	@misc/mutants.sh $(BUILD)-mutants $(JOBS)
+>>>>>>> matrix
 
 clean:
 	rm -rf build build-*
