Remove conflict marks from the Makefile

Change: both targets stay, the marks go. Measured: make -n mutants prints the command. Conclusion: none further.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,6 @@
 	@SHALLOT_SOAK_S=$(DURATION_S) SHALLOT_SOAK_SEED=$(SEED) $(BUILD)/shallot_tests \
 		--source-file='*/tests/fault_random_test.cc' --test-case=soak
 
-<<<<<<< HEAD
 # Trade-off of cold-start wait and idle hours over the cold weight, as CSV and PNG.
 curve: build
 	@$(BUILD)/cold_start_bench $(BUILD)/cold_start.csv
@@ -46,11 +45,10 @@
 slopes: build
 	@$(BUILD)/slopes_bench
 	@$(BUILD)/control_bench
-=======
+
 # Builds the library with selectable defects and shows that a named test finds each.
 mutants: setup
 	@misc/mutants.sh $(BUILD)-mutants $(JOBS)
->>>>>>> matrix
 
 clean:
 	rm -rf build build-*
