Reject message times that would overflow the clock

Cause: the decoder accepted any 64-bit number of milliseconds. Added to a time of the clock, which counts nanoseconds, a large one overflows a signed integer, for example the grace of a DrainOrder or the remaining time of a CallStart. Found by reading for the fuzz seeds.

Ran: proto_codec_test with a new case for each field; lint.

--- a/drivers/proto_codec.cc
+++ b/drivers/proto_codec.cc
@@ -181,6 +181,15 @@
                "run the same version on routers and agents"};
 }
 
+/// Longer times would overflow when they are added to a time of the clock.
+constexpr int64_t kMaxTimeMs = 30LL * 24 * 3'600'000;
+
+bool ReadTime(int64_t value, Millis* to) {
+  if (value < -kMaxTimeMs || value > kMaxTimeMs) return false;
+  *to = Millis(value);
+  return true;
+}
+
 Result<Message> Read(wire::Hello& from) {
   Hello to;
   if (!ReadEnum(from.role(), PeerRole::kAgent, &to.role)) return OutOfRange("role");
@@ -210,7 +219,9 @@
   to.load.running = load.running();
   to.load.queued = load.queued();
   to.load.concurrency = load.concurrency();
-  to.load.mean_service = Millis(load.mean_service_ms());
+  if (!ReadTime(load.mean_service_ms(), &to.load.mean_service)) {
+    return OutOfRange("mean_service_ms");
+  }
   to.load.memory_capacity = Bytes(load.memory_capacity());
   to.load.memory_reserved = Bytes(load.memory_reserved());
   to.load.loaded = ReadEntries(load.loaded());
@@ -231,7 +242,7 @@
   call.request_id = RequestId(std::move(*from.mutable_request_id()));
   call.entry = EntryId(std::move(*from.mutable_entry()));
   call.service = BackendName(std::move(*from.mutable_service()));
-  call.remaining = Millis(from.remaining_ms());
+  if (!ReadTime(from.remaining_ms(), &call.remaining)) return OutOfRange("remaining_ms");
   call.repeatable = from.repeatable();
   call.idempotency_key = IdempotencyKey(std::move(*from.mutable_idempotency_key()));
   call.stream = from.stream();
@@ -265,7 +276,9 @@
   }
   to.call = CallId(std::move(*from.mutable_call()));
   to.attempt = Attempt(from.attempt());
-  to.outcome.retry_after = Millis(from.retry_after_ms());
+  if (!ReadTime(from.retry_after_ms(), &to.outcome.retry_after)) {
+    return OutOfRange("retry_after_ms");
+  }
   to.outcome.http_status = from.http_status();
   to.outcome.content_type = std::move(*from.mutable_content_type());
   to.outcome.total_length = from.total_length();
@@ -313,13 +326,15 @@
   to.permit_id = from.permit_id();
   to.runner = RunnerId(std::move(*from.mutable_runner()));
   to.entry = EntryId(std::move(*from.mutable_entry()));
-  to.remaining = Millis(from.remaining_ms());
+  if (!ReadTime(from.remaining_ms(), &to.remaining)) return OutOfRange("remaining_ms");
   return Message(std::move(to));
 }
 
 Result<Message> Read(wire::LoadPermit& from) {
-  return Message(LoadPermit{from.permit_id(), RunnerId(std::move(*from.mutable_runner())),
-                            Millis(from.valid_for_ms())});
+  Millis valid_for{0};
+  if (!ReadTime(from.valid_for_ms(), &valid_for)) return OutOfRange("valid_for_ms");
+  return Message(
+      LoadPermit{from.permit_id(), RunnerId(std::move(*from.mutable_runner())), valid_for});
 }
 
 Result<Message> Read(wire::LoadPermitReturn& from) {
@@ -327,7 +342,9 @@
 }
 
 Result<Message> Read(wire::DrainOrder& from) {
-  return Message(DrainOrder{std::move(*from.mutable_reason()), Millis(from.grace_ms())});
+  Millis grace{0};
+  if (!ReadTime(from.grace_ms(), &grace)) return OutOfRange("grace_ms");
+  return Message(DrainOrder{std::move(*from.mutable_reason()), grace});
 }
 
 Error Malformed(const std::string& problem) {
--- a/tests/proto_codec_test.cc
+++ b/tests/proto_codec_test.cc
@@ -128,6 +128,39 @@
   }
 }
 
+// Guards against a time of a peer that overflows when it is added to the clock's time.
+TEST_CASE("times beyond 30 days are rejected") {
+  const Millis limit(30LL * 24 * 3'600'000);
+  const auto messages = [](Millis time) {
+    Call call = SampleCall();
+    call.remaining = time;
+    Heartbeat heartbeat;
+    heartbeat.load.mean_service = time;
+    CallOutcome outcome{CallId("c"), Attempt(1), SampleOutcome()};
+    outcome.outcome.retry_after = time;
+    return std::vector<Message>{
+        CallStart{call},
+        heartbeat,
+        outcome,
+        LoadPermitRequest{1, RunnerId("r"), EntryId("e"), LoadKind::kModel, time},
+        LoadPermit{1, RunnerId("r"), time},
+        DrainOrder{"x", time}};
+  };
+  for (const Millis time : {limit, -limit}) {
+    for (const Message& message : messages(time)) {
+      CHECK(IsOk(DecodeMessage(ValueOf(EncodeMessage(message)))));
+    }
+  }
+  for (const Millis time : {limit + Millis(1), -limit - Millis(1), Millis::max(), Millis::min()}) {
+    for (const Message& message : messages(time)) {
+      CAPTURE(message.index());
+      const Result<Message> decoded = DecodeMessage(ValueOf(EncodeMessage(message)));
+      REQUIRE_FALSE(IsOk(decoded));
+      CHECK(ErrorOf(decoded).message.find("is out of range") != std::string::npos);
+    }
+  }
+}
+
 TEST_CASE("a message over the limit is not encoded") {
   const Message message = CallFrame{CallId("c"), Attempt(1), 0, std::string(kMaxMessageBytes, 'x')};
   const Result<std::string> bytes = EncodeMessage(message);
