Limit the time and refuse unclear lengths of callers' requests

Cause: a socket's timeout restarts with every byte, so a caller that sent or read one byte at a time held a thread without limit. Four faults in the reading of bodies came to light: - a body cut short by its caller was passed on as a whole one, also for an order; - a chunked body that was cut looked whole (POCO does not tell them apart), and a POST without a length was read until the connection ended; - Content-Length -1 meant "until the connection ends", and two different lengths were accepted; - bytes of a body that the handler did not read were taken for the next request of the connection.

Change: a guard thread per server ends connections whose head (10 s), body (30 s, answered with 408) or answer (60 s) takes too long. The body must match one Content-Length; chunked bodies are refused. A connection with an unread body closes after the answer. Stop() closes idle connections through the guard. Sizes stay those of POCO: 100 fields of 8 KB and a target of 16 KB, now fixed by tests.

Conclusion: a request that does not end holds no thread beyond its limit. Callers that send chunked bodies must change to Content-Length.

--- a/drivers/caller_protocol.cc
+++ b/drivers/caller_protocol.cc
@@ -154,6 +154,8 @@
       return 400;
     case ErrorKind::kNotFound:
       return 404;
+    case ErrorKind::kCancelled:
+      return 408;
     case ErrorKind::kResourceExhausted:
       return 413;
     default:
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -3,14 +3,19 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerConnection.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServer.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
+#include <Poco/String.h>
 #include <Poco/ThreadPool.h>
 
+#include <algorithm>
+#include <charconv>
 #include <condition_variable>
 #include <istream>
 #include <mutex>
@@ -18,6 +23,7 @@
 #include <utility>
 
 #include "core/log.h"
+#include "drivers/connection_guard.h"
 
 namespace shallot {
 namespace {
@@ -30,33 +36,64 @@
 
 Poco::Timespan ToTimespan(Millis time) { return Poco::Timespan(time.count() * 1000); }
 
+/// The declared length of a request's body. POCO reads a body of unknown length until the
+/// connection ends, and cannot tell a chunked body that was cut from a whole one, so both are
+/// refused.
+Result<uint64_t> BodyLength(const Poco::Net::HTTPServerRequest& request) {
+  if (request.has("Transfer-Encoding")) {
+    return Error{ErrorKind::kInvalidArgument, "the body has no declared length",
+                 "send Content-Length in place of Transfer-Encoding"};
+  }
+  const auto count = std::count_if(request.begin(), request.end(), [](const auto& field) {
+    return Poco::icompare(field.first, "Content-Length") == 0;
+  });
+  if (count == 0) return uint64_t{0};
+  const std::string text = request.get("Content-Length");
+  uint64_t length = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+  if (count > 1 || error != std::errc() || end != text.data() + text.size()) {
+    return Error{ErrorKind::kInvalidArgument, "Content-Length is not one whole number",
+                 "send one Content-Length with the size of the body in bytes"};
+  }
+  return length;
+}
+
 class PocoExchange final : public HttpExchange {
  public:
-  PocoExchange(Poco::Net::HTTPServerRequest* request, Poco::Net::HTTPServerResponse* response)
-      : request_(request), response_(response) {}
+  PocoExchange(Poco::Net::HTTPServerRequest* request, Poco::Net::HTTPServerResponse* response,
+               ConnectionWatch* watch, const HttpServerOptions* options)
+      : request_(request), response_(response), watch_(watch), options_(options) {
+    const Result<uint64_t> length = BodyLength(*request_);
+    // Bytes of a body that nobody reads would be taken for the next request.
+    if (!IsOk(length) || ValueOf(length) > 0) response_->setKeepAlive(false);
+  }
 
   const std::string& method() const override { return request_->getMethod(); }
   const std::string& target() const override { return request_->getURI(); }
   std::string Header(const std::string& name) const override { return request_->get(name, ""); }
 
   Result<std::string> ReadBody(size_t limit) override {
+    const Result<uint64_t> length = BodyLength(*request_);
+    if (!IsOk(length)) return ErrorOf(length);
+    if (ValueOf(length) == 0) return std::string();
+    watch_->SetLimit(options_->body_time, Overdue::kEndReceive);
     std::string body;
-    std::string part(kReadBytes, '\0');
-    std::istream& in = request_->stream();
-    size_t size = 0;
-    // A body over the limit is still read, within bounds: if the server closed a connection with
-    // unread data, the peer's system would discard the answer.
-    while (size <= limit * kMaxDiscard) {
-      in.read(part.data(), static_cast<std::streamsize>(part.size()));
-      const auto got = static_cast<size_t>(in.gcount());
-      if (got == 0) break;
-      size += got;
-      if (size <= limit) body.append(part, 0, got);
+    const size_t size = ReadPart(limit, &body);
+    watch_->ClearLimit();
+    if (ValueOf(length) > limit) {
+      return Error{ErrorKind::kResourceExhausted, "request body is larger than the limit",
+                   "send at most " + std::to_string(limit) + " bytes"};
+    }
+    if (watch_->expired()) {
+      return Error{ErrorKind::kCancelled, "the request body did not arrive in time",
+                   "send it within " + std::to_string(options_->body_time.count()) + " ms"};
+    }
+    if (size < ValueOf(length)) {
+      return Error{ErrorKind::kInvalidArgument, "the request body ended early",
+                   "send as many bytes as Content-Length says"};
     }
-    if (size <= limit) return body;
-    response_->setKeepAlive(false);
-    return Error{ErrorKind::kResourceExhausted, "request body is larger than the limit",
-                 "send at most " + std::to_string(limit) + " bytes"};
+    response_->setKeepAlive(request_->getKeepAlive());
+    return body;
   }
 
   void SetHeader(const std::string& name, const std::string& value) override {
@@ -65,12 +102,13 @@
 
   bool SendWhole(int status, const std::string& content_type, const std::string& body) override {
     SetHead(status, content_type);
+    const Sending sending(this);
     try {
       response_->sendBuffer(body.data(), body.size());
     } catch (const Poco::Exception&) {
       return false;
     }
-    return true;
+    return !watch_->expired();
   }
 
   bool BeginStream(int status, const std::string& content_type) override {
@@ -86,6 +124,7 @@
 
   bool Write(const std::string& bytes) override {
     if (out_ == nullptr) return false;
+    const Sending sending(this);
     out_->write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
     out_->flush();
     return out_->good();
@@ -105,6 +144,34 @@
   }
 
  private:
+  /// Limits the time of a write.
+  struct Sending {
+    explicit Sending(PocoExchange* exchange) : watch(exchange->watch_) {
+      watch->SetLimit(exchange->options_->answer_time, Overdue::kClose);
+    }
+    ~Sending() { watch->ClearLimit(); }
+    Sending(const Sending&) = delete;
+    Sending& operator=(const Sending&) = delete;
+    ConnectionWatch* watch;
+  };
+
+  /// Reads the body and keeps the part up to `limit`; returns the bytes that were read. A body over
+  /// the limit is still read, within bounds: if the server closed a connection with unread data,
+  /// the peer's system would discard the answer.
+  size_t ReadPart(size_t limit, std::string* body) {
+    std::string part(kReadBytes, '\0');
+    std::istream& in = request_->stream();
+    size_t size = 0;
+    while (size <= limit * kMaxDiscard && !watch_->expired()) {
+      in.read(part.data(), static_cast<std::streamsize>(part.size()));
+      const auto got = static_cast<size_t>(in.gcount());
+      if (got == 0) break;
+      size += got;
+      if (size <= limit) body->append(part, 0, got);
+    }
+    return size;
+  }
+
   void SetHead(int status, const std::string& content_type) {
     response_->setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
     if (!content_type.empty()) response_->setContentType(content_type);
@@ -112,41 +179,87 @@
 
   Poco::Net::HTTPServerRequest* request_;
   Poco::Net::HTTPServerResponse* response_;
+  ConnectionWatch* watch_;
+  const HttpServerOptions* options_;
   std::ostream* out_ = nullptr;
 };
 
+/// What all connections of a server share.
+struct ServerContext {
+  HttpServerOptions options;
+  HttpServer::Handler handler;
+  ConnectionGuard guard;
+};
+
 class HandlerAdapter final : public Poco::Net::HTTPRequestHandler {
  public:
-  HandlerAdapter(const HttpServer::Handler* handler, Millis send_timeout)
-      : handler_(handler), send_timeout_(send_timeout) {}
+  HandlerAdapter(ServerContext* context, ConnectionWatch* watch)
+      : context_(context), watch_(watch) {}
 
   void handleRequest(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override {
+    watch_->ClearLimit();
+    const HttpServerOptions& options = context_->options;
     if (auto* impl = dynamic_cast<Poco::Net::HTTPServerRequestImpl*>(&request)) {
-      impl->socket().setSendTimeout(ToTimespan(send_timeout_));
+      impl->socket().setSendTimeout(ToTimespan(options.send_timeout));
     }
-    PocoExchange exchange(&request, &response);
-    (*handler_)(exchange);
+    PocoExchange exchange(&request, &response, watch_, &options);
+    context_->handler(exchange);
+    watch_->SetLimit(options.keep_alive + options.head_time, Overdue::kClose);
   }
 
  private:
-  const HttpServer::Handler* handler_;
-  Millis send_timeout_;
+  ServerContext* context_;
+  ConnectionWatch* watch_;
 };
 
+/// Makes the handlers of one connection.
 class HandlerFactory final : public Poco::Net::HTTPRequestHandlerFactory {
  public:
-  HandlerFactory(const HttpServer::Handler* handler, Millis send_timeout)
-      : handler_(handler), send_timeout_(send_timeout) {}
+  HandlerFactory(ServerContext* context, ConnectionWatch* watch)
+      : context_(context), watch_(watch) {}
 
   Poco::Net::HTTPRequestHandler* createRequestHandler(
       const Poco::Net::HTTPServerRequest& /*request*/) override {
-    return new HandlerAdapter(handler_, send_timeout_);
+    return new HandlerAdapter(context_, watch_);
+  }
+
+ private:
+  ServerContext* context_;
+  ConnectionWatch* watch_;
+};
+
+/// A connection with a time limit from the moment that a thread serves it.
+class GuardedConnection final : public Poco::Net::TCPServerConnection {
+ public:
+  GuardedConnection(const Poco::Net::StreamSocket& socket, ServerContext* context,
+                    Poco::Net::HTTPServerParams::Ptr params)
+      : TCPServerConnection(socket), context_(context), params_(std::move(params)) {}
+
+  void run() override {
+    ConnectionWatch watch(&context_->guard, socket().impl()->sockfd());
+    watch.SetLimit(context_->options.head_time, Overdue::kClose);
+    const Poco::Net::HTTPRequestHandlerFactory::Ptr factory = new HandlerFactory(context_, &watch);
+    Poco::Net::HTTPServerConnection(socket(), params_, factory).run();
   }
 
  private:
-  const HttpServer::Handler* handler_;
-  Millis send_timeout_;
+  ServerContext* context_;
+  Poco::Net::HTTPServerParams::Ptr params_;
+};
+
+class ConnectionFactory final : public Poco::Net::TCPServerConnectionFactory {
+ public:
+  ConnectionFactory(ServerContext* context, Poco::Net::HTTPServerParams::Ptr params)
+      : context_(context), params_(std::move(params)) {}
+
+  Poco::Net::TCPServerConnection* createConnection(const Poco::Net::StreamSocket& socket) override {
+    return new GuardedConnection(socket, context_, params_);
+  }
+
+ private:
+  ServerContext* context_;
+  Poco::Net::HTTPServerParams::Ptr params_;
 };
 
 Poco::Net::HTTPServerParams::Ptr MakeParams(const HttpServerOptions& options) {
@@ -163,12 +276,14 @@
 
 struct HttpServer::State {
   State(HttpServerOptions given, Handler handle)
-      : options(std::move(given)),
-        handler([this, handle = std::move(handle)](HttpExchange& exchange) {
-          const Presence presence(this);
-          handle(exchange);
-        }),
-        pool(1, static_cast<int>(options.threads) + 1) {}
+      : context{.options = std::move(given),
+                .handler =
+                    [this, handle = std::move(handle)](HttpExchange& exchange) {
+                      const Presence presence(this);
+                      handle(exchange);
+                    },
+                .guard = {}},
+        pool(1, static_cast<int>(context.options.threads) + 1) {}
 
   /// Counts a handler in progress.
   struct Presence {
@@ -186,13 +301,12 @@
     State* state;
   };
 
-  HttpServerOptions options;
+  ServerContext context;
   std::mutex mutex;
   std::condition_variable idle;
   size_t active = 0;
-  Handler handler;
   Poco::ThreadPool pool;
-  std::unique_ptr<Poco::Net::HTTPServer> server;
+  std::unique_ptr<Poco::Net::TCPServer> server;
 };
 
 HttpServer::HttpServer(HttpServerOptions options, Handler handler)
@@ -202,18 +316,19 @@
 
 Status HttpServer::Start() {
   State& state = *state_;
+  const HttpServerOptions& options = state.context.options;
   try {
     Poco::Net::ServerSocket socket;
     // Without SO_REUSEPORT, so that a second process on the port fails.
-    socket.bind(Poco::Net::SocketAddress(state.options.address), true, false);
-    socket.listen(static_cast<int>(state.options.queue));
-    state.server = std::make_unique<Poco::Net::HTTPServer>(
-        new HandlerFactory(&state.handler, state.options.send_timeout), state.pool, socket,
-        MakeParams(state.options));
+    socket.bind(Poco::Net::SocketAddress(options.address), true, false);
+    socket.listen(static_cast<int>(options.queue));
+    const Poco::Net::HTTPServerParams::Ptr params = MakeParams(options);
+    state.server = std::make_unique<Poco::Net::TCPServer>(
+        new ConnectionFactory(&state.context, params), state.pool, socket, params);
     state.server->start();
   } catch (const Poco::Exception& error) {
     return Error{ErrorKind::kConflict,
-                 "cannot listen on " + state.options.address + ": " + error.displayText(),
+                 "cannot listen on " + options.address + ": " + error.displayText(),
                  "stop the other process or choose another port"};
   }
   return OkStatus();
@@ -227,7 +342,7 @@
     state_->idle.wait_for(lock, kStopGrace, [this] { return state_->active == 0; });
   }
   // Also closes idle connections, which hold their threads until the keep-alive time ends.
-  state_->server->stopAll(true);
+  state_->context.guard.CloseAll();
   state_->pool.joinAll();
   state_->server.reset();
 }
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -22,7 +22,9 @@
   virtual const std::string& target() const = 0;
   /// Value of a request header; empty when absent.
   virtual std::string Header(const std::string& name) const = 0;
-  /// Reads the request body. kResourceExhausted: it is larger than `limit` bytes.
+  /// Reads the request body; empty when the request has none. kResourceExhausted: it is larger than
+  /// `limit` bytes. kInvalidArgument: its length is not declared or it ended early.
+  /// kCancelled: it did not arrive in time. After an error the connection closes with the answer.
   virtual Result<std::string> ReadBody(size_t limit) = 0;
   /// Adds a header to the answer; before the answer begins.
   virtual void SetHeader(const std::string& name, const std::string& value) = 0;
@@ -48,9 +50,18 @@
   Millis keep_alive{10'000};
   /// Longest time that one write may wait for a slow reader.
   Millis send_timeout{10'000};
+  /// Longest time from the first to the last byte of a request's head. On an open connection it
+  /// includes the idle time before.
+  Millis head_time{10'000};
+  /// Longest time for the body of a request.
+  Millis body_time{30'000};
+  /// Longest time to send a whole answer, or one part of a stream, to a slow reader.
+  Millis answer_time{60'000};
 };
 
-/// An HTTP server that calls a handler for each request.
+/// An HTTP server that calls a handler for each request. A request with more than 100 header
+/// fields, a field over 8 KB or a target over 16 KB is answered with 400. One whose Content-Length
+/// is no number closes the connection without an answer.
 class HttpServer {
  public:
   using Handler = std::function<void(HttpExchange&)>;
--- /dev/null
+++ b/tests/http_server_test.cc
@@ -0,0 +1,268 @@
+#include "drivers/http_server.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/StreamSocket.h>
+#include <doctest/doctest.h>
+
+#include <cstdint>
+#include <cstdlib>
+#include <latch>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "drivers/caller_protocol.h"
+
+namespace shallot {
+namespace {
+
+constexpr Millis kShort{20};
+constexpr Millis kLong{600'000};
+constexpr size_t kBodyLimit = 1000;
+
+/// Limits that no test reaches; each test shortens the one that it is about.
+HttpServerOptions LongLimits() {
+  HttpServerOptions options;
+  options.address = "127.0.0.1:0";
+  options.threads = 2;
+  options.keep_alive = kLong;
+  options.send_timeout = kLong;
+  options.head_time = kLong;
+  options.body_time = kLong;
+  options.answer_time = kLong;
+  return options;
+}
+
+/// A server that answers 200 with the body of the request, or the error of reading it.
+class EchoServer {
+ public:
+  explicit EchoServer(const HttpServerOptions& options = LongLimits())
+      : server_(options, [this](HttpExchange& exchange) { Handle(exchange); }) {
+    REQUIRE(IsOk(server_.Start()));
+  }
+  int port() const { return server_.port(); }
+  void Stop() { server_.Stop(); }
+  std::vector<std::string> targets() {
+    const std::scoped_lock lock(mutex_);
+    return targets_;
+  }
+
+ private:
+  void Handle(HttpExchange& exchange) {
+    {
+      const std::scoped_lock lock(mutex_);
+      targets_.push_back(exchange.target());
+    }
+    if (exchange.method() == "GET") {
+      exchange.SendWhole(200, "text/plain", "got");
+      return;
+    }
+    const Result<std::string> body = exchange.ReadBody(kBodyLimit);
+    const int status = IsOk(body) ? 200 : StatusOfError(ErrorOf(body));
+    exchange.SendWhole(status, "text/plain", IsOk(body) ? ValueOf(body) : "refused");
+  }
+
+  std::mutex mutex_;
+  std::vector<std::string> targets_;
+  HttpServer server_;
+};
+
+/// A caller that sends exactly the given bytes.
+class RawCaller {
+ public:
+  explicit RawCaller(int port)
+      : socket_(Poco::Net::SocketAddress("127.0.0.1", static_cast<uint16_t>(port))) {}
+  void Send(const std::string& bytes) {
+    socket_.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+  }
+  void EndSend() { socket_.shutdownSend(); }
+  /// All bytes until the server closes the connection.
+  std::string ReadToEnd() {
+    std::string all;
+    std::string part(4096, '\0');
+    try {
+      while (true) {
+        const int got = socket_.receiveBytes(part.data(), static_cast<int>(part.size()));
+        if (got <= 0) return all;
+        all.append(part, 0, static_cast<size_t>(got));
+      }
+    } catch (const Poco::Exception&) {
+      // The server closed with unread input.
+      return all;
+    }
+  }
+  /// Reads until `text` arrived.
+  void ReadUntil(const std::string& text) {
+    std::string all;
+    char byte = 0;
+    while (all.find(text) == std::string::npos) {
+      REQUIRE(socket_.receiveBytes(&byte, 1) == 1);
+      all += byte;
+    }
+  }
+
+ private:
+  Poco::Net::StreamSocket socket_;
+};
+
+int StatusOf(const std::string& answer) {
+  const size_t space = answer.find(' ');
+  return space == std::string::npos ? 0 : std::atoi(answer.c_str() + space);
+}
+
+// POCO closes the connection without an answer when a length is no number.
+constexpr int kNoAnswer = 0;
+
+struct RequestCase {
+  std::string name;
+  std::string bytes;
+  int status;
+};
+
+std::string Fields(int count) {
+  std::string text;
+  for (int i = 0; i < count; ++i) text += "X-" + std::to_string(i) + ": v\r\n";
+  return text;
+}
+
+// Guards against a caller that fills the router's memory by headers, or whose body has a length
+// that can be read in two ways.
+TEST_CASE("requests beyond the limits and with unclear lengths are refused") {
+  const std::string post = "POST /x HTTP/1.1\r\n";
+  const std::vector<RequestCase> cases = {
+      {"most fields", "GET /x HTTP/1.1\r\nConnection: close\r\n" + Fields(99) + "\r\n", 200},
+      {"too many fields", "GET /x HTTP/1.1\r\n" + Fields(101) + "\r\n", 400},
+      {"long field", "GET /x HTTP/1.1\r\nX: " + std::string(9000, 'v') + "\r\n\r\n", 400},
+      {"long name", "GET /x HTTP/1.1\r\n" + std::string(300, 'n') + ": v\r\n\r\n", 400},
+      {"long target", "GET /" + std::string(20000, 'x') + " HTTP/1.1\r\n\r\n", 400},
+      {"chunked", post + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n", 400},
+      {"both lengths",
+       post + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n1\r\na\r\n0\r\n\r\n", 400},
+      {"two lengths", post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
+      {"negative length", post + "Content-Length: -1\r\n\r\nab", 400},
+      {"trailing text", post + "Content-Length: 2x\r\n\r\nab", kNoAnswer},
+      {"too large", post + "Content-Length: 1001\r\n\r\n" + std::string(1001, 'b'), 413},
+      {"no body", post + "Connection: close\r\n\r\n", 200},
+      {"whole body", post + "Connection: close\r\nContent-Length: 2\r\n\r\nab", 200},
+  };
+  for (const RequestCase& test : cases) {
+    CAPTURE(test.name);
+    EchoServer server;
+    RawCaller caller(server.port());
+    caller.Send(test.bytes);
+    CHECK(StatusOf(caller.ReadToEnd()) == test.status);
+  }
+}
+
+// Guards against an order that runs with a part of its text.
+TEST_CASE("a body that ends early is refused") {
+  EchoServer server;
+  RawCaller caller(server.port());
+  caller.Send("POST /x HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+  caller.EndSend();
+  CHECK(StatusOf(caller.ReadToEnd()) == 400);
+}
+
+// Guards against bytes of a body that the server takes for a request of its own.
+TEST_CASE("an unread body is not taken for the next request") {
+  EchoServer server;
+  RawCaller caller(server.port());
+  const std::string hidden = "GET /hidden HTTP/1.1\r\n\r\n";
+  caller.Send("GET /x HTTP/1.1\r\nContent-Length: " + std::to_string(hidden.size()) + "\r\n\r\n" +
+              hidden);
+  CHECK(StatusOf(caller.ReadToEnd()) == 200);
+  CHECK(server.targets() == std::vector<std::string>{"/x"});
+}
+
+// Guards against callers that hold a thread by a request which never ends.
+TEST_CASE("a head that does not arrive in time closes the connection") {
+  HttpServerOptions options = LongLimits();
+  options.head_time = kShort;
+  for (const char* part : {"", "GET /x HT", "GET /x HTTP/1.1\r\nX: y\r\n"}) {
+    CAPTURE(part);
+    EchoServer server(options);
+    RawCaller caller(server.port());
+    caller.Send(part);
+    CHECK(caller.ReadToEnd().find(" 200 ") == std::string::npos);
+    CHECK(server.targets().empty());
+  }
+}
+
+TEST_CASE("a body that does not arrive in time is answered with 408") {
+  HttpServerOptions options = LongLimits();
+  options.body_time = kShort;
+  EchoServer server(options);
+  RawCaller caller(server.port());
+  caller.Send("POST /x HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+  CHECK(StatusOf(caller.ReadToEnd()) == 408);
+}
+
+// Guards against idle connections that keep all threads from other callers.
+TEST_CASE("an idle connection is closed") {
+  HttpServerOptions options = LongLimits();
+  options.keep_alive = kShort;
+  EchoServer server(options);
+  RawCaller caller(server.port());
+  caller.Send("GET /x HTTP/1.1\r\n\r\n");
+  CHECK(StatusOf(caller.ReadToEnd()) == 200);
+}
+
+TEST_CASE("a connection serves several requests") {
+  EchoServer server;
+  RawCaller caller(server.port());
+  for (int i = 0; i < 3; ++i) {
+    caller.Send("POST /x HTTP/1.1\r\nContent-Length: 4\r\n\r\nping");
+    caller.ReadUntil("ping");
+  }
+  CHECK(server.targets().size() == 3);
+}
+
+// Guards against a caller that holds a thread by an answer which it does not read.
+TEST_CASE("an answer that is not read in time closes the connection") {
+  HttpServerOptions options = LongLimits();
+  options.answer_time = kShort;
+  std::latch ended(1);
+  bool sent = true;
+  HttpServer server(options, [&](HttpExchange& exchange) {
+    // More than the buffers of both ends hold.
+    sent = exchange.SendWhole(200, "text/plain", std::string(64U << 20U, 'x'));
+    ended.count_down();
+  });
+  REQUIRE(IsOk(server.Start()));
+  RawCaller caller(server.port());
+  caller.Send("GET /x HTTP/1.1\r\n\r\n");
+  ended.wait();
+  CHECK_FALSE(sent);
+  server.Stop();
+}
+
+// Guards against a thread that serves a caller which has closed its sending side.
+TEST_CASE("a caller that closes its sending side counts as gone") {
+  std::latch ended(1);
+  HttpServer server(LongLimits(), [&](HttpExchange& exchange) {
+    while (!exchange.PeerClosed()) std::this_thread::yield();
+    ended.count_down();
+  });
+  REQUIRE(IsOk(server.Start()));
+  RawCaller caller(server.port());
+  caller.Send("POST /x HTTP/1.1\r\n\r\n");
+  caller.EndSend();
+  ended.wait();
+  server.Stop();
+}
+
+// Guards against a stop that waits for the keep-alive time of idle callers.
+TEST_CASE("a server with idle connections stops") {
+  EchoServer server;
+  RawCaller silent(server.port());
+  RawCaller idle(server.port());
+  idle.Send("POST /x HTTP/1.1\r\nContent-Length: 4\r\n\r\nping");
+  idle.ReadUntil("ping");
+  server.Stop();
+  CHECK(idle.ReadToEnd().empty());
+}
+
+}  // namespace
+}  // namespace shallot
