--- a/servers/config_head.cc
+++ b/servers/config_head.cc
@@ -13,6 +13,12 @@
                "read it with shallotctl config show and write it again with config apply"};
 }
 
+/// A whole number that is not negative; throws Json::exception for anything else. get<uint64_t>()
+/// would convert negative numbers and fractions, for some with undefined behaviour.
+ConfigRevision RevisionOf(const Json& json) {
+  return ConfigRevision(json.get_ref<const Json::number_unsigned_t&>());
+}
+
 Json ToJson(const ConfigChange& change) {
   Json sections = Json::array();
   for (const SectionChange& section : change.sections) {
@@ -34,7 +40,7 @@
 
 ConfigChange ChangeFromJson(const Json& json) {
   ConfigChange change;
-  change.revision = ConfigRevision(json.at("revision").get<uint64_t>());
+  change.revision = RevisionOf(json.at("revision"));
   change.id = json.at("id").get<std::string>();
   change.author = OperatorName(json.at("author").get<std::string>());
   change.time = json.at("time").get<std::string>();
@@ -52,8 +58,10 @@
 bool IsConsecutive(const ConfigHead& head) {
   ConfigRevision expected = std::max(head.snapshot, head.base);
   for (const ConfigChange& change : head.changes) {
-    expected = expected.Next();
-    if (change.revision != expected) return false;
+    const ConfigRevision next = expected.Next();
+    // The largest number is followed by 0.
+    if (next < expected || change.revision != next) return false;
+    expected = next;
   }
   return expected == head.revision;
 }
@@ -64,9 +72,9 @@
   ConfigHead head;
   try {
     const Json json = Json::parse(text);
-    head.revision = ConfigRevision(json.at("revision").get<uint64_t>());
-    head.snapshot = ConfigRevision(json.at("snapshot").get<uint64_t>());
-    head.base = ConfigRevision(json.value("base", uint64_t{0}));
+    head.revision = RevisionOf(json.at("revision"));
+    head.snapshot = RevisionOf(json.at("snapshot"));
+    if (json.contains("base")) head.base = RevisionOf(json.at("base"));
     for (const Json& change : json.at("changes")) head.changes.push_back(ChangeFromJson(change));
   } catch (const Json::exception& error) {
     return MalformedHead(error.what());
--- a/servers/placement_codec.cc
+++ b/servers/placement_codec.cc
@@ -9,6 +9,15 @@
 
 using Json = nlohmann::json;
 
+/// A whole number that is not negative; throws Json::exception for anything else. get<uint64_t>()
+/// would convert negative numbers and fractions, for some with undefined behaviour.
+uint64_t WholeNumber(const Json& json) { return json.get_ref<const Json::number_unsigned_t&>(); }
+
+Error MalformedSlots(const std::string& problem) {
+  return Error{ErrorKind::kInvalidArgument, "the stored placement is malformed: " + problem,
+               "restore the value of the shard in the platform store"};
+}
+
 }  // namespace
 
 StoreKey PlacementKey(ShardId shard) {
@@ -42,15 +51,15 @@
         Slot slot;
         slot.runner = RunnerId(runner);
         slot.entry = EntryId(item.at(0).get<std::string>());
-        slot.generation = Generation(item.at(1).get<uint64_t>());
-        slot.state = item.at(2).get<int>() == 1 ? SlotState::kReleasing : SlotState::kActive;
+        slot.generation = Generation(WholeNumber(item.at(1)));
+        const uint64_t releasing = WholeNumber(item.at(2));
+        if (releasing > 1) return MalformedSlots("a slot has an unknown state");
+        slot.state = releasing == 1 ? SlotState::kReleasing : SlotState::kActive;
         slots.push_back(std::move(slot));
       }
     }
   } catch (const Json::exception& error) {
-    return Error{ErrorKind::kInvalidArgument,
-                 std::string("the stored placement is malformed: ") + error.what(),
-                 "restore the value of the shard in the platform store"};
+    return MalformedSlots(error.what());
   }
   SortSlots(&slots);
   return slots;
