--- a/drivers/caller_protocol.cc
+++ b/drivers/caller_protocol.cc
@@ -173,6 +173,8 @@
       return 400;
     case ErrorKind::kNotFound:
       return 404;
+    case ErrorKind::kCancelled:
+      return 408;
     case ErrorKind::kResourceExhausted:
       return 413;
     default:
