Record a second known red seed of the random fault runs

Cause: a soak from seed 188 stopped at seed 220: no call for m1 succeeds within 15 s after the faults.

The check and its bound are unchanged.

Conclusion: the cause is open.

--- a/tests/fault_random_test.cc
+++ b/tests/fault_random_test.cc
@@ -44,6 +44,13 @@
   CHECK(RunSeed(153));
 }
 
+// Guards against an entry that stays refused after a slow load although its runner is idle. Known
+// red, see KNOWN-RED.txt; remove the decorator with the fix.
+TEST_CASE("a model call succeeds soon after slow loads" * doctest::should_fail()) {
+  QuietLogs();
+  CHECK(RunSeed(220));
+}
+
 // Run by `make soak`: new seeds until the time is over or a promise is broken. Does nothing in a
 // plain test run, where the duration is not set.
 TEST_CASE("soak") {
