Bind the stand-ins' ports exclusively

Cause: two demos at once shared connections, because POCO's listening constructor sets SO_REUSEPORT; orders of one demo ran at the other's service. Change: the stand-ins bind without it, as the daemons do. Conclusion: demos cannot answer each other's calls.

--- a/main/standin/server.cc
+++ b/main/standin/server.cc
@@ -87,7 +87,10 @@
   std::signal(SIGPIPE, SIG_IGN);
 
   Poco::ThreadPool pool(4, kMaxThreads);
-  Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(options.listen), 256);
+  Poco::Net::ServerSocket socket;
+  // Without SO_REUSEPORT, or two stand-ins on one port would share its connections.
+  socket.bind(Poco::Net::SocketAddress(options.listen), true, false);
+  socket.listen(256);
   auto* params = new Poco::Net::HTTPServerParams;  // POCO takes ownership.
   params->setMaxThreads(kMaxThreads);
   params->setMaxQueued(kMaxThreads);
