Take back the load permits of dead agents

Cause: an agent that dies in the middle of a load never returns its permit. Change: a permit request carries the agent's incarnation; the first request of a successor frees what its predecessor held, and runners that are gone are forgotten. Conclusion: the budget recovers with the agent or with the instance list.

--- a/drivers/proto_codec.cc
+++ b/drivers/proto_codec.cc
@@ -146,6 +146,7 @@
   to->set_entry(from.entry.value());
   to->set_kind(static_cast<uint32_t>(from.kind));
   to->set_remaining_ms(from.remaining.count());
+  to->set_incarnation(from.incarnation.value());
 }
 
 void Fill(const LoadPermit& from, wire::Envelope* envelope) {
@@ -330,6 +331,7 @@
   to.runner = RunnerId(std::move(*from.mutable_runner()));
   to.entry = EntryId(std::move(*from.mutable_entry()));
   if (!ReadTime(from.remaining_ms(), &to.remaining)) return OutOfRange("remaining_ms");
+  to.incarnation = Incarnation(from.incarnation());
   return Message(std::move(to));
 }
 
--- a/servers/agent_state.cc
+++ b/servers/agent_state.cc
@@ -29,8 +29,8 @@
       peers(GreetingOf(options), env.clock, env.link, &config, env.metrics,
             {[this] { return Summary(); }, [this] { OnConfig(); },
              [this](ConnectionId connection) { OnLost(connection); }}),
-      loads({options.runner, options.fencing, options.static_share_interval}, env.clock, env.engine,
-            this, env.metrics, env.invariants),
+      loads({options.runner, options.incarnation, options.fencing, options.static_share_interval},
+            env.clock, env.engine, this, env.metrics, env.invariants),
       answer_budget(std::make_shared<AnswerBudget>(options.answer_buffer_bytes)),
       self(std::make_shared<State*>(this)) {}
 
--- a/servers/control_plane_state.cc
+++ b/servers/control_plane_state.cc
@@ -271,6 +271,7 @@
   if (held != held_budget_) budget_.Clear();
   held_budget_ = held;
   if (!held) return;
+  budget_.ForgetRunners([this](const RunnerId& runner) { return registry_.IsGone(runner); });
   for (const BudgetGrant& grant : budget_.Take()) SendPermit(grant);
 }
 
--- a/servers/load_budget.cc
+++ b/servers/load_budget.cc
@@ -25,6 +25,7 @@
 void LoadBudget::Request(const LoadPermitRequest& request, const InstanceId& via) {
   const SteadyTime now = clock_->SteadyNow();
   Expire(now);
+  ForgetEarlier(request.runner, request.incarnation);
   const PermitKey key{request.runner, request.permit_id};
   const auto granted = granted_.find(key);
   if (granted != granted_.end()) {
@@ -51,6 +52,25 @@
   granted_.erase(granted);
 }
 
+/// An agent that died in the middle of a load returns no permit; its successor's first request
+/// frees what it held.
+void LoadBudget::ForgetEarlier(const RunnerId& runner, Incarnation incarnation) {
+  const auto [known, first] = incarnations_.try_emplace(runner, incarnation);
+  if (first || known->second == incarnation) return;
+  ForgetRunners([&](const RunnerId& other) { return other == runner; });
+  incarnations_[runner] = incarnation;
+}
+
+void LoadBudget::ForgetRunners(const std::function<bool(const RunnerId&)>& gone) {
+  std::erase_if(incarnations_, [&](const auto& item) { return gone(item.first); });
+  std::erase_if(waiting_, [&](const auto& item) { return gone(item.first.first); });
+  std::erase_if(granted_, [&](const auto& item) {
+    if (!gone(item.first.first)) return false;
+    --InFlight(item.second.kind);
+    return true;
+  });
+}
+
 void LoadBudget::Expire(SteadyTime now) {
   for (auto it = granted_.begin(); it != granted_.end();) {
     if (now < it->second.expiry) {
@@ -101,6 +121,7 @@
 void LoadBudget::Clear() {
   waiting_.clear();
   granted_.clear();
+  incarnations_.clear();
   outbox_.clear();
   models_in_flight_ = 0;
   adapters_in_flight_ = 0;
--- a/servers/load_budget.h
+++ b/servers/load_budget.h
@@ -2,6 +2,7 @@
 #define SERVERS_LOAD_BUDGET_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -38,6 +39,8 @@
   /// A repeated request of a granted permit gets the permit again; a waiting one is updated.
   void Request(const LoadPermitRequest& request, const InstanceId& via);
   void Return(const RunnerId& runner, uint64_t permit_id);
+  /// Takes back the permits of runners that are gone and will not return them.
+  void ForgetRunners(const std::function<bool(const RunnerId&)>& gone);
   /// Permits to send now.
   std::vector<BudgetGrant> Take();
   /// Forgets everything; for when another router holds the budget.
@@ -60,6 +63,8 @@
     LoadKind kind = LoadKind::kModel;
   };
 
+  void ForgetEarlier(const RunnerId& runner, Incarnation incarnation);
+
   void Expire(SteadyTime now);
   void Refill(SteadyTime now);
   bool HasRoom(LoadKind kind) const;
@@ -79,6 +84,8 @@
   uint64_t adapters_in_flight_ = 0;
   std::map<PermitKey, Waiting> waiting_;
   std::map<PermitKey, Granted> granted_;
+  /// Newest incarnation that asked, of each runner with permits or requests.
+  std::map<RunnerId, Incarnation> incarnations_;
   std::vector<BudgetGrant> outbox_;
 };
 
--- a/servers/load_scheduler.cc
+++ b/servers/load_scheduler.cc
@@ -276,6 +276,7 @@
   LoadPermitRequest request;
   request.permit_id = entry.permit_id;
   request.runner = options_.runner;
+  request.incarnation = options_.incarnation;
   request.entry = entry.info.id;
   request.kind = entry.info.kind;
   request.remaining = std::max(Millis(0), std::chrono::floor<Millis>(deadline - now));
--- a/servers/load_scheduler.h
+++ b/servers/load_scheduler.h
@@ -52,6 +52,7 @@
  public:
   struct Options {
     RunnerId runner;
+    Incarnation incarnation;
     FencingNumber fencing;
     Millis static_share_interval{10'000};
   };
--- a/servers/messages.h
+++ b/servers/messages.h
@@ -146,6 +146,8 @@
   LoadKind kind = LoadKind::kModel;
   /// Time left until the earliest deadline of the calls that wait for the load.
   Millis remaining{0};
+  /// Of the agent that asks; permits of its earlier incarnations are void.
+  Incarnation incarnation;
   bool operator==(const LoadPermitRequest&) const = default;
 };
 
--- a/tests/fault_random_test.cc
+++ b/tests/fault_random_test.cc
@@ -44,9 +44,9 @@
   CHECK(RunSeed(187));
 }
 
-// Guards against an entry that stays refused after a slow load although its runner is idle. Known
-// red, see KNOWN-RED.txt; remove the decorator with the fix.
-TEST_CASE("a model call succeeds soon after slow loads" * doctest::should_fail()) {
+// Guards against permits of agents that died in the middle of a load, which kept the budget of the
+// weight store full for a minute.
+TEST_CASE("a model call succeeds soon after slow loads") {
   QuietLogs();
   CHECK(RunSeed(220));
 }
--- a/tests/load_budget_test.cc
+++ b/tests/load_budget_test.cc
@@ -14,8 +14,9 @@
   Fixture() { clock.Advance(Seconds(10)); }
 
   void Request(uint64_t id, int seconds_left, LoadKind kind = LoadKind::kModel) {
-    budget.Request({id, RunnerId("r"), EntryId("e"), kind, Millis(1000 * seconds_left)},
-                   InstanceId("router"));
+    budget.Request(
+        {id, RunnerId("r"), EntryId("e"), kind, Millis(1000 * seconds_left), incarnation},
+        InstanceId("router"));
   }
   std::vector<uint64_t> Take() {
     std::vector<uint64_t> ids;
@@ -25,6 +26,7 @@
 
   ManualClock clock;
   LoadBudget budget{&clock};
+  Incarnation incarnation{1};
 };
 
 // Guards against more loads than the weight store serves at full speed.
@@ -110,5 +112,29 @@
   CHECK(f.budget.adapters_in_flight() == 0);
 }
 
+// Guards against a budget that stays full until the permits of a dead agent expire.
+TEST_CASE("permits of a dead agent are taken back") {
+  Fixture f;
+  f.clock.Advance(Seconds(10));
+  f.Request(1, 100);
+  f.Request(2, 100);
+  REQUIRE(f.Take().size() == 2);
+  REQUIRE(f.budget.models_in_flight() == 2);
+  SUBCASE("its successor asks") {
+    f.incarnation = Incarnation(2);
+    f.Request(1, 100);
+    CHECK(f.budget.models_in_flight() == 0);
+    CHECK(f.budget.waiting() == 1);
+  }
+  SUBCASE("its runner is gone") {
+    f.budget.ForgetRunners([](const RunnerId& runner) { return runner == RunnerId("r"); });
+    CHECK(f.budget.models_in_flight() == 0);
+  }
+  SUBCASE("the same incarnation asks again") {
+    f.Request(3, 100);
+    CHECK(f.budget.models_in_flight() == 2);
+  }
+}
+
 }  // namespace
 }  // namespace shallot
--- a/tests/load_permits_test.cc
+++ b/tests/load_permits_test.cc
@@ -18,7 +18,7 @@
 )";
 
 LoadPermitRequest Request(uint64_t id) {
-  return {id, RunnerId("r0"), EntryId("m1"), LoadKind::kModel, Millis(60'000)};
+  return {id, RunnerId("r0"), EntryId("m1"), LoadKind::kModel, Millis(60'000), {}};
 }
 
 size_t PermitsFor(const ControlFleet& fleet, uint64_t id) {
--- a/tests/proto_codec_test.cc
+++ b/tests/proto_codec_test.cc
@@ -79,7 +79,8 @@
       SlotReleased{ShardId(1), EntryId("e"), RunnerId("r"), Generation(4)},
       ConfigPull{ConfigRevision(11)},
       ConfigPush{ConfigRevision(12), "[head]\n", "[snapshot]\n"},
-      LoadPermitRequest{13, RunnerId("r"), EntryId("e"), LoadKind::kAdapter, Millis(14)},
+      LoadPermitRequest{13, RunnerId("r"), EntryId("e"), LoadKind::kAdapter, Millis(14),
+                        Incarnation(15)},
       LoadPermit{15, RunnerId("r"), Millis(16)},
       LoadPermitReturn{17, RunnerId("r")},
       DrainOrder{"maintenance", Millis(18)},
@@ -142,7 +143,7 @@
         CallStart{call},
         heartbeat,
         outcome,
-        LoadPermitRequest{1, RunnerId("r"), EntryId("e"), LoadKind::kModel, time},
+        LoadPermitRequest{1, RunnerId("r"), EntryId("e"), LoadKind::kModel, time, {}},
         LoadPermit{1, RunnerId("r"), time},
         DrainOrder{"x", time}};
   };
