Tell a lost claimant apart, refuse late heads, mend a linter finding

Cause: a repeat of an order whose agent had died was told in-progress for ever. http_server_test failed once in a run under load: a head cut by the end of its time was handled, because POCO takes the end of the stream for the end of the head. The linter rejected a condition in gap_keep_alive. Change: the reply to a claim names the claim; one of an earlier incarnation of the same runner ends as unknown/claimant-lost. A request whose head time is over is not handled. The condition has names. A new test shows that a head cut by its caller is still handled; it is known red.

--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -198,12 +198,18 @@
 
   void handleRequest(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override {
+    const bool late = watch_->expired();
     watch_->ClearLimit();
     const HttpServerOptions& options = context_->options;
     if (auto* impl = dynamic_cast<Poco::Net::HTTPServerRequestImpl*>(&request)) {
       impl->socket().setSendTimeout(ToTimespan(options.send_timeout));
     }
     PocoExchange exchange(&request, &response, watch_, &options);
+    // POCO takes a head that is cut by the end of its time for a whole one.
+    if (late) {
+      response.setKeepAlive(false);
+      return;
+    }
     context_->handler(exchange);
     watch_->SetLimit(options.keep_alive + options.head_time, Overdue::kClose);
   }
--- a/servers/agent_orders.cc
+++ b/servers/agent_orders.cc
@@ -27,8 +27,7 @@
 
 void AgentCore::State::ClaimOrder(const CallPtr& call) {
   call->claim_phase = ClaimPhase::kPending;
-  call->claim = ClaimId(options.runner.value() + "/" + std::to_string(options.incarnation.value()) +
-                        "/" + std::to_string(++next_claim));
+  call->claim = ClaimId(ClaimPrefix() + std::to_string(++next_claim));
   Count("shallot_agent_claims_total").Add();
   const std::weak_ptr<State*> weak = self;
   env.claims->Claim(call->call.idempotency_key, RequestHash(call->call), call->claim,
@@ -53,27 +52,45 @@
     return;
   }
   queue.Remove(call->key);
+  if (reply.state == ClaimState::kAnswered) {
+    ReplayAnswer(call, reply.answer);
+    return;
+  }
+  RefuseOrder(call, RefusalOf(*call, reply));
+}
+
+std::string AgentCore::State::ClaimPrefix() const {
+  return options.runner.value() + "/" + std::to_string(options.incarnation.value()) + "/";
+}
+
+/// The exclusive bind of the control port proves that earlier incarnations of this runner are gone.
+/// Their orders may have run, and no answer of them will ever be recorded.
+bool AgentCore::State::IsClaimantLost(const ClaimReply& reply) const {
+  return reply.holder == options.runner && !reply.claim.value().starts_with(ClaimPrefix());
+}
+
+Outcome AgentCore::State::RefusalOf(const AgentCall& call, const ClaimReply& reply) const {
   Outcome outcome;
   outcome.kind = OutcomeKind::kNotRun;
   outcome.message = reply.message;
-  switch (reply.state) {
-    case ClaimState::kAnswered:
-      ReplayAnswer(call, reply.answer);
-      return;
-    case ClaimState::kInProgress:
-      outcome.kind = OutcomeKind::kUnknown;
-      outcome.reason = Reason::kInProgress;
-      outcome.retry_after = std::max(kInProgressRetry, ServiceEstimate(call->call.call_class));
-      break;
-    case ClaimState::kKeyReused:
-      outcome.reason = Reason::kKeyReused;
-      break;
-    default:
-      outcome.reason = Reason::kStoreUnavailable;
-      outcome.retry_after = kInProgressRetry;
-      break;
+  if (reply.state == ClaimState::kKeyReused) {
+    outcome.reason = Reason::kKeyReused;
+    return outcome;
+  }
+  if (reply.state != ClaimState::kInProgress) {
+    outcome.reason = Reason::kStoreUnavailable;
+    outcome.retry_after = kInProgressRetry;
+    return outcome;
+  }
+  outcome.kind = OutcomeKind::kUnknown;
+  if (IsClaimantLost(reply)) {
+    outcome.reason = Reason::kClaimantLost;
+    outcome.message = "the agent that ran the order is gone; look the order up at the service";
+    return outcome;
   }
-  RefuseOrder(call, outcome);
+  outcome.reason = Reason::kInProgress;
+  outcome.retry_after = std::max(kInProgressRetry, ServiceEstimate(call.call.call_class));
+  return outcome;
 }
 
 void AgentCore::State::OnClaimGranted(const CallPtr& call) {
--- a/servers/agent_state.h
+++ b/servers/agent_state.h
@@ -96,6 +96,9 @@
 
   // agent_orders.cc: claims of calls that must run at most once.
   void ClaimOrder(const CallPtr& call);
+  std::string ClaimPrefix() const;
+  bool IsClaimantLost(const ClaimReply& reply) const;
+  Outcome RefusalOf(const AgentCall& call, const ClaimReply& reply) const;
   void OnClaim(const CallPtr& call, const ClaimReply& reply);
   void OnClaimGranted(const CallPtr& call);
   void ReplayAnswer(const CallPtr& call, const OrderAnswer& answer);
--- a/servers/gap_keep_alive.cc
+++ b/servers/gap_keep_alive.cc
@@ -107,8 +107,9 @@
   const auto known = choices_.find(entry);
   if (known != choices_.end()) {
     const uint64_t made_at = known->second.fleet_gaps;
-    if (made_at == 0 ? own : !own && fleet_gaps_ - made_at < kFleetRefresh)
-      return known->second.keep;
+    const bool own_choice = made_at == 0;
+    const bool fresh = own_choice || fleet_gaps_ - made_at < kFleetRefresh;
+    if (own == own_choice && fresh) return known->second.keep;
   }
   const Millis keep = Choose(entry, own ? it->second.gaps : fleet_);
   choices_[entry] = {keep, own ? 0 : fleet_gaps_};
--- a/servers/order_claims.h
+++ b/servers/order_claims.h
@@ -33,8 +33,9 @@
 
 struct ClaimReply {
   ClaimState state = ClaimState::kUnavailable;
-  /// Runner that holds the claim, for kInProgress.
+  /// Runner that holds the claim, and its claim, for kInProgress.
   RunnerId holder;
+  ClaimId claim;
   OrderAnswer answer;
   std::string message;
 };
--- a/servers/store_order_claims.cc
+++ b/servers/store_order_claims.cc
@@ -132,6 +132,7 @@
   ClaimReply reply;
   reply.state = record.state == OrderState::kDone ? ClaimState::kAnswered : ClaimState::kInProgress;
   reply.holder = record.runner;
+  reply.claim = record.claim;
   reply.answer = record.answer;
   if (record.body_length > record.answer.body.size()) {
     reply.message = fmt::format("the answer was too long to be recorded: {} bytes, hash {:016x}",
--- a/tests/agent_orders_test.cc
+++ b/tests/agent_orders_test.cc
@@ -199,5 +199,28 @@
   CHECK(fixture.invariants.violations(Invariant::kOrderAtMostOnce) == 1);
 }
 
+// Guards against a caller that is told for ever to ask again for an order whose agent died.
+TEST_CASE("an order claimed by an earlier incarnation of the runner is unknown for good") {
+  struct Case {
+    const char* holder;
+    const char* claim;
+    const char* expected;
+  };
+  for (const Case& test : std::vector<Case>{
+           {"runner-1", "runner-1/6/1", "unknown/claimant-lost"},
+           {"runner-1", "runner-1/7/1", "unknown/in-progress"},
+           {"runner-2", "runner-2/6/1", "unknown/in-progress"},
+       }) {
+    CAPTURE(test.claim);
+    ServiceAgent fixture;
+    fixture.claims.reply.state = ClaimState::kInProgress;
+    fixture.claims.reply.holder = RunnerId(test.holder);
+    fixture.claims.reply.claim = ClaimId(test.claim);
+    fixture.Start(fixture.MakeOrder("c1", "k1"));
+    CHECK(fixture.Ended("c1") == test.expected);
+    CHECK(fixture.service.calls.running.empty());
+  }
+}
+
 }  // namespace
 }  // namespace shallot::agent_test
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -165,6 +165,21 @@
   CHECK(StatusOf(caller.ReadToEnd()) == 400);
 }
 
+// Guards against a request that runs although its caller sent only a part of its head. Known red,
+// see KNOWN-RED.txt; remove the decorator with the fix.
+TEST_CASE("a head that the end of the stream cuts is not handled" * doctest::should_fail()) {
+  for (const char* part : {"GET /x HTTP/1.1", "GET /x HTTP/1.1\r\nIdempotency-Key: ab",
+                           "POST /x HTTP/1.1\r\nX: y\r\n"}) {
+    CAPTURE(part);
+    EchoServer server;
+    RawCaller caller(server.port());
+    caller.Send(part);
+    caller.EndSend();
+    CHECK(caller.ReadToEnd().find(" 200 ") == std::string::npos);
+    CHECK(server.targets().empty());
+  }
+}
+
 // Guards against bytes of a body that the server takes for a request of its own.
 TEST_CASE("an unread body is not taken for the next request") {
   EchoServer server;
