--- a/tests/fault_random_test.cc
+++ b/tests/fault_random_test.cc
@@ -51,6 +51,13 @@
   CHECK(RunSeed(220));
 }
 
+// Guards against calls that stay refused after pauses, silent connections and a replaced instance.
+// Known red, see KNOWN-RED.txt; remove the decorator with the fix.
+TEST_CASE("a model call succeeds soon after pauses and replacements" * doctest::should_fail()) {
+  QuietLogs();
+  CHECK(RunSeed(334));
+}
+
 // Run by `make soak`: new seeds until the time is over or a promise is broken. Does nothing in a
 // plain test run, where the duration is not set.
 TEST_CASE("soak") {
