Read the settings sections that all daemons share in one place

Change: ReadSharedSections in process_settings. Conclusion: a new shared section is read in one place.

--- a/drivers/agent_settings.cc
+++ b/drivers/agent_settings.cc
@@ -38,20 +38,8 @@
 }  // namespace
 
 AgentSettingsBuilder::AgentSettingsBuilder(const IniDocument& document) {
-  status_ = CheckSections(document, {"process", "agent", "keys"});
+  status_ = ReadSharedSections(document, "agent", &settings_.process, &settings_.keys);
   if (!IsOk(status_)) return;
-  const Result<ProcessSettings> process = ReadProcessSettings(document);
-  if (!IsOk(process)) {
-    status_ = ErrorOf(process);
-    return;
-  }
-  settings_.process = ValueOf(process);
-  const Result<CurveKeys> keys = ReadCurveKeys(document);
-  if (!IsOk(keys)) {
-    status_ = ErrorOf(keys);
-    return;
-  }
-  settings_.keys = ValueOf(keys);
   status_ = ReadAgent(document, &settings_);
 }
 
--- a/drivers/process_settings.cc
+++ b/drivers/process_settings.cc
@@ -95,4 +95,17 @@
   return OkStatus();
 }
 
+Status ReadSharedSections(const IniDocument& document, const std::string& own,
+                          ProcessSettings* process, CurveKeys* keys) {
+  Status status = CheckSections(document, {"process", own, "keys"});
+  if (!IsOk(status)) return status;
+  const Result<ProcessSettings> read_process = ReadProcessSettings(document);
+  if (!IsOk(read_process)) return ErrorOf(read_process);
+  const Result<CurveKeys> read_keys = ReadCurveKeys(document);
+  if (!IsOk(read_keys)) return ErrorOf(read_keys);
+  *process = ValueOf(read_process);
+  *keys = ValueOf(read_keys);
+  return OkStatus();
+}
+
 }  // namespace shallot
--- a/drivers/process_settings.h
+++ b/drivers/process_settings.h
@@ -29,6 +29,11 @@
 /// Rejects sections other than `known`.
 Status CheckSections(const IniDocument& document, const std::vector<std::string>& known);
 
+/// Reads the sections that all daemons have, [process] and [keys], and checks that there is no
+/// section but these and `own`.
+Status ReadSharedSections(const IniDocument& document, const std::string& own,
+                          ProcessSettings* process, CurveKeys* keys);
+
 }  // namespace shallot
 
 #endif  // DRIVERS_PROCESS_SETTINGS_H_
--- a/drivers/router_settings.cc
+++ b/drivers/router_settings.cc
@@ -20,20 +20,8 @@
 }  // namespace
 
 RouterSettingsBuilder::RouterSettingsBuilder(const IniDocument& document) {
-  status_ = CheckSections(document, {"process", "router", "keys"});
+  status_ = ReadSharedSections(document, "router", &settings_.process, &settings_.keys);
   if (!IsOk(status_)) return;
-  const Result<ProcessSettings> process = ReadProcessSettings(document);
-  if (!IsOk(process)) {
-    status_ = ErrorOf(process);
-    return;
-  }
-  settings_.process = ValueOf(process);
-  const Result<CurveKeys> keys = ReadCurveKeys(document);
-  if (!IsOk(keys)) {
-    status_ = ErrorOf(keys);
-    return;
-  }
-  settings_.keys = ValueOf(keys);
   status_ = ReadRouter(document, &settings_);
 }
 
