--- a/drivers/gateway/fleet_follower.cc
+++ b/drivers/gateway/fleet_follower.cc
@@ -18,7 +18,7 @@
 class FleetFollower::RoutesListener final : public PrefixListener {
  public:
   explicit RoutesListener(FleetFollower* owner) : owner_(owner) {}
-  void OnSnapshot(const std::vector<StoreItem>& items) override {
+  void OnSnapshot(const std::vector<StoreItem>& items, StoreRevision /*revision*/) override {
     for (const StoreItem& item : items) owner_->OnRoutes(item);
   }
   void OnChange(const StoreItem& item) override { owner_->OnRoutes(item); }
@@ -33,7 +33,7 @@
  public:
   explicit RunnersListener(FleetFollower* owner) : owner_(owner) {}
 
-  void OnSnapshot(const std::vector<StoreItem>& items) override {
+  void OnSnapshot(const std::vector<StoreItem>& items, StoreRevision /*revision*/) override {
     GatewayContext& context = *owner_->context_;
     const size_t prefix = context.protocol->RunnersPrefix().size();
     std::set<RunnerId> present;
@@ -63,16 +63,19 @@
  public:
   explicit GatewaysListener(FleetFollower* owner) : owner_(owner) {}
 
-  void OnSnapshot(const std::vector<StoreItem>& items) override {
+  void OnSnapshot(const std::vector<StoreItem>& items, StoreRevision revision) override {
     GatewayContext& context = *owner_->context_;
     context.gateways.clear();
     context.leader.reset();
     for (const StoreItem& item : items) owner_->OnGatewayItem(item);
-    if (owner_->leader_listener_) owner_->leader_listener_(context.leader);
+    if (owner_->leader_listener_) owner_->leader_listener_(context.leader, revision);
   }
   void OnChange(const StoreItem& item) override {
     owner_->OnGatewayItem(item);
-    if (owner_->leader_listener_) owner_->leader_listener_(owner_->context_->leader);
+    if (item.key != owner_->context_->protocol->LeaderKey()) return;
+    if (owner_->leader_listener_) {
+      owner_->leader_listener_(owner_->context_->leader, item.revision);
+    }
   }
   void OnTrouble() override {}
   void OnAnswered() override {}
@@ -136,7 +139,7 @@
   }
   const RunnerState* before = context_->view.Find(id);
   const bool was_draining = before != nullptr && before->entry.draining;
-  const bool started = context_->view.Apply(ValueOf(entry));
+  const bool started = context_->view.Apply(ValueOf(entry), context_->loop.Now());
   if (started) context_->picker.Forget(id);
   if (started || ValueOf(entry).draining != was_draining) {
     LogInfo("runners", fmt::format("event={} runner={} backend={} address={} domain={} born={} "
--- a/drivers/gateway/fleet_follower.h
+++ b/drivers/gateway/fleet_follower.h
@@ -18,10 +18,9 @@
   void Start();
   /// True when configuration and runners were read once.
   bool ready() const { return context_->routes != nullptr && context_->view.ready(); }
-  /// Called with the leader's record whenever the store's keys of gateways change.
-  void SetLeaderListener(std::function<void(const std::optional<LeaderRecord>&)> listener) {
-    leader_listener_ = std::move(listener);
-  }
+  using LeaderListener = std::function<void(const std::optional<LeaderRecord>&, StoreRevision)>;
+  /// Called with the leader's record, as of a revision, when it was read or has changed.
+  void SetLeaderListener(LeaderListener listener) { leader_listener_ = std::move(listener); }
 
  private:
   class RoutesListener;
@@ -34,7 +33,7 @@
 
   GatewayContext* context_;
   std::function<void()> changed_;
-  std::function<void(const std::optional<LeaderRecord>&)> leader_listener_;
+  LeaderListener leader_listener_;
   std::unique_ptr<RoutesListener> routes_listener_;
   std::unique_ptr<RunnersListener> runners_listener_;
   std::unique_ptr<GatewaysListener> gateways_listener_;
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -105,7 +105,9 @@
       placement_(std::make_unique<PlacementDriver>(
           context_.get(), [this](const RunnerNotice& notice) { OnNotice(notice); })) {
   follower_->SetLeaderListener(
-      [this](const std::optional<LeaderRecord>& record) { placement_->OnLeaderRecord(record); });
+      [this](const std::optional<LeaderRecord>& record, StoreRevision revision) {
+        placement_->OnLeaderRecord(record, revision);
+      });
 }
 
 GatewayDaemon::~GatewayDaemon() {
@@ -209,7 +211,7 @@
 }
 
 void GatewayDaemon::OnNotice(const RunnerNotice& notice) {
-  context_->view.ApplyReport(notice.runner, notice.report);
+  context_->view.ApplyReport(notice.runner, notice.report, context_->loop.Now());
   if (placement_->Leads()) {
     for (const auto& [gateway, address] : context_->gateways) {
       if (gateway == context_->settings.instance) continue;
@@ -228,7 +230,7 @@
       return;
     }
     const auto& notice = std::get<RunnerNotice>(message);
-    context_->view.ApplyReport(notice.runner, notice.report);
+    context_->view.ApplyReport(notice.runner, notice.report, context_->loop.Now());
     PlaceWaiting();
   });
 }
--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -34,8 +34,9 @@
   board_.Apply(report, context_->loop.Now());
 }
 
-void PlacementDriver::OnLeaderRecord(const std::optional<LeaderRecord>& record) {
-  election_.OnRecord(record, context_->clock->BootNow());
+void PlacementDriver::OnLeaderRecord(const std::optional<LeaderRecord>& record,
+                                     StoreRevision revision) {
+  election_.OnRecord(record, revision, context_->clock->BootNow());
 }
 
 void PlacementDriver::Tick() {
@@ -225,7 +226,7 @@
   const SteadyTime now = context_->loop.Now();
   const RunnerReport& report = ValueOf(decoded);
   const std::optional<Order> settled = tracker_.OnReport(runner, report, now);
-  context_->view.ApplyReport(runner, report);
+  context_->view.ApplyReport(runner, report, now);
   if (settled) {
     planner_.OnLoaded(*settled, now);
     LogInfo("placement",
--- a/drivers/gateway/placement_driver.h
+++ b/drivers/gateway/placement_driver.h
@@ -30,7 +30,7 @@
   void Start();
   void Stop();
   void OnDemand(const DemandReport& report);
-  void OnLeaderRecord(const std::optional<LeaderRecord>& record);
+  void OnLeaderRecord(const std::optional<LeaderRecord>& record, StoreRevision revision);
   bool Leads() const;
 
  private:
--- a/drivers/gateway/prefix_follower.cc
+++ b/drivers/gateway/prefix_follower.cc
@@ -44,7 +44,7 @@
   if (troubled_) LogInfo("store", "following " + prefix_ + " again");
   troubled_ = false;
   listener_->OnAnswered();
-  listener_->OnSnapshot(pages_);
+  listener_->OnSnapshot(pages_, revision_);
   pages_.clear();
   Watch();
 }
--- a/drivers/gateway/prefix_follower.h
+++ b/drivers/gateway/prefix_follower.h
@@ -13,8 +13,8 @@
 class PrefixListener {
  public:
   virtual ~PrefixListener() = default;
-  /// Everything was read; items that are not in it are gone.
-  virtual void OnSnapshot(const std::vector<StoreItem>& items) = 0;
+  /// Everything was read; items that are not in it are gone. `revision`: as of the first page.
+  virtual void OnSnapshot(const std::vector<StoreItem>& items, StoreRevision revision) = 0;
   virtual void OnChange(const StoreItem& item) = 0;
   /// A call got no usable answer.
   virtual void OnTrouble() = 0;
--- a/servers/gateway/fleet_view.cc
+++ b/servers/gateway/fleet_view.cc
@@ -15,37 +15,44 @@
   return count;
 }
 
-bool FleetView::Apply(const RunnerEntry& entry) {
+bool FleetView::Apply(const RunnerEntry& entry, SteadyTime now) {
   const auto found = runners_.find(entry.id);
   if (found == runners_.end() || found->second.entry.born < entry.born) {
-    runners_[entry.id] = RunnerState{entry, false, std::nullopt};
+    RunnerState fresh;
+    fresh.entry = entry;
+    runners_[entry.id] = fresh;
     return true;
   }
   RunnerState& known = found->second;
-  if (entry.born < known.entry.born) return false;
+  if (entry.born < known.entry.born || entry.heartbeat < known.entry.heartbeat) return false;
   known.missing_since.reset();
-  const bool newer = entry.sequence > known.entry.sequence ||
-                     (entry.sequence == known.entry.sequence && !known.settled);
-  const Holdings holdings = newer ? entry.holdings : known.entry.holdings;
-  const OrderSequence sequence = newer ? entry.sequence : known.entry.sequence;
-  if (newer) known.settled = false;
+  Holdings holdings = known.entry.holdings;
+  const bool same_models = entry.holdings.models == holdings.models &&
+                           entry.holdings.in_memory == holdings.in_memory &&
+                           entry.holdings.on_disk == holdings.on_disk;
+  if (!same_models) {
+    known.settled = false;
+    const bool reported_lately =
+        known.reported_at && now - *known.reported_at < Duration(kHeartbeatLag);
+    if (!reported_lately) holdings = entry.holdings;
+  }
   // A runner that started to leave does not come back under the same birth.
   const bool draining = known.entry.draining || entry.draining;
   known.entry = entry;
   known.entry.holdings = holdings;
-  known.entry.sequence = sequence;
   known.entry.draining = draining;
   return false;
 }
 
-void FleetView::ApplyReport(const RunnerId& id, const RunnerReport& report) {
+void FleetView::ApplyReport(const RunnerId& id, const RunnerReport& report, SteadyTime now) {
   const auto found = runners_.find(id);
   if (found == runners_.end()) return;
   RunnerState& known = found->second;
-  if (report.born < known.entry.born || report.sequence < known.entry.sequence) return;
+  if (report.born < known.entry.born || report.sequence < known.sequence) return;
   known.entry.born = report.born;
-  known.entry.sequence = report.sequence;
+  known.sequence = report.sequence;
   known.entry.holdings = report.holdings;
+  known.reported_at = now;
   known.settled = !report.order_under_way;
 }
 
--- a/servers/gateway/fleet_view.h
+++ b/servers/gateway/fleet_view.h
@@ -19,6 +19,9 @@
 /// Orders that a runner has accepted since its start.
 using OrderSequence = StrongNumber<struct OrderSequenceTag>;
 
+/// Heartbeats of a runner since its start.
+using HeartbeatSequence = StrongNumber<struct HeartbeatSequenceTag>;
+
 /// Models and adapters in a runner's accelerator memory, and copies of weights at hand.
 struct Holdings {
   std::map<ModelName, std::set<AdapterName>> models;
@@ -43,7 +46,8 @@
   /// Time until a runner that is taken away at short notice is gone.
   std::optional<Millis> remaining;
   RunnerBirth born;
-  OrderSequence sequence;
+  /// Counts what the runner has said of itself since its start; older news is ignored.
+  HeartbeatSequence heartbeat;
   Holdings holdings;
 };
 
@@ -60,7 +64,11 @@
 /// A runner as this process knows it.
 struct RunnerState {
   RunnerEntry entry;
-  /// The holdings are final for their order sequence: no order was under way when they were read.
+  /// Orders that the runner has accepted, from its last report.
+  OrderSequence sequence;
+  std::optional<SteadyTime> reported_at;
+  /// The holdings are those of the last report, no order was under way then, and no heartbeat has
+  /// said otherwise since.
   bool settled = false;
   /// The entry is missing from the list, but the store's trouble may be the cause.
   std::optional<SteadyTime> missing_since;
@@ -76,10 +84,14 @@
   /// return. The platform states that entries of live runners are back within about 2 s.
   static constexpr Millis kLapseGrace{2'500};
 
+  /// Heartbeats lag behind reports by up to this, so holdings that differ from a newer report are
+  /// not taken over; the leader asks for another report instead.
+  static constexpr Millis kHeartbeatLag{1'500};
+
   /// Adds or updates a runner. Returns true when it is new or started again.
-  bool Apply(const RunnerEntry& entry);
+  bool Apply(const RunnerEntry& entry, SteadyTime now);
   /// Applies what the runner itself or the placement leader reported about orders.
-  void ApplyReport(const RunnerId& id, const RunnerReport& report);
+  void ApplyReport(const RunnerId& id, const RunnerReport& report, SteadyTime now);
   /// The entry was removed from the list.
   void Remove(const RunnerId& id, SteadyTime now);
   /// The whole list was read; runners that are not in `present` are missing.
--- a/servers/gateway/leader_election.cc
+++ b/servers/gateway/leader_election.cc
@@ -36,12 +36,14 @@
   return lease_ == LeaseId() ? Action::kCreateLease : Action::kClaim;
 }
 
-void LeaderElection::OnRecord(const std::optional<LeaderRecord>& record, BootTime now) {
+void LeaderElection::OnRecord(const std::optional<LeaderRecord>& record, StoreRevision revision,
+                              BootTime now) {
+  // News from before the own claim says nothing about it.
+  if (leading_ && revision < fence_) return;
   record_ = record;
   record_known_ = true;
   const bool own = record && record->holder == self_ && record->revision == fence_;
-  // The answer of a claim can come after the watch has shown its record.
-  if (leading_ && !own && (!record || record->revision >= fence_)) StepDown(now);
+  if (leading_ && !own) StepDown(now);
 }
 
 void LeaderElection::OnLease(const std::optional<LeaseId>& lease, Millis term, BootTime sent,
--- a/servers/gateway/leader_election.h
+++ b/servers/gateway/leader_election.h
@@ -49,8 +49,8 @@
 
   /// What to do now; at most one action is under way at a time.
   Action Next(BootTime now);
-  /// The record as the store has it; absent when nobody leads.
-  void OnRecord(const std::optional<LeaderRecord>& record, BootTime now);
+  /// The record as the store had it at `revision`; absent when nobody led.
+  void OnRecord(const std::optional<LeaderRecord>& record, StoreRevision revision, BootTime now);
   void OnLease(const std::optional<LeaseId>& lease, Millis term, BootTime sent, BootTime now);
   /// `revision`: of the write; absent when it failed or its outcome is unknown.
   void OnClaim(const std::optional<StoreRevision>& revision, BootTime now);
--- a/servers/gateway/load_planner.cc
+++ b/servers/gateway/load_planner.cc
@@ -254,7 +254,7 @@
   order.kind = kind;
   order.model = model;
   order.adapter = adapter;
-  order.expected = runner.entry.sequence;
+  order.expected = runner.sequence;
   order.born = runner.entry.born;
   order.duration = kQuickOrder;
   if (kind == OrderKind::kUnload || !adapter.empty()) return order;
