--- a/core/log.cc
+++ b/core/log.cc
@@ -37,10 +37,9 @@
 };
 std::atomic<uint64_t> CountDropped::dropped{0};
 
-using AsyncSink =
-    logging::sinks::asynchronous_sink<logging::sinks::text_ostream_backend,
-                                      logging::sinks::bounded_fifo_queue<kLogQueueLines,
-                                                                         CountDropped>>;
+using AsyncSink = logging::sinks::asynchronous_sink<
+    logging::sinks::text_ostream_backend,
+    logging::sinks::bounded_fifo_queue<kLogQueueLines, CountDropped>>;
 
 struct LogState {
   std::atomic<LogLevel> level{LogLevel::kWarning};
--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -15,6 +15,8 @@
 constexpr int64_t kGapTargets = 3;
 /// Least time that a runner's silence must last, so that a short pause of the runner is no failure.
 constexpr Millis kLeastSilence{150};
+/// A runner that did not take a call is not asked again by it for this long.
+constexpr Millis kRejectedPause{100};
 /// Refusals because of passing conditions name this time.
 constexpr Millis kSoon{300};
 /// Urgency steps per operators' rank.
@@ -27,8 +29,8 @@
 
 }  // namespace
 
-CallSession::CallSession(GatewayContext* context, SessionOwner* owner,
-                         CallerConnection* connection, HttpMessage request)
+CallSession::CallSession(GatewayContext* context, SessionOwner* owner, CallerConnection* connection,
+                         HttpMessage request)
     : context_(context),
       owner_(owner),
       connection_(connection),
@@ -87,12 +89,23 @@
   Place();
 }
 
+std::set<RunnerId> CallSession::RecentlyRejected() const {
+  std::set<RunnerId> runners;
+  const SteadyTime now = context_->loop.Now();
+  for (const auto& [runner, until] : rejected_until_) {
+    if (now < until) runners.insert(runner);
+  }
+  return runners;
+}
+
 void CallSession::Place() {
+  const std::set<RunnerId> excluded = RecentlyRejected();
   RunnerPicker::Query query;
   query.backend = backend_;
   query.engine = engine_;
   query.call = &call_;
   query.tried = &tried_;
+  query.excluded = &excluded;
   query.target_latency = route_->target_latency;
   PickProblem problem = PickProblem::kNone;
   const auto picked = context_->picker.Pick(query, context_->loop.Now(), &problem);
@@ -120,16 +133,15 @@
     return;
   }
   if (problem == PickProblem::kModelNotLoaded && engine_ != nullptr && began) {
-    const WaitingVerdict verdict = DecideWaiting(context_->view, *engine_,
-                                                 context_->settings.policy, backend_, call_,
-                                                 TimeLeft(), waited);
-    LogInfo("call",
-            fmt::format("event={} model={} adapter={} source={} predicted_ms={} left_ms={} "
-                        "waited_ms={}",
-                        verdict.wait ? "wait" : "no-wait", call_.model.value(),
-                        call_.adapter.value(), verdict.source, verdict.predicted.count(),
-                        TimeLeft().count(), waited.count()),
-            call_.id.value());
+    const WaitingVerdict verdict = DecideWaiting(
+        context_->view, *engine_, context_->settings.policy, backend_, call_, TimeLeft(), waited);
+    LogInfo(
+        "call",
+        fmt::format("event={} model={} adapter={} source={} predicted_ms={} left_ms={} "
+                    "waited_ms={}",
+                    verdict.wait ? "wait" : "no-wait", call_.model.value(), call_.adapter.value(),
+                    verdict.source, verdict.predicted.count(), TimeLeft().count(), waited.count()),
+        call_.id.value());
     if (!verdict.wait) {
       Refuse(fmt::format("model is not loaded; {} load takes too long", verdict.source),
              verdict.retry_after);
@@ -149,6 +161,7 @@
   runner_ = picked;
   ++attempts_;
   tried_.insert(picked.runner);
+  rejected_until_.erase(picked.runner);
   sent_at_ = context_->loop.Now();
   first_event_seen_ = false;
   streaming_ = false;
@@ -159,14 +172,14 @@
   RunnerHealth& health = context_->picker.health(picked.runner);
   health.breaker.OnAttempt(sent_at_);
   ++health.in_flight;
-  sent_tokens_ = std::max(0.0, static_cast<double>(call_.prompt_tokens) -
-                                   static_cast<double>(picked.kept_tokens));
+  sent_tokens_ = std::max(
+      0.0, static_cast<double>(call_.prompt_tokens) - static_cast<double>(picked.kept_tokens));
   health.pending_tokens += sent_tokens_;
   in_flight_ = true;
   if (engine_ != nullptr) {
     context_->picker.prefixes().Sent(picked.runner, call_.PrefixScope(), call_.prompt);
-    context_->meter.OnSent(MeterKey(false));
-    if (!call_.adapter.empty()) context_->meter.OnSent(MeterKey(true));
+    context_->meter.OnSent(MeterKey(false), picked.runner);
+    if (!call_.adapter.empty()) context_->meter.OnSent(MeterKey(true), picked.runner);
   }
 
   CallEnvelope envelope;
@@ -174,13 +187,13 @@
   envelope.time_left = TimeLeft();
   envelope.urgency = Urgency();
   envelope.resume_after = events_.last_id();
-  LogInfo("call",
-          fmt::format("event=send route={} runner={} attempt={} predicted_ms={} kept_tokens={} "
-                      "left_ms={} config={}",
-                      route_->name.value(), picked.runner.value(), attempts_,
-                      picked.predicted.count(), picked.kept_tokens, envelope.time_left.count(),
-                      routes_->version.value()),
-          call_.id.value());
+  LogInfo(
+      "call",
+      fmt::format("event=send route={} runner={} attempt={} predicted_ms={} kept_tokens={} "
+                  "left_ms={} config={}",
+                  route_->name.value(), picked.runner.value(), attempts_, picked.predicted.count(),
+                  picked.kept_tokens, envelope.time_left.count(), routes_->version.value()),
+      call_.id.value());
   ExchangeOptions options;
   options.connect_timeout = context_->settings.policy.connect_timeout;
   exchange_ = context_->client.Start(
@@ -192,8 +205,8 @@
 Duration CallSession::SilenceLimit(const PickedRunner& picked) const {
   const GatewayPolicy& policy = context_->settings.policy;
   if (route_->kind == CallKind::kStream) {
-    const auto targets = std::chrono::duration_cast<Duration>(
-        route_->target_latency * policy.first_event_targets);
+    const auto targets =
+        std::chrono::duration_cast<Duration>(route_->target_latency * policy.first_event_targets);
     return std::max<Duration>(targets, picked.predicted * 3);
   }
   const auto share = std::chrono::duration_cast<Duration>(TimeLeft() * policy.silent_share);
@@ -203,9 +216,8 @@
 void CallSession::ArmSilenceTimer(Duration delay) {
   if (silence_timer_ != TimerId()) context_->loop.Cancel(silence_timer_);
   silence_timer_ = TimerId();
-  const bool repeatable =
-      route_->kind == CallKind::kIdempotent || (route_->kind == CallKind::kStream &&
-                                                route_->resumable);
+  const bool repeatable = route_->kind == CallKind::kIdempotent ||
+                          (route_->kind == CallKind::kStream && route_->resumable);
   if (!repeatable || runs_ + 1 >= route_->max_attempts) return;
   silence_timer_ = context_->loop.After(delay, [this] {
     silence_timer_ = TimerId();
@@ -214,11 +226,13 @@
 }
 
 void CallSession::OnSilence() {
+  const std::set<RunnerId> excluded = RecentlyRejected();
   RunnerPicker::Query query;
   query.backend = backend_;
   query.engine = engine_;
   query.call = &call_;
   query.tried = &tried_;
+  query.excluded = &excluded;
   query.target_latency = route_->target_latency;
   PickProblem problem = PickProblem::kNone;
   const auto other = context_->picker.Pick(query, context_->loop.Now(), &problem);
@@ -261,8 +275,8 @@
   }
   health.breaker.OnProbeEnded();
   if (engine_ == nullptr) return;
-  context_->meter.OnEnded(MeterKey(false));
-  if (!call_.adapter.empty()) context_->meter.OnEnded(MeterKey(true));
+  context_->meter.OnEnded(MeterKey(false), runner_.runner);
+  if (!call_.adapter.empty()) context_->meter.OnEnded(MeterKey(true), runner_.runner);
 }
 
 HeadVerdict CallSession::OnHead(const HttpHead& head) {
@@ -314,7 +328,8 @@
       RunnerHealth& health = context_->picker.health(runner_.runner);
       health.pending_tokens = std::max(0.0, health.pending_tokens - sent_tokens_);
       const Duration took = context_->loop.Now() - sent_at_;
-      const double predicted = static_cast<double>(std::max<int64_t>(runner_.predicted.count(), 20));
+      const double predicted =
+          static_cast<double>(std::max<int64_t>(runner_.predicted.count(), 20));
       health.OnFirstEvent(static_cast<double>(ToMillis(took).count()) / predicted);
       context_->metrics->GetHistogram("first_event_seconds").Record(context_->loop.Now() - began_);
     }
@@ -344,7 +359,9 @@
     return;
   }
   EndAttempt();
-  context_->picker.health(runner_.runner).OnSuccess(context_->loop.Now());
+  RunnerHealth& health = context_->picker.health(runner_.runner);
+  health.OnSuccess(context_->loop.Now());
+  health.OnModelServed(call_.model.value());
   if (!streaming_) {
     AnswerRunner(answer_);
     return;
@@ -376,8 +393,8 @@
                       ToMillis(now - sent_at_).count(), detail),
           call_.id.value());
   context_->metrics
-      ->GetCounter(fmt::format("attempt_failures_total{{failure=\"{}\"}}",
-                               AttemptFailureName(failure)))
+      ->GetCounter(
+          fmt::format("attempt_failures_total{{failure=\"{}\"}}", AttemptFailureName(failure)))
       .Add();
   RunnerHealth& health = context_->picker.health(runner_.runner);
   switch (failure) {
@@ -385,14 +402,19 @@
       context_->view.ForgetModel(runner_.runner, call_.model, call_.adapter);
       return;
     case AttemptFailure::kNotConnected:
-    case AttemptFailure::kWrongInstance:
       health.OnUnreachable(now);
       return;
+    case AttemptFailure::kWrongInstance:
+      context_->view.MarkReplaced(runner_.runner);
+      return;
     case AttemptFailure::kSilent:
     case AttemptFailure::kLostAnswer:
       health.OnFailure(now, true);
       return;
     case AttemptFailure::kNotExecuted:
+      if (engine_ != nullptr) health.OnModelRejected(call_.model.value(), now);
+      health.OnFailure(now, false);
+      return;
     case AttemptFailure::kServerError:
     case AttemptFailure::kGarbled:
       health.OnFailure(now, false);
@@ -403,7 +425,11 @@
 void CallSession::FailAttempt(AttemptFailure failure, const std::string& detail) {
   EndAttempt();
   NoteFailure(failure, detail);
-  if (!ProvesNotRun(failure)) ++runs_;
+  if (ProvesNotRun(failure)) {
+    rejected_until_[runner_.runner] = context_->loop.Now() + kRejectedPause;
+  } else {
+    ++runs_;
+  }
   FollowUp(failure);
 }
 
--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -1,6 +1,7 @@
 #ifndef DRIVERS_GATEWAY_CALL_SESSION_H_
 #define DRIVERS_GATEWAY_CALL_SESSION_H_
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -53,6 +54,7 @@
  private:
   DemandMeter::Key MeterKey(bool with_adapter) const;
   Millis Elapsed() const;
+  std::set<RunnerId> RecentlyRejected() const;
   void Place();
   void BeginWaiting(PickProblem problem);
   void Send(const PickedRunner& picked);
@@ -90,6 +92,7 @@
   TimerId time_up_timer_;
   TimerId silence_timer_;
   std::set<RunnerId> tried_;
+  std::map<RunnerId, SteadyTime> rejected_until_;
   uint64_t runs_ = 0;
   uint64_t attempts_ = 0;
 
--- a/drivers/gateway/fleet_follower.cc
+++ b/drivers/gateway/fleet_follower.cc
@@ -48,12 +48,8 @@
     owner_->OnRunner(item);
     owner_->changed_();
   }
-  void OnTrouble() override {
-    owner_->context_->view.OnStoreTrouble(owner_->context_->loop.Now());
-  }
-  void OnAnswered() override {
-    owner_->context_->view.OnStoreAnswer(owner_->context_->loop.Now());
-  }
+  void OnTrouble() override { owner_->context_->view.OnStoreTrouble(owner_->context_->loop.Now()); }
+  void OnAnswered() override { owner_->context_->view.OnStoreAnswer(owner_->context_->loop.Now()); }
 
  private:
   FleetFollower* owner_;
@@ -118,8 +114,7 @@
   const FleetRoutes& fleet = ValueOf(decoded);
   if (context_->routes && fleet.version <= context_->routes->version) return;
   LogInfo("config", fmt::format("event=config-applied version={} revision={} routes={}",
-                                fleet.version.value(), item.revision.value(),
-                                fleet.routes.size()));
+                                fleet.version.value(), item.revision.value(), fleet.routes.size()));
   context_->routes = std::make_shared<const FleetRoutes>(fleet);
   changed_();
 }
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -96,12 +96,11 @@
       readiness_handler_(std::make_unique<ReadinessHandler>(this)),
       metrics_handler_(std::make_unique<MetricsHandler>(this)),
       callers_(std::make_unique<CallerListener>(&context_->loop, "callers", this)),
-      readiness_(std::make_unique<CallerListener>(&context_->loop, "readiness",
-                                                  readiness_handler_.get())),
+      readiness_(
+          std::make_unique<CallerListener>(&context_->loop, "readiness", readiness_handler_.get())),
       metrics_listener_(
           std::make_unique<CallerListener>(&context_->loop, "metrics", metrics_handler_.get())),
-      follower_(std::make_unique<FleetFollower>(context_.get(),
-                                                [this] { PlaceWaiting(); })),
+      follower_(std::make_unique<FleetFollower>(context_.get(), [this] { PlaceWaiting(); })),
       placement_(std::make_unique<PlacementDriver>(
           context_.get(), [this](const RunnerNotice& notice) { OnNotice(notice); })) {
   follower_->SetLeaderListener(
@@ -128,10 +127,10 @@
   if (const Status opened = context_->peers.Open(settings.peer_address); !IsOk(opened)) {
     return opened;
   }
-  LogInfo("daemon", fmt::format("event=start instance={} domain={} callers={} peers={} store={}",
-                                settings.instance.value(), settings.domain.value(),
-                                settings.caller_address, settings.peer_address,
-                                settings.store_address));
+  LogInfo("daemon",
+          fmt::format("event=start instance={} domain={} callers={} peers={} store={}",
+                      settings.instance.value(), settings.domain.value(), settings.caller_address,
+                      settings.peer_address, settings.store_address));
   follower_->Start();
   placement_->Start();
   Tick();
@@ -254,8 +253,7 @@
         });
     if (entry == report.entries.end()) continue;
     const Millis left = session->TimeLeft();
-    entry->least_time_left =
-        entry->waiting == 0 ? left : std::min(entry->least_time_left, left);
+    entry->least_time_left = entry->waiting == 0 ? left : std::min(entry->least_time_left, left);
     ++entry->waiting;
   }
   if (placement_->Leads()) {
--- a/drivers/gateway/http_client.cc
+++ b/drivers/gateway/http_client.cc
@@ -22,8 +22,8 @@
   const size_t at = field->find("timeout=");
   if (at == std::string::npos) return HttpClient::kIdleLimit;
   const int64_t seconds = std::strtol(field->c_str() + at + 8, nullptr, 10);
-  const auto granted = static_cast<int64_t>(static_cast<double>(seconds) * 1000 *
-                                            HttpClient::kIdleShare);
+  const auto granted =
+      static_cast<int64_t>(static_cast<double>(seconds) * 1000 * HttpClient::kIdleShare);
   return std::min(HttpClient::kIdleLimit, Millis(granted));
 }
 
--- a/drivers/gateway/http_message.cc
+++ b/drivers/gateway/http_message.cc
@@ -81,9 +81,9 @@
 std::string FormatRequest(const HttpMessage& request) {
   std::string text = fmt::format("{} {} HTTP/1.1\r\n", request.head.method, request.head.target);
   AppendFields(request.head, &text);
-  const bool has_body = !request.body.empty() ||
-                        (request.head.method != "GET" && request.head.method != "HEAD" &&
-                         request.head.method != "DELETE");
+  const bool has_body =
+      !request.body.empty() || (request.head.method != "GET" && request.head.method != "HEAD" &&
+                                request.head.method != "DELETE");
   if (has_body) text += fmt::format("Content-Length: {}\r\n", request.body.size());
   text += "\r\n";
   text += request.body;
--- a/drivers/gateway/http_parser.cc
+++ b/drivers/gateway/http_parser.cc
@@ -89,8 +89,7 @@
 }
 
 bool HttpParser::begun() const {
-  return !state_->pending.empty() ||
-         state_->Visit([](auto& parser) { return parser.got_some(); });
+  return !state_->pending.empty() || state_->Visit([](auto& parser) { return parser.got_some(); });
 }
 
 bool HttpParser::needs_end() const {
--- a/drivers/gateway/peer_codec.cc
+++ b/drivers/gateway/peer_codec.cc
@@ -20,6 +20,9 @@
     out->set_calls_per_s(entry.calls_per_s);
     out->set_prompt_tokens_per_s(entry.prompt_tokens_per_s);
     out->set_since_last_call_ms(entry.since_last_call.count());
+    for (const auto& [runner, count] : entry.in_flight_at) {
+      (*out->mutable_in_flight_at())[runner.value()] = count;
+    }
   }
   for (const RunnerId& runner : report.unreachable) wire->add_unreachable(runner.value());
 }
@@ -28,11 +31,20 @@
   DemandReport report;
   report.gateway = InstanceId(wire.gateway());
   for (const gateway_wire::EntryDemand& entry : wire.entries()) {
-    report.entries.push_back({BackendName(entry.backend()), ModelName(entry.model()),
-                              AdapterName(entry.adapter()), entry.waiting(),
-                              Millis(entry.least_time_left_ms()), entry.in_flight(),
-                              entry.calls_per_s(), entry.prompt_tokens_per_s(),
-                              Millis(entry.since_last_call_ms())});
+    EntryDemand demand{BackendName(entry.backend()),
+                       ModelName(entry.model()),
+                       AdapterName(entry.adapter()),
+                       entry.waiting(),
+                       Millis(entry.least_time_left_ms()),
+                       entry.in_flight(),
+                       entry.calls_per_s(),
+                       entry.prompt_tokens_per_s(),
+                       Millis(entry.since_last_call_ms()),
+                       {}};
+    for (const auto& [runner, count] : entry.in_flight_at()) {
+      demand.in_flight_at[RunnerId(runner)] = count;
+    }
+    report.entries.push_back(std::move(demand));
   }
   for (const std::string& runner : wire.unreachable()) report.unreachable.insert(RunnerId(runner));
   return report;
--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -46,8 +46,8 @@
     PollReports();
     RunPlanner();
   } else if (led_) {
-    LogWarning("placement", fmt::format("event=leadership-lost fence={}",
-                                        election_.fence().value()));
+    LogWarning("placement",
+               fmt::format("event=leadership-lost fence={}", election_.fence().value()));
     led_ = false;
     tracker_.Clear();
     planner_.Clear();
@@ -74,24 +74,22 @@
 
 void PlacementDriver::CreateLease() {
   const BootTime sent = context_->clock->BootNow();
-  const Millis term =
-      std::max(context_->settings.order_lease, context_->settings.least_lease);
-  context_->calls.Start(
-      context_->settings.store_address, context_->protocol->LeaseRequest(term), kStoreTimeout,
-      [this, sent](const Result<HttpMessage>& answer) {
-        const BootTime now = context_->clock->BootNow();
-        if (!IsOk(answer)) {
-          election_.OnLease(std::nullopt, Millis(0), sent, now);
-          return;
-        }
-        const auto lease = context_->protocol->DecodeLease(ValueOf(answer));
-        if (!IsOk(lease)) {
-          LogWarning("placement", "no lease: " + FormatError(ErrorOf(lease)));
-          election_.OnLease(std::nullopt, Millis(0), sent, now);
-          return;
-        }
-        election_.OnLease(ValueOf(lease).lease, ValueOf(lease).term, sent, now);
-      });
+  const Millis term = std::max(context_->settings.order_lease, context_->settings.least_lease);
+  context_->calls.Start(context_->settings.store_address, context_->protocol->LeaseRequest(term),
+                        kStoreTimeout, [this, sent](const Result<HttpMessage>& answer) {
+                          const BootTime now = context_->clock->BootNow();
+                          if (!IsOk(answer)) {
+                            election_.OnLease(std::nullopt, Millis(0), sent, now);
+                            return;
+                          }
+                          const auto lease = context_->protocol->DecodeLease(ValueOf(answer));
+                          if (!IsOk(lease)) {
+                            LogWarning("placement", "no lease: " + FormatError(ErrorOf(lease)));
+                            election_.OnLease(std::nullopt, Millis(0), sent, now);
+                            return;
+                          }
+                          election_.OnLease(ValueOf(lease).lease, ValueOf(lease).term, sent, now);
+                        });
 }
 
 void PlacementDriver::Claim() {
@@ -153,22 +151,22 @@
   const bool renew = presence_ != LeaseId();
   const HttpMessage request = renew ? context_->protocol->RenewRequest(presence_)
                                     : context_->protocol->LeaseRequest(kPresenceTerm);
-  context_->calls.Start(
-      context_->settings.store_address, request, kStoreTimeout,
-      [this, renew](const Result<HttpMessage>& answer) {
-        presence_under_way_ = false;
-        if (!IsOk(answer)) return;
-        if (renew) {
-          const Status renewed = context_->protocol->DecodeRenewal(ValueOf(answer));
-          if (!IsOk(renewed) && ErrorOf(renewed).kind == ErrorKind::kNotFound) {
-            presence_ = LeaseId();
-            presence_due_ = BootTime();
-          }
-          return;
-        }
-        const auto lease = context_->protocol->DecodeLease(ValueOf(answer));
-        if (IsOk(lease)) RegisterPresence(ValueOf(lease).lease);
-      });
+  context_->calls.Start(context_->settings.store_address, request, kStoreTimeout,
+                        [this, renew](const Result<HttpMessage>& answer) {
+                          presence_under_way_ = false;
+                          if (!IsOk(answer)) return;
+                          if (renew) {
+                            const Status renewed =
+                                context_->protocol->DecodeRenewal(ValueOf(answer));
+                            if (!IsOk(renewed) && ErrorOf(renewed).kind == ErrorKind::kNotFound) {
+                              presence_ = LeaseId();
+                              presence_due_ = BootTime();
+                            }
+                            return;
+                          }
+                          const auto lease = context_->protocol->DecodeLease(ValueOf(answer));
+                          if (IsOk(lease)) RegisterPresence(ValueOf(lease).lease);
+                        });
 }
 
 void PlacementDriver::RegisterPresence(LeaseId lease) {
@@ -193,9 +191,24 @@
     if (context_->routes == nullptr || !runner.Usable() || runner.settled) continue;
     if (context_->routes->Engine(runner.entry.backend) != nullptr) tracker_.RequestPoll(id, now);
   }
+  for (const Order& order : tracker_.TakeAssumedComplete(now)) AssumeComplete(order);
   for (const RunnerId& runner : tracker_.TakeDuePolls(now)) PollReport(runner);
 }
 
+void PlacementDriver::AssumeComplete(const Order& order) {
+  auto report = context_->view.AfterOrder(order.runner, order.kind == OrderKind::kLoad, order.model,
+                                          order.adapter, false);
+  if (!report) return;
+  // The sequence of an unload was counted when it was accepted.
+  report->sequence = order.expected.Next();
+  LogInfo("placement",
+          fmt::format("event=order-assumed-complete runner={} op={} model={} adapter={} "
+                      "sequence={}",
+                      order.runner.value(), order.kind == OrderKind::kLoad ? "load" : "unload",
+                      order.model.value(), order.adapter.value(), report->sequence.value()));
+  notice_(RunnerNotice{order.runner, *report});
+}
+
 void PlacementDriver::PollReport(const RunnerId& runner) {
   const RunnerState* state = context_->view.Find(runner);
   if (state == nullptr) {
@@ -216,6 +229,10 @@
   if (!IsOk(answer)) {
     LogInfo("placement", fmt::format("event=report-failed runner={} reason=\"{}\"", runner.value(),
                                      ErrorOf(answer).message));
+    const SteadyTime failed_at = context_->loop.Now();
+    tracker_.OnReportFailed(runner, failed_at);
+    planner_.OnOrderFailed(runner, failed_at);
+    context_->picker.health(runner).OnUnreachable(failed_at);
     return;
   }
   const auto decoded = context_->protocol->DecodeReport(ValueOf(answer));
@@ -224,16 +241,18 @@
     return;
   }
   const SteadyTime now = context_->loop.Now();
-  const RunnerReport& report = ValueOf(decoded);
+  RunnerReport report = ValueOf(decoded);
   const std::optional<Order> settled = tracker_.OnReport(runner, report, now);
+  if (const auto unload = tracker_.UnloadUnderWay(runner)) {
+    report.holdings.models.erase(unload->model);
+  }
   context_->view.ApplyReport(runner, report, now);
   if (settled) {
     planner_.OnLoaded(*settled, now);
     LogInfo("placement",
             fmt::format("event=order-settled runner={} op={} model={} adapter={} sequence={}",
                         runner.value(), settled->kind == OrderKind::kLoad ? "load" : "unload",
-                        settled->model.value(), settled->adapter.value(),
-                        report.sequence.value()));
+                        settled->model.value(), settled->adapter.value(), report.sequence.value()));
   }
   if (Leads()) notice_(RunnerNotice{runner, report});
 }
@@ -267,6 +286,12 @@
                       order.runner.value(), order.kind == OrderKind::kLoad ? "load" : "unload",
                       order.model.value(), order.adapter.value(), LoadTierName(order.tier),
                       order.expected.value(), election_.fence().value(), planned.reason));
+  Transmit(order);
+}
+
+void PlacementDriver::Transmit(const Order& order) {
+  const RunnerState* runner = context_->view.Find(order.runner);
+  if (runner == nullptr) return;
   context_->calls.Start(
       runner->entry.address,
       context_->protocol->EncodeOrder(order, context_->settings.instance, election_.fence()),
@@ -282,15 +307,26 @@
     verdict = OrderAnswer::kRejected;
   }
   if (verdict != OrderAnswer::kAccepted) {
-    LogInfo("placement", fmt::format("event=order-answer runner={} model={} answer={}",
-                                     order.runner.value(), order.model.value(),
-                                     OrderAnswerName(verdict)));
+    LogInfo("placement",
+            fmt::format("event=order-answer runner={} model={} answer={}", order.runner.value(),
+                        order.model.value(), OrderAnswerName(verdict)));
   }
   const SteadyTime now = context_->loop.Now();
+  if (verdict == OrderAnswer::kNone && Leads() && tracker_.TakeResend(order.runner)) {
+    Transmit(order);
+    return;
+  }
   tracker_.OnAnswer(order.runner, verdict, now);
   if (verdict == OrderAnswer::kRejected || verdict == OrderAnswer::kNone) {
     planner_.OnOrderFailed(order.runner, now);
   }
+  if (verdict == OrderAnswer::kAccepted && order.kind == OrderKind::kUnload &&
+      order.adapter.empty()) {
+    // Calls for the model are rejected from now on, so the gateways must stop sending them.
+    const auto report =
+        context_->view.AfterOrder(order.runner, false, order.model, order.adapter, true);
+    if (report) notice_(RunnerNotice{order.runner, *report});
+  }
   if (verdict == OrderAnswer::kFenced) election_.OnFenced(context_->clock->BootNow());
 }
 
--- a/drivers/gateway/placement_driver.h
+++ b/drivers/gateway/placement_driver.h
@@ -18,7 +18,9 @@
  public:
   /// Store calls take 4 ms; slower ones count as lost.
   static constexpr Millis kStoreTimeout{700};
-  static constexpr Millis kOrderTimeout{600};
+  /// Runners answer orders within a few milliseconds; a lost answer costs this much of a cold
+  /// start.
+  static constexpr Millis kOrderTimeout{150};
   static constexpr Millis kReportTimeout{400};
   static constexpr Millis kTick{25};
   /// Lease of a gateway's own key, by which the others know it.
@@ -43,8 +45,10 @@
   void RegisterPresence(LeaseId lease);
   void RunPlanner();
   void SendOrder(const PlannedOrder& planned);
+  void Transmit(const Order& order);
   void OnOrderAnswer(const Order& order, const Result<HttpMessage>& answer);
   void PollReports();
+  void AssumeComplete(const Order& order);
   void PollReport(const RunnerId& runner);
   void OnReport(const RunnerId& runner, const Result<HttpMessage>& answer);
 
--- a/drivers/gateway/tcp_connection.cc
+++ b/drivers/gateway/tcp_connection.cc
@@ -84,8 +84,8 @@
 void TcpConnection::Flush() {
   try {
     while (sent_ < output_.size()) {
-      const int count = socket_->sendBytes(output_.data() + sent_,
-                                           static_cast<int>(output_.size() - sent_));
+      const int count =
+          socket_->sendBytes(output_.data() + sent_, static_cast<int>(output_.size() - sent_));
       if (count <= 0) break;
       sent_ += static_cast<size_t>(count);
     }
--- a/misc/lint.sh
+++ b/misc/lint.sh
@@ -9,7 +9,7 @@
 if [ $# -gt 0 ]; then
   files=("$@")
 else
-  mapfile -t files < <(git ls-files -co --exclude-standard 'core/*.cc' 'servers/*.cc' 'drivers/*.cc' 'main/*.cc' 'bench/*.cc' | grep -v '^drivers/wire/')
+  mapfile -t files < <(git ls-files -co --exclude-standard 'core/*.cc' 'servers/*.cc' 'drivers/*.cc' 'main/*.cc' 'bench/*.cc' 'platform/*.cc' | grep -v '^drivers/wire/')
 fi
 cache=$build/lint-cache
 mkdir -p "$cache"
--- a/servers/gateway/attempt_policy.h
+++ b/servers/gateway/attempt_policy.h
@@ -39,11 +39,11 @@
 };
 
 enum class NextStep {
-  kRetry,    ///< Send the call to another runner; a stream goes on after its last event.
-  kRefuse,   ///< Tell the caller that the call has not run.
-  kPassOn,   ///< Give the caller the runner's own failure.
-  kFail,     ///< Tell the caller that the outcome is unknown.
-  kCutOff,   ///< Break the caller's connection off, so that the answer does not look complete.
+  kRetry,   ///< Send the call to another runner; a stream goes on after its last event.
+  kRefuse,  ///< Tell the caller that the call has not run.
+  kPassOn,  ///< Give the caller the runner's own failure.
+  kFail,    ///< Tell the caller that the outcome is unknown.
+  kCutOff,  ///< Break the caller's connection off, so that the answer does not look complete.
 };
 
 const char* NextStepName(NextStep step);
--- a/servers/gateway/demand_board.cc
+++ b/servers/gateway/demand_board.cc
@@ -26,9 +26,24 @@
   entry.last_call = now;
 }
 
-void DemandMeter::OnEnded(const Key& key) {
+void DemandMeter::OnSent(const Key& key, const RunnerId& runner) {
+  Entry& entry = entries_[key];
+  ++entry.in_flight;
+  ++entry.in_flight_at[runner];
+}
+
+void DemandMeter::OnEnded(const Key& key, const RunnerId& runner) {
   const auto found = entries_.find(key);
-  if (found != entries_.end() && found->second.in_flight > 0) --found->second.in_flight;
+  if (found == entries_.end()) return;
+  Entry& entry = found->second;
+  if (entry.in_flight > 0) --entry.in_flight;
+  const auto at = entry.in_flight_at.find(runner);
+  if (at != entry.in_flight_at.end() && --at->second == 0) entry.in_flight_at.erase(at);
+}
+
+uint64_t TotalDemand::InFlightAt(const RunnerId& runner) const {
+  const auto found = in_flight_at.find(runner);
+  return found == in_flight_at.end() ? 0 : found->second;
 }
 
 std::vector<EntryDemand> DemandMeter::Snapshot(SteadyTime now) {
@@ -44,6 +59,7 @@
     demand.model = entry->first.model;
     demand.adapter = entry->first.adapter;
     demand.in_flight = entry->second.in_flight;
+    demand.in_flight_at = entry->second.in_flight_at;
     demand.calls_per_s = entry->second.calls_per_s * decay;
     demand.prompt_tokens_per_s = entry->second.tokens_per_s * decay;
     demand.since_last_call = ToMillis(now - entry->second.last_call);
@@ -69,6 +85,7 @@
         total.least_time_left = std::min(total.least_time_left, entry.least_time_left);
       }
       total.in_flight += entry.in_flight;
+      for (const auto& [runner, count] : entry.in_flight_at) total.in_flight_at[runner] += count;
       total.calls_per_s += entry.calls_per_s;
       total.prompt_tokens_per_s += entry.prompt_tokens_per_s;
       total.since_last_call =
--- a/servers/gateway/demand_board.h
+++ b/servers/gateway/demand_board.h
@@ -28,6 +28,8 @@
   double calls_per_s = 0;
   double prompt_tokens_per_s = 0;
   Millis since_last_call{0};
+  /// Calls in flight by runner; an unload has to wait for them.
+  std::map<RunnerId, uint64_t> in_flight_at;
 };
 
 /// All that one gateway reports to the placement leader; replaces its report before.
@@ -41,13 +43,15 @@
 /// Counts a gateway's own calls by entry, with rates that fade over `kRateWindow`.
 class DemandMeter {
  public:
-  /// Time constant of the rates; demand moves within seconds.
-  static constexpr Millis kRateWindow{4'000};
+  /// Time constant of the rates. Demand moves to another model within seconds, and with 4 s the
+  /// second replica came after the queue at the first one had passed the callers' patience.
+  static constexpr Millis kRateWindow{2'000};
   /// Entries without calls for this long are dropped.
   static constexpr Millis kForgetAfter{60'000};
 
   struct Entry {
     uint64_t in_flight = 0;
+    std::map<RunnerId, uint64_t> in_flight_at;
     double calls_per_s = 0;
     double tokens_per_s = 0;
     SteadyTime updated{};
@@ -62,8 +66,8 @@
 
   /// `tokens`: prompt tokens that a runner has to read.
   void OnCall(const Key& key, double tokens, SteadyTime now);
-  void OnSent(const Key& key) { ++entries_[key].in_flight; }
-  void OnEnded(const Key& key);
+  void OnSent(const Key& key, const RunnerId& runner);
+  void OnEnded(const Key& key, const RunnerId& runner);
   std::vector<EntryDemand> Snapshot(SteadyTime now);
 
  private:
@@ -78,6 +82,9 @@
   double calls_per_s = 0;
   double prompt_tokens_per_s = 0;
   Millis since_last_call{Millis::max()};
+  std::map<RunnerId, uint64_t> in_flight_at;
+
+  uint64_t InFlightAt(const RunnerId& runner) const;
 };
 
 /// The leader's collection of demand reports.
--- a/servers/gateway/fleet_view.cc
+++ b/servers/gateway/fleet_view.cc
@@ -56,6 +56,32 @@
   known.settled = !report.order_under_way;
 }
 
+std::optional<RunnerReport> FleetView::AfterOrder(const RunnerId& id, bool load,
+                                                  const ModelName& model,
+                                                  const AdapterName& adapter,
+                                                  bool under_way) const {
+  const RunnerState* runner = Find(id);
+  if (runner == nullptr) return std::nullopt;
+  RunnerReport report;
+  report.born = runner->entry.born;
+  report.sequence = runner->sequence.Next();
+  report.order_under_way = under_way;
+  report.holdings = runner->entry.holdings;
+  auto& models = report.holdings.models;
+  if (adapter.empty()) {
+    if (load) {
+      models[model];
+    } else {
+      models.erase(model);
+    }
+  } else if (load) {
+    models[model].insert(adapter);
+  } else if (const auto held = models.find(model); held != models.end()) {
+    held->second.erase(adapter);
+  }
+  return report;
+}
+
 bool FleetView::InTrouble(SteadyTime now) const {
   return store_away_ || (store_back_at_ && now - *store_back_at_ < kLapseGrace);
 }
@@ -104,6 +130,11 @@
   return dropped;
 }
 
+void FleetView::MarkReplaced(const RunnerId& id) {
+  const auto found = runners_.find(id);
+  if (found != runners_.end()) found->second.entry.draining = true;
+}
+
 void FleetView::ForgetModel(const RunnerId& id, const ModelName& model,
                             const AdapterName& adapter) {
   const auto found = runners_.find(id);
--- a/servers/gateway/fleet_view.h
+++ b/servers/gateway/fleet_view.h
@@ -92,6 +92,9 @@
   bool Apply(const RunnerEntry& entry, SteadyTime now);
   /// Applies what the runner itself or the placement leader reported about orders.
   void ApplyReport(const RunnerId& id, const RunnerReport& report, SteadyTime now);
+  /// Holdings of the runner after a load or unload of one entry that it has accepted.
+  std::optional<RunnerReport> AfterOrder(const RunnerId& id, bool load, const ModelName& model,
+                                         const AdapterName& adapter, bool under_way) const;
   /// The entry was removed from the list.
   void Remove(const RunnerId& id, SteadyTime now);
   /// The whole list was read; runners that are not in `present` are missing.
@@ -102,6 +105,8 @@
   void OnStoreAnswer(SteadyTime now);
   /// Drops missing runners whose grace has passed; returns their ids.
   std::vector<RunnerId> DropLapsed(SteadyTime now);
+  /// Another runner answers at its address: it is gone.
+  void MarkReplaced(const RunnerId& id);
   /// A runner answered that it does not hold the model; forgets it until newer news.
   void ForgetModel(const RunnerId& id, const ModelName& model, const AdapterName& adapter);
 
--- a/servers/gateway/leader_election.cc
+++ b/servers/gateway/leader_election.cc
@@ -7,8 +7,8 @@
 LeaderElection::LeaderElection(InstanceId self, Millis term, uint64_t jitter_seed)
     : self_(std::move(self)),
       term_(term),
-      jitter_(StableHash(self_.value(), jitter_seed) %
-              static_cast<uint64_t>(kRetryPause.count())) {}
+      jitter_(StableHash(self_.value(), jitter_seed) % static_cast<uint64_t>(kRetryPause.count())) {
+}
 
 bool LeaderElection::Leads(BootTime now) const {
   return leading_ && !stopped_ && now + kMargin < lease_end_;
--- a/servers/gateway/load_planner.cc
+++ b/servers/gateway/load_planner.cc
@@ -13,7 +13,7 @@
 /// Extra cost of a runner whose memory has to be freed first: one more order and its report.
 constexpr double kUnloadCostMs = 150;
 /// Cost of a victim whose calls are running: the unload waits for them.
-constexpr double kRunningVictimMs = 1'500;
+constexpr double kRunningVictimMs = 3'000;
 /// Cost of a victim that was called a moment ago.
 constexpr double kRecentVictimMs = 400;
 /// Horizon in which a victim's next call counts, in seconds.
@@ -44,9 +44,9 @@
   const TotalDemand& demand = DemandFor(model);
   const double by_tokens = demand.prompt_tokens_per_s /
                            (policy_->prefill_tokens_per_ms * 1000 * policy_->replica_utilization);
-  const double by_slots = static_cast<double>(demand.in_flight) /
-                          std::max(1.0, static_cast<double>(input_.engine->slots) *
-                                            policy_->replica_slot_share);
+  const double by_slots =
+      static_cast<double>(demand.in_flight) /
+      std::max(1.0, static_cast<double>(input_.engine->slots) * policy_->replica_slot_share);
   const auto wanted = static_cast<uint64_t>(std::ceil(std::max(by_tokens, by_slots)));
   return std::clamp<uint64_t>(wanted, 1, policy_->max_replicas);
 }
@@ -66,12 +66,11 @@
 }
 
 bool LoadPlanner::CopyAtHand(const ModelName& model) const {
-  return std::any_of(
-      view_->runners().begin(), view_->runners().end(), [&](const auto& entry) {
-        const Holdings& holdings = entry.second.entry.holdings;
-        return Eligible(entry.second) &&
-               (holdings.on_disk.contains(model) || holdings.in_memory.contains(model));
-      });
+  return std::any_of(view_->runners().begin(), view_->runners().end(), [&](const auto& entry) {
+    const Holdings& holdings = entry.second.entry.holdings;
+    return Eligible(entry.second) &&
+           (holdings.on_disk.contains(model) || holdings.in_memory.contains(model));
+  });
 }
 
 double LoadPlanner::FreeMb(const RunnerState& runner) const {
@@ -111,9 +110,9 @@
   }
   if (tracker_->StoreLoadsUnderWay() + reserved >= policy_->store_loads_at_once) return false;
   const std::chrono::duration<double> window = policy_->store_load_window;
-  const auto recent = std::count_if(
-      store_loads_.begin(), store_loads_.end(),
-      [&](SteadyTime at) { return now - at < Duration(policy_->store_load_window); });
+  const auto recent = std::count_if(store_loads_.begin(), store_loads_.end(), [&](SteadyTime at) {
+    return now - at < Duration(policy_->store_load_window);
+  });
   return static_cast<double>(recent) + 1 <= input_.engine->store_loads_per_s * window.count();
 }
 
@@ -127,15 +126,15 @@
   if (demand.waiting > 0) return std::nullopt;
   const bool extra = Holders(model) > Wanted(model);
   const bool recent = demand.since_last_call < policy_->idle_after;
-  if (urgency == Urgency::kPreload && (extra ? demand.in_flight > 0 : recent)) return std::nullopt;
-  if (urgency == Urgency::kReplica && !extra && recent) return std::nullopt;
-  const double reload_ms =
-      static_cast<double>(input_.engine->models.at(model).disk_load.count()) +
-      static_cast<double>(policy_->load_overhead.count());
+  const bool running = demand.InFlightAt(runner) > 0;
+  // An unload waits for running calls, and the runner takes no other order meanwhile.
+  if (urgency != Urgency::kWaiting && (running || (!extra && recent))) return std::nullopt;
+  const double reload_ms = static_cast<double>(input_.engine->models.at(model).disk_load.count()) +
+                           static_cast<double>(policy_->load_overhead.count());
   const double needed_soon = std::min(1.0, demand.calls_per_s * kReloadHorizonS);
   double cost = extra ? 0 : reload_ms * needed_soon;
   if (!extra && recent) cost += kRecentVictimMs;
-  if (demand.in_flight > 0) cost += kRunningVictimMs / static_cast<double>(Holders(model));
+  if (running) cost += kRunningVictimMs;
   return cost;
 }
 
@@ -163,6 +162,13 @@
   return std::nullopt;
 }
 
+bool LoadPlanner::AnyOrderUnderWay() const {
+  return std::any_of(view_->runners().begin(), view_->runners().end(), [&](const auto& entry) {
+    return Eligible(entry.second) &&
+           (!tracker_->Idle(entry.first) || reservations_.contains(entry.first));
+  });
+}
+
 std::optional<LoadPlanner::Placement> LoadPlanner::BestRunner(const ModelSpec& model,
                                                               Urgency urgency,
                                                               SteadyTime now) const {
@@ -182,6 +188,8 @@
     if (best && cost >= best->cost_ms) continue;
     best = Placement{id, tier, cost};
   }
+  // Runners whose order is about to end may be cheaper than one whose calls must end first.
+  if (best && best->cost_ms >= kRunningVictimMs && AnyOrderUnderWay()) return std::nullopt;
   return best;
 }
 
@@ -199,8 +207,7 @@
     const RunnerState* runner = view_->Find(entry.first);
     if (runner == nullptr || !Eligible(*runner)) return true;
     if (!tracker_->Idle(entry.first)) return false;
-    return now >= entry.second.until ||
-           runner->entry.holdings.models.contains(entry.second.model);
+    return now >= entry.second.until || runner->entry.holdings.models.contains(entry.second.model);
   });
 }
 
@@ -257,7 +264,10 @@
   order.expected = runner.sequence;
   order.born = runner.entry.born;
   order.duration = kQuickOrder;
-  if (kind == OrderKind::kUnload || !adapter.empty()) return order;
+  if (kind == OrderKind::kUnload || !adapter.empty()) {
+    order.certain = !adapter.empty() || DemandFor(model).InFlightAt(runner.entry.id) == 0;
+    return order;
+  }
   const ModelSpec& spec = input_.engine->models.at(model);
   order.tier = TierOn(runner, model);
   order.duration = order.tier == LoadTier::kStore  ? spec.store_load
@@ -279,17 +289,15 @@
     const auto spec = input_.engine->models.find(reservation.model);
     if (spec == input_.engine->models.end()) continue;
     double cost = 0;
-    const auto victims =
-        Victims(*runner, spec->second.weights_mb, reservation.urgency, now, &cost);
+    const auto victims = Victims(*runner, spec->second.weights_mb, reservation.urgency, now, &cost);
     if (!victims) continue;
     if (!victims->empty()) {
       plan->push_back({MakeOrder(*runner, OrderKind::kUnload, victims->front(), AdapterName()),
                        reservation.reason});
       continue;
     }
-    PlannedOrder load{
-        MakeOrder(*runner, OrderKind::kLoad, reservation.model, AdapterName()),
-        reservation.reason};
+    PlannedOrder load{MakeOrder(*runner, OrderKind::kLoad, reservation.model, AdapterName()),
+                      reservation.reason};
     if (load.order.tier == LoadTier::kStore) store_loads_.push_back(now);
     plan->push_back(load);
   }
@@ -343,8 +351,8 @@
     const auto spec = input_.engine->models.find(key.model);
     if (spec == input_.engine->models.end()) continue;
     if (tracker_->Loading(input_.backend, *view_, key.model, key.adapter)) continue;
-    const bool held = std::any_of(
-        view_->runners().begin(), view_->runners().end(), [&](const auto& entry) {
+    const bool held =
+        std::any_of(view_->runners().begin(), view_->runners().end(), [&](const auto& entry) {
           return Eligible(entry.second) &&
                  entry.second.entry.holdings.Holds(key.model, key.adapter);
         });
@@ -369,9 +377,8 @@
 void LoadPlanner::OnLoaded(const Order& order, SteadyTime now) {
   if (order.kind != OrderKind::kLoad || !order.adapter.empty()) return;
   loaded_at_[{order.runner, order.model}] = now;
-  std::erase_if(loaded_at_, [&](const auto& entry) {
-    return now - entry.second > Duration(kProtectLoaded);
-  });
+  std::erase_if(loaded_at_,
+                [&](const auto& entry) { return now - entry.second > Duration(kProtectLoaded); });
   const auto reservation = reservations_.find(order.runner);
   if (reservation != reservations_.end() && reservation->second.model == order.model) {
     reservations_.erase(reservation);
--- a/servers/gateway/load_planner.h
+++ b/servers/gateway/load_planner.h
@@ -83,14 +83,15 @@
   LoadTier TierOn(const RunnerState& runner, const ModelName& model) const;
   bool StoreAllows(SteadyTime now) const;
   /// Cost in ms of unloading `model` from `runner`; absent when it must stay.
-  std::optional<double> VictimCost(const RunnerId& runner, const ModelName& model,
-                                   Urgency urgency, SteadyTime now) const;
+  std::optional<double> VictimCost(const RunnerId& runner, const ModelName& model, Urgency urgency,
+                                   SteadyTime now) const;
   /// Models to unload from the runner for `need_mb`, cheapest first; absent when impossible.
   std::optional<std::vector<ModelName>> Victims(const RunnerState& runner, double need_mb,
                                                 Urgency urgency, SteadyTime now,
                                                 double* cost_ms) const;
   std::optional<Placement> BestRunner(const ModelSpec& model, Urgency urgency,
                                       SteadyTime now) const;
+  bool AnyOrderUnderWay() const;
   void Reserve(const ModelSpec& model, Urgency urgency, const char* reason, SteadyTime now);
   void DropStaleReservations(SteadyTime now);
   void ReserveForWaiting(SteadyTime now);
--- a/servers/gateway/order_tracker.cc
+++ b/servers/gateway/order_tracker.cc
@@ -35,7 +35,7 @@
 }
 
 void OrderTracker::OnSent(const Order& order, SteadyTime now) {
-  pending_[order.runner] = Pending{order, false, true, now + order.duration};
+  pending_[order.runner] = Pending{order, false, true, 0, now + order.duration};
 }
 
 void OrderTracker::OnAnswer(const RunnerId& runner, OrderAnswer answer, SteadyTime now) {
@@ -64,6 +64,22 @@
   }
 }
 
+bool OrderTracker::TakeResend(const RunnerId& runner) {
+  const auto found = pending_.find(runner);
+  if (found == pending_.end() || found->second.resends >= kMaxResends) return false;
+  ++found->second.resends;
+  found->second.unanswered = true;
+  return true;
+}
+
+std::optional<Order> OrderTracker::UnloadUnderWay(const RunnerId& runner) const {
+  const auto found = pending_.find(runner);
+  if (found == pending_.end() || !found->second.accepted) return std::nullopt;
+  const Order& order = found->second.order;
+  if (order.kind != OrderKind::kUnload || !order.adapter.empty()) return std::nullopt;
+  return order;
+}
+
 std::optional<Order> OrderTracker::OnReport(const RunnerId& runner, const RunnerReport& report,
                                             SteadyTime now) {
   const auto found = pending_.find(runner);
@@ -90,6 +106,25 @@
   return std::nullopt;
 }
 
+void OrderTracker::OnReportFailed(const RunnerId& runner, SteadyTime now) {
+  const auto found = pending_.find(runner);
+  if (found != pending_.end()) found->second.next_poll = now + kUnknownPollInterval;
+}
+
+std::vector<Order> OrderTracker::TakeAssumedComplete(SteadyTime now) {
+  std::vector<Order> complete;
+  for (auto entry = pending_.begin(); entry != pending_.end();) {
+    const Pending& pending = entry->second;
+    if (!pending.accepted || !pending.order.certain || now < pending.next_poll) {
+      ++entry;
+      continue;
+    }
+    complete.push_back(pending.order);
+    entry = pending_.erase(entry);
+  }
+  return complete;
+}
+
 bool OrderTracker::Loading(const BackendName& backend, const FleetView& view,
                            const ModelName& model, const AdapterName& adapter) const {
   return std::any_of(pending_.begin(), pending_.end(), [&](const auto& entry) {
--- a/servers/gateway/order_tracker.h
+++ b/servers/gateway/order_tracker.h
@@ -31,6 +31,8 @@
   LoadTier tier = LoadTier::kDisk;
   /// Time until the order should be complete.
   Millis duration{0};
+  /// Nothing that the runner does can delay the order.
+  bool certain = false;
 };
 
 enum class OrderAnswer {
@@ -48,16 +50,28 @@
 /// the runner's own report. Load pattern: order answers are lost and orders take effect late.
 class OrderTracker {
  public:
+  /// An order without an answer is sent again at once, this often. `expected` makes that safe: the
+  /// runner accepts only one of them.
+  static constexpr uint64_t kMaxResends = 4;
   /// Reports are some 100 ms old, so a newer one is asked for this often.
   static constexpr Millis kPollInterval{60};
-  /// Adapters arrive within 5 to 10 ms; later when many are under way.
   static constexpr Millis kUnknownPollInterval{300};
 
   void OnSent(const Order& order, SteadyTime now);
   void OnAnswer(const RunnerId& runner, OrderAnswer answer, SteadyTime now);
+  /// True when the order without an answer should be sent again; counts the resend.
+  bool TakeResend(const RunnerId& runner);
+  /// The unload under way at the runner, if any. Its report still lists the model, but the runner
+  /// rejects calls for it.
+  std::optional<Order> UnloadUnderWay(const RunnerId& runner) const;
   /// Returns the order that the report settled, if any.
-  std::optional<Order> OnReport(const RunnerId& runner, const RunnerReport& report,
-                                SteadyTime now);
+  std::optional<Order> OnReport(const RunnerId& runner, const RunnerReport& report, SteadyTime now);
+  /// A report could not be read; the next one is asked for later.
+  void OnReportFailed(const RunnerId& runner, SteadyTime now);
+  /// Orders that were accepted and must be complete by now, judging by their duration: adapters,
+  /// and unloads of models without running calls. Waiting for the report would cost its lag; if one
+  /// is not complete after all, the runner rejects what follows.
+  std::vector<Order> TakeAssumedComplete(SteadyTime now);
   void OnRunnerGone(const RunnerId& runner) { pending_.erase(runner); }
   void Clear() { pending_.clear(); }
 
@@ -76,6 +90,7 @@
     Order order;
     bool accepted = false;
     bool unanswered = true;
+    uint64_t resends = 0;
     SteadyTime next_poll{};
   };
 
--- a/servers/gateway/retry_share.cc
+++ b/servers/gateway/retry_share.cc
@@ -30,8 +30,7 @@
   Expire(now);
   const double slack = policy_->retry_slack / static_cast<double>(std::max<uint64_t>(gateways, 1));
   const double limit =
-      policy_->retry_margin *
-      (policy_->retry_ratio * static_cast<double>(calls_.size()) + slack);
+      policy_->retry_margin * (policy_->retry_ratio * static_cast<double>(calls_.size()) + slack);
   if (static_cast<double>(retries_.size()) + 1.0 > limit) return false;
   retries_.push_back(now);
   return true;
--- a/servers/gateway/runner_health.cc
+++ b/servers/gateway/runner_health.cc
@@ -29,6 +29,18 @@
   }
 }
 
+void RunnerHealth::OnModelRejected(const std::string& model, SteadyTime now) {
+  Rejection& rejection = rejections_[model];
+  if (now < rejection.until) return;
+  rejection.pause = std::clamp(rejection.pause * 2, kFirstRejectionPause, kLongestRejectionPause);
+  rejection.until = now + rejection.pause;
+}
+
+bool RunnerHealth::ModelHeldBack(const std::string& model, SteadyTime now) const {
+  const auto found = rejections_.find(model);
+  return found != rejections_.end() && now < found->second.until;
+}
+
 void RunnerHealth::OnFirstEvent(double factor) {
   const double bounded = std::clamp(factor, 0.5, kMostSlowness);
   slowness += kOutcomeWeight * (bounded - slowness);
--- a/servers/gateway/runner_health.h
+++ b/servers/gateway/runner_health.h
@@ -19,6 +19,9 @@
   static constexpr double kOutcomeWeight = 0.12;
   /// Outcomes lose half of their weight in this time, so that a recovered runner is tried again.
   static constexpr Millis kFailureHalfLife{3'000};
+  /// Pause for a model after a rejection, doubled up to the longest by each further one.
+  static constexpr Millis kFirstRejectionPause{100};
+  static constexpr Millis kLongestRejectionPause{800};
   /// Largest factor by which an observed first event counts as slower than predicted.
   static constexpr double kMostSlowness = 8.0;
 
@@ -40,10 +43,22 @@
   void OnUnreachable(SteadyTime now);
   /// `factor`: observed time of the first event over the predicted one.
   void OnFirstEvent(double factor);
+  /// The runner rejected a call for the model, for example because it is being unloaded.
+  void OnModelRejected(const std::string& model, SteadyTime now);
+  void OnModelServed(const std::string& model) { rejections_.erase(model); }
+  /// Whether calls for the model are held back for now. Each of them would draw on the retry
+  /// budget.
+  bool ModelHeldBack(const std::string& model, SteadyTime now) const;
   /// Share of recent calls that failed, 0 to 1, fading with time.
   double FailureRate(SteadyTime now) const;
 
  private:
+  struct Rejection {
+    Millis pause{0};
+    SteadyTime until{};
+  };
+
+  std::map<std::string, Rejection> rejections_;
   double failure_rate_ = 0;
   SteadyTime rated_at_{};
 };
--- a/servers/gateway/runner_picker.cc
+++ b/servers/gateway/runner_picker.cc
@@ -24,8 +24,7 @@
 }
 
 double RunnerPicker::Score(const Query& query, const RunnerState& runner,
-                           const RunnerHealth& health, SteadyTime now,
-                           PickedRunner* picked) const {
+                           const RunnerHealth& health, SteadyTime now, PickedRunner* picked) const {
   double first_event_ms = 0;
   const bool report_fresh =
       health.reported_at && now - *health.reported_at < Duration(kReportedLoadAge);
@@ -36,9 +35,8 @@
   if (query.engine != nullptr) {
     picked->kept_tokens =
         prefixes_.KeptTokens(runner.entry.id, query.call->PrefixScope(), query.call->prompt);
-    const double own =
-        std::max(0.0, static_cast<double>(query.call->prompt_tokens) -
-                          static_cast<double>(picked->kept_tokens));
+    const double own = std::max(0.0, static_cast<double>(query.call->prompt_tokens) -
+                                         static_cast<double>(picked->kept_tokens));
     first_event_ms = (own + health.pending_tokens) / policy_->prefill_tokens_per_ms +
                      (busy + waiting) * static_cast<double>(policy_->in_flight_cost.count());
   } else {
@@ -50,8 +48,8 @@
   first_event_ms *= health.slowness;
   picked->predicted = Millis(static_cast<int64_t>(first_event_ms));
   double score = first_event_ms;
-  score += health.FailureRate(now) * kFailureCost *
-           static_cast<double>(query.target_latency.count());
+  score +=
+      health.FailureRate(now) * kFailureCost * static_cast<double>(query.target_latency.count());
   if (runner.entry.domain != own_domain_) {
     score += static_cast<double>(policy_->cross_domain_cost.count());
   }
@@ -73,6 +71,15 @@
       continue;
     }
     const RunnerHealth& health = health_[id];
+    // Placement loads the model elsewhere; a call that waits for it has a chance, one that is sent
+    // to an unreachable runner has none.
+    if (query.engine != nullptr && !health.breaker.Allows(now)) continue;
+    const bool held_back =
+        query.engine != nullptr && health.ModelHeldBack(query.call->model.value(), now);
+    if (held_back || (query.excluded != nullptr && query.excluded->contains(id))) {
+      if (!best) *problem = PickProblem::kAllBusy;
+      continue;
+    }
     if (Full(runner, health)) {
       if (!best) *problem = PickProblem::kAllBusy;
       continue;
--- a/servers/gateway/runner_picker.h
+++ b/servers/gateway/runner_picker.h
@@ -41,6 +41,8 @@
     const CallRequest* call = nullptr;
     /// Runners that this call has already tried.
     const std::set<RunnerId>* tried = nullptr;
+    /// Runners that must not be chosen now.
+    const std::set<RunnerId>* excluded = nullptr;
     Millis target_latency{0};
   };
 
--- a/servers/gateway/waiting_policy.cc
+++ b/servers/gateway/waiting_policy.cc
@@ -32,8 +32,8 @@
   verdict.source = fastest.source;
   // Earlier waiters have started the load; part of it has passed.
   const Millis remaining = std::max(Millis(0), fastest.load + policy.load_overhead - waited);
-  const Millis prefill(static_cast<int64_t>(static_cast<double>(call.prompt_tokens) /
-                                            policy.prefill_tokens_per_ms));
+  const Millis prefill(
+      static_cast<int64_t>(static_cast<double>(call.prompt_tokens) / policy.prefill_tokens_per_ms));
   verdict.predicted = remaining + prefill;
   verdict.wait = verdict.predicted + policy.answer_reserve < time_left;
   verdict.retry_after = std::max(kLeastRetryAfter, remaining);
