--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -132,25 +132,39 @@
     Refuse("no runner of the backend is known", std::max(kSoon, TimeLeft() / 3));
     return;
   }
-  if (problem == PickProblem::kModelNotLoaded && engine_ != nullptr && began) {
-    const WaitingVerdict verdict = DecideWaiting(
-        context_->view, *engine_, context_->settings.policy, backend_, call_, TimeLeft(), waited);
-    LogInfo(
-        "call",
-        fmt::format("event={} model={} adapter={} source={} predicted_ms={} left_ms={} "
-                    "waited_ms={}",
-                    verdict.wait ? "wait" : "no-wait", call_.model.value(), call_.adapter.value(),
-                    verdict.source, verdict.predicted.count(), TimeLeft().count(), waited.count()),
-        call_.id.value());
-    if (!verdict.wait) {
-      Refuse(fmt::format("model is not loaded; {} load takes too long", verdict.source),
-             verdict.retry_after);
-      return;
-    }
+  if (problem == PickProblem::kModelNotLoaded && engine_ != nullptr &&
+      !MayKeepWaiting(began, waited)) {
+    return;
   }
   if (began) owner_->OnWaitingChanged();
 }
 
+bool CallSession::MayKeepWaiting(bool began, Millis waited) {
+  const auto model = engine_->models.find(call_.model);
+  const LoadTime fastest = model == engine_->models.end()
+                               ? LoadTime{}
+                               : FastestLoad(context_->view, backend_, model->second);
+  const bool overdue = WaitedFor() > expected_wait_;
+  // The prediction holds until its time has passed or the copies it relied on are gone.
+  if (!began && !overdue && fastest.load <= expected_load_) return true;
+  const WaitingVerdict verdict =
+      DecideWaiting(context_->view, *engine_, context_->settings.policy, backend_, call_,
+                    TimeLeft(), began ? waited : Millis(0));
+  expected_wait_ = WaitedFor() + verdict.predicted;
+  expected_load_ = fastest.load;
+  LogInfo(
+      "call",
+      fmt::format("event={} model={} adapter={} source={} predicted_ms={} left_ms={} "
+                  "waited_ms={}",
+                  verdict.wait ? "wait" : "no-wait", call_.model.value(), call_.adapter.value(),
+                  verdict.source, verdict.predicted.count(), TimeLeft().count(), waited.count()),
+      call_.id.value());
+  if (verdict.wait) return true;
+  Refuse(fmt::format("model is not loaded; {} load takes too long", verdict.source),
+         verdict.retry_after);
+  return false;
+}
+
 uint64_t CallSession::Urgency() const {
   const uint64_t loose = route_->target_latency > kTightTarget ? 1 : 0;
   return std::min(kLeastUrgent, route_->rank * kUrgencyPerRank + loose);
@@ -263,6 +277,22 @@
   Finish("caller-gone", 0, waiting_ ? "while waiting" : "while in flight");
 }
 
+void CallSession::OnStopping() {
+  if (waiting_ && !ended_) Refuse("the gateway is stopping", kSoon);
+}
+
+void CallSession::OnProcessEnd() {
+  if (ended_) return;
+  if (waiting_) {
+    Refuse("the gateway is stopping", kSoon);
+    return;
+  }
+  context_->client.Cancel(exchange_);
+  EndAttempt();
+  ++runs_;
+  Refuse("the gateway ended before the answer", kSoon);
+}
+
 void CallSession::EndAttempt() {
   if (silence_timer_ != TimerId()) context_->loop.Cancel(silence_timer_);
   silence_timer_ = TimerId();
--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -37,6 +37,11 @@
   void Start();
   /// The caller went away.
   void OnCallerGone();
+  /// The process is stopping. Calls that no runner has are refused while they can still go
+  /// elsewhere.
+  void OnStopping();
+  /// The process ends now: the call gets the answer that is true at this moment.
+  void OnProcessEnd();
   /// Tries again to place a waiting call, after news about runners.
   void TryPlace();
 
@@ -57,6 +62,9 @@
   std::set<RunnerId> RecentlyRejected() const;
   void Place();
   void BeginWaiting(PickProblem problem);
+  /// Predicts, at first and whenever the last prediction fails, whether the wait can succeed;
+  /// refuses the call when it cannot.
+  bool MayKeepWaiting(bool began, Millis waited);
   void Send(const PickedRunner& picked);
   uint64_t Urgency() const;
   void ArmSilenceTimer(Duration delay);
@@ -88,6 +96,8 @@
   SteadyTime deadline_{};
   SteadyTime waiting_since_{};
   bool waiting_ = false;
+  Millis expected_wait_{0};
+  Millis expected_load_{0};
   bool ended_ = false;
   TimerId time_up_timer_;
   TimerId silence_timer_;
--- a/drivers/gateway/fleet_follower.cc
+++ b/drivers/gateway/fleet_follower.cc
@@ -5,104 +5,48 @@
 #include "core/log.h"
 
 namespace shallot::gateway {
-namespace {
-
-/// Common prefix of the leader's key and the gateways' keys.
-std::string OwnPrefix(const PlatformProtocol& protocol) {
-  const std::string leader = protocol.LeaderKey();
-  return leader.substr(0, leader.rfind('/') + 1);
-}
-
-}  // namespace
+FleetFollower::FleetFollower(GatewayContext* context, std::function<void()> changed)
+    : context_(context),
+      changed_(std::move(changed)),
+      follower_(&context->loop, &context->calls, context->protocol, context->settings.store_address,
+                "", this) {}
 
-class FleetFollower::RoutesListener final : public PrefixListener {
- public:
-  explicit RoutesListener(FleetFollower* owner) : owner_(owner) {}
-  void OnSnapshot(const std::vector<StoreItem>& items, StoreRevision /*revision*/) override {
-    for (const StoreItem& item : items) owner_->OnRoutes(item);
+void FleetFollower::OnItem(const StoreItem& item) {
+  const PlatformProtocol& protocol = *context_->protocol;
+  if (item.key == protocol.RoutesKey()) {
+    OnRoutes(item);
+  } else if (item.key.starts_with(protocol.RunnersPrefix())) {
+    OnRunner(item);
+  } else if (item.key == protocol.LeaderKey() || item.key.starts_with(protocol.GatewaysPrefix())) {
+    OnGatewayItem(item);
   }
-  void OnChange(const StoreItem& item) override { owner_->OnRoutes(item); }
-  void OnTrouble() override {}
-  void OnAnswered() override {}
-
- private:
-  FleetFollower* owner_;
-};
-
-class FleetFollower::RunnersListener final : public PrefixListener {
- public:
-  explicit RunnersListener(FleetFollower* owner) : owner_(owner) {}
+}
 
-  void OnSnapshot(const std::vector<StoreItem>& items, StoreRevision /*revision*/) override {
-    GatewayContext& context = *owner_->context_;
-    const size_t prefix = context.protocol->RunnersPrefix().size();
-    std::set<RunnerId> present;
-    for (const StoreItem& item : items) {
-      present.insert(RunnerId(item.key.substr(prefix)));
-      owner_->OnRunner(item);
-    }
-    context.view.Reconcile(present, context.loop.Now());
-    owner_->changed_();
-  }
-  void OnChange(const StoreItem& item) override {
-    owner_->OnRunner(item);
-    owner_->changed_();
+void FleetFollower::OnSnapshot(const std::vector<StoreItem>& items, StoreRevision revision) {
+  context_->gateways.clear();
+  context_->leader.reset();
+  const std::string runners = context_->protocol->RunnersPrefix();
+  std::set<RunnerId> present;
+  for (const StoreItem& item : items) {
+    if (item.key.starts_with(runners)) present.insert(RunnerId(item.key.substr(runners.size())));
+    OnItem(item);
   }
-  void OnTrouble() override { owner_->context_->view.OnStoreTrouble(owner_->context_->loop.Now()); }
-  void OnAnswered() override { owner_->context_->view.OnStoreAnswer(owner_->context_->loop.Now()); }
-
- private:
-  FleetFollower* owner_;
-};
-
-class FleetFollower::GatewaysListener final : public PrefixListener {
- public:
-  explicit GatewaysListener(FleetFollower* owner) : owner_(owner) {}
+  context_->view.Reconcile(present, context_->loop.Now());
+  if (leader_listener_) leader_listener_(context_->leader, revision);
+  changed_();
+}
 
-  void OnSnapshot(const std::vector<StoreItem>& items, StoreRevision revision) override {
-    GatewayContext& context = *owner_->context_;
-    context.gateways.clear();
-    context.leader.reset();
-    for (const StoreItem& item : items) owner_->OnGatewayItem(item);
-    if (owner_->leader_listener_) owner_->leader_listener_(context.leader, revision);
+void FleetFollower::OnChange(const StoreItem& item) {
+  OnItem(item);
+  if (item.key == context_->protocol->LeaderKey() && leader_listener_) {
+    leader_listener_(context_->leader, item.revision);
   }
-  void OnChange(const StoreItem& item) override {
-    owner_->OnGatewayItem(item);
-    if (item.key != owner_->context_->protocol->LeaderKey()) return;
-    if (owner_->leader_listener_) {
-      owner_->leader_listener_(owner_->context_->leader, item.revision);
-    }
-  }
-  void OnTrouble() override {}
-  void OnAnswered() override {}
-
- private:
-  FleetFollower* owner_;
-};
-
-FleetFollower::FleetFollower(GatewayContext* context, std::function<void()> changed)
-    : context_(context),
-      changed_(std::move(changed)),
-      routes_listener_(std::make_unique<RoutesListener>(this)),
-      runners_listener_(std::make_unique<RunnersListener>(this)),
-      gateways_listener_(std::make_unique<GatewaysListener>(this)) {
-  const PlatformProtocol& protocol = *context->protocol;
-  const auto follow = [&](const std::string& prefix, PrefixListener* listener) {
-    return std::make_unique<PrefixFollower>(&context->loop, &context->calls, &protocol,
-                                            context->settings.store_address, prefix, listener);
-  };
-  routes_ = follow(protocol.RoutesKey(), routes_listener_.get());
-  runners_ = follow(protocol.RunnersPrefix(), runners_listener_.get());
-  gateways_ = follow(OwnPrefix(protocol), gateways_listener_.get());
+  changed_();
 }
 
-FleetFollower::~FleetFollower() = default;
+void FleetFollower::OnTrouble() { context_->view.OnStoreTrouble(context_->loop.Now()); }
 
-void FleetFollower::Start() {
-  routes_->Start();
-  runners_->Start();
-  gateways_->Start();
-}
+void FleetFollower::OnAnswered() { context_->view.OnStoreAnswer(context_->loop.Now()); }
 
 void FleetFollower::OnRoutes(const StoreItem& item) {
   if (item.deleted || item.key != context_->protocol->RoutesKey()) return;
--- a/drivers/gateway/fleet_follower.h
+++ b/drivers/gateway/fleet_follower.h
@@ -9,24 +9,27 @@
 namespace shallot::gateway {
 
 /// Keeps the configuration, the runners and the other gateways of a context as the store has them.
-class FleetFollower {
+/// One watch serves all three, because each waiting call is paid for.
+class FleetFollower final : public PrefixListener {
  public:
   /// `changed` runs after each change of the runners or the configuration.
   FleetFollower(GatewayContext* context, std::function<void()> changed);
-  ~FleetFollower();
 
-  void Start();
+  void Start() { follower_.Start(); }
   /// True when configuration and runners were read once.
   bool ready() const { return context_->routes != nullptr && context_->view.ready(); }
+
+  void OnSnapshot(const std::vector<StoreItem>& items, StoreRevision revision) override;
+  void OnChange(const StoreItem& item) override;
+  void OnTrouble() override;
+  void OnAnswered() override;
+
   using LeaderListener = std::function<void(const std::optional<LeaderRecord>&, StoreRevision)>;
   /// Called with the leader's record, as of a revision, when it was read or has changed.
   void SetLeaderListener(LeaderListener listener) { leader_listener_ = std::move(listener); }
 
  private:
-  class RoutesListener;
-  class RunnersListener;
-  class GatewaysListener;
-
+  void OnItem(const StoreItem& item);
   void OnRoutes(const StoreItem& item);
   void OnRunner(const StoreItem& item);
   void OnGatewayItem(const StoreItem& item);
@@ -34,12 +37,7 @@
   GatewayContext* context_;
   std::function<void()> changed_;
   LeaderListener leader_listener_;
-  std::unique_ptr<RoutesListener> routes_listener_;
-  std::unique_ptr<RunnersListener> runners_listener_;
-  std::unique_ptr<GatewaysListener> gateways_listener_;
-  std::unique_ptr<PrefixFollower> routes_;
-  std::unique_ptr<PrefixFollower> runners_;
-  std::unique_ptr<PrefixFollower> gateways_;
+  PrefixFollower follower_;
 };
 
 }  // namespace shallot::gateway
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -22,6 +22,13 @@
 constexpr Millis kRotationOut{2'400};
 /// Time kept back from the platform's grace for closing.
 constexpr Millis kStopReserve{600};
+/// New calls are refused this long after the stop signal: the platform's check of planned stops
+/// counts calls that came later and could not be finished.
+constexpr Millis kTakeCalls{3'000};
+/// Time before the forced end at which calls in progress get their answer.
+constexpr Millis kFinalAnswers{250};
+/// What a caller is told that came to a stopping gateway; others are ready.
+constexpr Millis kStoppingRetryAfter{200};
 /// Longest wait for the loop's own end.
 constexpr Millis kDrainPoll{20};
 
@@ -163,6 +170,10 @@
 bool GatewayDaemon::Ready() const { return !draining_ && follower_->ready(); }
 
 void GatewayDaemon::OnRequest(CallerConnection* connection, HttpMessage request) {
+  if (draining_ && context_->loop.Now() - drain_began_ > Duration(kTakeCalls)) {
+    RefuseStopping(connection, request);
+    return;
+  }
   auto session =
       std::make_shared<CallSession>(context_.get(), this, connection, std::move(request));
   sessions_[connection] = session;
@@ -291,11 +302,32 @@
   }
   const Duration elapsed = context_->loop.Now() - drain_began_;
   if (elapsed < Duration(kRotationOut)) return;
-  if (!idle_closed_ || sessions_.empty()) callers_->CloseIdle();
-  idle_closed_ = true;
+  if (elapsed > Duration(kTakeCalls)) {
+    for (const auto& session : Sessions()) session->OnStopping();
+  }
+  if (elapsed > Duration(drain_limit() - kFinalAnswers)) {
+    for (const auto& session : Sessions()) session->OnProcessEnd();
+  }
+  callers_->CloseIdle();
   if (sessions_.empty()) drained_ = true;
 }
 
+std::vector<std::shared_ptr<CallSession>> GatewayDaemon::Sessions() const {
+  std::vector<std::shared_ptr<CallSession>> sessions;
+  sessions.reserve(sessions_.size());
+  for (const auto& [connection, session] : sessions_) sessions.push_back(session);
+  return sessions;
+}
+
+void GatewayDaemon::RefuseStopping(CallerConnection* connection, const HttpMessage& request) {
+  const auto call = context_->protocol->DecodeCall(request.head);
+  const RequestId id = IsOk(call) ? ValueOf(call).id : RequestId();
+  LogInfo("call", "event=end outcome=refused status=503 reason=\"the gateway is stopping\"",
+          id.value());
+  connection->Answer(
+      context_->protocol->OwnAnswer(503, id, "the gateway is stopping", kStoppingRetryAfter));
+}
+
 void GatewayDaemon::Tick() {
   if (drain_requested_) TickDrain();
   if (context_->routes != nullptr) callers_->SetLimits(context_->routes->limits);
--- a/drivers/gateway/gateway_daemon.h
+++ b/drivers/gateway/gateway_daemon.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <thread>
+#include <vector>
 
 #include "core/metrics.h"
 #include "drivers/daemon.h"
@@ -46,6 +47,8 @@
 
   void Tick();
   void TickDrain();
+  std::vector<std::shared_ptr<CallSession>> Sessions() const;
+  void RefuseStopping(CallerConnection* connection, const HttpMessage& request);
   void ReceivePeers();
   void PlaceWaiting();
   void ReportDemand();
@@ -70,7 +73,6 @@
   std::atomic<bool> drained_{false};
   bool draining_ = false;
   SteadyTime drain_began_{};
-  bool idle_closed_ = false;
   bool demand_due_ = true;
   SteadyTime last_report_{};
   SteadyTime last_reload_{};
--- a/drivers/gateway/prefix_follower.h
+++ b/drivers/gateway/prefix_follower.h
@@ -33,7 +33,7 @@
   static constexpr Millis kAnswerSlack{600};
   static constexpr Millis kReadTimeout{1'500};
   /// Pause between two watches: changes of a burst come in one answer, and each call has a price.
-  static constexpr Millis kPause{150};
+  static constexpr Millis kPause{350};
   /// Pause after a failed call.
   static constexpr Millis kRetryPause{250};
 
--- a/servers/gateway/gateway_policy.h
+++ b/servers/gateway/gateway_policy.h
@@ -17,6 +17,9 @@
   double replica_utilization = 0.25;
   /// Calls in flight at one replica, as a share of its slots, before the model gets another one.
   double replica_slot_share = 0.25;
+  /// Calls a second from which a model has two replicas at least, so that calls go on while one of
+  /// its runners leaves and another load from the weight store takes its time.
+  double hot_calls_per_s = 1.5;
   /// Most replicas that placement gives one model.
   uint64_t max_replicas = 6;
   /// Loads from the weight store at the same time; the store slows each one down beyond 4.
--- a/servers/gateway/load_planner.cc
+++ b/servers/gateway/load_planner.cc
@@ -48,7 +48,8 @@
       static_cast<double>(demand.in_flight) /
       std::max(1.0, static_cast<double>(input_.engine->slots) * policy_->replica_slot_share);
   const auto wanted = static_cast<uint64_t>(std::ceil(std::max(by_tokens, by_slots)));
-  return std::clamp<uint64_t>(wanted, 1, policy_->max_replicas);
+  const uint64_t least = demand.calls_per_s >= policy_->hot_calls_per_s ? 2 : 1;
+  return std::clamp<uint64_t>(wanted, least, std::max(least, policy_->max_replicas));
 }
 
 uint64_t LoadPlanner::Holders(const ModelName& model) const {
@@ -127,6 +128,7 @@
   const bool extra = Holders(model) > Wanted(model);
   const bool recent = demand.since_last_call < policy_->idle_after;
   const bool running = demand.InFlightAt(runner) > 0;
+  if (urgency == Urgency::kFill) return std::nullopt;
   // An unload waits for running calls, and the runner takes no other order meanwhile.
   if (urgency != Urgency::kWaiting && (running || (!extra && recent))) return std::nullopt;
   const double reload_ms = static_cast<double>(input_.engine->models.at(model).disk_load.count()) +
@@ -254,6 +256,19 @@
   }
 }
 
+void LoadPlanner::ReserveFill(SteadyTime now) {
+  std::vector<std::pair<double, ModelName>> absent;
+  for (const auto& [name, spec] : input_.engine->models) {
+    if (Holders(name) > 0 || Reserved(name)) continue;
+    if (tracker_->Loading(input_.backend, *view_, name, AdapterName())) continue;
+    absent.emplace_back(-DemandFor(name).calls_per_s, name);
+  }
+  std::sort(absent.begin(), absent.end());
+  for (const auto& [rate, name] : absent) {
+    Reserve(input_.engine->models.at(name), Urgency::kFill, "free-memory", now);
+  }
+}
+
 Order LoadPlanner::MakeOrder(const RunnerState& runner, OrderKind kind, const ModelName& model,
                              const AdapterName& adapter) const {
   Order order;
@@ -369,6 +384,7 @@
   ReserveForWaiting(now);
   ReserveReplicas(now);
   ReservePreloads(now);
+  ReserveFill(now);
   ContinueReservations(now, &plan);
   PlanAdapters(now, &plan);
   return plan;
--- a/servers/gateway/load_planner.h
+++ b/servers/gateway/load_planner.h
@@ -63,7 +63,8 @@
   };
   /// How much a victim may be worth: a waiting call justifies any idle victim, a spare replica or
   /// a copy for later only models that nobody needs now.
-  enum class Urgency { kWaiting, kReplica, kPreload };
+  /// kFill only uses free memory.
+  enum class Urgency { kWaiting, kReplica, kPreload, kFill };
   struct Reservation {
     BackendName backend;
     ModelName model;
@@ -97,6 +98,8 @@
   void ReserveForWaiting(SteadyTime now);
   void ReserveReplicas(SteadyTime now);
   void ReservePreloads(SteadyTime now);
+  /// Uses memory that is free, for example on new runners, for models that no runner holds.
+  void ReserveFill(SteadyTime now);
   void ContinueReservations(SteadyTime now, std::vector<PlannedOrder>* plan);
   void PlanAdapters(SteadyTime now, std::vector<PlannedOrder>* plan);
   std::optional<PlannedOrder> PlanAdapter(const ModelSpec& model, const AdapterName& adapter,
