--- a/drivers/gateway/caller_connection.h
+++ b/drivers/gateway/caller_connection.h
@@ -38,9 +38,9 @@
 
  private:
   /// Unread pipelined bytes that are kept while a request is in progress.
-  static constexpr size_t kMaxPipelinedBytes = 256 * 1024;
+  static constexpr size_t kMaxPipelinedBytes = 262'144;
   /// A caller that does not read its answer is cut off at this backlog.
-  static constexpr size_t kMaxQueuedBytes = 8 * 1024 * 1024;
+  static constexpr size_t kMaxQueuedBytes = 8'388'608;
 
   void Parse();
   void Refuse(int status, const std::string& reason);
--- a/drivers/gateway/event_stream.h
+++ b/drivers/gateway/event_stream.h
@@ -12,7 +12,7 @@
 class EventStream {
  public:
   /// Bytes of one event at most; a longer one is malformed.
-  static constexpr size_t kMaxEventBytes = 1024 * 1024;
+  static constexpr size_t kMaxEventBytes = 1'048'576;
 
   void Feed(std::string_view bytes) { buffer_ += bytes; }
   /// The next whole event with its closing blank line. Events that were already delivered before a
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -123,15 +123,15 @@
 
 Status GatewayDaemon::Start() {
   const GatewaySettings& settings = context_->settings;
-  if (const Status opened = callers_->Open(settings.caller_address); !IsOk(opened)) return opened;
-  if (const Status opened = readiness_->Open(settings.readiness_address); !IsOk(opened)) {
+  if (Status opened = callers_->Open(settings.caller_address); !IsOk(opened)) return opened;
+  if (Status opened = readiness_->Open(settings.readiness_address); !IsOk(opened)) {
     return opened;
   }
   // Metrics are no condition for serving.
-  if (const Status opened = metrics_listener_->Open(settings.metrics_address); !IsOk(opened)) {
+  if (Status opened = metrics_listener_->Open(settings.metrics_address); !IsOk(opened)) {
     LogError("metrics", FormatError(ErrorOf(opened)));
   }
-  if (const Status opened = context_->peers.Open(settings.peer_address); !IsOk(opened)) {
+  if (Status opened = context_->peers.Open(settings.peer_address); !IsOk(opened)) {
     return opened;
   }
   LogInfo("daemon",
@@ -254,7 +254,8 @@
   report.gateway = context_->settings.instance;
   report.entries = context_->meter.Snapshot(now);
   report.unreachable = context_->picker.Unreachable(now);
-  for (const auto& [connection, session] : sessions_) {
+  for (const auto& waiting : sessions_) {
+    const CallSession* session = waiting.second.get();
     if (!session->waiting()) continue;
     const CallRequest& call = session->call();
     const auto entry =
--- a/drivers/gateway/http_client.cc
+++ b/drivers/gateway/http_client.cc
@@ -11,7 +11,7 @@
 namespace shallot::gateway {
 namespace {
 
-constexpr uint64_t kMaxAnswerHeaderBytes = 64 * 1024;
+constexpr uint64_t kMaxAnswerHeaderBytes = 65'536;
 /// Expired idle connections are closed this often.
 constexpr Millis kSweepInterval{1'000};
 
--- a/drivers/gateway/http_client.h
+++ b/drivers/gateway/http_client.h
@@ -48,7 +48,7 @@
   /// Give the connection up when sent bytes stay unacknowledged this long.
   Millis unacknowledged_limit{1'500};
   /// Answers larger than this are malformed.
-  uint64_t max_body_bytes = 64 * 1024 * 1024;
+  uint64_t max_body_bytes = 67'108'864;
 };
 
 /// HTTP/1.1 client with kept connections, one request at a time on each. Serves backend servers
--- a/drivers/gateway/tcp_connection.h
+++ b/drivers/gateway/tcp_connection.h
@@ -30,7 +30,7 @@
 class TcpConnection final : public SocketHandler {
  public:
   /// Bytes that one read takes.
-  static constexpr size_t kReadBytes = 32 * 1024;
+  static constexpr size_t kReadBytes = 32'768;
 
   /// Takes over an accepted connection.
   TcpConnection(EventLoop* loop, TcpHandler* handler, const Poco::Net::StreamSocket& accepted);
--- a/servers/gateway/demand_board.h
+++ b/servers/gateway/demand_board.h
@@ -61,7 +61,7 @@
     BackendName backend;
     ModelName model;
     AdapterName adapter;
-    auto operator<=>(const Key&) const = default;
+    auto operator<=>(const Key&) const = default;  // NOLINT(modernize-use-nullptr)
   };
 
   /// `tokens`: prompt tokens that a runner has to read.
--- a/servers/gateway/load_planner.cc
+++ b/servers/gateway/load_planner.cc
@@ -361,8 +361,10 @@
 }
 
 void LoadPlanner::PlanAdapters(SteadyTime now, std::vector<PlannedOrder>* plan) {
-  for (const auto& [key, total] : *input_.demand) {
-    if (key.backend != input_.backend || key.adapter.empty() || total.waiting == 0) continue;
+  for (const auto& demanded : *input_.demand) {
+    const DemandMeter::Key& key = demanded.first;
+    if (key.backend != input_.backend || key.adapter.empty()) continue;
+    if (demanded.second.waiting == 0) continue;
     const auto spec = input_.engine->models.find(key.model);
     if (spec == input_.engine->models.end()) continue;
     if (tracker_->Loading(input_.backend, *view_, key.model, key.adapter)) continue;
--- /dev/null
+++ b/tests/gateway_attempt_policy_test.cc
@@ -0,0 +1,116 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "servers/gateway/attempt_policy.h"
+#include "servers/gateway/retry_share.h"
+
+namespace shallot::gateway {
+namespace {
+
+struct Case {
+  const char* name;
+  CallKind kind;
+  bool resumable;
+  uint64_t runs;
+  uint64_t max_attempts;
+  bool answer_begun;
+  int64_t left_ms;
+  bool budget;
+  AttemptFailure failure;
+  NextStep expected;
+};
+
+// Guards against repeating a call that may have run, against calling it "not run" without proof,
+// and against an answer that ends early but looks complete.
+TEST_CASE("gateway: what follows a failed attempt") {
+  constexpr CallKind kOnce = CallKind::kNonIdempotent;
+  constexpr CallKind kSafe = CallKind::kIdempotent;
+  constexpr CallKind kStream = CallKind::kStream;
+  const std::vector<Case> cases = {
+      {"refused connection", kOnce, false, 0, 1, false, 900, true, AttemptFailure::kNotConnected,
+       NextStep::kRetry},
+      {"rejected, not run", kOnce, false, 0, 1, false, 900, true, AttemptFailure::kNotExecuted,
+       NextStep::kRetry},
+      {"rejected, budget used up", kOnce, false, 0, 1, false, 900, false,
+       AttemptFailure::kNotExecuted, NextStep::kRefuse},
+      {"rejected, no time", kOnce, false, 0, 1, false, 10, true, AttemptFailure::kNotExecuted,
+       NextStep::kRefuse},
+      {"lost answer of a call that runs once", kOnce, false, 1, 2, false, 900, true,
+       AttemptFailure::kLostAnswer, NextStep::kFail},
+      {"runner's failure of a call that runs once", kOnce, false, 1, 2, false, 900, true,
+       AttemptFailure::kServerError, NextStep::kPassOn},
+      {"rejection after a run", kOnce, false, 1, 2, false, 900, true, AttemptFailure::kNotExecuted,
+       NextStep::kFail},
+      {"lost answer of a repeatable call", kSafe, false, 1, 2, false, 900, true,
+       AttemptFailure::kLostAnswer, NextStep::kRetry},
+      {"all runners used", kSafe, false, 2, 2, false, 900, true, AttemptFailure::kLostAnswer,
+       NextStep::kFail},
+      {"failure after all runners", kSafe, false, 2, 2, false, 900, true,
+       AttemptFailure::kServerError, NextStep::kPassOn},
+      {"broken stream that may resume", kStream, true, 1, 2, true, 900, true,
+       AttemptFailure::kLostAnswer, NextStep::kRetry},
+      {"broken stream that may not resume", kStream, false, 1, 2, true, 900, true,
+       AttemptFailure::kLostAnswer, NextStep::kCutOff},
+      {"resumption without budget", kStream, true, 1, 2, true, 900, false,
+       AttemptFailure::kLostAnswer, NextStep::kCutOff},
+      {"silent stream before its first event", kStream, true, 1, 2, false, 900, true,
+       AttemptFailure::kSilent, NextStep::kRetry},
+      {"silent stream that may not resume", kStream, false, 1, 1, false, 900, true,
+       AttemptFailure::kSilent, NextStep::kFail},
+      {"garbled answer that runs once", kOnce, false, 1, 1, false, 900, true,
+       AttemptFailure::kGarbled, NextStep::kFail},
+  };
+  for (const Case& test : cases) {
+    CAPTURE(std::string(test.name));
+    CallFacts facts;
+    facts.kind = test.kind;
+    facts.resumable = test.resumable;
+    facts.runs = test.runs;
+    facts.max_attempts = test.max_attempts;
+    facts.answer_begun = test.answer_begun;
+    facts.time_left = Millis(test.left_ms);
+    facts.retry_allowed = test.budget;
+    CHECK(std::string(NextStepName(DecideAfterFailure(facts, test.failure))) ==
+          NextStepName(test.expected));
+  }
+}
+
+// Guards against gateways that together exceed the fleet's retry limit, whatever windows are
+// looked at. Load pattern: a retry storm at every gateway at once.
+TEST_CASE("gateway: retries of all gateways stay within the limit in every window") {
+  GatewayPolicy policy;
+  constexpr uint64_t kGateways = 6;
+  std::vector<RetryShare> shares(kGateways, RetryShare(&policy));
+  std::vector<SteadyTime> calls;
+  std::vector<SteadyTime> retries;
+  SteadyTime now{std::chrono::seconds(100)};
+  for (int step = 0; step < 6'000; ++step) {
+    now += Millis(10);
+    RetryShare& share = shares[static_cast<size_t>(step) % kGateways];
+    if (step % 4 == 0) {
+      share.OnCall(now);
+      calls.push_back(now);
+    }
+    // Every call fails several times.
+    for (int retry = 0; retry < 3; ++retry) {
+      if (share.TryRetry(now, kGateways)) retries.push_back(now);
+    }
+  }
+  REQUIRE(!retries.empty());
+  for (const SteadyTime& end : retries) {
+    const auto count = [&](const std::vector<SteadyTime>& times) {
+      return std::count_if(times.begin(), times.end(), [&](SteadyTime at) {
+        return at <= end && end - at < Duration(policy.retry_window);
+      });
+    };
+    const double limit =
+        policy.retry_ratio * static_cast<double>(count(calls)) + policy.retry_slack;
+    REQUIRE(static_cast<double>(count(retries)) <= limit);
+  }
+}
+
+}  // namespace
+}  // namespace shallot::gateway
--- /dev/null
+++ b/tests/gateway_fleet_view_test.cc
@@ -0,0 +1,157 @@
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "servers/gateway/fleet_routes.h"
+#include "servers/gateway/fleet_view.h"
+
+namespace shallot::gateway {
+namespace {
+
+constexpr SteadyTime kStart{std::chrono::seconds(1000)};
+
+RunnerEntry Entry(const std::string& id, uint64_t born, uint64_t heartbeat,
+                  const std::vector<std::string>& models) {
+  RunnerEntry entry;
+  entry.id = RunnerId(id);
+  entry.backend = BackendName("engine");
+  entry.address = "10.0.0.1:80";
+  entry.slots = 4;
+  entry.born = RunnerBirth(born);
+  entry.heartbeat = HeartbeatSequence(heartbeat);
+  for (const std::string& model : models) entry.holdings.models[ModelName(model)];
+  return entry;
+}
+
+RunnerReport Report(uint64_t born, uint64_t sequence, const std::vector<std::string>& models) {
+  RunnerReport report;
+  report.born = RunnerBirth(born);
+  report.sequence = OrderSequence(sequence);
+  for (const std::string& model : models) report.holdings.models[ModelName(model)];
+  return report;
+}
+
+bool Holds(const FleetView& view, const std::string& id, const std::string& model) {
+  return view.Find(RunnerId(id))->entry.holdings.Holds(ModelName(model), AdapterName());
+}
+
+// Guards against a heartbeat from before an order that undoes what the order's report showed.
+TEST_CASE("gateway: holdings follow the newest report") {
+  FleetView view;
+  CHECK(view.Apply(Entry("a", 1, 1, {"m1"}), kStart));
+  CHECK_FALSE(view.Find(RunnerId("a"))->settled);
+  view.ApplyReport(RunnerId("a"), Report(1, 3, {"m2"}), kStart);
+  CHECK(view.Find(RunnerId("a"))->settled);
+
+  view.Apply(Entry("a", 1, 2, {"m1"}), kStart + Millis(100));
+  CHECK(Holds(view, "a", "m2"));
+  CHECK_MESSAGE(!view.Find(RunnerId("a"))->settled, "the leader must ask for another report");
+
+  view.ApplyReport(RunnerId("a"), Report(1, 2, {"m1"}), kStart + Millis(200));
+  CHECK_MESSAGE(Holds(view, "a", "m2"), "a report with fewer orders is older");
+
+  view.Apply(Entry("a", 1, 9, {"m1"}), kStart + FleetView::kHeartbeatLag + Millis(200));
+  CHECK_MESSAGE(Holds(view, "a", "m1"), "without newer reports the heartbeat counts");
+}
+
+// Guards against calls to a runner that restarted empty under its old id, and against entries of an
+// earlier run that arrive late.
+TEST_CASE("gateway: a new birth replaces all that was known") {
+  FleetView view;
+  view.Apply(Entry("a", 1, 7, {"m1"}), kStart);
+  view.ApplyReport(RunnerId("a"), Report(1, 5, {"m1"}), kStart);
+  CHECK(view.Apply(Entry("a", 2, 1, {}), kStart));
+  CHECK_FALSE(Holds(view, "a", "m1"));
+  CHECK(view.Find(RunnerId("a"))->sequence == OrderSequence(0));
+  CHECK_FALSE(view.Apply(Entry("a", 1, 8, {"m1"}), kStart));
+  CHECK_FALSE(Holds(view, "a", "m1"));
+  view.ApplyReport(RunnerId("a"), Report(1, 6, {"m1"}), kStart);
+  CHECK_FALSE(Holds(view, "a", "m1"));
+}
+
+// Guards against new work for a runner that is leaving, also when an old entry says "ready".
+TEST_CASE("gateway: a leaving runner takes no new calls") {
+  FleetView view;
+  RunnerEntry leaving = Entry("a", 1, 5, {});
+  leaving.draining = true;
+  view.Apply(Entry("a", 1, 4, {}), kStart);
+  CHECK(view.UsableRunners(BackendName("engine")).size() == 1);
+  view.Apply(leaving, kStart);
+  CHECK(view.UsableRunners(BackendName("engine")).empty());
+  view.Apply(Entry("a", 1, 6, {}), kStart);
+  CHECK(view.UsableRunners(BackendName("engine")).empty());
+}
+
+struct LapseCase {
+  const char* name;
+  bool trouble;
+  int64_t back_after_ms;  // Negative: the store stays away.
+  int64_t checked_at_ms;
+  bool expected_known;
+};
+
+// Guards against losing live runners whose entries lapsed during a store outage, and against
+// keeping runners that did not come back.
+TEST_CASE("gateway: entries that lapse during store trouble") {
+  const std::vector<LapseCase> cases = {
+      {"removed in calm", false, -1, 0, false},
+      {"store away", true, -1, 60'000, true},
+      {"store just back", true, 1'000, 2'000, true},
+      {"store back for the grace", true, 1'000, 1'000 + FleetView::kLapseGrace.count(), false},
+  };
+  for (const LapseCase& test : cases) {
+    CAPTURE(std::string(test.name));
+    FleetView view;
+    view.Apply(Entry("a", 1, 1, {}), kStart);
+    if (test.trouble) view.OnStoreTrouble(kStart);
+    view.Remove(RunnerId("a"), kStart);
+    if (test.back_after_ms >= 0) view.OnStoreAnswer(kStart + Millis(test.back_after_ms));
+    view.DropLapsed(kStart + Millis(test.checked_at_ms));
+    CHECK((view.Find(RunnerId("a")) != nullptr) == test.expected_known);
+  }
+}
+
+// Guards against dropping a runner whose entry returned in time.
+TEST_CASE("gateway: an entry that returns after an outage stays") {
+  FleetView view;
+  view.Apply(Entry("a", 1, 1, {}), kStart);
+  view.OnStoreTrouble(kStart);
+  view.Remove(RunnerId("a"), kStart);
+  view.OnStoreAnswer(kStart + Millis(500));
+  view.Apply(Entry("a", 1, 2, {}), kStart + Millis(1'500));
+  view.DropLapsed(kStart + Millis(60'000));
+  CHECK(view.Find(RunnerId("a")) != nullptr);
+}
+
+// Guards against a shorter prefix that hides a longer one, and against a match within a segment.
+TEST_CASE("gateway: the longest prefix of the host selects the route") {
+  FleetRoutes routes;
+  const auto add = [&](const char* name, const char* host, const char* prefix) {
+    Route route;
+    route.name = RouteName(name);
+    route.host = host;
+    route.path_prefix = prefix;
+    routes.routes.push_back(route);
+  };
+  add("short", "a.example", "/x/");
+  add("long", "a.example", "/x/y/");
+  add("other", "b.example", "/x/y/z/");
+  struct Lookup {
+    const char* host;
+    const char* path;
+    const char* expected;
+  };
+  for (const Lookup& lookup : std::vector<Lookup>{{"a.example", "/x/1", "short"},
+                                                  {"a.example", "/x/y/1", "long"},
+                                                  {"a.example", "/x/yy/1", "short"},
+                                                  {"b.example", "/x/1", ""},
+                                                  {"c.example", "/x/1", ""}}) {
+    CAPTURE(std::string(lookup.host) + lookup.path);
+    const Route* found = routes.Find(lookup.host, lookup.path);
+    CHECK((found == nullptr ? "" : found->name.value()) == lookup.expected);
+  }
+}
+
+}  // namespace
+}  // namespace shallot::gateway
--- /dev/null
+++ b/tests/gateway_leader_election_test.cc
@@ -0,0 +1,142 @@
+#include <doctest/doctest.h>
+
+#include <optional>
+
+#include "servers/gateway/leader_election.h"
+
+namespace shallot::gateway {
+namespace {
+
+using Action = LeaderElection::Action;
+using Renewal = LeaderElection::Renewal;
+
+constexpr BootTime kStart{std::chrono::seconds(1000)};
+constexpr Millis kTerm{3'000};
+
+LeaderRecord Record(const std::string& holder, uint64_t revision) {
+  return {InstanceId(holder), "10.0.0.1:1", StoreRevision(revision)};
+}
+
+/// An election of "a" that has won at kStart with fencing number 7.
+LeaderElection Elected() {
+  LeaderElection election(InstanceId("a"), kTerm, 1);
+  election.OnRecord(std::nullopt, StoreRevision(5), kStart);
+  CHECK(election.Next(kStart) == Action::kCreateLease);
+  election.OnLease(LeaseId(1), kTerm, kStart, kStart);
+  CHECK(election.Next(kStart) == Action::kClaim);
+  CHECK(election.ClaimCondition() == StoreRevision(0));
+  election.OnClaim(StoreRevision(7), kStart);
+  return election;
+}
+
+// Guards against orders before the store has confirmed the claim.
+TEST_CASE("gateway: leadership begins with the store's confirmation") {
+  LeaderElection election(InstanceId("a"), kTerm, 1);
+  CHECK_MESSAGE(election.Next(kStart) == Action::kNone, "the record is not known yet");
+  election = Elected();
+  CHECK(election.Leads(kStart));
+  CHECK(election.fence() == FencingNumber(7));
+}
+
+// Guards against two holders: a leader that is suspended or cut off must stop before its lease
+// ends.
+TEST_CASE("gateway: a leader without renewals stops before its lease ends") {
+  LeaderElection election = Elected();
+  CHECK(election.Leads(kStart + kTerm - LeaderElection::kMargin - Millis(1)));
+  CHECK_FALSE(election.Leads(kStart + kTerm - LeaderElection::kMargin));
+  CHECK(election.Next(kStart + kTerm) == Action::kNone);
+  CHECK_FALSE(election.Leads(kStart + kTerm));
+}
+
+// Guards against counting the lease from the answer instead of from the call.
+TEST_CASE("gateway: a renewal counts from when it was sent") {
+  LeaderElection election = Elected();
+  const BootTime sent = kStart + kTerm / 2;
+  CHECK(election.Next(sent) == Action::kRenew);
+  CHECK_MESSAGE(election.Next(sent) == Action::kNone, "one call at a time");
+  election.OnRenewed(Renewal::kDone, sent, sent + Millis(600));
+  CHECK(election.Leads(sent + kTerm - LeaderElection::kMargin - Millis(1)));
+  CHECK_FALSE(election.Leads(sent + kTerm - LeaderElection::kMargin));
+}
+
+struct LossCase {
+  const char* name;
+  Renewal renewal;
+  bool expected_leads;
+};
+
+// Guards against a leader that goes on after the store has ended its lease.
+TEST_CASE("gateway: answers to renewals") {
+  for (const LossCase& test :
+       {LossCase{"done", Renewal::kDone, true}, LossCase{"unknown", Renewal::kUnknown, true},
+        LossCase{"lost", Renewal::kLost, false}}) {
+    CAPTURE(std::string(test.name));
+    LeaderElection election = Elected();
+    const BootTime now = kStart + kTerm / 2;
+    REQUIRE(election.Next(now) == Action::kRenew);
+    election.OnRenewed(test.renewal, now, now);
+    CHECK(election.Leads(now) == test.expected_leads);
+  }
+}
+
+struct RecordCase {
+  const char* name;
+  std::optional<LeaderRecord> record;
+  uint64_t revision;
+  bool expected_leads;
+};
+
+// Guards against stepping down on news from before the own claim (seen on the first played day),
+// and against going on after the record went to another or was removed.
+TEST_CASE("gateway: news about the record") {
+  for (const RecordCase& test : {RecordCase{"older absence", std::nullopt, 6, true},
+                                 RecordCase{"own record", Record("a", 7), 7, true},
+                                 RecordCase{"removed later", std::nullopt, 9, false},
+                                 RecordCase{"another holder", Record("b", 9), 9, false}}) {
+    CAPTURE(std::string(test.name));
+    LeaderElection election = Elected();
+    election.OnRecord(test.record, StoreRevision(test.revision), kStart);
+    CHECK(election.Leads(kStart) == test.expected_leads);
+  }
+}
+
+// Guards against a restarted gateway that waits for its own old lease, and against taking another
+// holder's record.
+TEST_CASE("gateway: who may claim") {
+  LeaderElection election(InstanceId("a"), kTerm, 1);
+  election.OnRecord(Record("b", 4), StoreRevision(4), kStart);
+  CHECK(election.Next(kStart) == Action::kNone);
+  election.OnRecord(Record("a", 5), StoreRevision(5), kStart);
+  CHECK(election.Next(kStart) == Action::kCreateLease);
+  election.OnLease(LeaseId(2), kTerm, kStart, kStart);
+  CHECK(election.Next(kStart) == Action::kClaim);
+  CHECK(election.ClaimCondition() == StoreRevision(5));
+}
+
+// Guards against a claim under a lease that belongs to a lost claim.
+TEST_CASE("gateway: a failed claim starts over after a pause") {
+  LeaderElection election(InstanceId("a"), kTerm, 1);
+  election.OnRecord(std::nullopt, StoreRevision(1), kStart);
+  REQUIRE(election.Next(kStart) == Action::kCreateLease);
+  election.OnLease(LeaseId(1), kTerm, kStart, kStart);
+  REQUIRE(election.Next(kStart) == Action::kClaim);
+  election.OnClaim(std::nullopt, kStart);
+  CHECK_FALSE(election.Leads(kStart));
+  CHECK(election.Next(kStart) == Action::kNone);
+  CHECK(election.Next(kStart + LeaderElection::kRetryPause * 2) == Action::kCreateLease);
+}
+
+// Guards against a leader that goes on after a runner has seen a higher fencing number, and against
+// a stopping gateway that stands for election again.
+TEST_CASE("gateway: fenced and stopped leaders give no orders") {
+  LeaderElection fenced = Elected();
+  fenced.OnFenced(kStart);
+  CHECK_FALSE(fenced.Leads(kStart));
+  LeaderElection stopped = Elected();
+  stopped.Stop();
+  CHECK_FALSE(stopped.Leads(kStart));
+  CHECK(stopped.Next(kStart + kTerm * 2) == Action::kNone);
+}
+
+}  // namespace
+}  // namespace shallot::gateway
--- /dev/null
+++ b/tests/gateway_load_planner_test.cc
@@ -0,0 +1,162 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "core/random.h"
+#include "tests/gateway_placement_fixture.h"
+
+namespace shallot::gateway {
+namespace {
+
+TotalDemand Waiting(uint64_t calls) {
+  TotalDemand demand;
+  demand.waiting = calls;
+  demand.least_time_left = Millis(4'000);
+  demand.calls_per_s = 0.2;
+  demand.since_last_call = Millis(0);
+  return demand;
+}
+
+// Guards against a load for each gateway that asks: a burst for one cold model loads it once.
+TEST_CASE("gateway: calls that wait for a model load it once") {
+  PlacementFixture fleet(6);
+  fleet.AddRunner("a", {0, 1}, {0, 1, 4});
+  fleet.AddRunner("b", {2, 3}, {2, 3, 4});
+  fleet.Demand(4) = Waiting(300);
+  for (const int model : {0, 1, 2, 3}) fleet.Demand(model).since_last_call = Millis(30'000);
+  fleet.Run(Millis(1'500));
+  CHECK(fleet.Held(4));
+  CHECK(fleet.Count(OrderKind::kLoad, 4) == 1);
+}
+
+// Guards against a load from the weight store (6 s) when a runner has a copy on its disk (0.8 s).
+TEST_CASE("gateway: a runner with a copy at hand is preferred") {
+  PlacementFixture fleet(6);
+  fleet.AddRunner("a", {0}, {0});
+  fleet.AddRunner("b", {1, 2}, {1, 2, 5});
+  fleet.Demand(5) = Waiting(1);
+  fleet.Run(Millis(100));
+  const auto load =
+      std::find_if(fleet.history().begin(), fleet.history().end(), [](const PlannedOrder& planned) {
+        return planned.order.kind == OrderKind::kLoad &&
+               planned.order.model == PlacementFixture::Model(5);
+      });
+  REQUIRE(load != fleet.history().end());
+  CHECK(load->order.runner == RunnerId("b"));
+  CHECK(load->order.tier == LoadTier::kDisk);
+}
+
+// Guards against unloading a model whose calls are running: the runner would reject new calls for
+// it and take no other order until the last one ends (almanak-net scale-1: 123 refusals).
+TEST_CASE("gateway: a model with running calls is the last victim") {
+  PlacementFixture fleet(6);
+  fleet.AddRunner("a", {0, 1}, {0, 1, 4});
+  TotalDemand& busy = fleet.Demand(0);
+  busy.in_flight = 20;
+  busy.in_flight_at[RunnerId("a")] = 20;
+  busy.calls_per_s = 0.1;
+  busy.since_last_call = Millis(5'000);
+  TotalDemand& recent = fleet.Demand(1);
+  recent.calls_per_s = 1;
+  recent.since_last_call = Millis(100);
+  fleet.Demand(4) = Waiting(1);
+  fleet.Run(Millis(1'500));
+  CHECK(fleet.Count(OrderKind::kUnload, 0) == 0);
+  CHECK(fleet.Count(OrderKind::kUnload, 1) == 1);
+  CHECK(fleet.Held(4));
+}
+
+// Guards against a hot model that is lost with the one runner that holds it, and against a replica
+// that costs a model its last copy while that one is in use.
+TEST_CASE("gateway: a hot model gets a second replica in memory that nobody needs") {
+  PlacementFixture fleet(6);
+  fleet.AddRunner("a", {0, 1}, {0, 1});
+  fleet.AddRunner("b", {2, 3}, {0, 2, 3});
+  for (const int model : {1, 2, 3}) {
+    fleet.Demand(model).since_last_call = Millis(model == 2 ? 100 : 30'000);
+  }
+  fleet.Demand(0).calls_per_s = fleet.policy().hot_calls_per_s;
+  fleet.Demand(0).since_last_call = Millis(0);
+  fleet.Run(Millis(1'500));
+  CHECK(fleet.Count(OrderKind::kLoad, 0) == 1);
+  CHECK(fleet.Count(OrderKind::kUnload, 2) == 0);
+  CHECK(fleet.Count(OrderKind::kUnload, 3) == 1);
+}
+
+// Guards against new runners that stay empty while models have no holder (runners replaced one
+// after the other, prairiefold-hq mix seed 535566692969).
+TEST_CASE("gateway: free memory of a new runner is filled") {
+  PlacementFixture fleet(4);
+  fleet.AddRunner("a", {0, 1}, {0, 1, 2, 3});
+  fleet.AddRunner("new", {}, {});
+  fleet.Run(Millis(13'000));
+  CHECK(fleet.Held(2));
+  CHECK(fleet.Held(3));
+}
+
+// Guards against placing on, or counting on, runners that leave or cannot be reached.
+TEST_CASE("gateway: leaving and unreachable runners do not count as holders") {
+  for (const bool leaving : {true, false}) {
+    CAPTURE(leaving);
+    PlacementFixture fleet(4);
+    fleet.AddRunner("a", {0, 1}, {0, 1});
+    fleet.AddRunner("b", {2, 3}, {0, 2, 3});
+    if (leaving) {
+      fleet.SetDraining("a");
+    } else {
+      fleet.unreachable().insert(RunnerId("a"));
+    }
+    fleet.Demand(0) = Waiting(2);
+    fleet.Run(Millis(1'500));
+    REQUIRE(fleet.Count(OrderKind::kLoad, 0) == 1);
+    CHECK(std::all_of(fleet.history().begin(), fleet.history().end(),
+                      [](const auto& planned) { return planned.order.runner == RunnerId("b"); }));
+  }
+}
+
+// Guards against more adapters than a runner has slots for: the idle one makes way.
+TEST_CASE("gateway: adapters replace idle ones when the slots are taken") {
+  PlacementFixture fleet(1);
+  fleet.AddRunner("a", {0}, {0});
+  for (const char* adapter : {"a1", "a2"}) {
+    fleet.Demand(0, adapter) = Waiting(1);
+    fleet.Run(Millis(200));
+    fleet.Demand(0, adapter).waiting = 0;
+  }
+  fleet.Demand(0, "a1").in_flight = 1;
+  fleet.Demand(0, "a2").since_last_call = Millis(5'000);
+  fleet.Demand(0, "a3") = Waiting(1);
+  fleet.Run(Millis(300));
+  const Holdings holdings = fleet.AllHoldings().at(RunnerId("a"));
+  CHECK(holdings.Holds(PlacementFixture::Model(0), AdapterName("a1")));
+  CHECK(holdings.Holds(PlacementFixture::Model(0), AdapterName("a3")));
+  CHECK_FALSE(fleet.overcommitted());
+}
+
+// Guards against overcommitted memory and too many loads from the weight store, whatever is asked
+// for. Load pattern: rare models are asked for at once, and answers to orders are lost.
+TEST_CASE("gateway: random demand never overcommits memory or the weight store") {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    Random random(seed);
+    PlacementFixture fleet(12);
+    for (int runner = 0; runner < 4; ++runner) {
+      fleet.AddRunner("r" + std::to_string(runner), {runner * 2, runner * 2 + 1},
+                      {runner, runner + 4});
+    }
+    for (int step = 0; step < 400; ++step) {
+      TotalDemand& demand = fleet.Demand(static_cast<int>(random.Below(12)));
+      demand = Waiting(random.Below(3));
+      demand.calls_per_s = random.Unit() * 4;
+      demand.in_flight = random.Below(30);
+      demand.since_last_call = Millis(static_cast<int64_t>(random.Below(5'000)));
+      fleet.Step(random.Below(10) != 0);
+      REQUIRE(fleet.StoreLoadsUnderWay() <= fleet.policy().store_loads_at_once);
+      fleet.Advance(Millis(50));
+    }
+    CHECK_FALSE(fleet.overcommitted());
+  }
+}
+
+}  // namespace
+}  // namespace shallot::gateway
--- /dev/null
+++ b/tests/gateway_peer_codec_test.cc
@@ -0,0 +1,141 @@
+#include "drivers/gateway/peer_codec.h"
+
+#include <doctest/doctest.h>
+
+#include "core/settings.h"
+#include "drivers/gateway/policy_settings.h"
+#include "servers/gateway/demand_board.h"
+
+namespace shallot::gateway {
+namespace {
+
+constexpr SteadyTime kStart{std::chrono::seconds(1000)};
+
+EntryDemand Demand(uint64_t waiting) {
+  EntryDemand demand;
+  demand.backend = BackendName("engine");
+  demand.model = ModelName("m");
+  demand.adapter = AdapterName("a1");
+  demand.waiting = waiting;
+  demand.least_time_left = Millis(900);
+  demand.in_flight = 4;
+  demand.calls_per_s = 1.5;
+  demand.prompt_tokens_per_s = 2'000;
+  demand.since_last_call = Millis(70);
+  demand.in_flight_at[RunnerId("i-1")] = 4;
+  return demand;
+}
+
+// Guards against a field that is lost between gateways.
+TEST_CASE("gateway: peer messages survive encoding") {
+  DemandReport report;
+  report.gateway = InstanceId("front-1");
+  report.entries.push_back(Demand(3));
+  report.unreachable.insert(RunnerId("i-2"));
+  const auto demand = DecodePeerMessage(EncodePeerMessage(report));
+  REQUIRE(IsOk(demand));
+  const auto& decoded = std::get<DemandReport>(ValueOf(demand));
+  CHECK(decoded.gateway == report.gateway);
+  CHECK(decoded.unreachable == report.unreachable);
+  REQUIRE(decoded.entries.size() == 1);
+  CHECK(decoded.entries[0].adapter == AdapterName("a1"));
+  CHECK(decoded.entries[0].least_time_left == Millis(900));
+  CHECK(decoded.entries[0].in_flight_at == report.entries[0].in_flight_at);
+
+  RunnerNotice notice;
+  notice.runner = RunnerId("i-1");
+  notice.report.born = RunnerBirth(5);
+  notice.report.sequence = OrderSequence(6);
+  notice.report.order_under_way = true;
+  notice.report.holdings.models[ModelName("m")].insert(AdapterName("a1"));
+  notice.report.holdings.coming[ModelName("m")].insert(AdapterName("a2"));
+  notice.report.holdings.in_memory.insert(ModelName("n"));
+  notice.report.holdings.on_disk.insert(ModelName("o"));
+  const auto read = DecodePeerMessage(EncodePeerMessage(notice));
+  REQUIRE(IsOk(read));
+  const auto& copy = std::get<RunnerNotice>(ValueOf(read));
+  CHECK(copy.report.holdings == notice.report.holdings);
+  CHECK(copy.report.sequence == notice.report.sequence);
+  CHECK(copy.report.order_under_way);
+  CHECK_FALSE(IsOk(DecodePeerMessage("\xff\xff")));
+  CHECK_FALSE(IsOk(DecodePeerMessage("")));
+}
+
+TEST_CASE("gateway: records of gateways in the store") {
+  const auto record = DecodeGatewayRecord(EncodeGatewayRecord(InstanceId("front-1"), "10.0.0.1:7"),
+                                          StoreRevision(9));
+  REQUIRE(IsOk(record));
+  CHECK(ValueOf(record) == LeaderRecord{InstanceId("front-1"), "10.0.0.1:7", StoreRevision(9)});
+  CHECK_FALSE(IsOk(DecodeGatewayRecord("", StoreRevision(9))));
+}
+
+// Guards against demand of a gateway that is gone, and against demand that is counted twice.
+TEST_CASE("gateway: the board adds up the newest report of each live gateway") {
+  DemandBoard board;
+  const DemandMeter::Key key{BackendName("engine"), ModelName("m"), AdapterName("a1")};
+  for (const char* gateway : {"front-1", "front-2"}) {
+    DemandReport report;
+    report.gateway = InstanceId(gateway);
+    report.entries.push_back(Demand(1));
+    board.Apply(report, kStart);
+    report.entries[0].waiting = 2;
+    board.Apply(report, kStart);
+  }
+  CHECK(board.Totals(kStart)[key].waiting == 4);
+  CHECK(board.Totals(kStart)[key].InFlightAt(RunnerId("i-1")) == 8);
+  CHECK(board.Totals(kStart + DemandBoard::kReportAge + Millis(1)).empty());
+}
+
+// Guards against taking a runner as lost because one gateway is cut off from all of them.
+TEST_CASE("gateway: several gateways must miss a runner") {
+  DemandBoard board;
+  for (int number = 0; number < 6; ++number) {
+    DemandReport report;
+    report.gateway = InstanceId("front-" + std::to_string(number));
+    if (number == 0) report.unreachable = {RunnerId("i-1"), RunnerId("i-2")};
+    if (number == 1) report.unreachable = {RunnerId("i-2")};
+    board.Apply(report, kStart);
+  }
+  CHECK(board.Unreachable(kStart) == std::set<RunnerId>{RunnerId("i-2")});
+}
+
+TEST_CASE("gateway: the meter follows calls and forgets idle entries") {
+  DemandMeter meter;
+  const DemandMeter::Key key{BackendName("engine"), ModelName("m"), AdapterName()};
+  SteadyTime now = kStart;
+  for (int call = 0; call < 200; ++call) {
+    meter.OnCall(key, 100, now);
+    now += Millis(100);
+  }
+  meter.OnSent(key, RunnerId("i-1"));
+  auto snapshot = meter.Snapshot(now);
+  REQUIRE(snapshot.size() == 1);
+  CHECK(snapshot[0].calls_per_s == doctest::Approx(10).epsilon(0.1));
+  CHECK(snapshot[0].prompt_tokens_per_s == doctest::Approx(1'000).epsilon(0.1));
+  CHECK(snapshot[0].in_flight_at.at(RunnerId("i-1")) == 1);
+  now += DemandMeter::kForgetAfter * 2;
+  CHECK_MESSAGE(meter.Snapshot(now).size() == 1, "a call is still in flight");
+  meter.OnEnded(key, RunnerId("i-1"));
+  CHECK(meter.Snapshot(now).empty());
+}
+
+// Guards against a mistyped policy that is silently ignored.
+TEST_CASE("gateway: the policy file is checked") {
+  struct Case {
+    const char* text;
+    bool valid;
+  };
+  for (const Case& test :
+       {Case{"[policy]\nmax_replicas = 3\n", true}, Case{"", true},
+        Case{"[policy]\nmax_replica = 3\n", false}, Case{"[policy]\nsilent_share = 7\n", false},
+        Case{"[other]\nx = 1\n", false}}) {
+    CAPTURE(std::string(test.text));
+    const auto document = ParseIni(test.text, "gateway.ini");
+    REQUIRE(IsOk(document));
+    const auto policy = ReadGatewayPolicy(ValueOf(document), GatewayPolicy());
+    CHECK(IsOk(policy) == test.valid);
+  }
+}
+
+}  // namespace
+}  // namespace shallot::gateway
--- /dev/null
+++ b/tests/gateway_picker_test.cc
@@ -0,0 +1,218 @@
+#include <doctest/doctest.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "servers/gateway/runner_picker.h"
+#include "servers/gateway/waiting_policy.h"
+
+namespace shallot::gateway {
+namespace {
+
+constexpr SteadyTime kStart{std::chrono::seconds(1000)};
+
+class PickerFixture {
+ public:
+  PickerFixture() : picker_(&policy_, &view_, FailureDomain("north")) {
+    ModelSpec spec;
+    spec.name = ModelName("m");
+    spec.store_load = Millis(6'000);
+    spec.disk_load = Millis(800);
+    spec.memory_load = Millis(400);
+    engine_.models[spec.name] = spec;
+    call_.model = spec.name;
+    call_.prompt_tokens = 3'800;
+    call_.prompt = {{"shared", 3'000}, {"own", 800}};
+  }
+
+  void Add(const std::string& id, const std::string& domain, bool holds, uint64_t slots = 8) {
+    RunnerEntry entry;
+    entry.id = RunnerId(id);
+    entry.backend = BackendName("engine");
+    entry.domain = FailureDomain(domain);
+    entry.slots = slots;
+    entry.born = RunnerBirth(1);
+    if (holds) entry.holdings.models[ModelName("m")];
+    view_.Apply(entry, kStart);
+  }
+
+  std::string Pick(PickProblem* problem = nullptr, const std::set<RunnerId>& tried = {},
+                   const std::set<RunnerId>& excluded = {}) {
+    PickProblem ignored = PickProblem::kNone;
+    RunnerPicker::Query query;
+    query.backend = BackendName("engine");
+    query.engine = &engine_;
+    query.call = &call_;
+    query.tried = &tried;
+    query.excluded = &excluded;
+    query.target_latency = Millis(800);
+    const auto picked = picker_.Pick(query, kStart, problem == nullptr ? &ignored : problem);
+    return picked ? picked->runner.value() : "";
+  }
+
+  GatewayPolicy policy_;
+  FleetView view_;
+  EngineSpec engine_;
+  CallRequest call_;
+  RunnerPicker picker_;
+};
+
+// Guards against a picker that ignores what a runner keeps of a prompt, its queue, its speed or its
+// failures. Load pattern: replicas of one busy model that differ.
+TEST_CASE("gateway: the runner with the earliest predicted first event is chosen") {
+  struct Case {
+    const char* name;
+    void (*prepare)(PickerFixture*);
+    const char* expected;
+  };
+  const std::vector<Case> cases = {
+      {"own failure domain", [](PickerFixture*) {}, "near"},
+      {"prompt kept elsewhere",
+       [](PickerFixture* fixture) {
+         fixture->picker_.prefixes().Sent(RunnerId("far"), fixture->call_.PrefixScope(),
+                                          fixture->call_.prompt);
+       },
+       "far"},
+      {"prompts queued at the near one",
+       [](PickerFixture* fixture) {
+         fixture->picker_.health(RunnerId("near")).pending_tokens = 20'000;
+       },
+       "far"},
+      {"near one is slow",
+       [](PickerFixture* fixture) { fixture->picker_.health(RunnerId("near")).slowness = 4; },
+       "far"},
+      {"near one fails",
+       [](PickerFixture* fixture) {
+         fixture->picker_.health(RunnerId("near")).OnFailure(kStart, false);
+       },
+       "far"},
+      {"near one is full",
+       [](PickerFixture* fixture) { fixture->picker_.health(RunnerId("near")).in_flight = 8; },
+       "far"},
+      {"near one is unreachable",
+       [](PickerFixture* fixture) {
+         fixture->picker_.health(RunnerId("near")).OnUnreachable(kStart);
+       },
+       "far"},
+      {"near one rejects the model",
+       [](PickerFixture* fixture) {
+         fixture->picker_.health(RunnerId("near")).OnModelRejected("m", kStart);
+       },
+       "far"},
+  };
+  for (const Case& test : cases) {
+    CAPTURE(std::string(test.name));
+    PickerFixture fixture;
+    fixture.Add("near", "north", true);
+    fixture.Add("far", "south", true);
+    test.prepare(&fixture);
+    CHECK(fixture.Pick() == test.expected);
+  }
+}
+
+// Guards against sending a call again and again to a runner that cannot take it (almanak-net
+// scale-1: 951 attempts of one call).
+TEST_CASE("gateway: a call waits instead of trying an excluded or unreachable runner") {
+  PickerFixture fixture;
+  PickProblem problem = PickProblem::kNone;
+  CHECK(fixture.Pick(&problem).empty());
+  CHECK(problem == PickProblem::kNoRunner);
+  fixture.Add("other", "north", false);
+  CHECK(fixture.Pick(&problem).empty());
+  CHECK(problem == PickProblem::kModelNotLoaded);
+  fixture.Add("a", "north", true);
+  CHECK(fixture.Pick(&problem, {}, {RunnerId("a")}).empty());
+  CHECK(problem == PickProblem::kAllBusy);
+  fixture.picker_.health(RunnerId("a")).OnUnreachable(kStart);
+  CHECK(fixture.Pick(&problem).empty());
+  CHECK(problem == PickProblem::kModelNotLoaded);
+}
+
+// Guards against a rejection pause that never ends or never grows.
+TEST_CASE("gateway: rejections of a model hold calls back for growing pauses") {
+  RunnerHealth health;
+  SteadyTime now = kStart;
+  Millis last{0};
+  for (int round = 0; round < 6; ++round) {
+    health.OnModelRejected("m", now);
+    Millis pause{0};
+    while (health.ModelHeldBack("m", now + pause)) pause += Millis(10);
+    CHECK(pause >= last);
+    CHECK(pause <= RunnerHealth::kLongestRejectionPause);
+    last = pause;
+    now += pause;
+  }
+  CHECK(last == RunnerHealth::kLongestRejectionPause);
+  health.OnModelServed("m");
+  health.OnModelRejected("m", now);
+  CHECK_FALSE(health.ModelHeldBack("m", now + RunnerHealth::kFirstRejectionPause));
+}
+
+// Guards against calls that wait although no load can be done in their time, and against refusing
+// calls that a copy at hand could still serve.
+TEST_CASE("gateway: a call waits for its model only when that can succeed") {
+  struct Case {
+    const char* name;
+    bool in_memory;
+    bool on_disk;
+    int64_t left_ms;
+    int64_t waited_ms;
+    bool expected;
+    const char* source;
+  };
+  const std::vector<Case> cases = {
+      {"memory", true, true, 2'000, 0, true, "memory"},
+      {"disk", false, true, 2'000, 0, true, "disk"},
+      {"disk, too late", false, true, 900, 0, false, "disk"},
+      {"store, time enough", false, false, 8'000, 0, true, "store"},
+      {"store, too late", false, false, 5'000, 0, false, "store"},
+      {"store, load under way", false, false, 5'000, 3'000, true, "store"},
+  };
+  for (const Case& test : cases) {
+    CAPTURE(std::string(test.name));
+    PickerFixture fixture;
+    RunnerEntry entry;
+    entry.id = RunnerId("a");
+    entry.backend = BackendName("engine");
+    if (test.in_memory) entry.holdings.in_memory.insert(ModelName("m"));
+    if (test.on_disk) entry.holdings.on_disk.insert(ModelName("m"));
+    fixture.view_.Apply(entry, kStart);
+    const WaitingVerdict verdict =
+        DecideWaiting(fixture.view_, fixture.engine_, fixture.policy_, BackendName("engine"),
+                      fixture.call_, Millis(test.left_ms), Millis(test.waited_ms));
+    CHECK(verdict.wait == test.expected);
+    CHECK(std::string(verdict.source) == test.source);
+    CHECK(verdict.retry_after >= kLeastRetryAfter);
+  }
+}
+
+// Guards against waiting for a backend without runners, and for a model that is not configured.
+TEST_CASE("gateway: nothing to wait for") {
+  PickerFixture fixture;
+  const auto decide = [&] {
+    return DecideWaiting(fixture.view_, fixture.engine_, fixture.policy_, BackendName("engine"),
+                         fixture.call_, Millis(9'000), Millis(0));
+  };
+  CHECK_FALSE(decide().wait);
+  fixture.Add("a", "north", false);
+  CHECK(decide().wait);
+  fixture.call_.model = ModelName("unknown");
+  CHECK_FALSE(decide().wait);
+}
+
+// Guards against a prefix that counts as kept after a part in front of it differs.
+TEST_CASE("gateway: kept prompt tokens end at the first unknown part") {
+  PrefixIndex index;
+  const RunnerId runner("a");
+  index.Sent(runner, "m/", {{"p1", 100}, {"p2", 50}, {"p3", 7}});
+  CHECK(index.KeptTokens(runner, "m/", {{"p1", 100}, {"p2", 50}, {"new", 9}}) == 150);
+  CHECK(index.KeptTokens(runner, "m/", {{"new", 9}, {"p2", 50}}) == 0);
+  CHECK(index.KeptTokens(runner, "other/", {{"p1", 100}}) == 0);
+  CHECK(index.KeptTokens(RunnerId("b"), "m/", {{"p1", 100}}) == 0);
+  index.Forget(runner);
+  CHECK(index.KeptTokens(runner, "m/", {{"p1", 100}}) == 0);
+}
+
+}  // namespace
+}  // namespace shallot::gateway
