Go on leading through a store outage where runners check fencing numbers

A leader whose renewals get no answer now goes on; a runner that has seen a higher fencing number, or a notice of a newer leader, ends it, and a process that was suspended must renew first. At a planned stop the lease is ended at once instead of running out.

--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -240,6 +240,7 @@
       return;
     }
     const auto& notice = std::get<RunnerNotice>(message);
+    placement_->OnNoticeFence(notice.fence);
     context_->view.ApplyReport(notice.runner, notice.report, context_->loop.Now());
     PlaceWaiting();
   });
--- a/drivers/gateway/peer_channel.h
+++ b/drivers/gateway/peer_channel.h
@@ -19,6 +19,8 @@
 struct RunnerNotice {
   RunnerId runner;
   RunnerReport report;
+  /// Fencing number of the leader that sent it.
+  FencingNumber fence;
 };
 
 using PeerMessage = std::variant<DemandReport, RunnerNotice>;
--- a/drivers/gateway/peer_codec.cc
+++ b/drivers/gateway/peer_codec.cc
@@ -75,6 +75,7 @@
   wire->set_born(report.born.value());
   wire->set_sequence(report.sequence.value());
   wire->set_order_under_way(report.order_under_way);
+  wire->set_fence(notice.fence.value());
   EncodeHeld(report.holdings.models, wire->mutable_models());
   EncodeHeld(report.holdings.coming, wire->mutable_coming());
   for (const ModelName& model : report.holdings.in_memory) wire->add_in_memory(model.value());
@@ -88,6 +89,7 @@
   report.born = RunnerBirth(wire.born());
   report.sequence = OrderSequence(wire.sequence());
   report.order_under_way = wire.order_under_way();
+  notice.fence = FencingNumber(wire.fence());
   report.holdings.models = DecodeHeld(wire.models());
   report.holdings.coming = DecodeHeld(wire.coming());
   for (const std::string& model : wire.in_memory()) {
--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -12,6 +12,8 @@
 
 /// Renewals of a gateway's own key per lease; two may fail in a row.
 constexpr int64_t kPresenceRenewals = 3;
+/// Pause between tries to give the leadership up at a planned stop.
+constexpr Millis kReleaseInterval{500};
 
 }  // namespace
 
@@ -21,12 +23,42 @@
       notice_(std::move(notice)),
       election_(context->settings.instance,
                 std::max(context->settings.order_lease, context->settings.least_lease),
-                EntropySeed()),
+                context->settings.orders_fenced, EntropySeed()),
       planner_(&context->settings.policy, &context->view, &tracker_) {}
 
 void PlacementDriver::Start() { Tick(); }
 
-void PlacementDriver::Stop() { election_.Stop(); }
+void PlacementDriver::Stop() {
+  if (stopping_) return;
+  stopping_ = true;
+  Release();
+}
+
+void PlacementDriver::Release() {
+  if (!Leads() || !context_->settings.orders_fenced) {
+    election_.Stop();
+    return;
+  }
+  // Where runners check fencing numbers, the successor need not wait for the lease to end. Without
+  // the store there is no successor, and this gateway leads until its end.
+  context_->calls.Start(context_->settings.store_address,
+                        context_->protocol->EndLeaseRequest(election_.lease()), kStoreTimeout,
+                        [this](const Result<HttpMessage>& answer) { OnReleased(answer); });
+}
+
+void PlacementDriver::OnReleased(const Result<HttpMessage>& answer) {
+  const bool released = IsOk(answer) && IsOk(context_->protocol->DecodeRenewal(ValueOf(answer)));
+  LogInfo("placement", std::string("event=leadership-released done=") + (released ? "yes" : "no"));
+  if (released) {
+    election_.Stop();
+    return;
+  }
+  context_->loop.After(kReleaseInterval, [this] { Release(); });
+}
+
+void PlacementDriver::OnNoticeFence(FencingNumber fence) {
+  election_.OnOtherFence(fence, context_->clock->BootNow());
+}
 
 bool PlacementDriver::Leads() const { return election_.Leads(context_->clock->BootNow()); }
 
@@ -206,7 +238,7 @@
                       "sequence={}",
                       order.runner.value(), order.kind == OrderKind::kLoad ? "load" : "unload",
                       order.model.value(), order.adapter.value(), report->sequence.value()));
-  notice_(RunnerNotice{order.runner, *report});
+  notice_(RunnerNotice{order.runner, *report, election_.fence()});
 }
 
 void PlacementDriver::PollReport(const RunnerId& runner) {
@@ -254,7 +286,7 @@
                         runner.value(), settled->kind == OrderKind::kLoad ? "load" : "unload",
                         settled->model.value(), settled->adapter.value(), report.sequence.value()));
   }
-  if (Leads()) notice_(RunnerNotice{runner, report});
+  if (Leads()) notice_(RunnerNotice{runner, report, election_.fence()});
 }
 
 void PlacementDriver::RunPlanner() {
@@ -325,7 +357,7 @@
     // Calls for the model are rejected from now on, so the gateways must stop sending them.
     const auto report =
         context_->view.AfterOrder(order.runner, false, order.model, order.adapter, true);
-    if (report) notice_(RunnerNotice{order.runner, *report});
+    if (report) notice_(RunnerNotice{order.runner, *report, election_.fence()});
   }
   if (verdict == OrderAnswer::kFenced) election_.OnFenced(context_->clock->BootNow());
 }
--- a/drivers/gateway/placement_driver.h
+++ b/drivers/gateway/placement_driver.h
@@ -30,10 +30,13 @@
   PlacementDriver(GatewayContext* context, std::function<void(const RunnerNotice&)> notice);
 
   void Start();
+  /// Gives the leadership up for a planned stop.
   void Stop();
   void OnDemand(const DemandReport& report);
   void OnLeaderRecord(const std::optional<LeaderRecord>& record, StoreRevision revision);
   bool Leads() const;
+  /// A notice came from a leader with this fencing number.
+  void OnNoticeFence(FencingNumber fence);
 
  private:
   void Tick();
@@ -41,6 +44,8 @@
   void CreateLease();
   void Claim();
   void Renew();
+  void Release();
+  void OnReleased(const Result<HttpMessage>& answer);
   void KeepPresence();
   void RegisterPresence(LeaseId lease);
   void RunPlanner();
@@ -62,6 +67,7 @@
   /// Orders are not given before this time where runners do not check fencing numbers.
   BootTime orders_from_{};
   bool led_ = false;
+  bool stopping_ = false;
   LeaseId presence_;
   BootTime presence_due_{};
   bool presence_under_way_ = false;
--- a/drivers/gateway/platform_protocol.h
+++ b/drivers/gateway/platform_protocol.h
@@ -111,6 +111,7 @@
   virtual HttpMessage WriteRequest(const ConditionalWrite& write) const = 0;
   virtual HttpMessage LeaseRequest(Millis term) const = 0;
   virtual HttpMessage RenewRequest(LeaseId lease) const = 0;
+  virtual HttpMessage EndLeaseRequest(LeaseId lease) const = 0;
   virtual Result<StoreBatch> DecodeRange(const HttpMessage& answer) const = 0;
   virtual Result<StoreBatch> DecodeWatch(const HttpMessage& answer) const = 0;
   virtual Result<StoreRevision> DecodeWrite(const HttpMessage& answer) const = 0;
--- a/servers/gateway/leader_election.cc
+++ b/servers/gateway/leader_election.cc
@@ -4,14 +4,21 @@
 
 namespace shallot::gateway {
 
-LeaderElection::LeaderElection(InstanceId self, Millis term, uint64_t jitter_seed)
+LeaderElection::LeaderElection(InstanceId self, Millis term, bool orders_fenced,
+                               uint64_t jitter_seed)
     : self_(std::move(self)),
       term_(term),
-      jitter_(StableHash(self_.value(), jitter_seed) % static_cast<uint64_t>(kRetryPause.count())) {
-}
+      jitter_(StableHash(self_.value(), jitter_seed) % static_cast<uint64_t>(kRetryPause.count())),
+      orders_fenced_(orders_fenced) {}
 
 bool LeaderElection::Leads(BootTime now) const {
-  return leading_ && !stopped_ && now + kMargin < lease_end_;
+  if (!leading_ || stopped_) return false;
+  return now + kMargin < lease_end_ || HoldsOver(now);
+}
+
+bool LeaderElection::HoldsOver(BootTime now) const {
+  return orders_fenced_ && renewal_unanswered_at_ &&
+         now - *renewal_unanswered_at_ < kHoldOverWindow;
 }
 
 bool LeaderElection::MayClaim() const {
@@ -24,7 +31,7 @@
 }
 
 LeaderElection::Action LeaderElection::Next(BootTime now) {
-  if (leading_ && now >= lease_end_) StepDown(now);
+  if (leading_ && now >= lease_end_ && !HoldsOver(now)) StepDown(now);
   if (under_way_ || stopped_) return Action::kNone;
   if (leading_) {
     if (now < next_renewal_) return Action::kNone;
@@ -81,19 +88,26 @@
     return;
   }
   if (renewal == Renewal::kDone) {
+    renewal_unanswered_at_.reset();
     lease_end_ = sent + term_;
     next_renewal_ = sent + term_ / kRenewalsPerTerm;
     return;
   }
+  renewal_unanswered_at_ = now;
   next_renewal_ = now + kRetryPause / 2;
 }
 
+void LeaderElection::OnOtherFence(FencingNumber fence, BootTime now) {
+  if (leading_ && fence > this->fence()) StepDown(now);
+}
+
 void LeaderElection::OnFenced(BootTime now) {
   if (leading_) StepDown(now);
 }
 
 void LeaderElection::StepDown(BootTime now) {
   leading_ = false;
+  renewal_unanswered_at_.reset();
   lease_ = LeaseId();
   if (record_ && record_->holder == self_ && record_->revision == fence_) record_known_ = false;
   next_try_ = now + kRetryPause + Millis(jitter_);
--- a/servers/gateway/leader_election.h
+++ b/servers/gateway/leader_election.h
@@ -27,6 +27,11 @@
 /// Elects the one gateway that gives placement orders: a lease on one key of the platform store,
 /// written under the condition that nobody else has written it. The fencing number is the store
 /// revision of that write, so it rises with each holder. Not thread-safe.
+///
+/// Where runners reject orders with an outdated fencing number, a leader whose renewals get no
+/// answer goes on past its lease: in a store outage nobody else can take over, and placement would
+/// stand still. If another holder has taken over after all, the first runner that has seen its
+/// orders, or its first notice, ends this. Without fencing the lease is the limit.
 class LeaderElection {
  public:
   /// Stop giving orders this long before the lease can end: an order takes a few milliseconds to
@@ -37,6 +42,10 @@
   /// Pause after a failed try, doubled by jitter from the instance's name.
   static constexpr Millis kRetryPause{400};
 
+  /// A leader may go on past its lease while its last renewal without an answer is newer than this.
+  /// A process that was suspended has not tried, and must renew first.
+  static constexpr Millis kHoldOverWindow{1'500};
+
   enum class Action {
     kNone,
     kCreateLease,  ///< Then OnLease.
@@ -45,7 +54,8 @@
   };
 
   /// `term`: lease time; not shorter than the platform's window for holders that take turns.
-  LeaderElection(InstanceId self, Millis term, uint64_t jitter_seed);
+  /// `orders_fenced`: runners reject orders with an outdated fencing number.
+  LeaderElection(InstanceId self, Millis term, bool orders_fenced, uint64_t jitter_seed);
 
   /// What to do now; at most one action is under way at a time.
   Action Next(BootTime now);
@@ -58,6 +68,8 @@
   void OnRenewed(Renewal renewal, BootTime sent, BootTime now);
   /// Another holder has given orders with a higher fencing number.
   void OnFenced(BootTime now);
+  /// A notice of a leader with this fencing number was received.
+  void OnOtherFence(FencingNumber fence, BootTime now);
   /// Stops leading and standing for election.
   void Stop() { stopped_ = true; }
 
@@ -71,6 +83,7 @@
 
  private:
   bool MayClaim() const;
+  bool HoldsOver(BootTime now) const;
   void StepDown(BootTime now);
 
   InstanceId self_;
@@ -84,6 +97,8 @@
   StoreRevision fence_;
   BootTime next_try_{};
   BootTime next_renewal_{};
+  bool orders_fenced_;
+  std::optional<BootTime> renewal_unanswered_at_;
   bool leading_ = false;
   bool under_way_ = false;
   bool stopped_ = false;
--- a/tests/gateway_leader_election_test.cc
+++ b/tests/gateway_leader_election_test.cc
@@ -18,8 +18,8 @@
 }
 
 /// An election of "a" that has won at kStart with fencing number 7.
-LeaderElection Elected() {
-  LeaderElection election(InstanceId("a"), kTerm, 1);
+LeaderElection Elected(bool orders_fenced = false) {
+  LeaderElection election(InstanceId("a"), kTerm, orders_fenced, 1);
   election.OnRecord(std::nullopt, StoreRevision(5), kStart);
   CHECK(election.Next(kStart) == Action::kCreateLease);
   election.OnLease(LeaseId(1), kTerm, kStart, kStart);
@@ -31,7 +31,7 @@
 
 // Guards against orders before the store has confirmed the claim.
 TEST_CASE("gateway: leadership begins with the store's confirmation") {
-  LeaderElection election(InstanceId("a"), kTerm, 1);
+  LeaderElection election(InstanceId("a"), kTerm, false, 1);
   CHECK_MESSAGE(election.Next(kStart) == Action::kNone, "the record is not known yet");
   election = Elected();
   CHECK(election.Leads(kStart));
@@ -103,7 +103,7 @@
 // Guards against a restarted gateway that waits for its own old lease, and against taking another
 // holder's record.
 TEST_CASE("gateway: who may claim") {
-  LeaderElection election(InstanceId("a"), kTerm, 1);
+  LeaderElection election(InstanceId("a"), kTerm, false, 1);
   election.OnRecord(Record("b", 4), StoreRevision(4), kStart);
   CHECK(election.Next(kStart) == Action::kNone);
   election.OnRecord(Record("a", 5), StoreRevision(5), kStart);
@@ -115,7 +115,7 @@
 
 // Guards against a claim under a lease that belongs to a lost claim.
 TEST_CASE("gateway: a failed claim starts over after a pause") {
-  LeaderElection election(InstanceId("a"), kTerm, 1);
+  LeaderElection election(InstanceId("a"), kTerm, false, 1);
   election.OnRecord(std::nullopt, StoreRevision(1), kStart);
   REQUIRE(election.Next(kStart) == Action::kCreateLease);
   election.OnLease(LeaseId(1), kTerm, kStart, kStart);
@@ -126,6 +126,44 @@
   CHECK(election.Next(kStart + LeaderElection::kRetryPause * 2) == Action::kCreateLease);
 }
 
+/// Lets the renewals of an elected leader go without an answer for `outage`.
+void RunOutage(LeaderElection* election, Millis outage) {
+  for (Millis passed{0}; passed < outage; passed += Millis(100)) {
+    const BootTime now = kStart + passed;
+    if (election->Next(now) == Action::kRenew) election->OnRenewed(Renewal::kUnknown, now, now);
+  }
+}
+
+// Guards against placement that stands still through a store outage (almanak-net fresh-5dfd: 9 s
+// without orders), and against going on where nothing fences a second holder.
+TEST_CASE("gateway: a store outage ends leadership only where orders are not fenced") {
+  constexpr Millis kOutage{9'000};
+  for (const bool fenced : {true, false}) {
+    CAPTURE(fenced);
+    LeaderElection election = Elected(fenced);
+    RunOutage(&election, kOutage);
+    CHECK(election.Leads(kStart + kOutage) == fenced);
+  }
+}
+
+// Guards against a leader that wakes from a suspension and gives orders on its old lease.
+TEST_CASE("gateway: a suspended leader must renew first") {
+  LeaderElection election = Elected(true);
+  RunOutage(&election, Millis(2'000));
+  CHECK_FALSE(election.Leads(kStart + Millis(20'000)));
+}
+
+// Guards against two leaders side by side after one of them was cut off from the store.
+TEST_CASE("gateway: a leader past its lease yields to a higher fencing number") {
+  LeaderElection election = Elected(true);
+  RunOutage(&election, Millis(5'000));
+  const BootTime now = kStart + Millis(5'000);
+  election.OnOtherFence(FencingNumber(6), now);
+  CHECK(election.Leads(now));
+  election.OnOtherFence(FencingNumber(8), now);
+  CHECK_FALSE(election.Leads(now));
+}
+
 // Guards against a leader that goes on after a runner has seen a higher fencing number, and against
 // a stopping gateway that stands for election again.
 TEST_CASE("gateway: fenced and stopped leaders give no orders") {
