--- a/tests/gateway_daemon_test.cc
+++ b/tests/gateway_daemon_test.cc
@@ -216,8 +216,8 @@
     REQUIRE(fixture.AwaitReady());
     std::optional<Reply> reply;
     std::jthread caller([&] { reply = fixture.Call(test.path, test.model); });
-    CHECK(fixture.Await(
-        [&] { return fixture.platform_.calls() + fixture.platform_.orders() > 0; }));
+    CHECK(
+        fixture.Await([&] { return fixture.platform_.calls() + fixture.platform_.orders() > 0; }));
     fixture.daemon_->BeginDrain("test");
     CHECK(fixture.Await([&] { return fixture.Readiness() == 503; }));
     CHECK(fixture.daemon_->WaitUntilDrained(Millis(30'000)));
--- a/tests/gateway_fake_platform.cc
+++ b/tests/gateway_fake_platform.cc
@@ -72,8 +72,13 @@
     for (const auto& [key, value] : puts) {
       if (key.empty()) {
         Json entry = Holdings();
-        entry.update({{"service", "engine"}, {"address", runner_address_}, {"zone", "north"},
-                      {"version", "v1"}, {"slots", 8}, {"state", "ready"}, {"seq", ++heartbeat_},
+        entry.update({{"service", "engine"},
+                      {"address", runner_address_},
+                      {"zone", "north"},
+                      {"version", "v1"},
+                      {"slots", 8},
+                      {"state", "ready"},
+                      {"seq", ++heartbeat_},
                       {"born", kBorn}});
         Store("servers/i-1", entry.dump());
       } else {
@@ -161,8 +166,7 @@
     if (!key.starts_with(prefix)) continue;
     items.push_back({{"key", key}, {"value", Encoded(item.value)}, {"revision", item.revision}});
   }
-  Answer(connection, 200,
-         {{"items", items}, {"truncated", false}, {"store-revision", revision_}});
+  Answer(connection, 200, {{"items", items}, {"truncated", false}, {"store-revision", revision_}});
 }
 
 Json FakePlatform::Events(const std::string& prefix, uint64_t after) const {
@@ -174,8 +178,7 @@
   return events;
 }
 
-void FakePlatform::Watch(CallerConnection* connection, const std::string& prefix,
-                         uint64_t after) {
+void FakePlatform::Watch(CallerConnection* connection, const std::string& prefix, uint64_t after) {
   Watcher watcher{connection, prefix, after, TimerId()};
   watcher.timer = loop_.After(kWatchWait, [this, connection] {
     const auto found =
