Take back load permits that an agent lost without a word

A connected agent now voids what earlier ones held, and each request lists the permits that are still open. Ruled out: memory (41.9 of 104.9 MB used), lost slots (all active), rate (2 tokens).

--- a/drivers/proto_codec.cc
+++ b/drivers/proto_codec.cc
@@ -147,6 +147,7 @@
   to->set_kind(static_cast<uint32_t>(from.kind));
   to->set_remaining_ms(from.remaining.count());
   to->set_incarnation(from.incarnation.value());
+  to->mutable_open_permits()->Add(from.open_permits.begin(), from.open_permits.end());
 }
 
 void Fill(const LoadPermit& from, wire::Envelope* envelope) {
@@ -160,6 +161,7 @@
   wire::LoadPermitReturn* to = envelope->mutable_load_permit_return();
   to->set_permit_id(from.permit_id);
   to->set_runner(from.runner.value());
+  to->set_incarnation(from.incarnation.value());
 }
 
 void Fill(const DrainOrder& from, wire::Envelope* envelope) {
@@ -332,6 +334,7 @@
   to.entry = EntryId(std::move(*from.mutable_entry()));
   if (!ReadTime(from.remaining_ms(), &to.remaining)) return OutOfRange("remaining_ms");
   to.incarnation = Incarnation(from.incarnation());
+  to.open_permits.assign(from.open_permits().begin(), from.open_permits().end());
   return Message(std::move(to));
 }
 
@@ -343,7 +346,8 @@
 }
 
 Result<Message> Read(wire::LoadPermitReturn& from) {
-  return Message(LoadPermitReturn{from.permit_id(), RunnerId(std::move(*from.mutable_runner()))});
+  return Message(LoadPermitReturn{from.permit_id(), RunnerId(std::move(*from.mutable_runner())),
+                                  Incarnation(from.incarnation())});
 }
 
 Result<Message> Read(wire::DrainOrder& from) {
--- a/servers/agent_state.cc
+++ b/servers/agent_state.cc
@@ -127,7 +127,7 @@
 }
 
 void AgentCore::State::ReturnPermit(uint64_t permit_id) {
-  peers.SendToAny(LoadPermitReturn{permit_id, options.runner});
+  peers.SendToAny(LoadPermitReturn{permit_id, options.runner, Incarnation()});
 }
 
 void AgentCore::State::OnLoadRefused(const EntryId& entry, Reason reason, Millis retry_after) {
--- a/servers/control_plane_core.cc
+++ b/servers/control_plane_core.cc
@@ -22,6 +22,7 @@
 
 void ControlPlaneCore::OnRunnerUp(const RunnerId& runner, Incarnation incarnation) {
   state_->grants_.OnRunnerUp(runner, incarnation);
+  state_->OnPermitReturn({0, runner, incarnation}, false);
 }
 
 void ControlPlaneCore::OnRunnerDown(const RunnerId& runner) {
--- a/servers/control_plane_state.cc
+++ b/servers/control_plane_state.cc
@@ -297,7 +297,12 @@
 }
 
 void ControlPlaneCore::State::OnPermitReturn(const LoadPermitReturn& returned, bool from_router) {
-  if (held_budget_) return budget_.Return(returned.runner, returned.permit_id);
+  if (held_budget_) {
+    if (returned.incarnation == Incarnation()) {
+      return budget_.Return(returned.runner, returned.permit_id);
+    }
+    return budget_.ForgetEarlier(returned.runner, returned.incarnation);
+  }
   if (from_router) return;
   // An agent may return a permit through another router than the one that asked for it, which then
   // does not know the holder. A router that does not hold the budget ignores the return.
--- a/servers/load_budget.cc
+++ b/servers/load_budget.cc
@@ -26,6 +26,7 @@
   const SteadyTime now = clock_->SteadyNow();
   Expire(now);
   ForgetEarlier(request.runner, request.incarnation);
+  ForgetClosed(request);
   const PermitKey key{request.runner, request.permit_id};
   const auto granted = granted_.find(key);
   if (granted != granted_.end()) {
@@ -52,8 +53,8 @@
   granted_.erase(granted);
 }
 
-/// An agent that died in the middle of a load returns no permit; its successor's first request
-/// frees what it held.
+/// An agent that died in the middle of a load returns no permit. Its successor may never ask for
+/// one, when all slots have moved elsewhere, so its connection to a router frees them too.
 void LoadBudget::ForgetEarlier(const RunnerId& runner, Incarnation incarnation) {
   const auto [known, first] = incarnations_.try_emplace(runner, incarnation);
   if (first || known->second == incarnation) return;
@@ -61,6 +62,22 @@
   incarnations_[runner] = incarnation;
 }
 
+void LoadBudget::ForgetClosed(const LoadPermitRequest& request) {
+  const auto closed = [&](const PermitKey& key) {
+    // A permit with a higher number was asked for after this request was sent.
+    return key.first == request.runner && key.second < request.permit_id &&
+           std::find(request.open_permits.begin(), request.open_permits.end(), key.second) ==
+               request.open_permits.end();
+  };
+  if (request.open_permits.empty()) return;
+  std::erase_if(waiting_, [&](const auto& item) { return closed(item.first); });
+  std::erase_if(granted_, [&](const auto& item) {
+    if (!closed(item.first)) return false;
+    --InFlight(item.second.kind);
+    return true;
+  });
+}
+
 void LoadBudget::ForgetRunners(const std::function<bool(const RunnerId&)>& gone) {
   std::erase_if(incarnations_, [&](const auto& item) { return gone(item.first); });
   std::erase_if(waiting_, [&](const auto& item) { return gone(item.first.first); });
--- a/servers/load_budget.h
+++ b/servers/load_budget.h
@@ -39,6 +39,8 @@
   /// A repeated request of a granted permit gets the permit again; a waiting one is updated.
   void Request(const LoadPermitRequest& request, const InstanceId& via);
   void Return(const RunnerId& runner, uint64_t permit_id);
+  /// An agent runs as `incarnation`; takes back what earlier ones of its runner hold.
+  void ForgetEarlier(const RunnerId& runner, Incarnation incarnation);
   /// Takes back the permits of runners that are gone and will not return them.
   void ForgetRunners(const std::function<bool(const RunnerId&)>& gone);
   /// Permits to send now.
@@ -63,8 +65,8 @@
     LoadKind kind = LoadKind::kModel;
   };
 
-  void ForgetEarlier(const RunnerId& runner, Incarnation incarnation);
-
+  /// Takes back the permits of the agent that it no longer counts as open.
+  void ForgetClosed(const LoadPermitRequest& request);
   void Expire(SteadyTime now);
   void Refill(SteadyTime now);
   bool HasRoom(LoadKind kind) const;
--- a/servers/load_scheduler.cc
+++ b/servers/load_scheduler.cc
@@ -280,6 +280,11 @@
   request.entry = entry.info.id;
   request.kind = entry.info.kind;
   request.remaining = std::max(Millis(0), std::chrono::floor<Millis>(deadline - now));
+  for (const auto& [id, other] : entries_) {
+    const bool open =
+        other.permit_held || other.phase == Phase::kWaiting || other.phase == Phase::kLoading;
+    if (open && other.permit_id != 0) request.open_permits.push_back(other.permit_id);
+  }
   // Without a connection the request is repeated on the next pass.
   if (!host_->RequestPermit(request)) entry.permit_asked_at = now - kPermitPatience;
 }
--- a/servers/messages.h
+++ b/servers/messages.h
@@ -148,6 +148,9 @@
   Millis remaining{0};
   /// Of the agent that asks; permits of its earlier incarnations are void.
   Incarnation incarnation;
+  /// Permits that the agent has or asks for, this one included. All others of it are void, so that
+  /// a return that was lost does not keep the budget full.
+  std::vector<uint64_t> open_permits;
   bool operator==(const LoadPermitRequest&) const = default;
 };
 
@@ -159,9 +162,11 @@
   bool operator==(const LoadPermit&) const = default;
 };
 
+/// Gives a permit back. With an incarnation, it gives back all permits of earlier ones instead.
 struct LoadPermitReturn {
   uint64_t permit_id = 0;
   RunnerId runner;
+  Incarnation incarnation;
   bool operator==(const LoadPermitReturn&) const = default;
 };
 
--- a/tests/fault_random_test.cc
+++ b/tests/fault_random_test.cc
@@ -51,11 +51,12 @@
   CHECK(RunSeed(220));
 }
 
-// Guards against calls that stay refused after pauses, silent connections and a replaced instance.
-// Known red, see KNOWN-RED.txt; remove the decorator with the fix.
-TEST_CASE("a model call succeeds soon after pauses and replacements" * doctest::should_fail()) {
+// Guards against permits that an agent held when it died and whose successor never asks for one,
+// because all slots have moved: the weight store's budget stayed full for a minute.
+TEST_CASE("a model call succeeds soon after pauses and replacements") {
   QuietLogs();
   CHECK(RunSeed(334));
+  CHECK(RunSeed(90463));
 }
 
 // Run by `make soak`: new seeds until the time is over or a promise is broken. Does nothing in a
--- a/tests/load_budget_test.cc
+++ b/tests/load_budget_test.cc
@@ -126,6 +126,24 @@
     CHECK(f.budget.models_in_flight() == 0);
     CHECK(f.budget.waiting() == 1);
   }
+  SUBCASE("its returns were lost and it asks for another one") {
+    LoadPermitRequest request;
+    request.permit_id = 3;
+    request.runner = RunnerId("r");
+    request.remaining = Millis(100);
+    request.incarnation = f.incarnation;
+    request.open_permits = {2, 3};
+    f.budget.Request(request, InstanceId());
+    CHECK(f.budget.models_in_flight() == 1);
+  }
+  SUBCASE("its successor never asks, but is connected") {
+    f.budget.ForgetEarlier(RunnerId("r"), Incarnation(2));
+    CHECK(f.budget.models_in_flight() == 0);
+  }
+  SUBCASE("it is connected anew") {
+    f.budget.ForgetEarlier(RunnerId("r"), f.incarnation);
+    CHECK(f.budget.models_in_flight() == 2);
+  }
   SUBCASE("its runner is gone") {
     f.budget.ForgetRunners([](const RunnerId& runner) { return runner == RunnerId("r"); });
     CHECK(f.budget.models_in_flight() == 0);
--- a/tests/load_permits_test.cc
+++ b/tests/load_permits_test.cc
@@ -18,7 +18,7 @@
 )";
 
 LoadPermitRequest Request(uint64_t id) {
-  return {id, RunnerId("r0"), EntryId("m1"), LoadKind::kModel, Millis(60'000), {}};
+  return {id, RunnerId("r0"), EntryId("m1"), LoadKind::kModel, Millis(60'000), {}, {id}};
 }
 
 size_t PermitsFor(const ControlFleet& fleet, uint64_t id) {
@@ -48,8 +48,8 @@
         fleet.Run(Millis(1000));
       }
       REQUIRE(PermitsFor(fleet, id) >= 1);
-      fleet.routers[back]->core->OnRunnerMessage(RunnerId("r0"),
-                                                 LoadPermitReturn{id, RunnerId("r0")});
+      fleet.routers[back]->core->OnRunnerMessage(
+          RunnerId("r0"), LoadPermitReturn{id, RunnerId("r0"), Incarnation()});
       fleet.Run(Millis(100));
     }
   }
--- a/tests/proto_codec_test.cc
+++ b/tests/proto_codec_test.cc
@@ -79,10 +79,15 @@
       SlotReleased{ShardId(1), EntryId("e"), RunnerId("r"), Generation(4)},
       ConfigPull{ConfigRevision(11)},
       ConfigPush{ConfigRevision(12), "[head]\n", "[snapshot]\n"},
-      LoadPermitRequest{13, RunnerId("r"), EntryId("e"), LoadKind::kAdapter, Millis(14),
-                        Incarnation(15)},
+      LoadPermitRequest{13,
+                        RunnerId("r"),
+                        EntryId("e"),
+                        LoadKind::kAdapter,
+                        Millis(14),
+                        Incarnation(15),
+                        {12, 13}},
       LoadPermit{15, RunnerId("r"), Millis(16)},
-      LoadPermitReturn{17, RunnerId("r")},
+      LoadPermitReturn{17, RunnerId("r"), Incarnation(5)},
       DrainOrder{"maintenance", Millis(18)},
   };
 }
@@ -143,7 +148,7 @@
         CallStart{call},
         heartbeat,
         outcome,
-        LoadPermitRequest{1, RunnerId("r"), EntryId("e"), LoadKind::kModel, time, {}},
+        LoadPermitRequest{1, RunnerId("r"), EntryId("e"), LoadKind::kModel, time, {}, {}},
         LoadPermit{1, RunnerId("r"), time},
         DrainOrder{"x", time}};
   };
