--- a/tests/load_budget_test.cc
+++ b/tests/load_budget_test.cc
@@ -15,7 +15,7 @@
 
   void Request(uint64_t id, int seconds_left, LoadKind kind = LoadKind::kModel) {
     budget.Request(
-        {id, RunnerId("r"), EntryId("e"), kind, Millis(1000 * seconds_left), incarnation},
+        {id, RunnerId("r"), EntryId("e"), kind, Millis(1000 * seconds_left), incarnation, {}},
         InstanceId("router"));
   }
   std::vector<uint64_t> Take() {
