Leave runners free of long loads for calls that wait; retry unreachable runners soon

At most a third of the runners now load for later at once, unless they have no other copy. Ruled out: lost orders (none in the log). Found on the way: a report without an answer opened the runner's breaker, whose pause doubled up to 30 s; it is now left out for 1 s.

--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -264,9 +264,13 @@
     const SteadyTime failed_at = context_->loop.Now();
     tracker_.OnReportFailed(runner, failed_at);
     planner_.OnOrderFailed(runner, failed_at);
-    context_->picker.health(runner).OnUnreachable(failed_at);
+    // A report without an answer says less than a refused connection: the runner may be busy.
+    if (ErrorOf(answer).kind == ErrorKind::kUnavailable) {
+      context_->picker.health(runner).OnUnreachable(failed_at);
+    }
     return;
   }
+  context_->picker.health(runner).OnReachable();
   const auto decoded = context_->protocol->DecodeReport(ValueOf(answer));
   if (!IsOk(decoded)) {
     LogWarning("placement", "report of " + runner.value() + ": " + FormatError(ErrorOf(decoded)));
--- a/servers/gateway/load_planner.cc
+++ b/servers/gateway/load_planner.cc
@@ -16,6 +16,9 @@
 constexpr double kRunningVictimMs = 3'000;
 /// Cost of a victim that was called a moment ago.
 constexpr double kRecentVictimMs = 400;
+/// Share of the runners that may load from the weight store for later at the same time. Such a load
+/// takes seconds, and its runner takes no other order meanwhile, also not for calls that wait.
+constexpr double kStoreLoadShare = 0.34;
 /// Horizon in which a victim's next call counts, in seconds.
 constexpr double kReloadHorizonS = 10;
 
@@ -172,6 +175,22 @@
   return std::nullopt;
 }
 
+bool LoadPlanner::SpareForStoreLoad() const {
+  uint64_t eligible = 0;
+  for (const auto& [id, runner] : view_->runners()) {
+    if (Eligible(runner)) ++eligible;
+  }
+  const uint64_t loading = tracker_->StoreLoadsUnderWay() + 1;
+  return static_cast<double>(loading) <= kStoreLoadShare * static_cast<double>(eligible);
+}
+
+bool LoadPlanner::HasUnloadedCopy(const RunnerState& runner) {
+  const Holdings& holdings = runner.entry.holdings;
+  const auto unloaded = [&](const ModelName& model) { return !holdings.models.contains(model); };
+  return std::any_of(holdings.on_disk.begin(), holdings.on_disk.end(), unloaded) ||
+         std::any_of(holdings.in_memory.begin(), holdings.in_memory.end(), unloaded);
+}
+
 bool LoadPlanner::AnyOrderUnderWay() const {
   return std::any_of(view_->runners().begin(), view_->runners().end(), [&](const auto& entry) {
     return Eligible(entry.second) &&
@@ -184,11 +203,16 @@
                                                               SteadyTime now) const {
   std::optional<Placement> best;
   const bool store_allows = StoreAllows(now);
+  const bool spare_runners = SpareForStoreLoad();
   for (const auto& [id, runner] : view_->runners()) {
     if (!Eligible(runner) || !Settled(runner, now) || reservations_.contains(id)) continue;
     if (runner.entry.holdings.models.contains(model.name)) continue;
     const LoadTier tier = TierOn(runner, model.name);
     if (tier == LoadTier::kStore && !store_allows) continue;
+    if (tier == LoadTier::kStore && urgency != Urgency::kWaiting && !spare_runners &&
+        HasUnloadedCopy(runner)) {
+      continue;
+    }
     double cost = 0;
     if (!Victims(runner, model.weights_mb, urgency, now, &cost)) continue;
     const Millis load = tier == LoadTier::kStore  ? model.store_load
--- a/servers/gateway/load_planner.h
+++ b/servers/gateway/load_planner.h
@@ -94,6 +94,10 @@
                                                 double* cost_ms) const;
   std::optional<Placement> BestRunner(const ModelSpec& model, Urgency urgency,
                                       SteadyTime now) const;
+  /// Whether enough runners stay free of long loads for the calls that wait.
+  bool SpareForStoreLoad() const;
+  /// Whether the runner could load some model quickly for a call that waits.
+  static bool HasUnloadedCopy(const RunnerState& runner);
   bool AnyOrderUnderWay() const;
   void Reserve(const ModelSpec& model, Urgency urgency, const char* reason, SteadyTime now);
   void DropStaleReservations(SteadyTime now);
--- a/servers/gateway/runner_health.cc
+++ b/servers/gateway/runner_health.cc
@@ -15,6 +15,7 @@
   failure_rate_ = FailureRate(now) * (1 - kOutcomeWeight);
   rated_at_ = now;
   breaker.OnSuccess();
+  OnReachable();
 }
 
 void RunnerHealth::OnFailure(SteadyTime now, bool counts_for_breaker) {
@@ -24,9 +25,8 @@
 }
 
 void RunnerHealth::OnUnreachable(SteadyTime now) {
-  for (uint64_t failure = 0; failure < CircuitBreaker::kFailureLimit; ++failure) {
-    OnFailure(now, true);
-  }
+  OnFailure(now, false);
+  unreachable_until_ = now + kUnreachablePause;
 }
 
 void RunnerHealth::OnModelRejected(const std::string& model, SteadyTime now) {
--- a/servers/gateway/runner_health.h
+++ b/servers/gateway/runner_health.h
@@ -19,6 +19,9 @@
   static constexpr double kOutcomeWeight = 0.12;
   /// Outcomes lose half of their weight in this time, so that a recovered runner is tried again.
   static constexpr Millis kFailureHalfLife{3'000};
+  /// Time without calls after a connection was refused or timed out. It does not grow: a runner
+  /// that was slow to answer for a moment would be left out for half a minute.
+  static constexpr Millis kUnreachablePause{1'000};
   /// Pause for a model after a rejection, doubled up to the longest by each further one.
   static constexpr Millis kFirstRejectionPause{100};
   static constexpr Millis kLongestRejectionPause{800};
@@ -38,9 +41,13 @@
 
   void OnSuccess(SteadyTime now);
   void OnFailure(SteadyTime now, bool counts_for_breaker);
-  /// The runner took no connection. Opens the breaker at once: each further try costs its caller
-  /// the connect timeout.
+  /// The runner took no connection: nothing is sent to it for a while, because each further try
+  /// costs its caller the connect timeout.
   void OnUnreachable(SteadyTime now);
+  /// The runner answered something.
+  void OnReachable() { unreachable_until_ = SteadyTime::min(); }
+  /// Whether calls may be sent now.
+  bool Available(SteadyTime now) const { return now >= unreachable_until_ && breaker.Allows(now); }
   /// `factor`: observed time of the first event over the predicted one.
   void OnFirstEvent(double factor);
   /// The runner rejected a call for the model, for example because it is being unloaded.
@@ -59,6 +66,7 @@
   };
 
   std::map<std::string, Rejection> rejections_;
+  SteadyTime unreachable_until_ = SteadyTime::min();
   double failure_rate_ = 0;
   SteadyTime rated_at_{};
 };
--- a/servers/gateway/runner_picker.cc
+++ b/servers/gateway/runner_picker.cc
@@ -54,7 +54,7 @@
     score += static_cast<double>(policy_->cross_domain_cost.count());
   }
   if (query.tried != nullptr && query.tried->contains(runner.entry.id)) score += kTriedCostMs;
-  if (!health.breaker.Allows(now)) score += kBrokenCostMs;
+  if (!health.Available(now)) score += kBrokenCostMs;
   return score;
 }
 
@@ -73,7 +73,7 @@
     const RunnerHealth& health = health_[id];
     // Placement loads the model elsewhere; a call that waits for it has a chance, one that is sent
     // to an unreachable runner has none.
-    if (query.engine != nullptr && !health.breaker.Allows(now)) continue;
+    if (query.engine != nullptr && !health.Available(now)) continue;
     const bool held_back =
         query.engine != nullptr && health.ModelHeldBack(query.call->model.value(), now);
     if (held_back || (query.excluded != nullptr && query.excluded->contains(id))) {
@@ -109,7 +109,7 @@
 std::set<RunnerId> RunnerPicker::Unreachable(SteadyTime now) const {
   std::set<RunnerId> unreachable;
   for (const auto& [id, health] : health_) {
-    if (!health.breaker.Allows(now)) unreachable.insert(id);
+    if (!health.Available(now)) unreachable.insert(id);
   }
   return unreachable;
 }
--- a/servers/gateway/runner_picker.h
+++ b/servers/gateway/runner_picker.h
@@ -52,7 +52,7 @@
   PrefixIndex& prefixes() { return prefixes_; }
   /// Forgets a runner that is gone or started again.
   void Forget(const RunnerId& runner);
-  /// Runners whose breaker is open.
+  /// Runners that take no calls now.
   std::set<RunnerId> Unreachable(SteadyTime now) const;
 
  private:
--- a/tests/gateway_load_planner_test.cc
+++ b/tests/gateway_load_planner_test.cc
@@ -94,6 +94,23 @@
   CHECK(fleet.Held(3));
 }
 
+// Guards against loads for later that keep every runner busy while a call waits for a model with a
+// copy at hand (gateway_daemon_test beside load: one runner, a load of 30 s, a call refused).
+TEST_CASE("gateway: loads for later leave runners for calls that wait") {
+  for (const int runners : {1, 2, 3, 6}) {
+    CAPTURE(runners);
+    PlacementFixture fleet(12);
+    for (int runner = 0; runner < runners; ++runner) {
+      fleet.AddRunner("r" + std::to_string(runner), {0}, {0, 1});
+    }
+    fleet.Run(Millis(500));
+    CHECK(fleet.StoreLoadsUnderWay() * 3 <= static_cast<uint64_t>(runners));
+    fleet.Demand(1) = Waiting(1);
+    fleet.Run(Millis(2'000));
+    CHECK(fleet.Held(1));
+  }
+}
+
 // Guards against placing on, or counting on, runners that leave or cannot be reached.
 TEST_CASE("gateway: leaving and unreachable runners do not count as holders") {
   for (const bool leaving : {true, false}) {
--- a/tests/gateway_picker_test.cc
+++ b/tests/gateway_picker_test.cc
@@ -129,6 +129,22 @@
   CHECK(problem == PickProblem::kModelNotLoaded);
 }
 
+// Guards against leaving a runner out for long because it was slow to answer a few times on a busy
+// machine (gateway_daemon_test beside load: no order for 10 s, the pause had grown to 8 s).
+TEST_CASE("gateway: an unreachable runner is tried again soon") {
+  RunnerHealth health;
+  SteadyTime now = kStart;
+  for (int round = 0; round < 4; ++round) {
+    health.OnUnreachable(now);
+    CHECK_FALSE(health.Available(now));
+    now += RunnerHealth::kUnreachablePause;
+    CHECK(health.Available(now));
+  }
+  health.OnUnreachable(now);
+  health.OnReachable();
+  CHECK(health.Available(now));
+}
+
 // Guards against a rejection pause that never ends or never grows.
 TEST_CASE("gateway: rejections of a model hold calls back for growing pauses") {
   RunnerHealth health;
