--- a/servers/gateway/gateway_policy.h
+++ b/servers/gateway/gateway_policy.h
@@ -12,8 +12,9 @@
 struct GatewayPolicy {
   /// Prompt tokens that a runner reads in a millisecond; the deployments state 38.
   double prefill_tokens_per_ms = 38.0;
-  /// Share of a runner's prefill rate that one model may use before it gets another replica. Prompts
-  /// are read between the tokens of running streams, so a higher share makes their pauses long.
+  /// Share of a runner's prefill rate that one model may use before it gets another replica.
+  /// Prompts are read between the tokens of running streams, so a higher share makes their pauses
+  /// long.
   double replica_utilization = 0.2;
   /// Calls in flight at one replica, as a share of its slots, before the model gets another one.
   double replica_slot_share = 0.25;
--- a/servers/gateway/load_planner.cc
+++ b/servers/gateway/load_planner.cc
@@ -54,11 +54,16 @@
 }
 
 uint64_t LoadPlanner::Holders(const ModelName& model) const {
-  uint64_t holders = 0;
+  const auto found = holders_.find(model);
+  return found == holders_.end() ? 0 : found->second;
+}
+
+void LoadPlanner::CountHolders() {
+  holders_.clear();
   for (const auto& [id, runner] : view_->runners()) {
-    if (Eligible(runner) && runner.entry.holdings.models.contains(model)) ++holders;
+    if (!Eligible(runner)) continue;
+    for (const auto& [model, adapters] : runner.entry.holdings.models) ++holders_[model];
   }
-  return holders;
 }
 
 bool LoadPlanner::Reserved(const ModelName& model) const {
@@ -413,6 +418,7 @@
 
 std::vector<PlannedOrder> LoadPlanner::Plan(const Input& input, SteadyTime now) {
   input_ = input;
+  CountHolders();
   std::vector<PlannedOrder> plan;
   DropStaleReservations(now);
   ReserveForWaiting(now);
--- a/servers/gateway/load_planner.h
+++ b/servers/gateway/load_planner.h
@@ -78,6 +78,7 @@
   const TotalDemand& DemandFor(const ModelName& model) const;
   uint64_t Wanted(const ModelName& model) const;
   uint64_t Holders(const ModelName& model) const;
+  void CountHolders();
   bool Reserved(const ModelName& model) const;
   bool CopyAtHand(const ModelName& model) const;
   double FreeMb(const RunnerState& runner) const;
@@ -118,6 +119,8 @@
   const FleetView* view_;
   const OrderTracker* tracker_;
   Input input_;
+  /// Eligible runners that hold a model, for the present plan.
+  std::map<ModelName, uint64_t> holders_;
   std::map<RunnerId, Reservation> reservations_;
   std::map<std::pair<RunnerId, ModelName>, SteadyTime> loaded_at_;
   std::map<RunnerId, SteadyTime> avoid_until_;
