Split the end of an attempt from the course of a call

What a runner's answer brings, and how an attempt ends, is now in call_session_answer.cc; nothing else changes.

--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -57,6 +57,9 @@
   void OnFailure(ExchangeFailure failure, const std::string& detail) override;
 
  private:
+  /// Retry-After of refusals because of passing conditions.
+  static constexpr Millis kSoon{300};
+
   DemandMeter::Key MeterKey(bool with_adapter) const;
   Millis Elapsed() const;
   std::set<RunnerId> RecentlyRejected() const;
--- /dev/null
+++ b/drivers/gateway/call_session_answer.cc
@@ -0,0 +1,216 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "core/log.h"
+#include "drivers/gateway/call_session.h"
+
+// What a runner's answer brings, and how an attempt ends.
+namespace shallot::gateway {
+namespace {
+
+/// Event gaps on a resumable stream before it goes on at another runner, in units of the route's
+/// gap target. Callers give a stream up after eight.
+constexpr int64_t kGapTargets = 3;
+/// A runner that did not take a call is not asked again by it for this long.
+constexpr Millis kRejectedPause{100};
+
+Millis ToMillis(Duration duration) { return std::chrono::duration_cast<Millis>(duration); }
+
+}  // namespace
+
+HeadVerdict CallSession::OnHead(const HttpHead& head) {
+  const AnswerFacts facts = context_->protocol->DecodeAnswer(head);
+  if (!facts.call.empty() && facts.call != call_.id) {
+    LogWarning("call",
+               fmt::format("event=foreign-answer runner={} answers={}", runner_.runner.value(),
+                           facts.call.value()),
+               call_.id.value());
+    return HeadVerdict::kSkip;
+  }
+  RunnerHealth& health = context_->picker.health(runner_.runner);
+  if (facts.load) {
+    health.reported_running = facts.load->running;
+    health.reported_waiting = facts.load->waiting;
+    health.reported_at = context_->loop.Now();
+  }
+  answer_.head = head;
+  if (facts.not_executed) {
+    if (head.status != 421) {
+      answer_failure_ = AttemptFailure::kNotExecuted;
+    } else if (facts.runner == runner_.runner || facts.runner.empty()) {
+      answer_failure_ = AttemptFailure::kModelAbsent;
+    } else {
+      answer_failure_ = AttemptFailure::kWrongInstance;
+    }
+  } else if (facts.call.empty() || (head.status < 300 && !facts.sealed)) {
+    answer_failure_ = AttemptFailure::kGarbled;
+  } else if (head.status >= 500) {
+    answer_failure_ = AttemptFailure::kServerError;
+  }
+  streaming_ = !answer_failure_ && route_->kind == CallKind::kStream && head.status == 200;
+  return HeadVerdict::kAccept;
+}
+
+void CallSession::OnBody(std::string data) {
+  if (!streaming_) {
+    answer_.body += data;
+    return;
+  }
+  events_.Feed(data);
+  ForwardEvents();
+}
+
+void CallSession::ForwardEvents() {
+  while (const auto event = events_.Next()) {
+    if (!first_event_seen_) {
+      first_event_seen_ = true;
+      RunnerHealth& health = context_->picker.health(runner_.runner);
+      health.pending_tokens = std::max(0.0, health.pending_tokens - sent_tokens_);
+      const Duration took = context_->loop.Now() - sent_at_;
+      const double predicted =
+          static_cast<double>(std::max<int64_t>(runner_.predicted.count(), 20));
+      health.OnFirstEvent(static_cast<double>(ToMillis(took).count()) / predicted);
+      context_->metrics->GetHistogram("first_event_seconds").Record(context_->loop.Now() - began_);
+    }
+    if (!answer_begun_) {
+      answer_begun_ = true;
+      connection_->BeginStream(context_->protocol->EncodeAnswer(answer_.head));
+    }
+    connection_->SendChunk(*event);
+  }
+  if (events_.too_long()) {
+    context_->client.Cancel(exchange_);
+    FailAttempt(AttemptFailure::kGarbled, "an event is too long");
+    return;
+  }
+  if (first_event_seen_ && route_->gap_target > Millis(0)) {
+    ArmSilenceTimer(route_->gap_target * kGapTargets);
+  }
+}
+
+void CallSession::OnComplete() {
+  if (answer_failure_) {
+    FailAttempt(*answer_failure_, fmt::format("status {}", answer_.head.status));
+    return;
+  }
+  if (streaming_ && events_.has_partial()) {
+    FailAttempt(AttemptFailure::kLostAnswer, "the stream ended within an event");
+    return;
+  }
+  EndAttempt();
+  RunnerHealth& health = context_->picker.health(runner_.runner);
+  health.OnSuccess(context_->loop.Now());
+  health.OnModelServed(call_.model.value());
+  if (!streaming_) {
+    AnswerRunner(answer_);
+    return;
+  }
+  if (!answer_begun_) connection_->BeginStream(context_->protocol->EncodeAnswer(answer_.head));
+  connection_->FinishStream();
+  Finish("completed", answer_.head.status, fmt::format("events={}", events_.delivered()));
+}
+
+void CallSession::OnFailure(ExchangeFailure failure, const std::string& detail) {
+  switch (failure) {
+    case ExchangeFailure::kNotConnected:
+      FailAttempt(AttemptFailure::kNotConnected, detail);
+      return;
+    case ExchangeFailure::kLost:
+      FailAttempt(AttemptFailure::kLostAnswer, detail);
+      return;
+    case ExchangeFailure::kMalformed:
+      FailAttempt(AttemptFailure::kGarbled, detail);
+      return;
+  }
+}
+
+void CallSession::NoteFailure(AttemptFailure failure, const std::string& detail) {
+  const SteadyTime now = context_->loop.Now();
+  LogInfo("call",
+          fmt::format("event=attempt-failed runner={} failure={} after_ms={} reason=\"{}\"",
+                      runner_.runner.value(), AttemptFailureName(failure),
+                      ToMillis(now - sent_at_).count(), detail),
+          call_.id.value());
+  context_->metrics
+      ->GetCounter(
+          fmt::format("attempt_failures_total{{failure=\"{}\"}}", AttemptFailureName(failure)))
+      .Add();
+  RunnerHealth& health = context_->picker.health(runner_.runner);
+  switch (failure) {
+    case AttemptFailure::kModelAbsent:
+      context_->view.ForgetModel(runner_.runner, call_.model, call_.adapter);
+      return;
+    case AttemptFailure::kNotConnected:
+      health.OnUnreachable(now);
+      return;
+    case AttemptFailure::kWrongInstance:
+      context_->view.MarkReplaced(runner_.runner);
+      return;
+    case AttemptFailure::kSilent:
+    case AttemptFailure::kLostAnswer:
+      health.OnFailure(now, true);
+      return;
+    case AttemptFailure::kNotExecuted:
+      if (engine_ != nullptr) health.OnModelRejected(call_.model.value(), now);
+      health.OnFailure(now, false);
+      return;
+    case AttemptFailure::kServerError:
+    case AttemptFailure::kGarbled:
+      health.OnFailure(now, false);
+      return;
+  }
+}
+
+void CallSession::FailAttempt(AttemptFailure failure, const std::string& detail) {
+  EndAttempt();
+  NoteFailure(failure, detail);
+  if (ProvesNotRun(failure)) {
+    rejected_until_[runner_.runner] = context_->loop.Now() + kRejectedPause;
+  } else {
+    ++runs_;
+  }
+  FollowUp(failure);
+}
+
+void CallSession::FollowUp(AttemptFailure failure) {
+  CallFacts facts;
+  facts.kind = route_->kind;
+  facts.resumable = route_->resumable;
+  facts.runs = runs_;
+  facts.max_attempts = route_->max_attempts;
+  facts.answer_begun = answer_begun_;
+  facts.time_left = TimeLeft();
+  NextStep step = DecideAfterFailure(facts, failure);
+  // A call that never reached a runner does not count as a repeat there.
+  if (step == NextStep::kRetry && failure != AttemptFailure::kNotConnected) {
+    facts.retry_allowed =
+        context_->ShareOf(backend_).TryRetry(context_->loop.Now(), context_->KnownGateways());
+    step = DecideAfterFailure(facts, failure);
+  }
+  LogInfo("call",
+          fmt::format("event=next-step step={} failure={} runs={} attempts={} left_ms={} "
+                      "budget={}",
+                      NextStepName(step), AttemptFailureName(failure), runs_, attempts_,
+                      facts.time_left.count(), facts.retry_allowed ? "yes" : "no"),
+          call_.id.value());
+  switch (step) {
+    case NextStep::kRetry:
+      Place();
+      return;
+    case NextStep::kRefuse:
+      Refuse("no runner took the call", kSoon);
+      return;
+    case NextStep::kPassOn:
+      AnswerRunner(answer_);
+      return;
+    case NextStep::kFail:
+      AnswerOwn(502, "the runner's answer was lost; the call may have run", std::nullopt);
+      return;
+    case NextStep::kCutOff:
+      CutOff("the stream cannot be continued");
+      return;
+  }
+}
+
+}  // namespace shallot::gateway
