--- a/tests/gateway_fake_platform.cc
+++ b/tests/gateway_fake_platform.cc
@@ -1,14 +1,8 @@
 #include "tests/gateway_fake_platform.h"
 
-#include <Poco/Base64Decoder.h>
-#include <Poco/Base64Encoder.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/StreamCopier.h>
-#include <Poco/URI.h>
 
-#include <algorithm>
-#include <sstream>
 #include <stdexcept>
 
 namespace shallot::gateway {
@@ -18,32 +12,8 @@
 
 /// Changes of other threads are taken over this often.
 constexpr Millis kTakeOver{2};
-constexpr Millis kWatchWait{200};
 constexpr uint64_t kBorn = 1'700'000'000'000;
-
-std::string Encoded(const std::string& bytes) {
-  std::ostringstream text;
-  Poco::Base64Encoder encoder(text);
-  encoder.rdbuf()->setLineLength(0);
-  encoder << bytes;
-  encoder.close();
-  return text.str();
-}
-
-std::string Decoded(const std::string& text) {
-  std::istringstream stream(text);
-  Poco::Base64Decoder decoder(stream);
-  std::string bytes;
-  Poco::StreamCopier::copyToString(decoder, bytes);
-  return bytes;
-}
-
-std::string Parameter(const Poco::URI& uri, const std::string& name) {
-  for (const auto& [key, value] : uri.getQueryParameters()) {
-    if (key == name) return value;
-  }
-  return {};
-}
+constexpr uint64_t kStoreSeed = 1;
 
 }  // namespace
 
@@ -55,7 +25,7 @@
 
 FakePlatform::FakePlatform()
     : loop_(&clock_),
-      store_(&loop_, "store", this),
+      store_(&loop_, kStoreSeed),
       runner_(&loop_, "runner", this),
       store_address_(FreeLoopbackAddress()),
       runner_address_(FreeLoopbackAddress()) {
@@ -80,9 +50,9 @@
                       {"state", "ready"},
                       {"seq", ++heartbeat_},
                       {"born", kBorn}});
-        Store("servers/i-1", entry.dump());
+        store_.Put("servers/i-1", entry.dump());
       } else {
-        Store(key, value);
+        store_.Put(key, value);
       }
     }
     loop_.After(kTakeOver, *take_over);
@@ -120,36 +90,11 @@
   connection->Answer(answer);
 }
 
-void FakePlatform::OnRequest(CallerConnection* connection, HttpMessage request) {
-  Serve(connection, request);
-}
+void FakePlatform::OnCallerGone(CallerConnection* /*connection*/) { ++calls_abandoned_; }
 
-void FakePlatform::OnCallerGone(CallerConnection* connection) {
-  const auto gone = std::find_if(watchers_.begin(), watchers_.end(), [&](const Watcher& watcher) {
-    return watcher.connection == connection;
-  });
-  if (gone == watchers_.end()) {
-    ++calls_abandoned_;
-    return;
-  }
-  loop_.Cancel(gone->timer);
-  watchers_.erase(gone);
-}
-
-void FakePlatform::Serve(CallerConnection* connection, const HttpMessage& request) {
-  const Poco::URI uri(request.head.target);
-  const std::string path = uri.getPath();
-  if (path == "/v1/kv-range") {
-    Range(connection, Parameter(uri, "path-prefix"));
-  } else if (path == "/v1/kv-watch") {
-    Watch(connection, Parameter(uri, "path-prefix"), std::stoull(Parameter(uri, "after")));
-  } else if (path == "/v1/kv-txn") {
-    Write(connection, request.body);
-  } else if (path == "/v1/kv-lease") {
-    Answer(connection, 200, {{"lease", ++last_lease_}, {"ttl-ms", 3'000}});
-  } else if (path.starts_with("/v1/kv-keep/") || path.starts_with("/v1/kv-lease-end/")) {
-    Answer(connection, 200, {{"ttl-ms", 3'000}});
-  } else if (path == "/v1/order") {
+void FakePlatform::OnRequest(CallerConnection* connection, HttpMessage request) {
+  const std::string path = request.head.Path();
+  if (path == "/v1/order") {
     Order(connection, request.body);
   } else if (path == "/v1/report") {
     Json report = Holdings();
@@ -160,73 +105,6 @@
   }
 }
 
-void FakePlatform::Range(CallerConnection* connection, const std::string& prefix) {
-  Json items = Json::array();
-  for (const auto& [key, item] : items_) {
-    if (!key.starts_with(prefix)) continue;
-    items.push_back({{"key", key}, {"value", Encoded(item.value)}, {"revision", item.revision}});
-  }
-  Answer(connection, 200, {{"items", items}, {"truncated", false}, {"store-revision", revision_}});
-}
-
-Json FakePlatform::Events(const std::string& prefix, uint64_t after) const {
-  Json events = Json::array();
-  for (const auto& [key, item] : items_) {
-    if (!key.starts_with(prefix) || item.revision <= after) continue;
-    events.push_back({{"key", key}, {"value", Encoded(item.value)}, {"revision", item.revision}});
-  }
-  return events;
-}
-
-void FakePlatform::Watch(CallerConnection* connection, const std::string& prefix, uint64_t after) {
-  Watcher watcher{connection, prefix, after, TimerId()};
-  watcher.timer = loop_.After(kWatchWait, [this, connection] {
-    const auto found =
-        std::find_if(watchers_.begin(), watchers_.end(),
-                     [&](const Watcher& waiting) { return waiting.connection == connection; });
-    if (found == watchers_.end()) return;
-    watchers_.erase(found);
-    Answer(connection, 200, {{"events", Json::array()}, {"store-revision", revision_}});
-  });
-  watchers_.push_back(watcher);
-  AnswerWatchers();
-}
-
-void FakePlatform::AnswerWatchers() {
-  for (size_t index = 0; index < watchers_.size();) {
-    const Watcher watcher = watchers_[index];
-    const Json events = Events(watcher.prefix, watcher.after);
-    if (events.empty()) {
-      ++index;
-      continue;
-    }
-    loop_.Cancel(watcher.timer);
-    watchers_.erase(watchers_.begin() + static_cast<std::ptrdiff_t>(index));
-    Answer(watcher.connection, 200, {{"events", events}, {"store-revision", revision_}});
-  }
-}
-
-void FakePlatform::Store(const std::string& key, const std::string& value) {
-  items_[key] = {value, ++revision_};
-  AnswerWatchers();
-}
-
-void FakePlatform::Write(CallerConnection* connection, const std::string& body) {
-  const Json write = Json::parse(body);
-  for (const Json& condition : write["precondition"]) {
-    const auto found = items_.find(condition["key"].get<std::string>());
-    const uint64_t revision = found == items_.end() ? 0 : found->second.revision;
-    if (revision != condition["revision"].get<uint64_t>()) {
-      Answer(connection, 412, {{"items", Json::array()}});
-      return;
-    }
-  }
-  for (const Json& item : write["set-keys"]) {
-    Store(item["key"].get<std::string>(), Decoded(item["value"].get<std::string>()));
-  }
-  Answer(connection, 200, {{"revision", revision_}});
-}
-
 void FakePlatform::Order(CallerConnection* connection, const std::string& body) {
   const Json order = Json::parse(body);
   ++orders_;
--- a/tests/gateway_fake_platform.h
+++ b/tests/gateway_fake_platform.h
@@ -13,6 +13,7 @@
 #include "drivers/gateway/caller_connection.h"
 #include "drivers/gateway/caller_listener.h"
 #include "drivers/gateway/event_loop.h"
+#include "tests/standin_store.h"
 
 namespace shallot::gateway {
 
@@ -40,39 +41,17 @@
   void OnCallerGone(CallerConnection* connection) override;
 
  private:
-  struct Item {
-    std::string value;
-    uint64_t revision = 0;
-  };
-  struct Watcher {
-    CallerConnection* connection = nullptr;
-    std::string prefix;
-    uint64_t after = 0;
-    TimerId timer;
-  };
-
-  void Serve(CallerConnection* connection, const HttpMessage& request);
   void Answer(CallerConnection* connection, int status, const nlohmann::json& body);
-  void Range(CallerConnection* connection, const std::string& prefix);
-  void Watch(CallerConnection* connection, const std::string& prefix, uint64_t after);
-  void Write(CallerConnection* connection, const std::string& body);
-  void Store(const std::string& key, const std::string& value);
-  void AnswerWatchers();
-  nlohmann::json Events(const std::string& prefix, uint64_t after) const;
   void Order(CallerConnection* connection, const std::string& body);
   void Call(CallerConnection* connection, const HttpMessage& request);
   nlohmann::json Holdings() const;
 
   SystemClock clock_;
   EventLoop loop_;
-  CallerListener store_;
+  StandinStore store_;
   CallerListener runner_;
   std::string store_address_;
   std::string runner_address_;
-  std::map<std::string, Item> items_;
-  uint64_t revision_ = 1;
-  uint64_t last_lease_ = 0;
-  std::vector<Watcher> watchers_;
   std::map<std::string, bool> models_;
   uint64_t sequence_ = 0;
   uint64_t heartbeat_ = 0;
--- /dev/null
+++ b/tests/soak/fault_proxy.h
@@ -0,0 +1,59 @@
+#ifndef TESTS_SOAK_FAULT_PROXY_H_
+#define TESTS_SOAK_FAULT_PROXY_H_
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/clock.h"
+#include "core/result.h"
+#include "drivers/gateway/event_loop.h"
+
+namespace Poco::Net {
+class ServerSocket;
+}  // namespace Poco::Net
+
+namespace shallot::soak {
+
+/// What a proxy does to the connections that pass it.
+enum class LinkFault {
+  kNone,
+  kDelay,        ///< Each piece arrives later, in order.
+  kCutToServer,  ///< Bytes towards the server are held until the fault ends.
+  kCutToClient,  ///< Bytes towards the client are held until the fault ends.
+  kDark,         ///< Both directions are held; new connections are accepted and get nothing.
+  kSilenceOpen,  ///< Connections open at its start pass nothing ever again; new ones work.
+  kResetOpen,    ///< Connections open at its start are reset; new ones work.
+  kRefuse,       ///< All connections are reset, new ones too.
+};
+
+const char* LinkFaultName(LinkFault fault);
+
+/// Loopback TCP proxy in front of one server, on the loop of the soak.
+class FaultProxy final : public gateway::SocketHandler {
+ public:
+  FaultProxy(gateway::EventLoop* loop, std::string server_address);
+  ~FaultProxy() override;
+
+  Status Open(const std::string& address);
+  void SetFault(LinkFault fault, Millis delay);
+  void OnReadable() override;
+
+ private:
+  class Link;
+  friend class Link;
+  bool Holds(bool to_server) const;
+  void Drop(Link* link);
+
+  gateway::EventLoop* loop_;
+  std::string server_address_;
+  std::unique_ptr<Poco::Net::ServerSocket> socket_;
+  std::map<Link*, std::unique_ptr<Link>> links_;
+  LinkFault fault_ = LinkFault::kNone;
+  Millis delay_{0};
+};
+
+}  // namespace shallot::soak
+
+#endif  // TESTS_SOAK_FAULT_PROXY_H_
--- /dev/null
+++ b/tests/soak/gateway_process.cc
@@ -0,0 +1,63 @@
+#include "tests/soak/gateway_process.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+#include <fstream>
+
+namespace shallot::soak {
+
+GatewayProcess::~GatewayProcess() {
+  if (!running()) return;
+  Signal(SIGKILL);
+  (void)waitpid(id_, nullptr, 0);
+}
+
+bool GatewayProcess::Start() {
+  std::string settings = "--settings";
+  std::array<char*, 4> arguments = {spec_.program.data(), settings.data(),
+                                    spec_.settings_path.data(), nullptr};
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, spec_.log_path.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+  // Sockets of the soak that the child kept open would never end for their peers.
+  posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
+  const int error =
+      posix_spawn(&id_, spec_.program.c_str(), &files, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&files);
+  if (error != 0) id_ = 0;
+  return error == 0;
+}
+
+void GatewayProcess::Signal(int signal) const {
+  if (running()) (void)kill(id_, signal);
+}
+
+std::optional<ProcessEnd> GatewayProcess::TakeEnd() {
+  if (!running()) return std::nullopt;
+  int status = 0;
+  if (waitpid(id_, &status, WNOHANG) != id_) return std::nullopt;
+  id_ = 0;
+  if (WIFSIGNALED(status)) return ProcessEnd{true, WTERMSIG(status)};
+  return ProcessEnd{false, WEXITSTATUS(status)};
+}
+
+uint64_t GatewayProcess::MemoryKilobytes() const {
+  std::ifstream status("/proc/" + std::to_string(id_) + "/status");
+  std::string field;
+  while (status >> field) {
+    if (field != "VmRSS:") continue;
+    uint64_t kilobytes = 0;
+    status >> kilobytes;
+    return kilobytes;
+  }
+  return 0;
+}
+
+}  // namespace shallot::soak
--- /dev/null
+++ b/tests/soak/gateway_process.h
@@ -0,0 +1,53 @@
+#ifndef TESTS_SOAK_GATEWAY_PROCESS_H_
+#define TESTS_SOAK_GATEWAY_PROCESS_H_
+
+#include <sys/types.h>
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+#include "core/clock.h"
+
+namespace shallot::soak {
+
+/// How a process ended.
+struct ProcessEnd {
+  bool by_signal = false;
+  int code = 0;
+};
+
+/// One gateway as a process of its own. Only this process is ever signalled, by its id.
+class GatewayProcess {
+ public:
+  struct Spec {
+    std::string program;
+    std::string settings_path;
+    /// Standard output and error are appended here.
+    std::string log_path;
+  };
+
+  explicit GatewayProcess(Spec spec) : spec_(std::move(spec)) {}
+  /// Kills the process if it runs.
+  ~GatewayProcess();
+  GatewayProcess(const GatewayProcess&) = delete;
+  GatewayProcess& operator=(const GatewayProcess&) = delete;
+
+  /// False: it could not be started.
+  bool Start();
+  void Signal(int signal) const;
+  bool running() const { return id_ > 0; }
+  pid_t id() const { return id_; }
+  /// Collects the end of the process, if it has ended.
+  std::optional<ProcessEnd> TakeEnd();
+  /// Memory in use in kilobytes; 0 when it does not run.
+  uint64_t MemoryKilobytes() const;
+
+ private:
+  Spec spec_;
+  pid_t id_ = 0;
+};
+
+}  // namespace shallot::soak
+
+#endif  // TESTS_SOAK_GATEWAY_PROCESS_H_
--- /dev/null
+++ b/tests/soak/process_soak_main.cc
@@ -0,0 +1,212 @@
+// Runs real gateway processes beside stand-ins of their platform, injects random faults from
+// outside and checks the promises of docs/design.md from what callers and runners see.
+
+#include <fmt/format.h>
+
+#include <cxxopts.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <vector>
+
+#include "core/clock.h"
+#include "drivers/gateway/event_loop.h"
+#include "tests/soak/call_judge.h"
+#include "tests/soak/soak_caller.h"
+#include "tests/soak/soak_fleet.h"
+#include "tests/soak/soak_schedule.h"
+
+namespace shallot::soak {
+namespace {
+
+constexpr Millis kStep{50};
+/// All gateways are ready this long after their start at the latest.
+constexpr Millis kStartLimit{10'000};
+/// Calls without faults before the first one.
+constexpr Millis kWarmUp{1'000};
+/// Recovery is judged over windows of this length.
+constexpr Millis kWindow{2'000};
+/// Share of the calls that must complete once the recovery bound has passed, and a share at which
+/// the soak need not wait for the bound.
+constexpr double kLeastServed = 0.25;
+constexpr double kWellServed = 0.95;
+/// Callers go on this long after the planned stop of all gateways.
+constexpr Millis kCallsDuringStop{2'000};
+/// Memory limit of an entry instance of the two deployments.
+constexpr uint64_t kMemoryLimitKilobytes = 260 * 1024;
+
+/// One run from start to stop, in phases on the loop's timers.
+class SoakRun {
+ public:
+  explicit SoakRun(const SoakOptions& options)
+      : loop_(&clock_), fleet_(&loop_, options), judge_(&fleet_), schedule_(&fleet_) {
+    for (size_t number = 0; number < options.callers; ++number) {
+      callers_.push_back(std::make_unique<SoakCaller>(&fleet_, &judge_, number));
+    }
+  }
+
+  /// True: every promise was kept.
+  bool Run() {
+    if (const Status started = fleet_.Start(); !IsOk(started)) {
+      std::cerr << FormatError(ErrorOf(started)) << "\n";
+      return false;
+    }
+    phase_began_ = loop_.Now();
+    loop_.After(kStep, [this] { AwaitReady(); });
+    loop_.Run();
+    judge_.CheckEnd();
+    return fleet_.ledger().violations().empty();
+  }
+
+  SoakFleet& fleet() { return fleet_; }
+
+ private:
+  Duration InPhase() const { return loop_.Now() - phase_began_; }
+
+  void AwaitReady() {
+    bool all = true;
+    for (size_t index = 0; index < fleet_.gateways(); ++index) all = all && fleet_.Ready(index);
+    if (!all && InPhase() < Duration(kStartLimit)) {
+      loop_.After(kStep, [this] { AwaitReady(); });
+      return;
+    }
+    if (!all) fleet_.ledger().Violation("not all gateways were ready after their start");
+    for (const auto& caller : callers_) caller->Start();
+    loop_.After(kWarmUp, [this] { schedule_.Start(); });
+    loop_.After(kWarmUp + fleet_.options().fault_time, [this] { BeginRecovery(); });
+  }
+
+  void BeginRecovery() {
+    schedule_.Stop();
+    fleet_.Heal();
+    phase_began_ = loop_.Now();
+    BeginWindow();
+  }
+
+  void BeginWindow() {
+    completed_before_ = fleet_.ledger().completed();
+    ended_before_ = fleet_.ledger().ended();
+    loop_.After(kWindow, [this] { EndWindow(); });
+  }
+
+  void EndWindow() {
+    const auto completed = static_cast<double>(fleet_.ledger().completed() - completed_before_);
+    const auto ended = static_cast<double>(fleet_.ledger().ended() - ended_before_);
+    const double share = ended == 0 ? 0 : completed / ended;
+    const bool bound_passed = InPhase() >= Duration(SoakBounds::kRecovery + kWindow);
+    if (share < kWellServed && !bound_passed) {
+      BeginWindow();
+      return;
+    }
+    fleet_.Note(fmt::format("served {:.2f} of the calls {} ms after the last fault", share,
+                            std::chrono::duration_cast<Millis>(InPhase()).count()));
+    if (share < kLeastServed) {
+      fleet_.ledger().Violation(
+          fmt::format("only {:.2f} of the calls were served after the "
+                      "recovery bound",
+                      share));
+    }
+    if (fleet_.LargestMemoryKilobytes() > kMemoryLimitKilobytes) {
+      fleet_.ledger().Violation("a gateway used more memory than its instance has");
+    }
+    fleet_.BeginStopAll();
+    loop_.After(kCallsDuringStop, [this] {
+      for (const auto& caller : callers_) caller->Finish();
+    });
+    loop_.After(kStep, [this] { AwaitEnd(); });
+  }
+
+  void AwaitEnd() {
+    bool busy = !fleet_.AllEnded();
+    for (const auto& caller : callers_) busy = busy || caller->busy() || !caller->finished();
+    if (!busy) {
+      loop_.Stop();
+      return;
+    }
+    loop_.After(kStep, [this] { AwaitEnd(); });
+  }
+
+  SystemClock clock_;
+  gateway::EventLoop loop_;
+  SoakFleet fleet_;
+  CallJudge judge_;
+  SoakSchedule schedule_;
+  std::vector<std::unique_ptr<SoakCaller>> callers_;
+  SteadyTime phase_began_;
+  uint64_t completed_before_ = 0;
+  uint64_t ended_before_ = 0;
+};
+
+/// Runs one seed in a folder of its own; the folder stays when a promise was broken.
+bool RunSeed(SoakOptions options, bool keep) {
+  options.folder += fmt::format("/seed-{}", options.seed);
+  std::filesystem::remove_all(options.folder);
+  std::filesystem::create_directories(options.folder);
+  SoakRun run(options);
+  const bool kept = run.Run();
+  const CallLedger& ledger = run.fleet().ledger();
+  std::cout << fmt::format("seed {}: {} calls, {} completed, {} refused, {} faults: {}\n",
+                           options.seed, ledger.calls(), ledger.completed(), ledger.refused(),
+                           run.fleet().events().size(), kept ? "ok" : "BROKEN")
+            << std::flush;
+  if (!kept) {
+    for (const std::string& violation : ledger.violations()) std::cout << "  " << violation << "\n";
+    std::ofstream events(options.folder + "/events.txt");
+    for (const std::string& event : run.fleet().events()) events << event << "\n";
+    std::cout << "  events and logs: " << options.folder << std::endl;
+    return false;
+  }
+  if (!keep) std::filesystem::remove_all(options.folder);
+  return true;
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options parser("process_soak", "random faults on gateway processes and their links");
+  parser.add_options()("gateway", "path of shallot_gateway", cxxopts::value<std::string>())(
+      "seed", "first seed", cxxopts::value<uint64_t>()->default_value("1"))(
+      "seeds", "number of seeds", cxxopts::value<uint64_t>()->default_value("1"))(
+      "fault-s", "seconds of faults", cxxopts::value<int64_t>()->default_value("15"))(
+      "gateways", "gateway processes", cxxopts::value<size_t>()->default_value("3"))(
+      "engines", "runners with models", cxxopts::value<size_t>()->default_value("3"))(
+      "desks", "runners of plain services", cxxopts::value<size_t>()->default_value("4"))(
+      "callers", "callers", cxxopts::value<size_t>()->default_value("24"))(
+      "folder", "where settings and logs go",
+      cxxopts::value<std::string>()->default_value(
+          (std::filesystem::temp_directory_path() / "shallot-soak").string()))(
+      "keep", "keep the logs of seeds that pass")("help", "print this help");
+  const auto parsed = parser.parse(argc, argv);
+  if (parsed.count("help") > 0) {
+    std::cout << parser.help();
+    return 0;
+  }
+  SoakOptions options;
+  options.gateway_program = parsed["gateway"].as<std::string>();
+  options.folder = parsed["folder"].as<std::string>();
+  options.fault_time = Seconds(parsed["fault-s"].as<int64_t>());
+  options.gateways = parsed["gateways"].as<size_t>();
+  options.engines = parsed["engines"].as<size_t>();
+  options.desks = parsed["desks"].as<size_t>();
+  options.callers = parsed["callers"].as<size_t>();
+  const auto first = parsed["seed"].as<uint64_t>();
+  const auto seeds = parsed["seeds"].as<uint64_t>();
+  uint64_t broken = 0;
+  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+    options.seed = seed;
+    if (!RunSeed(options, parsed.count("keep") > 0)) ++broken;
+  }
+  std::cout << fmt::format("{} passed, {} failed\n", seeds - broken, broken);
+  return broken == 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace shallot::soak
+
+int main(int argc, char** argv) {
+  try {
+    return shallot::soak::Main(argc, argv);
+  } catch (const std::exception& error) {
+    std::cerr << "process_soak: " << error.what() << "; see --help\n";
+    return 2;
+  }
+}
--- /dev/null
+++ b/tests/soak/soak_caller.cc
@@ -0,0 +1,152 @@
+#include "tests/soak/soak_caller.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace shallot::soak {
+namespace {
+
+using gateway::CallKind;
+using gateway::TimerId;
+
+/// A caller waits this much longer than its call's time before it takes the gateway for silent.
+constexpr Millis kPatience{3'000};
+/// Share of the calls whose caller leaves early, and when at the latest.
+constexpr double kLeaves = 0.06;
+constexpr uint64_t kLeaveWithinMs = 250;
+/// Share of the calls before which the caller chooses a gateway anew.
+constexpr double kMoves = 0.03;
+/// Callers heed Retry-After up to this time.
+constexpr Millis kLongestPause{1'000};
+constexpr uint64_t kMaxBodyBytes = 3'000;
+/// Share of the calls to models that are in use everywhere.
+constexpr double kBusyModels = 0.8;
+
+}  // namespace
+
+SoakCaller::SoakCaller(SoakFleet* fleet, CallJudge* judge, size_t number)
+    : fleet_(fleet), judge_(judge), number_(number), client_(fleet->loop()) {}
+
+SoakCaller::~SoakCaller() {
+  StopTimers();
+  fleet_->loop()->Cancel(next_timer_);
+}
+
+void SoakCaller::StopTimers() {
+  fleet_->loop()->Cancel(leave_timer_);
+  fleet_->loop()->Cancel(limit_timer_);
+}
+
+void SoakCaller::ScheduleNext(Millis pause) {
+  const auto millis =
+      static_cast<int64_t>(fleet_->random().Exponential(static_cast<double>(kThink.count())));
+  next_timer_ = fleet_->loop()->After(pause + Millis(millis), [this] {
+    if (!finished_) Send();
+  });
+}
+
+SentCall SoakCaller::MakeCall() {
+  Random& random = fleet_->random();
+  const std::vector<SoakRoute> routes = fleet_->Routes();
+  const SoakRoute& route = routes[random.Below(routes.size())];
+  SentCall call;
+  call.id = RequestId(fmt::format("c{}-{}", number_, ++calls_));
+  call.kind = route.kind;
+  call.resumable = route.resumable;
+  call.backends = fleet_->BackendsOf(route.name);
+  call.max_attempts = route.max_attempts;
+  call.timeout = route.timeout;
+  call.method = route.kind == CallKind::kIdempotent ? "GET" : "POST";
+  call.target = fmt::format("{}{}?n={}", route.prefix, number_, calls_);
+  if (call.method == "POST") call.body = std::string(random.Below(kMaxBodyBytes), 'x');
+  if (route.kind == CallKind::kStream) {
+    const uint64_t model =
+        random.Unit() < kBusyModels ? random.Below(2) : random.Below(StandinRunner::kModels);
+    call.model = fmt::format("m{}", model);
+  }
+  call.gateway = *gateway_;
+  call.sent_at = fleet_->loop()->Now();
+  return call;
+}
+
+void SoakCaller::Send() {
+  if (!gateway_ || fleet_->random().Unit() < kMoves) gateway_ = fleet_->PickGateway();
+  call_ = MakeCall();
+  result_ = CallResult();
+  result_.is_stream = call_.kind == CallKind::kStream;
+  retry_after_ = Millis(0);
+  close_after_ = false;
+  gateway::HttpMessage request;
+  request.head.method = call_.method;
+  request.head.target = call_.target;
+  request.head.Set("Host", "soak.example");
+  request.head.Set("Attempt-Id", call_.id.value());
+  request.head.Set("Deadline-Ms", std::to_string(call_.timeout.count()));
+  if (!call_.model.empty()) {
+    request.head.Set("Model-Name", call_.model);
+    request.head.Set("Token-Usage", "1000,60");
+    request.head.Set("Prompt-Prefix", fmt::format("ab:800,{:x}:200", number_));
+  }
+  request.body = call_.body;
+  fleet_->ledger().OnSent(call_);
+  exchange_ =
+      client_.Start(fleet_->CallerAddress(*gateway_), gateway::FormatRequest(request), {}, this);
+  limit_timer_ = fleet_->loop()->After(call_.timeout + kPatience, [this] { GiveUp(); });
+  if (fleet_->random().Unit() < kLeaves) {
+    leave_timer_ =
+        fleet_->loop()->After(Millis(fleet_->random().Below(kLeaveWithinMs)), [this] { Leave(); });
+  }
+}
+
+gateway::HeadVerdict SoakCaller::OnHead(const gateway::HttpHead& head) {
+  result_.status = head.status;
+  result_.sealed = head.Find("Server-Seal") != nullptr;
+  close_after_ = !head.keep_alive;
+  const std::string* id = head.Find("Attempt-Id");
+  if (id != nullptr && *id != call_.id.value()) {
+    fleet_->ledger().Violation(fmt::format("call {} got the answer of {}", call_.id.value(), *id));
+  }
+  if (const std::string* pause = head.Find("Retry-After")) {
+    retry_after_ = std::min(kLongestPause, Millis(static_cast<int64_t>(std::stod(*pause) * 1000)));
+  }
+  return gateway::HeadVerdict::kAccept;
+}
+
+void SoakCaller::OnComplete() { End(CallEnd::kAnswered); }
+
+void SoakCaller::OnFailure(gateway::ExchangeFailure failure, const std::string& detail) {
+  if (failure == gateway::ExchangeFailure::kMalformed) {
+    fleet_->ledger().Violation(
+        fmt::format("call {} got bytes that are no answer: {}", call_.id.value(), detail));
+  }
+  gateway_.reset();
+  // A call whose connection did not come about was not sent.
+  End(failure == gateway::ExchangeFailure::kNotConnected ? CallEnd::kAbandoned : CallEnd::kBroken);
+}
+
+void SoakCaller::Leave() {
+  client_.Cancel(*exchange_);
+  judge_->OnAbandoned(call_, fleet_->loop()->Now());
+  End(CallEnd::kAbandoned);
+}
+
+void SoakCaller::GiveUp() {
+  client_.Cancel(*exchange_);
+  gateway_.reset();
+  End(CallEnd::kSilent);
+}
+
+void SoakCaller::End(CallEnd end) {
+  StopTimers();
+  exchange_.reset();
+  result_.end = end;
+  result_.at = fleet_->loop()->Now();
+  fleet_->ledger().OnResult(call_.id, result_);
+  judge_->OnResult(call_, result_);
+  // As the platform's callers do: a retry goes to another gateway, by a new connection.
+  if (close_after_ || result_.status == 503) gateway_.reset();
+  ScheduleNext(retry_after_);
+}
+
+}  // namespace shallot::soak
--- /dev/null
+++ b/tests/soak/soak_caller.h
@@ -0,0 +1,63 @@
+#ifndef TESTS_SOAK_SOAK_CALLER_H_
+#define TESTS_SOAK_SOAK_CALLER_H_
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+#include "drivers/gateway/http_client.h"
+#include "tests/soak/call_judge.h"
+#include "tests/soak/soak_fleet.h"
+
+namespace shallot::soak {
+
+/// One caller: sends a call, waits for its end, thinks, sends the next. It keeps its connection to
+/// a gateway until that is closed or fails.
+class SoakCaller final : public gateway::ExchangeHandler {
+ public:
+  SoakCaller(SoakFleet* fleet, CallJudge* judge, size_t number);
+  ~SoakCaller() override;
+
+  void Start() { ScheduleNext(kThink); }
+  /// No further calls.
+  void Finish() { finished_ = true; }
+  bool finished() const { return finished_; }
+  bool busy() const { return exchange_.has_value(); }
+
+  gateway::HeadVerdict OnHead(const gateway::HttpHead& head) override;
+  void OnBody(std::string data) override { result_.body += data; }
+  void OnComplete() override;
+  void OnFailure(gateway::ExchangeFailure failure, const std::string& detail) override;
+
+ private:
+  /// Mean pause between calls.
+  static constexpr Millis kThink{120};
+
+  void ScheduleNext(Millis pause);
+  void Send();
+  SentCall MakeCall();
+  void Leave();
+  void GiveUp();
+  void End(CallEnd end);
+  void StopTimers();
+
+  SoakFleet* fleet_;
+  CallJudge* judge_;
+  size_t number_;
+  gateway::HttpClient client_;
+  std::optional<size_t> gateway_;
+  std::optional<gateway::ExchangeId> exchange_;
+  SentCall call_;
+  CallResult result_;
+  Millis retry_after_{0};
+  gateway::TimerId leave_timer_;
+  gateway::TimerId limit_timer_;
+  gateway::TimerId next_timer_;
+  uint64_t calls_ = 0;
+  bool finished_ = false;
+  bool close_after_ = false;
+};
+
+}  // namespace shallot::soak
+
+#endif  // TESTS_SOAK_SOAK_CALLER_H_
--- /dev/null
+++ b/tests/soak/soak_fleet_faults.cc
@@ -0,0 +1,261 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+
+#include "tests/soak/soak_fleet.h"
+
+namespace shallot::soak {
+namespace {
+
+/// Time that a held-up process may need beyond the platform's grace before it counts as stuck.
+constexpr Millis kGraceSlack{300};
+
+}  // namespace
+
+void SoakFleet::Disturb(Scope scope, Millis time, bool planned, std::function<void()> end) {
+  const size_t disturbance = disturbances_.Begin(scope, loop_->Now(), planned);
+  loop_->After(time, [this, disturbance, round = round_, end = std::move(end)] {
+    disturbances_.End(disturbance, loop_->Now());
+    if (round == round_) end();
+  });
+}
+
+void SoakFleet::StopGateway(size_t index) {
+  Gateway& gateway = gateways_[index];
+  if (!gateway.process->running() || gateway.told_to_end || gateway.paused) return;
+  Note(fmt::format("stop gateway {}", index));
+  gateway.told_to_end = true;
+  gateway.stop_due = loop_->Now() + SoakBounds::kGrace + kGraceSlack;
+  gateway.down = disturbances_.Begin(Scope::Gateway(index), loop_->Now(), true);
+  gateway.process->Signal(SIGTERM);
+}
+
+void SoakFleet::KillGateway(size_t index) {
+  Gateway& gateway = gateways_[index];
+  if (!gateway.process->running()) return;
+  Note(fmt::format("kill gateway {}", index));
+  gateway.told_to_end = true;
+  gateway.stop_due.reset();
+  disturbances_.Add(Scope::Gateway(index), loop_->Now(), loop_->Now(), false);
+  gateway.process->Signal(SIGKILL);
+}
+
+void SoakFleet::PauseGateway(size_t index, Millis time) {
+  Gateway& gateway = gateways_[index];
+  if (!gateway.process->running() || gateway.paused) return;
+  Note(fmt::format("pause gateway {} for {} ms", index, time.count()));
+  gateway.paused = true;
+  // A stop that is under way gets the paused time on top.
+  if (gateway.stop_due) *gateway.stop_due += time;
+  gateway.process->Signal(SIGSTOP);
+  const size_t disturbance = disturbances_.Begin(Scope::Gateway(index), loop_->Now(), false);
+  loop_->After(time, [this, index, disturbance, lifetime = gateway.lifetime] {
+    disturbances_.End(disturbance, loop_->Now());
+    Gateway& paused = gateways_[index];
+    if (paused.lifetime != lifetime) return;
+    paused.paused = false;
+    paused.process->Signal(SIGCONT);
+  });
+}
+
+void SoakFleet::ReloadGateway(size_t index, bool broken_settings) {
+  Gateway& gateway = gateways_[index];
+  if (!gateway.process->running()) return;
+  Note(fmt::format("reload gateway {}{}", index, broken_settings ? " with broken settings" : ""));
+  WriteSettings(index);
+  if (broken_settings) {
+    std::ofstream(fmt::format("{}/gateway-{}.json", options_.folder, index)) << "{\"node\": 5,";
+  }
+  gateway.process->Signal(SIGHUP);
+}
+
+void SoakFleet::FaultLink(LinkEnd end, size_t index, LinkFault fault, Millis time) {
+  FaultProxy* proxy = nullptr;
+  Scope scope = Scope::Gateway(index);
+  std::string name = fmt::format("gateway {}", index);
+  switch (end) {
+    case LinkEnd::kCallers:
+      proxy = gateways_[index].callers.get();
+      name += " to callers";
+      break;
+    case LinkEnd::kStore:
+      proxy = gateways_[index].store.get();
+      name += " to the store";
+      break;
+    case LinkEnd::kRunner:
+      proxy = runners_[index].proxy.get();
+      scope = Scope::Runners();
+      name = "runner " + runners_[index].spec.id;
+      break;
+  }
+  Note(fmt::format("link of {}: {} for {} ms", name, LinkFaultName(fault), time.count()));
+  proxy->SetFault(fault, Millis(50 + random_.Below(400)));
+  Disturb(scope, time, false, [proxy] { proxy->SetFault(LinkFault::kNone, Millis(0)); });
+}
+
+void SoakFleet::TroubleStore(const gateway::StoreTrouble& trouble, const std::string& name,
+                             Millis time, bool entries_lapse) {
+  Note(fmt::format("store: {} for {} ms{}", name, time.count(),
+                   entries_lapse ? ", entries lapse" : ""));
+  store_.SetTrouble(trouble);
+  store_away_ = trouble.silent || trouble.busy;
+  entries_lapse_ = entries_lapse;
+  Disturb(Scope::Store(), time, false, [this] {
+    store_.SetTrouble({});
+    store_away_ = false;
+    // Runners write their entries again within two seconds of the store's return.
+    for (Runner& runner : runners_) {
+      runner.last_heartbeat = loop_->Now() - Duration(Millis(random_.Below(400)));
+    }
+  });
+}
+
+void SoakFleet::DropHistory() {
+  Note("store drops its history");
+  disturbances_.Add(Scope::Store(), loop_->Now(), loop_->Now(), false);
+  store_.DropHistory();
+}
+
+void SoakFleet::TroubleRunner(size_t index, const RunnerTrouble& trouble, const std::string& name,
+                              Millis time) {
+  if (runners_[index].server == nullptr) return;
+  Note(fmt::format("runner {}: {} for {} ms", runners_[index].spec.id, name, time.count()));
+  runners_[index].server->SetTrouble(trouble);
+  const std::string id = runners_[index].spec.id;
+  Disturb(Scope::Runners(), time, false, [this, index, id] {
+    Runner& runner = runners_[index];
+    if (runner.server != nullptr && runner.spec.id == id) runner.server->SetTrouble({});
+  });
+}
+
+void SoakFleet::RemoveRunner(size_t index) { runners_[index].server.reset(); }
+
+void SoakFleet::CrashRunner(size_t index, Millis down, bool same_id) {
+  Runner& runner = runners_[index];
+  if (runner.server == nullptr) return;
+  Note(fmt::format("runner {} crashes for {} ms{}", runner.spec.id, down.count(),
+                   same_id ? " and keeps its id" : ""));
+  RemoveRunner(index);
+  const std::string old_id = runner.spec.id;
+  Disturb(Scope::Runners(), down, false, [this, index, same_id, old_id] {
+    Runner& stopped = runners_[index];
+    if (stopped.server != nullptr) return;
+    const bool was_listed = stopped.listed;
+    if (Status started = StartRunner(index); !IsOk(started)) {
+      ledger_.Violation("a runner could not be started again: " + FormatError(ErrorOf(started)));
+      return;
+    }
+    if (same_id) {
+      stopped.spec.id = old_id;
+      stopped.server.reset();
+      stopped.server = std::make_unique<StandinRunner>(&world_, stopped.spec);
+      (void)stopped.server->Open();
+    } else if (was_listed) {
+      store_.Remove("servers/" + old_id);
+    }
+  });
+}
+
+void SoakFleet::DrainRunner(size_t index) {
+  Runner& runner = runners_[index];
+  if (runner.server == nullptr || runner.server->draining()) return;
+  if (store_away_) return;
+  Note(fmt::format("runner {} drains", runner.spec.id));
+  runner.server->BeginDraining();
+  runner.last_heartbeat = loop_->Now();
+  const Millis time = SoakBounds::kDrain + Millis(500 + random_.Below(1'500));
+  const std::string id = runner.spec.id;
+  // A planned leave: no call may be harmed by it.
+  Disturb(Scope::Runners(), time, true, [this, index, id] {
+    if (runners_[index].spec.id != id || runners_[index].server == nullptr) return;
+    if (runners_[index].server->working() > 0) {
+      // Calls that began before still run; they end with the runner.
+      disturbances_.Add(Scope::Runners(), loop_->Now(), loop_->Now(), false);
+    }
+    RemoveRunner(index);
+    store_.Remove("servers/" + id);
+    (void)StartRunner(index);
+  });
+}
+
+void SoakFleet::ReuseAddress(size_t index) {
+  Runner& runner = runners_[index];
+  if (runner.server == nullptr || runner.spec.is_engine) return;
+  Note(fmt::format("runner {} of {} is replaced by one of the other backend", runner.spec.id,
+                   runner.spec.backend));
+  RemoveRunner(index);
+  const std::string id = runner.spec.id;
+  Disturb(Scope::Runners(), SoakBounds::kReuseAfter, false, [this, index, id] {
+    Runner& gone = runners_[index];
+    if (gone.server != nullptr) return;
+    store_.Remove("servers/" + id);
+    gone.spec.backend = gone.spec.backend == "desk-a" ? "desk-b" : "desk-a";
+    (void)StartRunner(index);
+  });
+}
+
+void SoakFleet::WriteForeignEntry() {
+  static const char* const kEntries[] = {
+      "\xff\xfe no text", "[1,2,3]", R"({"service":"desk-a","address":"not an address"})",
+      R"({"service":7,"address":"127.0.0.1:1","zone":"north","slots":"many","state":"ready"})",
+      R"({"service":"desk-a","address":"127.0.0.1:1","zone":"north","slots":4,"state":"unknown"})"};
+  Note("another writer leaves an entry in the list of runners");
+  store_.Put(fmt::format("servers/x-{}", random_.Below(3)), kEntries[random_.Below(5)]);
+}
+
+void SoakFleet::ChangeConfig() {
+  Version version = versions_.back();
+  version.number += 1 + random_.Below(5);
+  if (random_.Below(2) == 0) {
+    version.extra_route = !version.extra_route;
+  } else {
+    version.switch_backend = version.switch_backend == "desk-a" ? "desk-b" : "desk-a";
+  }
+  version.acknowledged = loop_->Now();
+  versions_.push_back(version);
+  Note(fmt::format("configuration {}: switch goes to {}, extra {}", version.number,
+                   version.switch_backend, version.extra_route ? "there" : "gone"));
+  PutConfig();
+}
+
+void SoakFleet::Heal() {
+  Note("all trouble ends");
+  ++round_;
+  const SteadyTime now = loop_->Now();
+  store_.SetTrouble({});
+  store_away_ = false;
+  for (size_t index = 0; index < gateways_.size(); ++index) {
+    Gateway& gateway = gateways_[index];
+    gateway.callers->SetFault(LinkFault::kNone, Millis(0));
+    gateway.store->SetFault(LinkFault::kNone, Millis(0));
+    if (gateway.paused) gateway.process->Signal(SIGCONT);
+    gateway.paused = false;
+    WriteSettings(index);
+    disturbances_.Add(Scope::Gateway(index), now, now, false);
+  }
+  for (size_t index = 0; index < runners_.size(); ++index) {
+    Runner& runner = runners_[index];
+    runner.proxy->SetFault(LinkFault::kNone, Millis(0));
+    if (runner.server == nullptr || runner.server->draining()) {
+      RemoveRunner(index);
+      store_.Remove("servers/" + runner.spec.id);
+      (void)StartRunner(index);
+    }
+    runner.server->SetTrouble({});
+    runner.last_heartbeat = SteadyTime();
+  }
+}
+
+void SoakFleet::BeginStopAll() {
+  stopping_ = true;
+  for (size_t index = 0; index < gateways_.size(); ++index) StopGateway(index);
+}
+
+bool SoakFleet::AllEnded() const {
+  return std::none_of(gateways_.begin(), gateways_.end(),
+                      [](const Gateway& gateway) { return gateway.process->running(); });
+}
+
+}  // namespace shallot::soak
--- /dev/null
+++ b/tests/soak/standin_runner.cc
@@ -0,0 +1,278 @@
+#include "tests/soak/standin_runner.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "core/log.h"
+
+namespace shallot::soak {
+namespace {
+
+using gateway::CallerConnection;
+using gateway::HttpMessage;
+using gateway::TimerId;
+using Json = nlohmann::json;
+
+/// Work of a plain call and pause before each event of a stream; the deployments state 15 to 60 ms.
+constexpr Millis kWork{20};
+/// Loads from the weight store and from the runner's disk.
+constexpr Millis kStoreLoad{600};
+constexpr Millis kDiskLoad{100};
+/// A late order is carried out after up to this time.
+constexpr uint64_t kLateOrderMs = 3'000;
+
+std::string Field(const HttpMessage& request, std::string_view name) {
+  const std::string* value = request.head.Find(name);
+  return value == nullptr ? std::string() : *value;
+}
+
+}  // namespace
+
+StandinRunner::StandinRunner(RunnerWorld* world, const RunnerSpec& spec)
+    : world_(world),
+      spec_(spec),
+      listener_(std::make_unique<gateway::CallerListener>(world->loop, spec.id, this)) {
+  if (spec_.is_engine) models_ = {"m0", "m1"};
+  on_disk_ = models_;
+}
+
+StandinRunner::~StandinRunner() {
+  for (auto& [connection, work] : working_) world_->loop->Cancel(work.timer);
+}
+
+bool StandinRunner::WorksOn(const RequestId& id) const {
+  return std::any_of(working_.begin(), working_.end(),
+                     [&](const auto& entry) { return entry.second.id == id; });
+}
+
+Json StandinRunner::Holdings() const {
+  Json models = Json::array();
+  for (const std::string& name : models_) {
+    models.push_back({{"name", name}, {"version", 1}, {"adapters", Json::array()}});
+  }
+  return {{"models", models},
+          {"at-hand", {{"in-memory", Json::array()}, {"on-disk", on_disk_}}},
+          {"born", spec_.born}};
+}
+
+void StandinRunner::Heartbeat() {
+  Json entry = Holdings();
+  entry.update({{"service", spec_.backend},
+                {"address", spec_.public_address},
+                {"zone", "north"},
+                {"version", "v1"},
+                {"slots", 8},
+                {"state", draining_ ? "draining" : "ready"},
+                {"seq", ++heartbeat_}});
+  world_->store->Put("servers/" + spec_.id, entry.dump());
+}
+
+void StandinRunner::BeginDraining() {
+  if (draining_) return;
+  draining_ = true;
+  draining_since_ = world_->loop->Now();
+  Heartbeat();
+}
+
+void StandinRunner::Reject(CallerConnection* connection, int status) {
+  HttpMessage answer;
+  answer.head.status = status;
+  answer.head.reason = "Not Run";
+  answer.head.Set("Not-Executed", "1");
+  answer.head.Set("Instance-Id", spec_.id);
+  connection->Answer(answer);
+}
+
+void StandinRunner::OnRequest(CallerConnection* connection, HttpMessage request) {
+  if (trouble_.silent) return;
+  const std::string expected = Field(request, "Expect-Instance");
+  if (!expected.empty() && expected != spec_.id) {
+    Reject(connection, 421);
+    return;
+  }
+  if (request.head.target == "/v1/order") {
+    Order(connection, request);
+    return;
+  }
+  if (request.head.target == "/v1/report") {
+    Json report = Holdings();
+    report.update({{"busy", order_under_way_}, {"seq", sequence_}, {"running", working_.size()}});
+    HttpMessage answer;
+    answer.head.status = 200;
+    answer.head.reason = "OK";
+    answer.body = report.dump();
+    connection->Answer(answer);
+    return;
+  }
+  Call(connection, std::move(request));
+}
+
+void StandinRunner::Order(CallerConnection* connection, const HttpMessage& request) {
+  const Json order = Json::parse(request.body);
+  if (world_->random->Unit() < trouble_.late_orders) {
+    world_->loop->After(Millis(world_->random->Below(kLateOrderMs)),
+                        [this, order, alive = std::weak_ptr<bool>(alive_)] {
+                          if (!alive.expired()) (void)TakeOrder(order);
+                        });
+    connection->Abort();
+    return;
+  }
+  HttpMessage answer;
+  answer.head.status = TakeOrder(order);
+  answer.head.reason = "Order";
+  connection->Answer(answer);
+}
+
+int StandinRunner::TakeOrder(const Json& order) {
+  const std::string holder = order["holder"].get<std::string>();
+  const auto fence = order["fence"].get<uint64_t>();
+  if (fence < highest_fence_) return 412;
+  if (fence == highest_fence_ && !fence_holder_.empty() && holder != fence_holder_) {
+    world_->ledger->Violation(fmt::format("runner {}: orders of {} and {} with the same fence {}",
+                                          spec_.id, fence_holder_, holder, fence));
+  }
+  highest_fence_ = fence;
+  fence_holder_ = holder;
+  if (order_under_way_ || order["precondition"].get<uint64_t>() != sequence_) return 409;
+  return Begin(order);
+}
+
+int StandinRunner::Begin(const Json& order) {
+  const std::string model = order["model"].get<std::string>();
+  if (order["op-type"] == "unload") {
+    if (models_.erase(model) == 0) return 200;
+    ++sequence_;
+    return 202;
+  }
+  if (models_.contains(model)) return 200;
+  const int needed = static_cast<int>(models_.size() + 1) * kModelMb;
+  if (needed > kMemoryMb) {
+    world_->ledger->Violation(
+        fmt::format("runner {}: ordered to load {} MB into {}", spec_.id, needed, kMemoryMb));
+    return 202;
+  }
+  ++sequence_;
+  order_under_way_ = true;
+  const Millis time = on_disk_.contains(model) ? kDiskLoad : kStoreLoad;
+  world_->loop->After(time, [this, model, alive = std::weak_ptr<bool>(alive_)] {
+    if (alive.expired()) return;
+    models_.insert(model);
+    on_disk_.insert(model);
+    order_under_way_ = false;
+    if (!draining_) Heartbeat();
+  });
+  return 202;
+}
+
+Duration StandinRunner::WorkTime() {
+  return std::chrono::duration_cast<Duration>(kWork * trouble_.slow_factor);
+}
+
+gateway::HttpHead StandinRunner::SealedHead(const RequestId& id, int status) const {
+  gateway::HttpHead head;
+  head.status = status;
+  head.reason = "Answer";
+  head.Set("Attempt-Id", id.value());
+  head.Set("Server-Seal", "seal-" + spec_.id);
+  return head;
+}
+
+void StandinRunner::Call(CallerConnection* connection, HttpMessage request) {
+  const std::string model = Field(request, "Model-Name");
+  world_->ledger->OnArrival(RequestId(Field(request, "Attempt-Id")), BackendName(spec_.backend),
+                            world_->loop->Now());
+  if (spec_.is_engine && !models_.contains(model)) {
+    Reject(connection, 421);
+    return;
+  }
+  if (world_->random->Unit() < trouble_.sheds) {
+    Reject(connection, 503);
+    return;
+  }
+  Work work;
+  work.id = RequestId(Field(request, "Attempt-Id"));
+  work.stream = spec_.is_engine;
+  CallRun run{RunnerId(spec_.id),
+              BackendName(spec_.backend),
+              request.head.method,
+              request.head.target,
+              request.body,
+              model,
+              0,
+              world_->loop->Now()};
+  const std::string resume = Field(request, "Last-Event-Id");
+  if (!resume.empty()) {
+    run.resume_after = std::stoull(resume);
+    work.next_event = run.resume_after + 1;
+  }
+  ++runs_;
+  last_run_at_ = run.at;
+  world_->ledger->OnRun(work.id, run);
+  work.request = std::move(request);
+  work.timer = world_->loop->After(WorkTime(), [this, connection] {
+    if (working_.at(connection).stream) {
+      NextEvent(connection);
+    } else {
+      FinishPlain(connection);
+    }
+  });
+  working_[connection] = std::move(work);
+}
+
+void StandinRunner::FinishPlain(CallerConnection* connection) {
+  const Work work = std::move(working_.at(connection));
+  working_.erase(connection);
+  if (world_->random->Unit() < trouble_.lost_answers) {
+    connection->Abort();
+    return;
+  }
+  const bool fails = world_->random->Unit() < trouble_.errors;
+  HttpMessage answer{SealedHead(work.id, fails ? 500 : 200), ""};
+  const auto& head = work.request.head;
+  answer.body = fails ? "failed"
+                      : CallLedger::PlainBody(work.id, head.method, head.target, work.request.body);
+  world_->ledger->OnRunnerAnswer(work.id, answer.head.status);
+  if (world_->random->Unit() < trouble_.cut_answers) {
+    connection->BeginStream(answer.head);
+    connection->SendChunk(answer.body.substr(0, answer.body.size() / 2));
+    connection->Abort();
+    return;
+  }
+  connection->Answer(answer);
+}
+
+void StandinRunner::NextEvent(CallerConnection* connection) {
+  Work& work = working_.at(connection);
+  if (!work.head_sent) {
+    work.head_sent = true;
+    gateway::HttpHead head = SealedHead(work.id, 200);
+    head.Set("Content-Type", "text/event-stream");
+    world_->ledger->OnRunnerAnswer(work.id, 200);
+    connection->BeginStream(head);
+  }
+  if (work.next_event > CallLedger::kEvents) {
+    working_.erase(connection);
+    connection->FinishStream();
+    return;
+  }
+  const std::string text = CallLedger::EventText(work.id, work.next_event);
+  if (world_->random->Unit() < trouble_.cut_answers / static_cast<double>(CallLedger::kEvents)) {
+    connection->SendChunk(text.substr(0, text.size() / 2));
+    working_.erase(connection);
+    connection->Abort();
+    return;
+  }
+  connection->SendChunk(text);
+  ++work.next_event;
+  work.timer = world_->loop->After(WorkTime(), [this, connection] { NextEvent(connection); });
+}
+
+void StandinRunner::OnCallerGone(CallerConnection* connection) {
+  const auto found = working_.find(connection);
+  if (found == working_.end()) return;
+  world_->loop->Cancel(found->second.timer);
+  working_.erase(found);
+}
+
+}  // namespace shallot::soak
--- /dev/null
+++ b/tests/soak/standin_runner.h
@@ -0,0 +1,121 @@
+#ifndef TESTS_SOAK_STANDIN_RUNNER_H_
+#define TESTS_SOAK_STANDIN_RUNNER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+
+#include "core/random.h"
+#include "drivers/gateway/caller_connection.h"
+#include "drivers/gateway/caller_listener.h"
+#include "drivers/gateway/event_loop.h"
+#include "tests/soak/call_ledger.h"
+#include "tests/standin_store.h"
+
+namespace shallot::soak {
+
+/// Shared by all runners of a run: orders are judged over all of them.
+struct RunnerWorld {
+  gateway::EventLoop* loop = nullptr;
+  gateway::StandinStore* store = nullptr;
+  CallLedger* ledger = nullptr;
+  Random* random = nullptr;
+};
+
+struct RunnerSpec {
+  std::string id;
+  std::string backend;
+  /// Where it listens, and the address of its proxy that its entry names.
+  std::string listen_address;
+  std::string public_address;
+  bool is_engine = false;
+  uint64_t born = 0;
+};
+
+/// How a runner misbehaves. Probabilities are from 0 to 1.
+struct RunnerTrouble {
+  double errors = 0;        ///< Answers 500 after running the call.
+  double sheds = 0;         ///< Refuses the call without running it.
+  double lost_answers = 0;  ///< Runs the call and closes without an answer.
+  double cut_answers = 0;   ///< Breaks off in the middle of the answer.
+  double slow_factor = 1;   ///< Work takes this many times as long.
+  bool silent = false;      ///< Accepts calls and orders and answers nothing.
+  double late_orders = 0;   ///< Orders get no answer and are carried out later.
+};
+
+/// Stand-in of a backend server: an engine that holds models by order, or a plain service. It
+/// checks the orders that it gets and reports each run to the ledger.
+class StandinRunner final : public gateway::CallerHandler {
+ public:
+  /// Memory of an engine in megabytes and the size of each model: two fit.
+  static constexpr int kMemoryMb = 100;
+  static constexpr int kModelMb = 40;
+  static constexpr int kModels = 4;
+
+  StandinRunner(RunnerWorld* world, const RunnerSpec& spec);
+  ~StandinRunner() override;
+
+  Status Open() { return listener_->Open(spec_.listen_address); }
+  const RunnerSpec& spec() const { return spec_; }
+  void SetTrouble(const RunnerTrouble& trouble) { trouble_ = trouble; }
+  /// Writes the entry of the list. Called by the fleet as its heartbeat while the store answers.
+  void Heartbeat();
+  void BeginDraining();
+  bool draining() const { return draining_; }
+  SteadyTime draining_since() const { return draining_since_; }
+  /// Calls that it works on.
+  size_t working() const { return working_.size(); }
+  bool WorksOn(const RequestId& id) const;
+  uint64_t runs() const { return runs_; }
+  SteadyTime last_run_at() const { return last_run_at_; }
+
+  void OnRequest(gateway::CallerConnection* connection, gateway::HttpMessage request) override;
+  void OnCallerGone(gateway::CallerConnection* connection) override;
+
+ private:
+  struct Work {
+    RequestId id;
+    bool stream = false;
+    bool head_sent = false;
+    uint64_t next_event = 1;
+    gateway::TimerId timer;
+    gateway::HttpMessage request;
+  };
+
+  void Order(gateway::CallerConnection* connection, const gateway::HttpMessage& request);
+  /// Status that the order gets; an accepted one is begun.
+  int TakeOrder(const nlohmann::json& order);
+  int Begin(const nlohmann::json& order);
+  void Call(gateway::CallerConnection* connection, gateway::HttpMessage request);
+  void FinishPlain(gateway::CallerConnection* connection);
+  void NextEvent(gateway::CallerConnection* connection);
+  void Reject(gateway::CallerConnection* connection, int status);
+  gateway::HttpHead SealedHead(const RequestId& id, int status) const;
+  nlohmann::json Holdings() const;
+  Duration WorkTime();
+
+  RunnerWorld* world_;
+  RunnerSpec spec_;
+  std::unique_ptr<gateway::CallerListener> listener_;
+  RunnerTrouble trouble_;
+  std::map<gateway::CallerConnection*, Work> working_;
+  std::set<std::string> models_;
+  std::set<std::string> on_disk_;
+  bool order_under_way_ = false;
+  uint64_t sequence_ = 0;
+  uint64_t heartbeat_ = 0;
+  uint64_t highest_fence_ = 0;
+  std::string fence_holder_;
+  bool draining_ = false;
+  SteadyTime draining_since_;
+  uint64_t runs_ = 0;
+  SteadyTime last_run_at_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace shallot::soak
+
+#endif  // TESTS_SOAK_STANDIN_RUNNER_H_
