--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: setup build test test-asan test-tsan fuzz demo lint format check-format bench curve slopes soak mutants clean
+.PHONY: setup build test test-asan test-tsan fuzz demo lint format check-format bench curve slopes soak soak-processes mutants clean
 
 setup:
 	@misc/setup.sh
@@ -49,6 +49,13 @@
 	@SHALLOT_SOAK_S=$(DURATION_S) SHALLOT_SOAK_SEED=$(SEED) $(BUILD)/shallot_tests \
 		--source-file='*/tests/fault_random_test.cc' --test-case=soak
 
+# Random faults on gateway processes with SEEDS new seeds from SEED on, FAULT_S seconds each.
+SEEDS ?= 10
+FAULT_S ?= 15
+soak-processes: build
+	@$(BUILD)/process_soak --gateway $(BUILD)/shallot_gateway --seed $(SEED) --seeds $(SEEDS) \
+		--fault-s $(FAULT_S) --folder $(BUILD)/soak
+
 # Trade-off of cold-start wait and idle hours over the cold weight, as CSV and PNG.
 curve: build
 	@$(BUILD)/cold_start_bench $(BUILD)/cold_start.csv
--- a/main/ctl/commands.h
+++ b/main/ctl/commands.h
@@ -13,6 +13,7 @@
 int RunDrain(const CtlOptions& options);
 int RunReport(const CtlOptions& options);
 int RunKeys(const CtlOptions& options);
+int RunExplain(const CtlOptions& options);
 
 }  // namespace shallot::ctl
 
--- a/main/shallotctl_main.cc
+++ b/main/shallotctl_main.cc
@@ -24,6 +24,7 @@
                                    in the platform's list (--platform)
   catalog                          entries, their policy and where they are loaded
   report burn                      use of the error budget by class
+  explain REQUEST LOG...           what saved logs of gateways say of a call, and why it failed
   keys [ROUTER...]                 make the keys of a fleet: section [keys] for the agents and
                                    [keys ROUTER] for the [keys] of each router; without names
                                    one [keys] for all
@@ -72,6 +73,7 @@
   if (command == "drain") return shallot::ctl::RunDrain(options);
   if (command == "catalog") return shallot::ctl::RunCatalog(options);
   if (command == "report") return shallot::ctl::RunReport(options);
+  if (command == "explain") return shallot::ctl::RunExplain(options);
   if (command == "keys") return shallot::ctl::RunKeys(options);
   if (command.empty()) return shallot::ctl::UsageError("a command is missing");
   return shallot::ctl::UsageError("unknown command \"" + command + "\"");
--- /dev/null
+++ b/servers/call_explanation.cc
@@ -0,0 +1,249 @@
+#include "servers/call_explanation.h"
+
+#include <Poco/DateTime.h>
+#include <Poco/DateTimeFormat.h>
+#include <Poco/DateTimeParser.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace shallot {
+namespace {
+
+constexpr std::string_view kTimeShape = "dddd-dd-ddTdd:dd:dd.dddZ";
+
+bool LooksLikeTime(std::string_view text) {
+  if (text.size() < kTimeShape.size()) return false;
+  return std::equal(kTimeShape.begin(), kTimeShape.end(), text.begin(), [](char shape, char c) {
+    return shape == 'd' ? c >= '0' && c <= '9' : shape == c;
+  });
+}
+
+size_t FindTime(std::string_view line) {
+  for (size_t at = 0; at + kTimeShape.size() <= line.size(); ++at) {
+    if (LooksLikeTime(line.substr(at))) return at;
+  }
+  return std::string_view::npos;
+}
+
+std::string LastWord(std::string_view text) {
+  const size_t end = text.find_last_not_of(" \t");
+  if (end == std::string_view::npos) return {};
+  const size_t begin = text.find_last_of(" \t", end);
+  return std::string(text.substr(begin + 1, end - begin));
+}
+
+std::map<std::string, std::string> ParseFields(std::string_view text) {
+  std::map<std::string, std::string> fields;
+  size_t at = 0;
+  while (at < text.size()) {
+    const size_t equals = text.find('=', at);
+    if (equals == std::string_view::npos) break;
+    const size_t name = text.find_last_of(' ', equals) + 1;
+    const bool quoted = equals + 1 < text.size() && text[equals + 1] == '"';
+    const size_t begin = equals + (quoted ? 2 : 1);
+    size_t end = text.find(quoted ? '"' : ' ', begin);
+    if (end == std::string_view::npos) end = text.size();
+    fields.emplace(text.substr(name, equals - name), text.substr(begin, end - begin));
+    at = end + 1;
+  }
+  return fields;
+}
+
+/// Sentences for the causes that a timeline shows.
+class Causes {
+ public:
+  explicit Causes(const RequestId& request) : request_(request) {}
+
+  void Read(const LogLine& line) {
+    const std::string event = line.Event();
+    if (line.part == "placement") {
+      ReadPlacement(line, event);
+    } else if (line.part == "store") {
+      ReadStore(line);
+    } else if (line.part == "runners") {
+      if (event == "runner-draining" || event == "runner-removed" || event == "runner-lapsed") {
+        leaving_.insert(line.Field("runner"));
+      }
+    } else if (line.part == "daemon") {
+      if (event == "drain") draining_.insert(line.process);
+    } else if (line.Field("request") == request_.value()) {
+      ReadCall(line, event);
+    }
+  }
+
+  std::vector<std::string> Take() {
+    if (!ended_) {
+      Say("The call has no end: " + process_.value() +
+          (draining_.contains(process_) ? " was stopping." : " ended without a planned stop."));
+    }
+    return std::move(causes_);
+  }
+
+ private:
+  void ReadPlacement(const LogLine& line, const std::string& event) {
+    if (event == "leadership-gained") leader_ = line.process;
+    const bool gave_up = event == "leadership-lost" || event == "leadership-released";
+    if (gave_up && leader_ == line.process) leader_.reset();
+    if (event == "order-sent" && line.Field("op") == "unload" && line.Field("adapter").empty()) {
+      unloading_.insert({line.Field("runner"), line.Field("model")});
+      loaded_.erase({line.Field("model"), line.Field("runner")});
+    }
+    if (event == "order-settled" && line.Field("op") == "load") {
+      loaded_.insert({line.Field("model"), line.Field("runner")});
+      unloading_.erase({line.Field("runner"), line.Field("model")});
+    }
+  }
+
+  void ReadStore(const LogLine& line) {
+    if (line.text.find("cannot follow") != std::string::npos) store_away_.insert(line.process);
+    if (line.text.find("following") != std::string::npos) store_away_.erase(line.process);
+  }
+
+  void ReadCall(const LogLine& line, const std::string& event) {
+    process_ = line.process;
+    if (!line.Field("model").empty()) model_ = line.Field("model");
+    if (event == "wait" || event == "no-wait") ReadWait(line, event);
+    if (event == "attempt-failed") ReadFailure(line);
+    if (event == "next-step" && line.Field("budget") == "no") {
+      Say("The retry budget was used up, so the call was not sent again.");
+    }
+    if (event == "end") ended_ = true;
+  }
+
+  void ReadWait(const LogLine& line, const std::string& event) {
+    if (event == "no-wait") {
+      Say("No runner held " + model_ + ", and the load from " + line.Field("source") + " (" +
+          line.Field("predicted_ms") + " ms) did not fit the " + line.Field("left_ms") +
+          " ms that the call had left.");
+    }
+    if (!leader_) Say("No gateway led placement while the call waited, so nothing was loaded.");
+    const auto loaded = loaded_.lower_bound({model_, ""});
+    if (loaded != loaded_.end() && loaded->first == model_) {
+      Say("The call waited although " + loaded->second + " had loaded " + model_ + ": " +
+          process_.value() + " had not heard of it.");
+    }
+    if (store_away_.contains(process_)) {
+      Say(process_.value() + " could not reach the platform's store.");
+    }
+  }
+
+  void ReadFailure(const LogLine& line) {
+    const std::string runner = line.Field("runner");
+    std::string sentence = "An attempt at " + runner + " failed (" + line.Field("failure") +
+                           ") after " + line.Field("after_ms") + " ms";
+    if (unloading_.contains({runner, model_})) {
+      sentence += ": " + model_ + " was being unloaded there";
+    } else if (leaving_.contains(runner)) {
+      sentence += ": the runner was leaving";
+    }
+    Say(sentence + ".");
+  }
+
+  void Say(const std::string& sentence) {
+    if (std::find(causes_.begin(), causes_.end(), sentence) == causes_.end()) {
+      causes_.push_back(sentence);
+    }
+  }
+
+  RequestId request_;
+  InstanceId process_;
+  std::string model_;
+  bool ended_ = false;
+  std::optional<InstanceId> leader_;
+  std::set<std::pair<std::string, std::string>> unloading_;
+  std::set<std::pair<std::string, std::string>> loaded_;
+  std::set<std::string> leaving_;
+  std::set<InstanceId> draining_;
+  std::set<InstanceId> store_away_;
+  std::vector<std::string> causes_;
+};
+
+}  // namespace
+
+const std::string& LogLine::Field(const std::string& name) const {
+  static const std::string kAbsent;
+  const auto found = fields.find(name);
+  return found == fields.end() ? kAbsent : found->second;
+}
+
+std::optional<LogLine> ParseLogLine(std::string_view line, const std::string& source) {
+  const size_t at = FindTime(line);
+  if (at == std::string_view::npos) return std::nullopt;
+  const std::string_view rest = line.substr(at + kTimeShape.size());
+  // " LEVEL PART: TEXT"
+  const size_t level_end = rest.find(' ', 1);
+  const size_t colon = rest.find(": ", 1);
+  if (level_end == std::string_view::npos || colon == std::string_view::npos || colon < level_end) {
+    return std::nullopt;
+  }
+  Poco::DateTime time;
+  int zone = 0;
+  if (!Poco::DateTimeParser::tryParse(Poco::DateTimeFormat::ISO8601_FRAC_FORMAT,
+                                      std::string(line.substr(at, kTimeShape.size())), time,
+                                      zone)) {
+    return std::nullopt;
+  }
+  LogLine parsed;
+  parsed.at = WallTime(std::chrono::microseconds(time.timestamp().epochMicroseconds()));
+  const std::string collector = LastWord(line.substr(0, at));
+  parsed.process = InstanceId(collector.empty() ? source : collector);
+  parsed.part = std::string(rest.substr(level_end + 1, colon - level_end - 1));
+  parsed.text = std::string(rest.substr(level_end + 1));
+  parsed.fields = ParseFields(rest.substr(colon + 2));
+  return parsed;
+}
+
+CallExplanationBuilder& CallExplanationBuilder::Add(LogLine line) {
+  lines_.push_back(std::move(line));
+  return *this;
+}
+
+CallExplanationBuilder::Subject CallExplanationBuilder::FindSubject(
+    const std::vector<LogLine>& own) const {
+  Subject subject{own.front().at - kBefore, own.back().at + kAfter, {}, {}, {}};
+  for (const LogLine& line : own) {
+    subject.processes.insert(line.process);
+    if (!line.Field("runner").empty()) subject.runners.insert(line.Field("runner"));
+    if (!line.Field("model").empty()) subject.models.insert(line.Field("model"));
+  }
+  return subject;
+}
+
+bool CallExplanationBuilder::Concerns(const Subject& subject, const LogLine& line) {
+  if (line.at < subject.from || line.at > subject.to) return false;
+  if (line.part == "placement") {
+    return line.Event().starts_with("leadership") || subject.models.contains(line.Field("model")) ||
+           (line.Event() == "order-sent" && subject.runners.contains(line.Field("runner")));
+  }
+  const bool same_process = subject.processes.contains(line.process);
+  if (line.part == "runners") return same_process && subject.runners.contains(line.Field("runner"));
+  return same_process && (line.part == "store" || line.part == "daemon" || line.part == "config" ||
+                          line.part == "gateways");
+}
+
+std::optional<CallExplanation> CallExplanationBuilder::Build() const {
+  std::vector<LogLine> lines = lines_;
+  std::stable_sort(lines.begin(), lines.end(),
+                   [](const LogLine& left, const LogLine& right) { return left.at < right.at; });
+  std::vector<LogLine> own;
+  std::copy_if(lines.begin(), lines.end(), std::back_inserter(own),
+               [this](const LogLine& line) { return line.Field("request") == request_.value(); });
+  if (own.empty()) return std::nullopt;
+  const Subject subject = FindSubject(own);
+  CallExplanation explanation;
+  Causes causes(request_);
+  for (const LogLine& line : lines) {
+    const bool is_own = line.Field("request") == request_.value();
+    // Leadership from long before still holds, but is shown only when it is near.
+    const bool leadership =
+        line.part == "placement" && line.Event().starts_with("leadership") && line.at <= subject.to;
+    const bool concerns = is_own || Concerns(subject, line);
+    if (concerns) explanation.timeline.push_back(line);
+    if (concerns || leadership) causes.Read(line);
+  }
+  explanation.causes = causes.Take();
+  return explanation;
+}
+
+}  // namespace shallot
--- /dev/null
+++ b/tests/call_explanation_test.cc
@@ -0,0 +1,143 @@
+#include "servers/call_explanation.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+namespace shallot {
+namespace {
+
+struct ExplanationCase {
+  const char* name;
+  /// "SECOND PROCESS TEXT"
+  std::vector<std::string> lines;
+  size_t expected_timeline;
+  std::vector<std::string> expected_causes;
+};
+
+std::string Stamped(const std::string& line) {
+  const size_t second_end = line.find(' ');
+  const size_t process_end = line.find(' ', second_end + 1);
+  return line.substr(second_end + 1, process_end - second_end - 1) +
+         " 2026-12-04T10:00:" + line.substr(0, second_end) + "Z info " +
+         line.substr(process_end + 1);
+}
+
+// Guards against an explanation that misses the lines of other processes that decided a call's
+// fate, or names a cause that they do not show.
+TEST_CASE("the causes of failed calls are read from saved logs") {
+  const std::vector<ExplanationCase> cases = {
+      {"completed",
+       {"01.000 g1 call: event=send runner=i-1 model=m request=r1",
+        "01.100 g1 call: event=end outcome=completed status=200 request=r1",
+        "01.050 g1 call: event=send runner=i-1 model=m request=r2"},
+       2,
+       {}},
+      {"no leader during an outage",
+       {"00.500 g2 placement: event=leadership-gained fence=3",
+        "01.000 g2 placement: event=leadership-lost fence=3",
+        "02.000 g1 call: event=wait model=m source=memory predicted_ms=900 left_ms=1500 request=r1",
+        "03.200 g1 call: event=no-wait model=m source=memory predicted_ms=900 left_ms=300 "
+        "request=r1",
+        "03.200 g1 call: event=end outcome=refused status=503 request=r1"},
+       5,
+       {"No gateway led placement while the call waited, so nothing was loaded.",
+        "No runner held m, and the load from memory (900 ms) did not fit the 300 ms that the call "
+        "had left."}},
+      {"the model was being unloaded",
+       {"00.500 g2 placement: event=leadership-gained fence=3",
+        "01.000 g1 call: event=send runner=i-1 model=m request=r1",
+        "01.050 g2 placement: event=order-sent runner=i-1 op=unload model=m adapter= fence=3",
+        "01.300 g1 call: event=attempt-failed runner=i-1 failure=not-executed after_ms=300 "
+        "reason=\"status 503\" request=r1",
+        "01.300 g1 call: event=next-step step=refuse budget=no request=r1",
+        "01.300 g1 call: event=end outcome=refused status=503 request=r1"},
+       6,
+       {"An attempt at i-1 failed (not-executed) after 300 ms: m was being unloaded there.",
+        "The retry budget was used up, so the call was not sent again."}},
+      {"the runner was leaving",
+       {"01.000 g1 runners: event=runner-draining runner=i-1",
+        "01.100 g1 call: event=send runner=i-1 request=r1",
+        "01.300 g1 call: event=attempt-failed runner=i-1 failure=lost-answer after_ms=200 "
+        "request=r1",
+        "01.300 g1 call: event=end outcome=failed status=502 request=r1"},
+       4,
+       {"An attempt at i-1 failed (lost-answer) after 200 ms: the runner was leaving."}},
+      {"a notice was missed",
+       {"00.500 g2 placement: event=leadership-gained fence=3",
+        "01.000 g1 call: event=wait model=m source=disk predicted_ms=900 left_ms=5000 request=r1",
+        "01.900 g2 placement: event=order-settled runner=i-1 op=load model=m",
+        "02.500 g1 call: event=wait model=m source=disk predicted_ms=900 left_ms=3500 request=r1",
+        "06.000 g1 call: event=end outcome=refused status=503 request=r1"},
+       5,
+       {"The call waited although i-1 had loaded m: g1 had not heard of it."}},
+      {"the process was killed",
+       {"01.000 g1 call: event=send runner=i-1 request=r1",
+        "01.500 g1 daemon: event=start instance=g1"},
+       2,
+       {"The call has no end: g1 ended without a planned stop."}},
+      {"the store was away",
+       {"00.100 g1 placement: event=leadership-gained fence=3",
+        "00.500 g1 store: cannot follow : no answer in time; try again",
+        "01.000 g1 call: event=wait model=m source=disk predicted_ms=900 left_ms=5000 request=r1",
+        "02.000 g1 call: event=end outcome=completed status=200 request=r1"},
+       4,
+       {"g1 could not reach the platform's store."}},
+  };
+  for (const ExplanationCase& test : cases) {
+    CAPTURE(std::string(test.name));
+    CallExplanationBuilder builder{RequestId("r1")};
+    for (const std::string& line : test.lines) {
+      auto parsed = ParseLogLine(Stamped(line), "file");
+      REQUIRE(parsed);
+      builder.Add(std::move(*parsed));
+    }
+    const auto explanation = builder.Build();
+    REQUIRE(explanation);
+    CHECK(explanation->timeline.size() == test.expected_timeline);
+    CHECK(explanation->causes == test.expected_causes);
+  }
+}
+
+struct LineCase {
+  const char* name;
+  const char* line;
+  bool expected;
+  const char* process;
+};
+
+// Guards against lines of a log collector, or with odd text, that end the reading.
+TEST_CASE("log lines are read with and without a collector's words before them") {
+  const std::vector<LineCase> cases = {
+      {"as written", "2026-12-04T10:00:01.250Z info call: event=send runner=i-1", true, "file"},
+      {"collected", "  -9.94 g-2 2026-12-04T10:00:01.250Z info call: event=send", true, "g-2"},
+      {"no time", "info call: event=send", false, ""},
+      {"no part", "2026-12-04T10:00:01.250Z info something", false, ""},
+      {"not a date", "2026-99-04T10:00:01.250Z info call: event=send", false, ""},
+      {"empty", "", false, ""},
+  };
+  for (const LineCase& test : cases) {
+    CAPTURE(std::string(test.name));
+    const auto parsed = ParseLogLine(test.line, "file");
+    REQUIRE(parsed.has_value() == test.expected);
+    if (!parsed) continue;
+    CHECK(parsed->process == InstanceId(test.process));
+    CHECK(parsed->Event() == "send");
+  }
+  const auto quoted = ParseLogLine(
+      "2026-12-04T10:00:01.250Z info call: event=end reason=\"not loaded; a=b\" status=503", "f");
+  REQUIRE(quoted);
+  CHECK(quoted->Field("reason") == "not loaded; a=b");
+  CHECK(quoted->Field("status") == "503");
+  CHECK(quoted->Field("absent").empty());
+}
+
+// Guards against an empty timeline for an id that no process logged.
+TEST_CASE("a call that no line names is not explained") {
+  CallExplanationBuilder builder{RequestId("r1")};
+  CHECK_FALSE(builder.Build());
+}
+
+}  // namespace
+}  // namespace shallot
--- a/tests/soak/process_soak_main.cc
+++ b/tests/soak/process_soak_main.cc
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include <array>
 #include <cxxopts.hpp>
 #include <filesystem>
 #include <fstream>
@@ -36,6 +37,17 @@
 /// Memory limit of an entry instance of the two deployments.
 constexpr uint64_t kMemoryLimitKilobytes = 260 * 1024;
 
+/// Seeds that failed once, with the cause. They are run again in CI.
+struct RegressionSeed {
+  uint64_t seed;
+  const char* cause;
+};
+constexpr std::array<RegressionSeed, 3> kRegressionSeeds = {{
+    {321, "the check knew only the configurations from before a call that its link held up"},
+    {344, "a stop signal 12 ms after the start came before main() had blocked it"},
+    {606, "two watches that an outage swallowed made a configuration 5.3 s late"},
+}};
+
 /// One run from start to stop, in phases on the loop's timers.
 class SoakRun {
  public:
@@ -178,7 +190,8 @@
       "folder", "where settings and logs go",
       cxxopts::value<std::string>()->default_value(
           (std::filesystem::temp_directory_path() / "shallot-soak").string()))(
-      "keep", "keep the logs of seeds that pass")("help", "print this help");
+      "keep", "keep the logs of seeds that pass")(
+      "regressions", "run the seeds that failed once instead")("help", "print this help");
   const auto parsed = parser.parse(argc, argv);
   if (parsed.count("help") > 0) {
     std::cout << parser.help();
@@ -192,14 +205,24 @@
   options.engines = parsed["engines"].as<size_t>();
   options.desks = parsed["desks"].as<size_t>();
   options.callers = parsed["callers"].as<size_t>();
-  const auto first = parsed["seed"].as<uint64_t>();
-  const auto seeds = parsed["seeds"].as<uint64_t>();
+  std::vector<uint64_t> seeds;
+  if (parsed.count("regressions") > 0) {
+    for (const RegressionSeed& regression : kRegressionSeeds) {
+      std::cout << fmt::format("seed {} failed once: {}\n", regression.seed, regression.cause);
+      seeds.push_back(regression.seed);
+    }
+  } else {
+    const auto first = parsed["seed"].as<uint64_t>();
+    for (uint64_t seed = first; seed < first + parsed["seeds"].as<uint64_t>(); ++seed) {
+      seeds.push_back(seed);
+    }
+  }
   uint64_t broken = 0;
-  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+  for (const uint64_t seed : seeds) {
     options.seed = seed;
     if (!RunSeed(options, parsed.count("keep") > 0)) ++broken;
   }
-  std::cout << fmt::format("{} passed, {} failed\n", seeds - broken, broken);
+  std::cout << fmt::format("{} passed, {} failed\n", seeds.size() - broken, broken);
   return broken == 0 ? 0 : 1;
 }
 
