Share the outcome of lease renewals; log failed calls for a gateway's own key

Read as a newcomer: two drivers decoded renewals alike and each had its own time limit for store calls; RenewalOutcome and kStoreCallTimeout serve both. A failed call for a gateway's own key was swallowed; the first failure of a series and the first success after it are logged now. No change of behaviour else.

--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -6,6 +6,7 @@
 
 #include "core/log.h"
 #include "core/random.h"
+#include "drivers/gateway/lease_renewal.h"
 
 namespace shallot::gateway {
 namespace {
@@ -41,7 +42,7 @@
   // Where runners check fencing numbers, the successor need not wait for the lease to end. Without
   // the store there is no successor, and this gateway leads until its end.
   context_->calls.Start(context_->settings.store_address,
-                        context_->protocol->EndLeaseRequest(election_.lease()), kStoreTimeout,
+                        context_->protocol->EndLeaseRequest(election_.lease()), kStoreCallTimeout,
                         [this](const Result<HttpMessage>& answer) { OnReleased(answer); });
 }
 
@@ -119,7 +120,7 @@
   const Millis term =
       LeaderElection::Term(settings.orders_fenced, settings.order_lease, settings.least_lease);
   context_->calls.Start(settings.store_address, context_->protocol->LeaseRequest(term),
-                        kStoreTimeout, [this, sent](const Result<HttpMessage>& answer) {
+                        kStoreCallTimeout, [this, sent](const Result<HttpMessage>& answer) {
                           const BootTime now = context_->clock->BootNow();
                           if (!IsOk(answer)) {
                             election_.OnLease(std::nullopt, Millis(0), sent, now);
@@ -141,7 +142,7 @@
                                EncodeGatewayRecord(settings.instance, settings.peer_address),
                                election_.ClaimCondition(), election_.lease()};
   context_->calls.Start(
-      settings.store_address, context_->protocol->WriteRequest(write), kStoreTimeout,
+      settings.store_address, context_->protocol->WriteRequest(write), kStoreCallTimeout,
       [this](const Result<HttpMessage>& answer) {
         const BootTime now = context_->clock->BootNow();
         if (!IsOk(answer)) {
@@ -167,23 +168,12 @@
 
 void PlacementDriver::Renew() {
   const BootTime sent = context_->clock->BootNow();
-  context_->calls.Start(
-      context_->settings.store_address, context_->protocol->RenewRequest(election_.lease()),
-      kStoreTimeout, [this, sent](const Result<HttpMessage>& answer) {
-        const BootTime now = context_->clock->BootNow();
-        if (!IsOk(answer)) {
-          election_.OnRenewed(LeaderElection::Renewal::kUnknown, sent, now);
-          return;
-        }
-        const Status renewed = context_->protocol->DecodeRenewal(ValueOf(answer));
-        if (IsOk(renewed)) {
-          election_.OnRenewed(LeaderElection::Renewal::kDone, sent, now);
-          return;
-        }
-        const bool ended = ErrorOf(renewed).kind == ErrorKind::kNotFound;
-        election_.OnRenewed(
-            ended ? LeaderElection::Renewal::kLost : LeaderElection::Renewal::kUnknown, sent, now);
-      });
+  context_->calls.Start(context_->settings.store_address,
+                        context_->protocol->RenewRequest(election_.lease()), kStoreCallTimeout,
+                        [this, sent](const Result<HttpMessage>& answer) {
+                          election_.OnRenewed(RenewalOutcome(*context_->protocol, answer), sent,
+                                              context_->clock->BootNow());
+                        });
 }
 
 void PlacementDriver::PollReports() {
--- a/drivers/gateway/placement_driver.h
+++ b/drivers/gateway/placement_driver.h
@@ -18,8 +18,6 @@
 /// orders: calls the store and the runners and passes their answers on to the decisions.
 class PlacementDriver {
  public:
-  /// Store calls take 4 ms; slower ones count as lost.
-  static constexpr Millis kStoreTimeout{700};
   /// Runners answer orders within a few milliseconds; a lost answer costs this much of a cold
   /// start.
   static constexpr Millis kOrderTimeout{150};
--- a/drivers/gateway/presence_driver.cc
+++ b/drivers/gateway/presence_driver.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "core/log.h"
+#include "drivers/gateway/lease_renewal.h"
 
 namespace shallot::gateway {
 
@@ -41,13 +42,14 @@
 
 void PresenceDriver::CreateLease() {
   context_->calls.Start(context_->settings.store_address,
-                        context_->protocol->LeaseRequest(Presence::kTerm), kStoreTimeout,
+                        context_->protocol->LeaseRequest(Presence::kTerm), kStoreCallTimeout,
                         [this](const Result<HttpMessage>& answer) {
                           std::optional<LeaseId> lease;
                           if (IsOk(answer)) {
                             const auto granted = context_->protocol->DecodeLease(ValueOf(answer));
                             if (IsOk(granted)) lease = ValueOf(granted).lease;
                           }
+                          Note(lease.has_value(), "lease");
                           presence_.OnLease(lease, context_->clock->BootNow());
                           // Others should know a gateway that has just started without delay.
                           Step();
@@ -59,10 +61,11 @@
   const ConditionalWrite write{key_, EncodeGatewayRecord(settings.instance, settings.peer_address),
                                presence_.Condition(), presence_.lease()};
   context_->calls.Start(
-      settings.store_address, context_->protocol->WriteRequest(write), kStoreTimeout,
+      settings.store_address, context_->protocol->WriteRequest(write), kStoreCallTimeout,
       [this](const Result<HttpMessage>& answer) {
         const BootTime now = context_->clock->BootNow();
         if (!IsOk(answer)) {
+          Note(false, "registration");
           presence_.OnRegistered(std::nullopt, now);
           return;
         }
@@ -72,7 +75,7 @@
                   "event=registration-failed reason=\"" + ErrorOf(revision).message + "\"");
           // A lease that has ended meanwhile cannot be used again.
           if (ErrorOf(revision).kind == ErrorKind::kNotFound) {
-            presence_.OnRenewed(Presence::Renewal::kLost, now);
+            presence_.OnRenewed(LeaseRenewal::kLost, now);
           } else {
             presence_.OnRegistered(std::nullopt, now);
           }
@@ -84,21 +87,19 @@
 }
 
 void PresenceDriver::Renew() {
-  context_->calls.Start(
-      context_->settings.store_address, context_->protocol->RenewRequest(presence_.lease()),
-      kStoreTimeout, [this](const Result<HttpMessage>& answer) {
-        const BootTime now = context_->clock->BootNow();
-        Presence::Renewal renewal = Presence::Renewal::kUnknown;
-        if (IsOk(answer)) {
-          const Status renewed = context_->protocol->DecodeRenewal(ValueOf(answer));
-          if (IsOk(renewed)) {
-            renewal = Presence::Renewal::kDone;
-          } else if (ErrorOf(renewed).kind == ErrorKind::kNotFound) {
-            renewal = Presence::Renewal::kLost;
-          }
-        }
-        presence_.OnRenewed(renewal, now);
-      });
+  context_->calls.Start(context_->settings.store_address,
+                        context_->protocol->RenewRequest(presence_.lease()), kStoreCallTimeout,
+                        [this](const Result<HttpMessage>& answer) {
+                          const LeaseRenewal renewal = RenewalOutcome(*context_->protocol, answer);
+                          Note(renewal == LeaseRenewal::kDone, "renewal");
+                          presence_.OnRenewed(renewal, context_->clock->BootNow());
+                        });
+}
+
+void PresenceDriver::Note(bool succeeded, const std::string& call) {
+  if (succeeded == !troubled_) return;
+  troubled_ = !succeeded;
+  LogInfo("gateways", "event=own-key-" + call + (succeeded ? "-done" : "-failed"));
 }
 
 }  // namespace shallot::gateway
--- a/drivers/gateway/presence_driver.h
+++ b/drivers/gateway/presence_driver.h
@@ -12,8 +12,6 @@
 /// Carries out what Presence decides: the store calls that keep this gateway's own key.
 class PresenceDriver {
  public:
-  /// Store calls take 4 ms; slower ones count as lost.
-  static constexpr Millis kStoreTimeout{700};
   static constexpr Millis kTick{100};
 
   explicit PresenceDriver(GatewayContext* context);
@@ -29,10 +27,13 @@
   void CreateLease();
   void Register();
   void Renew();
+  /// Logs the first failed call and the first one that succeeds again.
+  void Note(bool succeeded, const std::string& call);
 
   GatewayContext* context_;
   std::string key_;
   Presence presence_;
+  bool troubled_ = false;
 };
 
 }  // namespace shallot::gateway
--- a/servers/gateway/leader_election.cc
+++ b/servers/gateway/leader_election.cc
@@ -80,14 +80,14 @@
   record_ = LeaderRecord{self_, "", fence_};
 }
 
-void LeaderElection::OnRenewed(Renewal renewal, BootTime sent, BootTime now) {
+void LeaderElection::OnRenewed(LeaseRenewal renewal, BootTime sent, BootTime now) {
   under_way_ = false;
   if (!leading_) return;
-  if (renewal == Renewal::kLost) {
+  if (renewal == LeaseRenewal::kLost) {
     StepDown(now);
     return;
   }
-  if (renewal == Renewal::kDone) {
+  if (renewal == LeaseRenewal::kDone) {
     renewal_unanswered_at_.reset();
     lease_end_ = sent + term_;
     next_renewal_ = sent + term_ / kRenewalsPerTerm;
--- a/servers/gateway/leader_election.h
+++ b/servers/gateway/leader_election.h
@@ -15,6 +15,9 @@
 /// Position in the platform store's history; rises with each change.
 using StoreRevision = StrongNumber<struct StoreRevisionTag>;
 
+/// Outcome of a lease's renewal; kLost: the lease has ended.
+enum class LeaseRenewal { kDone, kLost, kUnknown };
+
 /// The item that names the placement leader.
 struct LeaderRecord {
   InstanceId holder;
@@ -76,8 +79,7 @@
   void OnLease(const std::optional<LeaseId>& lease, Millis term, BootTime sent, BootTime now);
   /// `revision`: of the write; absent when it failed or its outcome is unknown.
   void OnClaim(const std::optional<StoreRevision>& revision, BootTime now);
-  enum class Renewal { kDone, kLost, kUnknown };
-  void OnRenewed(Renewal renewal, BootTime sent, BootTime now);
+  void OnRenewed(LeaseRenewal renewal, BootTime sent, BootTime now);
   /// Another holder has given orders with a higher fencing number.
   void OnFenced(BootTime now);
   /// A notice of a leader with this fencing number was received.
--- a/servers/gateway/presence.cc
+++ b/servers/gateway/presence.cc
@@ -31,15 +31,15 @@
   due_ = now + kTerm / kRenewalsPerTerm;
 }
 
-void Presence::OnRenewed(Renewal renewal, BootTime now) {
+void Presence::OnRenewed(LeaseRenewal renewal, BootTime now) {
   under_way_ = false;
-  if (renewal == Renewal::kLost) {
+  if (renewal == LeaseRenewal::kLost) {
     lease_ = LeaseId();
     registered_ = false;
     due_ = now;
     return;
   }
-  due_ = now + (renewal == Renewal::kDone ? kTerm / kRenewalsPerTerm : kRetryPause);
+  due_ = now + (renewal == LeaseRenewal::kDone ? kTerm / kRenewalsPerTerm : kRetryPause);
 }
 
 void Presence::OnKey(const std::optional<StoreRevision>& key, StoreRevision as_of, BootTime now) {
--- a/servers/gateway/presence.h
+++ b/servers/gateway/presence.h
@@ -25,7 +25,6 @@
     kRegister,     ///< Write the key under Condition() with lease(). Then OnRegistered.
     kRenew,        ///< Then OnRenewed.
   };
-  enum class Renewal { kDone, kLost, kUnknown };
 
   /// What to do now; at most one action is under way at a time.
   Action Next(BootTime now);
@@ -37,7 +36,7 @@
   void OnLease(const std::optional<LeaseId>& lease, BootTime now);
   /// `revision`: that of the write; empty when it failed or its outcome is unknown.
   void OnRegistered(const std::optional<StoreRevision>& revision, BootTime now);
-  void OnRenewed(Renewal renewal, BootTime now);
+  void OnRenewed(LeaseRenewal renewal, BootTime now);
   /// News of the own key as of a store revision; `key`: its revision, empty when it is absent.
   void OnKey(const std::optional<StoreRevision>& key, StoreRevision as_of, BootTime now);
 
--- a/tests/gateway_leader_election_test.cc
+++ b/tests/gateway_leader_election_test.cc
@@ -9,7 +9,7 @@
 namespace {
 
 using Action = LeaderElection::Action;
-using Renewal = LeaderElection::Renewal;
+using Renewal = LeaseRenewal;
 
 constexpr BootTime kStart{std::chrono::seconds(1000)};
 constexpr Millis kTerm{3'000};
--- a/tests/gateway_presence_test.cc
+++ b/tests/gateway_presence_test.cc
@@ -62,7 +62,7 @@
 
 struct RenewalCase {
   const char* name;
-  Presence::Renewal renewal;
+  LeaseRenewal renewal;
   Duration checked_after;
   Action expected;
 };
@@ -71,10 +71,10 @@
 TEST_CASE("gateway: what follows a renewal of the own key's lease") {
   constexpr Duration kInterval = Presence::kTerm / Presence::kRenewalsPerTerm;
   const std::vector<RenewalCase> cases = {
-      {"renewed", Presence::Renewal::kDone, Presence::kRetryPause, Action::kNone},
-      {"renewed, next one due", Presence::Renewal::kDone, kInterval, Action::kRenew},
-      {"no answer", Presence::Renewal::kUnknown, Presence::kRetryPause, Action::kRenew},
-      {"lease has ended", Presence::Renewal::kLost, Duration(0), Action::kCreateLease},
+      {"renewed", LeaseRenewal::kDone, Presence::kRetryPause, Action::kNone},
+      {"renewed, next one due", LeaseRenewal::kDone, kInterval, Action::kRenew},
+      {"no answer", LeaseRenewal::kUnknown, Presence::kRetryPause, Action::kRenew},
+      {"lease has ended", LeaseRenewal::kLost, Duration(0), Action::kCreateLease},
   };
   for (const RenewalCase& test : cases) {
     CAPTURE(std::string(test.name));
