--- a/core/log.cc
+++ b/core/log.cc
@@ -14,8 +14,11 @@
 #include <boost/smart_ptr/make_shared.hpp>
 #include <chrono>
 #include <ctime>
+#include <future>
 #include <iostream>
+#include <memory>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 namespace shallot {
 namespace {
@@ -142,13 +145,20 @@
   State().target = target;
 }
 
-void FlushLogging() {
+bool FlushLogging(std::chrono::milliseconds limit) {
   const auto sink = State().async_sink;
-  if (!sink) return;
+  if (!sink) return true;
   logging::core::get()->remove_sink(sink);
-  sink->stop();
-  sink->flush();
+  const auto flushed = std::make_shared<std::promise<void>>();
+  std::future<void> done = flushed->get_future();
+  std::thread([sink, flushed] {
+    sink->stop();
+    sink->flush();
+    flushed->set_value();
+  }).detach();
+  if (done.wait_for(limit) != std::future_status::ready) return false;
   State().async_sink.reset();
+  return true;
 }
 
 uint64_t DroppedLogLines() { return CountDropped::dropped.load(std::memory_order_relaxed); }
--- a/core/log.h
+++ b/core/log.h
@@ -1,6 +1,7 @@
 #ifndef CORE_LOG_H_
 #define CORE_LOG_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -23,8 +24,11 @@
 /// error, as text.
 void InitLogging(LogLevel level, LogFormat format, const std::string& process_name,
                  LogTarget target = LogTarget::kStandardError);
-/// Writes what is queued and stops the writing thread. Call at the end of main.
-void FlushLogging();
+/// Time that a process may spend on its last log lines; its end must not wait for a stalled reader.
+inline constexpr std::chrono::milliseconds kFlushLimit{200};
+/// Writes what is queued and stops the writing thread. Call at the end of main. False: the reader
+/// of standard output has stalled; end the process without destructors, which would wait for it.
+bool FlushLogging(std::chrono::milliseconds limit = kFlushLimit);
 /// Lines that were dropped because the queue was full.
 uint64_t DroppedLogLines();
 
--- a/main/shallot_gateway_main.cc
+++ b/main/shallot_gateway_main.cc
@@ -57,7 +57,7 @@
   shallot::gateway::GatewayDaemon daemon(ValueOf(settings), &codec,
                                          [&options] { return Load(options); });
   const int code = shallot::RunDaemon(kName, &daemon);
-  shallot::FlushLogging();
+  if (!shallot::FlushLogging()) std::_Exit(code);
   return code;
 }
 
--- a/tests/soak/gateway_process.cc
+++ b/tests/soak/gateway_process.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <spawn.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -11,7 +12,14 @@
 
 namespace shallot::soak {
 
+GatewayProcess::GatewayProcess(Spec spec) : spec_(std::move(spec)) {
+  if (!spec_.stall_log) return;
+  (void)mkfifo(spec_.log_path.c_str(), 0644);
+  unread_log_ = open(spec_.log_path.c_str(), O_RDWR | O_CLOEXEC);
+}
+
 GatewayProcess::~GatewayProcess() {
+  if (unread_log_ >= 0) close(unread_log_);
   if (!running()) return;
   Signal(SIGKILL);
   (void)waitpid(id_, nullptr, 0);
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -25,9 +25,11 @@
     std::string settings_path;
     /// Standard output and error are appended here.
     std::string log_path;
+    /// The log is a pipe that nobody reads.
+    bool stall_log = false;
   };
 
-  explicit GatewayProcess(Spec spec) : spec_(std::move(spec)) {}
+  explicit GatewayProcess(Spec spec);
   /// Kills the process if it runs.
   ~GatewayProcess();
   GatewayProcess(const GatewayProcess&) = delete;
@@ -46,6 +48,8 @@
  private:
   Spec spec_;
   pid_t id_ = 0;
+  /// Keeps the pipe of a stalled log open.
+  int unread_log_ = -1;
 };
 
 }  // namespace shallot::soak
--- a/tests/soak/process_soak_main.cc
+++ b/tests/soak/process_soak_main.cc
@@ -191,6 +191,7 @@
       cxxopts::value<std::string>()->default_value(
           (std::filesystem::temp_directory_path() / "shallot-soak").string()))(
       "keep", "keep the logs of seeds that pass")(
+      "stall-logs", "let the gateways log to pipes that nobody reads")(
       "regressions", "run the seeds that failed once instead")("help", "print this help");
   const auto parsed = parser.parse(argc, argv);
   if (parsed.count("help") > 0) {
@@ -205,6 +206,7 @@
   options.engines = parsed["engines"].as<size_t>();
   options.desks = parsed["desks"].as<size_t>();
   options.callers = parsed["callers"].as<size_t>();
+  options.stall_logs = parsed.count("stall-logs") > 0;
   std::vector<uint64_t> seeds;
   if (parsed.count("regressions") > 0) {
     for (const RegressionSeed& regression : kRegressionSeeds) {
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -146,9 +146,9 @@
           gateway.store->Open(store_proxy)}) {
       if (!IsOk(opened)) return opened;
     }
-    GatewayProcess::Spec spec{options_.gateway_program,
-                              fmt::format("{}/gateway-{}.json", options_.folder, index),
-                              fmt::format("{}/gateway-{}.log", options_.folder, index)};
+    GatewayProcess::Spec spec{
+        options_.gateway_program, fmt::format("{}/gateway-{}.json", options_.folder, index),
+        fmt::format("{}/gateway-{}.log", options_.folder, index), options_.stall_logs};
     gateway.process = std::make_unique<GatewayProcess>(spec);
     gateways_.push_back(std::move(gateway));
     probes_.push_back(std::make_unique<ReadinessProbe>(this, index));
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -48,6 +48,8 @@
   size_t engines = 3;
   size_t desks = 4;
   size_t callers = 24;
+  /// The gateways log to pipes that nobody reads.
+  bool stall_logs = false;
 };
 
 /// A route of the present configuration, with what its calls are judged by.
