Fix the gateway's crashes, answers without end and orders after a suspension

Causes, each with a test that failed first (address sanitizer): - HttpClient::TakeIdle kept an iterator into the map of idle connections while Release erased that entry: heap-use-after-free in gateway_http_client_test. It now looks the address up in each round. - DispatchWaitingCalls sorted by the time left, which reads a clock that moves between comparisons. DispatchOrder sorts by values that are fixed while a call waits: urgency, then deadline. - A chunk size line without end grew the parser's buffer (117 MB when stopped); interim answers and answers to other requests without end kept an exchange open. Both are bounded now, and the size of a body is checked for each exchange. - A process that was suspended while a connection to a runner was being established sent the order after its lease had ended. The permission is checked again right before the bytes are sent. - An order or a report took a late second copy of a call's answer for its own. BufferedCalls skips it.

Ruled out: other sorts (their keys are values), objects destroyed while on the call stack (all are deferred), sockets that reuse an address within one poll (the poll's result holds a reference).

The test platform leaked a function that held itself.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: setup build test test-asan test-tsan fuzz demo lint format check-format bench curve slopes soak soak-processes mutants clean
+.PHONY: setup build test test-asan test-tsan test-gateway-asan fuzz demo lint format check-format bench curve slopes soak soak-processes mutants clean
 
 setup:
 	@misc/setup.sh
@@ -23,6 +23,12 @@
 	@cmake --build build-$* -j $(JOBS) --target shallot_tests
 	@ctest --test-dir build-$* --output-on-failure -j $(JOBS)
 
+# Builds and runs the gateway's tests with the address sanitizer.
+test-gateway-asan: setup
+	@cmake -S . -B build-gateway-asan -G Ninja -DCMAKE_CXX_FLAGS_RELEASE=-O1 -DSHALLOT_SANITIZE=address > /dev/null
+	@cmake --build build-gateway-asan -j $(JOBS) --target gateway_tests
+	@build-gateway-asan/gateway_tests --no-skip
+
 # Runs each fuzz target for DURATION_S seconds.
 fuzz: setup
 	@misc/fuzz.sh $(DURATION_S)
--- a/drivers/gateway/buffered_call.cc
+++ b/drivers/gateway/buffered_call.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "core/log.h"
+
 namespace shallot::gateway {
 
 class BufferedCalls::Call final : public ExchangeHandler {
@@ -10,6 +12,11 @@
       : owner_(owner), number_(number), done_(std::move(done)) {}
 
   HeadVerdict OnHead(const HttpHead& head) override {
+    if (owner_->is_call_answer_(head)) {
+      LogWarning("http", "event=foreign-answer reason=\"the answer of a call came to an order, a "
+                         "report or a store call\"");
+      return HeadVerdict::kSkip;
+    }
     answer_.head = head;
     return HeadVerdict::kAccept;
   }
@@ -32,13 +39,15 @@
 BufferedCalls::~BufferedCalls() = default;
 
 void BufferedCalls::Start(const std::string& address, const HttpMessage& request, Millis timeout,
-                          Done done) {
+                          Done done, std::function<bool()> still_wanted) {
   const uint64_t number = ++last_number_;
   auto call = std::make_shared<Call>(this, number, std::move(done));
   calls_[number] = call;
   ExchangeOptions options;
   options.connect_timeout = std::min(options.connect_timeout, timeout);
   options.unacknowledged_limit = std::min(options.unacknowledged_limit, timeout);
+  options.max_body_bytes = kMaxBodyBytes;
+  options.still_wanted = std::move(still_wanted);
   call->timer_ = loop_->After(timeout, [this, number] {
     const auto found = calls_.find(number);
     if (found == calls_.end()) return;
--- a/drivers/gateway/buffered_call.h
+++ b/drivers/gateway/buffered_call.h
@@ -20,11 +20,20 @@
  public:
   /// Errors: kUnavailable if nothing was sent, kUnknownOutcome if the call may have taken effect.
   using Done = std::function<void(const Result<HttpMessage>&)>;
+  /// Whether an answer with this head belongs to a caller's call. Connections are shared with those
+  /// calls, and a runner may send a second copy of an answer late.
+  using IsCallAnswer = std::function<bool(const HttpHead&)>;
 
-  BufferedCalls(EventLoop* loop, HttpClient* client) : loop_(loop), client_(client) {}
+  /// Maximum size of an answer's body; the largest ones are pages of the store.
+  static constexpr uint64_t kMaxBodyBytes = 16'777'216;
+
+  BufferedCalls(EventLoop* loop, HttpClient* client, IsCallAnswer is_call_answer)
+      : loop_(loop), client_(client), is_call_answer_(std::move(is_call_answer)) {}
   ~BufferedCalls();
 
-  void Start(const std::string& address, const HttpMessage& request, Millis timeout, Done done);
+  /// `still_wanted`: see ExchangeOptions.
+  void Start(const std::string& address, const HttpMessage& request, Millis timeout, Done done,
+             std::function<bool()> still_wanted = {});
 
  private:
   class Call;
@@ -32,6 +41,7 @@
 
   EventLoop* loop_;
   HttpClient* client_;
+  IsCallAnswer is_call_answer_;
   std::map<uint64_t, std::shared_ptr<Call>> calls_;
   uint64_t last_number_ = 0;
 };
--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -49,6 +49,9 @@
   bool waiting() const { return waiting_; }
   Millis WaitedFor() const;
   Millis TimeLeft() const;
+  SteadyTime deadline() const { return deadline_; }
+  /// 0 is the most urgent, 9 the least.
+  uint64_t Urgency() const;
   const CallRequest& call() const { return call_; }
   const BackendName& backend() const { return backend_; }
 
@@ -71,7 +74,6 @@
   /// `longest_wait`: SessionOwner::LongestWait().
   bool MayKeepWaiting(bool newly_waiting, Millis longest_wait);
   void Send(const PickedRunner& picked);
-  uint64_t Urgency() const;
   void ArmSilenceTimer(Duration delay);
   Duration SilenceLimit(const PickedRunner& picked) const;
   void OnSilence();
--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -33,7 +33,8 @@
         metrics(registry),
         loop(system_clock),
         client(&loop),
-        calls(&loop, &client),
+        calls(&loop, &client,
+              [platform](const HttpHead& head) { return !platform->DecodeAnswer(head).call.empty(); }),
         picker(&settings.policy, &view, settings.domain) {}
 
   GatewaySettings settings;
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -6,6 +6,7 @@
 #include <csignal>
 
 #include "core/log.h"
+#include "servers/gateway/dispatch_order.h"
 
 namespace shallot::gateway {
 namespace {
@@ -220,15 +221,14 @@
 }
 
 void GatewayDaemon::DispatchWaitingCalls() {
-  std::vector<std::shared_ptr<CallSession>> waiting;
+  std::vector<std::shared_ptr<CallSession>> sessions;
+  std::vector<WaitingCall> waiting;
   for (const auto& [connection, session] : sessions_) {
-    if (session->waiting()) waiting.push_back(session);
+    if (!session->waiting()) continue;
+    sessions.push_back(session);
+    waiting.push_back({session->Urgency(), session->deadline()});
   }
-  // Earliest deadline first.
-  std::sort(waiting.begin(), waiting.end(), [](const auto& left, const auto& right) {
-    return left->TimeLeft() < right->TimeLeft();
-  });
-  for (const auto& session : waiting) session->TryDispatch();
+  for (const size_t index : DispatchOrder(waiting)) sessions[index]->TryDispatch();
 }
 
 void GatewayDaemon::OnNotice(const RunnerNotice& notice) {
--- a/drivers/gateway/http_client.cc
+++ b/drivers/gateway/http_client.cc
@@ -12,6 +12,10 @@
 namespace {
 
 constexpr uint64_t kMaxAnswerHeaderBytes = 65'536;
+/// Limit of the parser; ExchangeOptions::max_body_bytes is checked for each exchange.
+constexpr uint64_t kMaxAnswerBodyBytes = 67'108'864;
+/// Bytes of interim answers and of answers to other requests that one exchange may skip.
+constexpr uint64_t kMaxSkippedBytes = 262'144;
 /// Interval at which expired idle connections are closed.
 constexpr Millis kSweepInterval{1'000};
 
@@ -36,7 +40,7 @@
       : client_(client),
         number_(number),
         address_(std::move(address)),
-        parser_(HttpParser::Kind::kAnswer, kMaxAnswerHeaderBytes, options.max_body_bytes),
+        parser_(HttpParser::Kind::kAnswer, kMaxAnswerHeaderBytes, kMaxAnswerBodyBytes),
         tcp_(client->loop_, this, address_, options.unacknowledged_limit) {}
 
   ~Connection() override { StopConnectTimer(); }
@@ -45,8 +49,12 @@
              ExchangeHandler* handler) {
     exchange_ = exchange;
     handler_ = handler;
+    still_wanted_ = options.still_wanted;
+    max_body_bytes_ = options.max_body_bytes;
+    body_bytes_ = 0;
     parser_.Reset();
     head_delivered_ = false;
+    skipped_bytes_ = 0;
     if (tcp_.connected()) {
       tcp_.Send(request);
       return;
@@ -70,6 +78,11 @@
 
   void OnConnected() override {
     StopConnectTimer();
+    // The process may have been suspended while the connection was being established.
+    if (still_wanted_ && !still_wanted_()) {
+      Fail(ExchangeFailure::kNotConnected, "the request was withdrawn before it was sent");
+      return;
+    }
     tcp_.Send(request_);
     request_.clear();
   }
@@ -86,8 +99,14 @@
         Fail(ExchangeFailure::kMalformed, ErrorOf(used).message);
         return;
       }
-      bytes.remove_prefix(std::min(ValueOf(used), bytes.size()));
+      const size_t consumed = std::min(ValueOf(used), bytes.size());
+      bytes.remove_prefix(consumed);
       if (!DeliverProgress()) return;
+      if (parser_.head_done() && skipping_) skipped_bytes_ += consumed;
+      if (skipped_bytes_ > kMaxSkippedBytes) {
+        Fail(ExchangeFailure::kMalformed, "too many bytes that belong to no answer");
+        return;
+      }
       if (!parser_.done()) return;
       if (!FinishMessage(bytes.empty())) return;
     }
@@ -166,6 +185,11 @@
     }
     std::string body = parser_.TakeBody();
     if (skipping_ || body.empty()) return true;
+    body_bytes_ += body.size();
+    if (body_bytes_ > max_body_bytes_) {
+      Fail(ExchangeFailure::kMalformed, "the body exceeds the size limit");
+      return false;
+    }
     handler_->OnBody(std::move(body));
     return handler_ != nullptr;
   }
@@ -195,6 +219,10 @@
   ExchangeId exchange_;
   ExchangeHandler* handler_ = nullptr;
   std::string request_;
+  std::function<bool()> still_wanted_;
+  uint64_t max_body_bytes_ = kMaxAnswerBodyBytes;
+  uint64_t body_bytes_ = 0;
+  uint64_t skipped_bytes_ = 0;
   TimerId connect_timer_;
   bool head_delivered_ = false;
   bool skipping_ = false;
@@ -211,20 +239,22 @@
 HttpClient::~HttpClient() = default;
 
 HttpClient::Connection* HttpClient::TakeIdle(const std::string& address, Millis max_idle) {
-  const auto found = idle_.find(address);
-  if (found == idle_.end()) return nullptr;
   const SteadyTime now = loop_->Now();
-  // The most recently used connection is the least likely to be closed by the server.
-  while (!found->second.empty()) {
+  while (true) {
+    // Release() erases the address with its last connection, so it is looked up in each round.
+    const auto found = idle_.find(address);
+    if (found == idle_.end()) return nullptr;
+    // The most recently used connection is the least likely to be closed by the server.
     Connection* connection = found->second.back();
-    if (now < connection->idle_until() && now - connection->idle_since() < Duration(max_idle)) {
-      found->second.pop_back();
-      return connection;
+    if (now >= connection->idle_until()) {
+      Release(connection, false);
+      continue;
     }
-    if (now < connection->idle_until()) return nullptr;
-    Release(connection, false);
+    if (now - connection->idle_since() >= Duration(max_idle)) return nullptr;
+    found->second.pop_back();
+    if (found->second.empty()) idle_.erase(found);
+    return connection;
   }
-  return nullptr;
 }
 
 ExchangeId HttpClient::Start(const std::string& address, std::string request,
--- a/drivers/gateway/http_client.h
+++ b/drivers/gateway/http_client.h
@@ -50,6 +50,9 @@
   Millis unacknowledged_limit{1'500};
   /// An answer with a larger body counts as malformed.
   uint64_t max_body_bytes = 67'108'864;
+  /// Checked right before the request is sent on a new connection. If it returns false, nothing is
+  /// sent and the exchange fails with kNotConnected. Always sent if empty.
+  std::function<bool()> still_wanted = {};
 };
 
 /// HTTP/1.1 client with persistent connections and one request at a time on each. Used for backend
--- a/drivers/gateway/http_parser.cc
+++ b/drivers/gateway/http_parser.cc
@@ -44,7 +44,8 @@
   std::variant<std::monostate, RequestParser, AnswerParser> parser;
   HttpHead head;
   bool head_copied = false;
-  /// Bytes of an incomplete head; Beast must get them again, followed by the new bytes.
+  /// Bytes of an incomplete head or chunk line; Beast must get them again, followed by the new
+  /// bytes.
   std::string pending;
 
   template <class Visitor>
@@ -137,6 +138,8 @@
     if (code == http::error::need_more) {
       if (used < bytes.size()) {
         std::string left(bytes.substr(used));
+        // Besides an incomplete head, this is a line of a chunked body.
+        if (left.size() > state_->max_header_bytes) return ParseError(http::error::header_limit);
         state_->pending = std::move(left);
       } else {
         state_->pending.clear();
--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -301,7 +301,8 @@
       runner->entry.address,
       context_->protocol->EncodeOrder(order, context_->settings.instance, election_.fence()),
       kOrderTimeout,
-      [this, order](const Result<HttpMessage>& answer) { OnOrderAnswer(order, answer); });
+      [this, order](const Result<HttpMessage>& answer) { OnOrderAnswer(order, answer); },
+      [this] { return Leads(); });
 }
 
 void PlacementDriver::OnOrderAnswer(const Order& order, const Result<HttpMessage>& answer) {
--- a/main/shallot_gateway_main.cc
+++ b/main/shallot_gateway_main.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "core/crash_trace.h"
 #include "core/log.h"
 #include "core/settings.h"
 #include "drivers/daemon.h"
@@ -90,6 +91,7 @@
 int main(int argc, char** argv) {
   shallot::BlockStopSignals();
   shallot::gateway::CatchReloadSignal();
+  shallot::InstallCrashTrace();
   try {
     return ParseAndRun(argc, argv);
   } catch (const cxxopts::exceptions::exception& error) {
--- /dev/null
+++ b/servers/gateway/dispatch_order.h
@@ -0,0 +1,27 @@
+#ifndef SERVERS_GATEWAY_DISPATCH_ORDER_H_
+#define SERVERS_GATEWAY_DISPATCH_ORDER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "core/clock.h"
+
+namespace shallot::gateway {
+
+/// What the order of a waiting call depends on. All values are fixed while the call waits, so that
+/// they order calls consistently.
+struct WaitingCall {
+  /// 0 is the most urgent.
+  uint64_t urgency = 0;
+  SteadyTime deadline{};
+};
+
+/// Order in which waiting calls are offered to runners, as indexes into `calls`: the most urgent
+/// first, among these the one with the earliest deadline. Answers a burst that fills the runners:
+/// their free slots go to the calls that callers need soonest.
+std::vector<size_t> DispatchOrder(const std::vector<WaitingCall>& calls);
+
+}  // namespace shallot::gateway
+
+#endif  // SERVERS_GATEWAY_DISPATCH_ORDER_H_
--- /dev/null
+++ b/tests/gateway_dispatch_order_test.cc
@@ -0,0 +1,33 @@
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "servers/gateway/dispatch_order.h"
+
+namespace shallot::gateway {
+namespace {
+
+WaitingCall Call(uint64_t urgency, int64_t deadline_ms) {
+  return {urgency, SteadyTime(Millis(deadline_ms))};
+}
+
+// Guards against free slots that go to calls which can wait longer, and against an order that
+// depends on when it is computed.
+TEST_CASE("gateway: waiting calls are dispatched by urgency, then by deadline") {
+  struct Case {
+    const char* name;
+    std::vector<WaitingCall> calls;
+    std::vector<size_t> expected;
+  };
+  for (const Case& test : std::vector<Case>{
+           {"none", {}, {}},
+           {"earliest deadline first", {Call(2, 900), Call(2, 300), Call(2, 600)}, {1, 2, 0}},
+           {"urgency before deadline", {Call(4, 100), Call(0, 900), Call(2, 500)}, {1, 2, 0}},
+           {"equal calls keep their order", {Call(1, 5), Call(1, 5), Call(1, 5)}, {0, 1, 2}}}) {
+    CAPTURE(std::string(test.name));
+    CHECK(DispatchOrder(test.calls) == test.expected);
+  }
+}
+
+}  // namespace
+}  // namespace shallot::gateway
--- a/tests/gateway_fake_platform.cc
+++ b/tests/gateway_fake_platform.cc
@@ -32,35 +32,35 @@
   if (!IsOk(store_.Open(store_address_)) || !IsOk(runner_.Open(runner_address_))) {
     throw std::runtime_error("the fake platform cannot listen");
   }
-  auto apply_puts = std::make_shared<std::function<void()>>();
-  *apply_puts = [this, apply_puts] {
-    std::vector<std::pair<std::string, std::string>> puts;
-    {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      puts.swap(puts_);
-    }
-    for (const auto& [key, value] : puts) {
-      if (key.empty()) {
-        Json entry = Holdings();
-        entry.update({{"service", "engine"},
-                      {"address", runner_address_},
-                      {"zone", "north"},
-                      {"version", "v1"},
-                      {"slots", 8},
-                      {"state", "ready"},
-                      {"seq", ++heartbeat_},
-                      {"born", kBorn}});
-        store_.Put("servers/i-1", entry.dump());
-      } else {
-        store_.Put(key, value);
-      }
-    }
-    loop_.After(kApplyInterval, *apply_puts);
-  };
-  loop_.After(Duration(0), *apply_puts);
+  loop_.After(Duration(0), [this] { ApplyPuts(); });
   thread_ = std::thread([this] { loop_.Run(); });
 }
 
+void FakePlatform::ApplyPuts() {
+  std::vector<std::pair<std::string, std::string>> puts;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    puts.swap(puts_);
+  }
+  for (const auto& [key, value] : puts) {
+    if (key.empty()) {
+      Json entry = Holdings();
+      entry.update({{"service", "engine"},
+                    {"address", runner_address_},
+                    {"zone", "north"},
+                    {"version", "v1"},
+                    {"slots", 8},
+                    {"state", "ready"},
+                    {"seq", ++heartbeat_},
+                    {"born", kBorn}});
+      store_.Put("servers/i-1", entry.dump());
+    } else {
+      store_.Put(key, value);
+    }
+  }
+  loop_.After(kApplyInterval, [this] { ApplyPuts(); });
+}
+
 FakePlatform::~FakePlatform() {
   loop_.Stop();
   thread_.join();
--- a/tests/gateway_fake_platform.h
+++ b/tests/gateway_fake_platform.h
@@ -42,6 +42,8 @@
   void OnCallerGone(CallerConnection* connection) override;
 
  private:
+  /// Writes the values that Put() and PutRunner() have queued.
+  void ApplyPuts();
   void Answer(CallerConnection* connection, int status, const nlohmann::json& body);
   void HandleOrder(CallerConnection* connection, const std::string& body);
   void HandleCall(CallerConnection* connection, const HttpMessage& request);
--- /dev/null
+++ b/tests/raw_server.cc
@@ -0,0 +1,94 @@
+#include "tests/raw_server.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <array>
+
+namespace shallot {
+namespace {
+
+/// Limit on one blocking call; only a hang reaches it.
+const Poco::Timespan kSocketTimeout(30, 0);
+
+}  // namespace
+
+bool RawConnection::Send(std::string_view bytes) {
+  try {
+    while (!bytes.empty()) {
+      const int sent = socket_->sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+      if (sent <= 0) return false;
+      bytes.remove_prefix(static_cast<size_t>(sent));
+    }
+    return true;
+  } catch (const Poco::Exception&) {
+    return false;
+  }
+}
+
+std::string RawConnection::ReadHead() {
+  std::string head;
+  try {
+    char byte = 0;
+    while (!head.ends_with("\r\n\r\n")) {
+      if (socket_->receiveBytes(&byte, 1) <= 0) return {};
+      head += byte;
+    }
+    return head;
+  } catch (const Poco::Exception&) {
+    return {};
+  }
+}
+
+uint64_t RawConnection::SendWithoutEnd(std::string_view bytes, uint64_t limit) {
+  uint64_t sent = 0;
+  while (sent < limit && Send(bytes)) sent += bytes.size();
+  return sent;
+}
+
+void RawConnection::AwaitClose() {
+  std::array<char, 4096> discarded{};
+  try {
+    while (socket_->receiveBytes(discarded.data(), static_cast<int>(discarded.size())) > 0) {
+    }
+  } catch (const Poco::Exception&) {
+    return;
+  }
+}
+
+RawServer::RawServer(Script script)
+    : script_(std::move(script)),
+      listener_(std::make_unique<Poco::Net::ServerSocket>(
+          Poco::Net::SocketAddress("127.0.0.1", uint16_t{0}))),
+      address_(listener_->address().toString()),
+      thread_([this] { Serve(); }) {}
+
+RawServer::~RawServer() {
+  stopping_ = true;
+  try {
+    // Unblocks the accepting thread.
+    Poco::Net::StreamSocket wake{Poco::Net::SocketAddress(address_)};
+  } catch (const Poco::Exception&) {
+    listener_->close();
+  }
+  thread_.join();
+}
+
+void RawServer::Serve() {
+  while (true) {
+    auto socket = std::make_shared<Poco::Net::StreamSocket>(listener_->acceptConnection());
+    if (stopping_) return;
+    socket->setReceiveTimeout(kSocketTimeout);
+    socket->setSendTimeout(kSocketTimeout);
+    const int number = accepted_++;
+    connections_.emplace_back([this, socket, number] {
+      RawConnection connection(socket.get());
+      script_(&connection, number);
+      socket->close();
+    });
+  }
+}
+
+}  // namespace shallot
--- /dev/null
+++ b/tests/raw_server.h
@@ -0,0 +1,66 @@
+#ifndef TESTS_RAW_SERVER_H_
+#define TESTS_RAW_SERVER_H_
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+namespace Poco::Net {
+class ServerSocket;
+class StreamSocket;
+}  // namespace Poco::Net
+
+namespace shallot {
+
+/// One accepted connection of a RawServer. Calls block; they return false or an empty string after
+/// the peer has closed the connection.
+class RawConnection {
+ public:
+  explicit RawConnection(Poco::Net::StreamSocket* socket) : socket_(socket) {}
+  bool Send(std::string_view bytes);
+  /// Reads up to the end of a request's head. Bodies are not expected.
+  std::string ReadHead();
+  /// Sends `bytes` again and again until the peer closes the connection or `limit` bytes are sent.
+  /// Returns the number of bytes sent.
+  uint64_t SendWithoutEnd(std::string_view bytes, uint64_t limit);
+  /// Waits until the peer closes the connection, discarding what it sends.
+  void AwaitClose();
+
+ private:
+  Poco::Net::StreamSocket* socket_;
+};
+
+/// TCP server on a free loopback port that runs a script for each connection, on a thread of its
+/// own. Plays servers whose bytes are not valid answers.
+class RawServer {
+ public:
+  /// `number`: 0 for the first accepted connection.
+  using Script = std::function<void(RawConnection* connection, int number)>;
+  explicit RawServer(Script script);
+  ~RawServer();
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
+
+  const std::string& address() const { return address_; }
+  int accepted() const { return accepted_; }
+
+ private:
+  void Serve();
+
+  Script script_;
+  std::unique_ptr<Poco::Net::ServerSocket> listener_;
+  std::string address_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> accepted_{0};
+  std::vector<std::jthread> connections_;
+  std::jthread thread_;
+};
+
+}  // namespace shallot
+
+#endif  // TESTS_RAW_SERVER_H_
