--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -38,6 +38,12 @@
 
 Millis CallSession::TimeLeft() const { return ToMillis(deadline_ - context_->loop.Now()); }
 
+Millis CallSession::PatienceLeft() const {
+  if (route_->patience == Millis(0)) return TimeLeft();
+  const SteadyTime since = answer_begun_ ? last_event_at_ : started_at_;
+  return std::min(TimeLeft(), ToMillis(since + route_->patience - context_->loop.Now()));
+}
+
 Millis CallSession::WaitedFor() const {
   return waiting_ ? ToMillis(context_->loop.Now() - waiting_since_) : Millis(0);
 }
@@ -95,23 +101,42 @@
   return runners;
 }
 
-void CallSession::Dispatch() {
-  const std::set<RunnerId> excluded = RecentlyRejected();
+RunnerPicker::Query CallSession::MakeQuery(const std::set<RunnerId>* excluded) const {
   RunnerPicker::Query query;
   query.backend = backend_;
   query.engine = engine_;
   query.call = &call_;
   query.tried = &tried_;
-  query.excluded = &excluded;
+  query.excluded = excluded;
   query.target_latency = route_->target_latency;
+  query.urgency = Urgency();
+  return query;
+}
+
+void CallSession::Dispatch() {
+  const std::set<RunnerId> excluded = RecentlyRejected();
   PickError problem = PickError::kNone;
-  const auto picked = context_->picker.Pick(query, context_->loop.Now(), &problem);
-  if (picked) {
-    waiting_ = false;
-    Send(*picked);
+  const auto picked = context_->picker.Pick(MakeQuery(&excluded), context_->loop.Now(), &problem);
+  if (!picked) {
+    WaitOrRefuse(problem);
     return;
   }
-  WaitOrRefuse(problem);
+  if (RefuseIfTooLate(*picked)) return;
+  waiting_ = false;
+  Send(*picked);
+}
+
+bool CallSession::RefuseIfTooLate(const PickedRunner& picked) {
+  // An answer that has begun is continued even if the caller may leave before the next event.
+  if (engine_ == nullptr || answer_begun_) return false;
+  const Millis left = PatienceLeft();
+  const RefusalDecision decision = DecideRefusal(picked.predicted, left, call_.id);
+  if (!decision.refuse) return false;
+  Refuse(fmt::format("the runners of model {} are overloaded (predicted: {} ms, caller waits: {} "
+                     "ms)",
+                     call_.model.value(), picked.predicted.count(), left.count()),
+         decision.retry_after);
+  return true;
 }
 
 void CallSession::TryDispatch() {
@@ -130,6 +155,10 @@
            std::max(kShortRetryAfter, TimeLeft() / 3));
     return;
   }
+  if (PatienceLeft() < context_->settings.policy.answer_reserve) {
+    Refuse("no runner became free before the caller gives up", kShortRetryAfter);
+    return;
+  }
   if (problem == PickError::kModelNotLoaded && engine_ != nullptr &&
       !MayKeepWaiting(newly_waiting, longest_wait)) {
     return;
@@ -148,7 +177,7 @@
   if (!newly_waiting && !overdue && fastest.load <= expected_load_) return true;
   const WaitDecision verdict =
       DecideWaiting(context_->view, *engine_, context_->settings.policy, backend_, call_,
-                    TimeLeft(), newly_waiting ? longest_wait : Millis(0));
+                    PatienceLeft(), longest_wait);
   expected_wait_ = WaitedFor() + verdict.predicted;
   expected_load_ = fastest.load;
   LogInfo("call",
@@ -180,6 +209,7 @@
   sent_at_ = context_->loop.Now();
   first_event_seen_ = false;
   streaming_ = false;
+  retry_granted_ = false;
   answer_ = HttpMessage();
   answer_failure_.reset();
   events_.DropPartial();
@@ -189,7 +219,7 @@
   ++health.in_flight;
   sent_tokens_ = std::max(
       0.0, static_cast<double>(call_.prompt_tokens) - static_cast<double>(picked.kept_tokens));
-  health.pending_tokens += sent_tokens_;
+  health.AddPending(Urgency(), sent_tokens_);
   in_flight_ = true;
   if (engine_ != nullptr) {
     context_->picker.prefixes().Sent(picked.runner, call_.PrefixScope(), call_.prompt);
@@ -242,17 +272,15 @@
 
 void CallSession::OnSilence() {
   const std::set<RunnerId> excluded = RecentlyRejected();
-  RunnerPicker::Query query;
-  query.backend = backend_;
-  query.engine = engine_;
-  query.call = &call_;
-  query.tried = &tried_;
-  query.excluded = &excluded;
-  query.target_latency = route_->target_latency;
   PickError problem = PickError::kNone;
-  const auto other = context_->picker.Pick(query, context_->loop.Now(), &problem);
-  // Without another runner to try, cancelling the attempt would only lose its progress.
-  if (!other || tried_.contains(other->runner)) return;
+  const auto other = context_->picker.Pick(MakeQuery(&excluded), context_->loop.Now(), &problem);
+  // Without another runner to try, or without a retry left, cancelling the attempt would only lose
+  // its progress: the runner may be slow but alive.
+  if (!other || tried_.contains(other->runner) || !TakeRetry()) {
+    ArmSilenceTimer(SilenceLimit(runner_));
+    return;
+  }
+  RecordFirstEvent(false);
   context_->client.Cancel(exchange_);
   FailAttempt(AttemptFailure::kSilent, "no answer or next event within the silence limit");
 }
@@ -279,7 +307,10 @@
 
 void CallSession::OnCallerGone() {
   connection_ = nullptr;
-  if (in_flight_) context_->client.Cancel(exchange_);
+  if (in_flight_) {
+    RecordFirstEvent(false);
+    context_->client.Cancel(exchange_);
+  }
   EndAttempt();
   Finish("caller-gone", 0, waiting_ ? "while waiting" : "while in flight");
 }
@@ -307,9 +338,7 @@
   in_flight_ = false;
   RunnerHealth& health = context_->picker.health(runner_.runner);
   if (health.in_flight > 0) --health.in_flight;
-  if (!first_event_seen_) {
-    health.pending_tokens = std::max(0.0, health.pending_tokens - sent_tokens_);
-  }
+  if (!first_event_seen_) health.RemovePending(Urgency(), sent_tokens_);
   health.breaker.OnProbeEnded();
   if (engine_ == nullptr) return;
   context_->meter.OnEnded(DemandKey(false), runner_.runner);
--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -66,8 +66,13 @@
 
   DemandMeter::Key DemandKey(bool with_adapter) const;
   Millis Elapsed() const;
+  /// Time within which the next event must arrive, or the caller gives up.
+  Millis PatienceLeft() const;
   std::set<RunnerId> RecentlyRejected() const;
   void Dispatch();
+  RunnerPicker::Query MakeQuery(const std::set<RunnerId>* excluded) const;
+  /// Refuses the call if its first event would come after the caller has given up.
+  bool RefuseIfTooLate(const PickedRunner& picked);
   void WaitOrRefuse(PickError problem);
   /// Predicts whether the model will be available before the deadline, at first and whenever the
   /// last prediction no longer holds. Refuses the call and returns false if it will not.
@@ -83,6 +88,10 @@
   void FailAttempt(AttemptFailure failure, const std::string& detail);
   void RecordFailure(AttemptFailure failure, const std::string& detail);
   void ContinueAfterFailure(AttemptFailure failure);
+  /// Draws on the retry limit, unless a retry has already been granted for this attempt.
+  bool TakeRetry();
+  /// Records how long the runner took to the first event, or how long it took without one.
+  void RecordFirstEvent(bool arrived);
   void Refuse(const std::string& reason, Millis retry_after);
   void AnswerWithError(int status, const std::string& reason, std::optional<Millis> retry_after);
   void ForwardAnswer(const HttpMessage& answer);
@@ -120,6 +129,8 @@
   SteadyTime sent_at_{};
   double sent_tokens_ = 0;
   bool in_flight_ = false;
+  bool retry_granted_ = false;
+  SteadyTime last_event_at_{};
   bool first_event_seen_ = false;
   bool streaming_ = false;
   HttpMessage answer_;
--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -15,6 +15,10 @@
 /// After a runner provably did not run a call, the gateway waits this long before it sends the call
 /// to that runner again.
 constexpr Millis kRejectionPause{100};
+/// Shorter predictions are too coarse to compare the observed time with.
+constexpr Millis kMinPredicted{20};
+/// An answer that is not a stream is buffered up to this size.
+constexpr uint64_t kMaxBufferedAnswerBytes = 4'194'304;
 
 Millis ToMillis(Duration duration) { return std::chrono::duration_cast<Millis>(duration); }
 
@@ -49,6 +53,13 @@
   } else if (head.status >= 500) {
     answer_failure_ = AttemptFailure::kServerError;
   }
+  if (answer_failure_ == AttemptFailure::kMalformed) {
+    // The rest of it is of no use, and it may have no end.
+    context_->client.Cancel(exchange_);
+    FailAttempt(AttemptFailure::kMalformed, fmt::format("status {} without proof of origin",
+                                                        head.status));
+    return HeadVerdict::kAccept;
+  }
   streaming_ = !answer_failure_ && route_->kind == CallKind::kStream && head.status == 200;
   return HeadVerdict::kAccept;
 }
@@ -56,22 +67,36 @@
 void CallSession::OnBody(std::string data) {
   if (!streaming_) {
     answer_.body += data;
+    if (answer_.body.size() <= kMaxBufferedAnswerBytes) return;
+    context_->client.Cancel(exchange_);
+    FailAttempt(AttemptFailure::kMalformed, "the answer exceeds the size limit");
     return;
   }
   events_.Feed(data);
   ForwardEvents();
 }
 
+void CallSession::RecordFirstEvent(bool arrived) {
+  if (engine_ == nullptr || first_event_seen_) return;
+  const SteadyTime now = context_->loop.Now();
+  const Millis predicted = std::max(runner_.predicted, kMinPredicted);
+  const double factor = static_cast<double>(ToMillis(now - sent_at_).count()) /
+                        static_cast<double>(predicted.count());
+  RunnerHealth& health = context_->picker.health(runner_.runner);
+  if (arrived) {
+    health.OnFirstEvent(factor, now);
+  } else {
+    health.OnNoFirstEvent(factor, now);
+  }
+}
+
 void CallSession::ForwardEvents() {
+  const uint64_t delivered_before = events_.delivered();
   while (const auto event = events_.Next()) {
     if (!first_event_seen_) {
+      context_->picker.health(runner_.runner).RemovePending(Urgency(), sent_tokens_);
+      RecordFirstEvent(true);
       first_event_seen_ = true;
-      RunnerHealth& health = context_->picker.health(runner_.runner);
-      health.pending_tokens = std::max(0.0, health.pending_tokens - sent_tokens_);
-      const Duration took = context_->loop.Now() - sent_at_;
-      const double predicted =
-          static_cast<double>(std::max<int64_t>(runner_.predicted.count(), 20));
-      health.OnFirstEvent(static_cast<double>(ToMillis(took).count()) / predicted);
       context_->metrics->GetHistogram("first_event_seconds")
           .Record(context_->loop.Now() - started_at_);
     }
@@ -80,13 +105,16 @@
       connection_->BeginStream(context_->protocol->EncodeAnswer(answer_.head));
     }
     connection_->SendChunk(*event);
+    last_event_at_ = context_->loop.Now();
   }
   if (events_.too_long()) {
     context_->client.Cancel(exchange_);
     FailAttempt(AttemptFailure::kMalformed, "an event exceeds the size limit");
     return;
   }
-  if (first_event_seen_ && route_->gap_target > Millis(0)) {
+  // Only whole events count as progress: a stalled runner may still send a byte now and then.
+  const bool progress = events_.delivered() > delivered_before;
+  if (progress && route_->gap_target > Millis(0)) {
     ArmSilenceTimer(route_->gap_target * kSilentGapTargets);
   }
 }
@@ -175,6 +203,14 @@
   ContinueAfterFailure(failure);
 }
 
+bool CallSession::TakeRetry() {
+  if (!retry_granted_) {
+    retry_granted_ =
+        context_->RetryShareOf(backend_).TryRetry(context_->loop.Now(), context_->KnownGateways());
+  }
+  return retry_granted_;
+}
+
 void CallSession::ContinueAfterFailure(AttemptFailure failure) {
   RetryContext facts;
   facts.kind = route_->kind;
@@ -187,8 +223,7 @@
   // A call that never reached a runner puts no load on it, so its retry is not counted against the
   // retry share, which is this gateway's part of the backend's retry budget for all gateways.
   if (step == NextStep::kRetry && failure != AttemptFailure::kNotConnected) {
-    facts.retry_allowed =
-        context_->RetryShareOf(backend_).TryRetry(context_->loop.Now(), context_->KnownGateways());
+    facts.retry_allowed = TakeRetry();
     step = DecideAfterFailure(facts, failure);
   }
   LogInfo("call",
--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -35,12 +35,14 @@
 }
 
 void PlacementDriver::Release() {
-  if (!Leads() || !context_->settings.orders_fenced) {
+  if (!Leads()) {
     election_.Stop();
     return;
   }
-  // Where runners check fencing numbers, the successor need not wait for the lease to expire. While
-  // the store is unavailable there can be no successor, and this gateway leads until it exits.
+  // The successor need not wait for the lease to expire. Where runners check fencing numbers, this
+  // gateway leads until the store has ended the lease: while the store is unavailable there can be
+  // no successor. Elsewhere it must give no order after the lease has ended.
+  if (!context_->settings.orders_fenced) election_.Stop();
   context_->calls.Start(context_->settings.store_address,
                         context_->protocol->EndLeaseRequest(election_.lease()), kStoreCallTimeout,
                         [this](const Result<HttpMessage>& answer) { OnReleased(answer); });
@@ -139,28 +141,31 @@
 
 void PlacementDriver::Claim() {
   const GatewaySettings& settings = context_->settings;
+  const bool reclaims = election_.ReclaimsOwnRecord();
   const ConditionalWrite write{context_->protocol->LeaderKey(),
                                EncodeGatewayRecord(settings.instance, settings.peer_address),
                                election_.ClaimCondition(), election_.lease()};
   context_->calls.Start(
       settings.store_address, context_->protocol->WriteRequest(write), kStoreCallTimeout,
-      [this](const Result<HttpMessage>& answer) {
+      [this, reclaims](const Result<HttpMessage>& answer) {
         const BootTime now = context_->clock->BootNow();
         if (!IsOk(answer)) {
-          election_.OnClaim(std::nullopt, now);
+          LogInfo("placement", "event=claim-failed reason=\"" + ErrorOf(answer).message + "\"");
+          election_.OnClaim(std::nullopt, false, now);
           return;
         }
         const auto revision = context_->protocol->DecodeWrite(ValueOf(answer));
         if (!IsOk(revision)) {
           LogInfo("placement", "event=claim-failed reason=\"" + ErrorOf(revision).message + "\"");
-          election_.OnClaim(std::nullopt, now);
+          election_.OnClaim(std::nullopt, ErrorOf(revision).kind == ErrorKind::kConflict, now);
           return;
         }
-        election_.OnClaim(ValueOf(revision), now);
+        election_.OnClaim(ValueOf(revision), false, now);
         LogInfo("placement",
                 fmt::format("event=leadership-gained fence={}", ValueOf(revision).value()));
         orders_allowed_from_ = now;
-        if (!context_->settings.orders_fenced) {
+        // The orders of two holders must be this far apart where runners do not tell them apart.
+        if (!context_->settings.orders_fenced && !reclaims) {
           orders_allowed_from_ += context_->settings.order_lease;
         }
         for (const auto& [id, runner] : context_->view.runners()) {
--- a/servers/gateway/fleet_routes.h
+++ b/servers/gateway/fleet_routes.h
@@ -46,6 +46,9 @@
   bool resumable = false;
   /// Maximum pause between events for a stream to count as on time.
   Millis gap_target{0};
+  /// Callers of a stream give up when no event has arrived for this long; zero if they wait until
+  /// their deadline.
+  Millis patience{0};
 };
 
 struct ModelSpec {
--- a/servers/gateway/leader_election.cc
+++ b/servers/gateway/leader_election.cc
@@ -21,7 +21,8 @@
 }
 
 bool LeaderElection::MayClaim() const {
-  // A record of this instance is left over from before a restart: one instance is one holder.
+  // A record of this instance is left over from before a restart or an outage: one instance is one
+  // holder.
   return record_known_ && (!record_ || record_->holder == self_);
 }
 
@@ -64,9 +65,12 @@
   term_ = term;
 }
 
-void LeaderElection::OnClaim(const std::optional<StoreRevision>& revision, BootTime now) {
+void LeaderElection::OnClaim(const std::optional<StoreRevision>& revision, bool conflict,
+                             BootTime now) {
   action_pending_ = false;
   if (!revision) {
+    // The record is gone or another gateway's: the watch tells which.
+    if (conflict && ReclaimsOwnRecord()) record_known_ = false;
     // The lease of a claim with an unknown outcome is left to expire.
     lease_ = LeaseId();
     next_try_ = now + kRetryPause + Millis(jitter_);
@@ -108,7 +112,6 @@
   leading_ = false;
   renewal_unanswered_at_.reset();
   lease_ = LeaseId();
-  if (record_ && record_->holder == self_ && record_->revision == fence_) record_known_ = false;
   next_try_ = now + kRetryPause + Millis(jitter_);
 }
 
--- a/servers/gateway/leader_election.h
+++ b/servers/gateway/leader_election.h
@@ -80,8 +80,9 @@
   /// The record in the store at `revision`; absent if there was no leader.
   void OnRecord(const std::optional<LeaderRecord>& record, StoreRevision revision, BootTime now);
   void OnLease(const std::optional<LeaseId>& lease, Millis term, BootTime sent, BootTime now);
-  /// `revision`: that of the write; absent if it failed or its outcome is unknown.
-  void OnClaim(const std::optional<StoreRevision>& revision, BootTime now);
+  /// `revision`: that of the write; absent if it failed or its outcome is unknown. `conflict`: the
+  /// store rejected the write because the record is not the expected one.
+  void OnClaim(const std::optional<StoreRevision>& revision, bool conflict, BootTime now);
   void OnRenewed(LeaseRenewal renewal, BootTime sent, BootTime now);
   /// A runner has rejected an order because of a higher fencing number.
   void OnFenced(BootTime now);
@@ -97,6 +98,9 @@
   /// Revision that the record must have for a claim to succeed; 0 if it must be absent.
   StoreRevision ClaimCondition() const;
   const std::optional<LeaderRecord>& record() const { return record_; }
+  /// Whether a claim would replace this gateway's own record, so that no other gateway can have led
+  /// since it was written.
+  bool ReclaimsOwnRecord() const { return record_ && record_->holder == self_; }
 
  private:
   bool MayClaim() const;
--- a/servers/gateway/load_planner.cc
+++ b/servers/gateway/load_planner.cc
@@ -19,6 +19,13 @@
 /// Maximum share of the runners that may preload from the weight store at the same time. Such a
 /// load takes seconds, during which the runner takes no other order, not even for waiting calls.
 constexpr double kStoreLoadShare = 0.34;
+/// A model is overloaded when its load is enough for at least this many times its replicas.
+constexpr double kOverloadFactor = 2;
+/// An overloaded model may displace models with at most this share of the calls that each of its
+/// replicas gets.
+constexpr double kDisplacedTrafficShare = 0.5;
+/// Extra cost of unloading a model, per call per second for it.
+constexpr double kVictimRateCostMs = 50;
 /// Time horizon in seconds for the probability that an unloaded model is called again.
 constexpr double kReloadHorizonS = 10;
 
@@ -41,14 +48,19 @@
   return found == input_.demand->end() ? kNone : found->second;
 }
 
-uint64_t LoadPlanner::TargetReplicas(const ModelName& model) const {
+double LoadPlanner::ReplicasForLoad(const ModelName& model) const {
   const TotalDemand& demand = DemandFor(model);
   const double by_tokens = demand.prompt_tokens_per_s /
                            (policy_->prefill_tokens_per_ms * 1000 * policy_->replica_utilization);
   const double by_slots =
       static_cast<double>(demand.in_flight) /
       std::max(1.0, static_cast<double>(input_.engine->slots) * policy_->replica_slot_share);
-  const auto replicas = static_cast<uint64_t>(std::ceil(std::max(by_tokens, by_slots)));
+  return std::max(by_tokens, by_slots);
+}
+
+uint64_t LoadPlanner::TargetReplicas(const ModelName& model) const {
+  const TotalDemand& demand = DemandFor(model);
+  const auto replicas = static_cast<uint64_t>(std::ceil(ReplicasForLoad(model)));
   const uint64_t min_replicas = demand.calls_per_s >= policy_->hot_calls_per_s ? 2 : 1;
   return std::clamp<uint64_t>(replicas, min_replicas,
                               std::max(min_replicas, policy_->max_replicas));
@@ -59,6 +71,11 @@
   return found == replica_counts_.end() ? 0 : found->second;
 }
 
+bool LoadPlanner::Overloaded(const ModelName& model) const {
+  const uint64_t replicas = Replicas(model);
+  return replicas > 0 && ReplicasForLoad(model) >= kOverloadFactor * static_cast<double>(replicas);
+}
+
 void LoadPlanner::UpdateReplicaCounts() {
   replica_counts_.clear();
   for (const auto& [id, runner] : view_->runners()) {
@@ -136,7 +153,9 @@
 }
 
 std::optional<double> LoadPlanner::VictimCost(const RunnerId& runner, const ModelName& model,
-                                              Urgency urgency, SteadyTime now) const {
+                                              const ModelName& wanted, Urgency urgency,
+                                              SteadyTime now) const {
+  if (urgency == Urgency::kFill) return std::nullopt;
   const auto loaded = loaded_at_.find({runner, model});
   if (loaded != loaded_at_.end() && now - loaded->second < Duration(kMinTimeLoaded)) {
     return std::nullopt;
@@ -146,21 +165,27 @@
   const bool surplus = Replicas(model) > TargetReplicas(model);
   const bool recent = demand.since_last_call < policy_->idle_after;
   const bool running = demand.InFlightAt(runner) > 0;
-  if (urgency == Urgency::kFill) return std::nullopt;
+  if (urgency == Urgency::kOverload && !surplus) {
+    const double calls_per_replica = DemandFor(wanted).calls_per_s /
+                                     static_cast<double>(std::max<uint64_t>(1, Replicas(wanted)));
+    if (demand.calls_per_s > kDisplacedTrafficShare * calls_per_replica) return std::nullopt;
+  }
   // An unload waits for running calls, during which the runner takes no other order.
-  if (urgency != Urgency::kWaiting && (running || (!surplus && recent))) return std::nullopt;
+  const bool optional_load = urgency == Urgency::kReplica || urgency == Urgency::kPreload;
+  if (optional_load && (running || (!surplus && recent))) return std::nullopt;
   const double reload_ms = static_cast<double>(input_.engine->models.at(model).disk_load.count()) +
                            static_cast<double>(policy_->load_overhead.count());
   const double needed_soon = std::min(1.0, demand.calls_per_s * kReloadHorizonS);
-  double cost = surplus ? 0 : reload_ms * needed_soon;
+  double cost = surplus ? 0 : reload_ms * needed_soon + demand.calls_per_s * kVictimRateCostMs;
   if (!surplus && recent) cost += kRecentVictimCostMs;
   if (running) cost += kRunningVictimCostMs;
   return cost;
 }
 
 std::optional<std::vector<ModelName>> LoadPlanner::Victims(const RunnerState& runner,
-                                                           double need_mb, Urgency urgency,
+                                                           const ModelSpec& wanted, Urgency urgency,
                                                            SteadyTime now, double* cost_ms) const {
+  const double need_mb = wanted.weights_mb;
   *cost_ms = 0;
   std::vector<ModelName> victims;
   double free = FreeMb(runner) - AdapterReserveMb(runner);
@@ -168,7 +193,8 @@
   std::vector<std::pair<double, ModelName>> candidates;
   for (const auto& [name, adapters] : runner.entry.holdings.models) {
     if (!input_.engine->models.contains(name)) continue;
-    const std::optional<double> cost = VictimCost(runner.entry.id, name, urgency, now);
+    const std::optional<double> cost = 
+        VictimCost(runner.entry.id, name, wanted.name, urgency, now);
     if (cost) candidates.emplace_back(*cost, name);
   }
   std::sort(candidates.begin(), candidates.end());
@@ -198,10 +224,10 @@
          std::any_of(holdings.in_memory.begin(), holdings.in_memory.end(), unloaded);
 }
 
-bool LoadPlanner::AnyOrderPending() const {
+bool LoadPlanner::AnyModelOrderPending() const {
   return std::any_of(view_->runners().begin(), view_->runners().end(), [&](const auto& entry) {
     return Eligible(entry.second) &&
-           (!tracker_->Idle(entry.first) || reservations_.contains(entry.first));
+           (tracker_->ModelOrderPending(entry.first) || reservations_.contains(entry.first));
   });
 }
 
@@ -221,7 +247,7 @@
       continue;
     }
     double cost = 0;
-    if (!Victims(runner, model.weights_mb, urgency, now, &cost)) continue;
+    if (!Victims(runner, model, urgency, now, &cost)) continue;
     const Millis load = tier == LoadTier::kStore  ? model.store_load
                         : tier == LoadTier::kDisk ? model.disk_load
                                                   : model.memory_load;
@@ -231,7 +257,7 @@
   }
   // Waiting for a runner that is finishing an order may be cheaper than waiting for running calls
   // to end.
-  if (best && best->cost_ms >= kRunningVictimCostMs && AnyOrderPending()) return std::nullopt;
+  if (best && best->cost_ms >= kRunningVictimCostMs && AnyModelOrderPending()) return std::nullopt;
   return best;
 }
 
@@ -275,14 +301,21 @@
   }
 }
 
+void LoadPlanner::ReserveReplica(const ModelSpec& model, Urgency urgency, SteadyTime now) {
+  if (Replicas(model.name) == 0 || Replicas(model.name) >= TargetReplicas(model.name)) return;
+  if (Reserved(model.name)) return;
+  if (tracker_->Loading(input_.backend, *view_, model.name, AdapterName())) return;
+  Reserve(model, urgency, urgency == Urgency::kOverload ? "overload" : "replica", now);
+}
+
 void LoadPlanner::ReserveReplicas(SteadyTime now) {
-  for (const auto& [key, total] : *input_.demand) {
-    if (key.backend != input_.backend || !key.adapter.empty()) continue;
-    const auto spec = input_.engine->models.find(key.model);
-    if (spec == input_.engine->models.end() || Reserved(key.model)) continue;
-    if (tracker_->Loading(input_.backend, *view_, key.model, AdapterName())) continue;
-    if (Replicas(key.model) >= TargetReplicas(key.model) || Replicas(key.model) == 0) continue;
-    Reserve(spec->second, Urgency::kReplica, "replica", now);
+  for (const bool overloaded : {true, false}) {
+    for (const auto& [key, total] : *input_.demand) {
+      if (key.backend != input_.backend || !key.adapter.empty()) continue;
+      const auto spec = input_.engine->models.find(key.model);
+      if (spec == input_.engine->models.end() || Overloaded(key.model) != overloaded) continue;
+      ReserveReplica(spec->second, overloaded ? Urgency::kOverload : Urgency::kReplica, now);
+    }
   }
 }
 
@@ -344,7 +377,7 @@
     const auto spec = input_.engine->models.find(reservation.model);
     if (spec == input_.engine->models.end()) continue;
     double cost = 0;
-    const auto victims = Victims(*runner, spec->second.weights_mb, reservation.urgency, now, &cost);
+    const auto victims = Victims(*runner, spec->second, reservation.urgency, now, &cost);
     if (!victims) continue;
     if (!victims->empty()) {
       plan->push_back({MakeOrder(*runner, OrderKind::kUnload, victims->front(), AdapterName()),
@@ -362,23 +395,28 @@
   }
 }
 
+bool LoadPlanner::HasRoomForAdapter(const RunnerState& runner, const ModelSpec& model) const {
+  return runner.entry.holdings.AdapterCount() < input_.engine->adapter_slots &&
+         FreeMb(runner) >= model.adapter_mb;
+}
+
 std::optional<PlannedOrder> LoadPlanner::PlanAdapter(const ModelSpec& model,
                                                      const AdapterName& adapter,
                                                      SteadyTime now) const {
   const RunnerState* best = nullptr;
-  uint64_t best_weight = 0;
+  std::pair<bool, uint64_t> best_rank;
   for (const auto& [id, runner] : view_->runners()) {
     if (!Eligible(runner) || !runner.entry.holdings.models.contains(model.name)) continue;
     if (!CanTakeOrder(runner, now) || reservations_.contains(id)) continue;
-    const uint64_t weight =
-        RendezvousWeight(model.name.value() + "/" + adapter.value(), id.value());
-    if (best != nullptr && weight <= best_weight) continue;
+    const std::pair<bool, uint64_t> rank{
+        HasRoomForAdapter(runner, model),
+        RendezvousWeight(model.name.value() + "/" + adapter.value(), id.value())};
+    if (best != nullptr && rank <= best_rank) continue;
     best = &runner;
-    best_weight = weight;
+    best_rank = rank;
   }
   if (best == nullptr) return std::nullopt;
-  if (best->entry.holdings.AdapterCount() < input_.engine->adapter_slots &&
-      FreeMb(*best) >= model.adapter_mb) {
+  if (best_rank.first) {
     return PlannedOrder{MakeOrder(*best, OrderKind::kLoad, model.name, adapter), "adapter-waits"};
   }
   // No adapter slot or no memory is free: unload the adapter that was called least recently.
--- a/servers/gateway/load_planner.h
+++ b/servers/gateway/load_planner.h
@@ -66,9 +66,10 @@
     double cost_ms = 0;
   };
   /// Which models a load may displace. kWaiting: any model without waiting calls of its own.
-  /// kReplica and kPreload: only models without running calls that are idle or have more replicas
-  /// than they need. kFill: none, it only uses free memory.
-  enum class Urgency { kWaiting, kReplica, kPreload, kFill };
+  /// kOverload: besides those of kReplica, models in use whose traffic is small beside that of the
+  /// overloaded model. kReplica and kPreload: only models without running calls that are idle or
+  /// have more replicas than they need. kFill: none, it only uses free memory.
+  enum class Urgency { kWaiting, kOverload, kReplica, kPreload, kFill };
   struct Reservation {
     BackendName backend;
     ModelName model;
@@ -80,8 +81,13 @@
   bool Eligible(const RunnerState& runner) const;
   bool CanTakeOrder(const RunnerState& runner, SteadyTime now) const;
   const TotalDemand& DemandFor(const ModelName& model) const;
+  /// Replicas that the current load of a model needs.
+  double ReplicasForLoad(const ModelName& model) const;
   uint64_t TargetReplicas(const ModelName& model) const;
   uint64_t Replicas(const ModelName& model) const;
+  /// Whether the replicas of a model carry so much more than they should that other models' calls
+  /// have to yield.
+  bool Overloaded(const ModelName& model) const;
   void UpdateReplicaCounts();
   bool Reserved(const ModelName& model) const;
   bool HasLocalCopy(const ModelName& model) const;
@@ -90,12 +96,12 @@
   double AdapterReserveMb(const RunnerState& runner) const;
   LoadTier TierOn(const RunnerState& runner, const ModelName& model) const;
   bool StoreAllows(SteadyTime now) const;
-  /// Cost in ms of unloading `model` from `runner`; absent if it must stay.
-  std::optional<double> VictimCost(const RunnerId& runner, const ModelName& model, Urgency urgency,
-                                   SteadyTime now) const;
-  /// Models to unload from the runner to free `need_mb`, cheapest first; absent if impossible.
-  /// `cost_ms` receives their total cost.
-  std::optional<std::vector<ModelName>> Victims(const RunnerState& runner, double need_mb,
+  /// Cost in ms of unloading `model` from `runner` in favour of `wanted`; absent if it must stay.
+  std::optional<double> VictimCost(const RunnerId& runner, const ModelName& model,
+                                   const ModelName& wanted, Urgency urgency, SteadyTime now) const;
+  /// Models to unload from the runner to make room for `wanted`, cheapest first; absent if
+  /// impossible. `cost_ms` receives their total cost.
+  std::optional<std::vector<ModelName>> Victims(const RunnerState& runner, const ModelSpec& wanted,
                                                 Urgency urgency, SteadyTime now,
                                                 double* cost_ms) const;
   std::optional<Placement> BestRunner(const ModelSpec& model, Urgency urgency,
@@ -105,16 +111,18 @@
   /// Whether the runner has a local copy of a model that is not loaded, so that it could load it
   /// quickly for a waiting call.
   static bool HasUnloadedCopy(const RunnerState& runner);
-  bool AnyOrderPending() const;
+  bool AnyModelOrderPending() const;
   void Reserve(const ModelSpec& model, Urgency urgency, const char* reason, SteadyTime now);
   void DropStaleReservations(SteadyTime now);
   void ReserveForWaiting(SteadyTime now);
   void ReserveReplicas(SteadyTime now);
+  void ReserveReplica(const ModelSpec& model, Urgency urgency, SteadyTime now);
   void ReservePreloads(SteadyTime now);
   /// Reserves free memory, for example on new runners, for models that no runner holds.
   void ReserveFill(SteadyTime now);
   void ContinueReservations(SteadyTime now, std::vector<PlannedOrder>* plan);
   void PlanAdapters(SteadyTime now, std::vector<PlannedOrder>* plan);
+  bool HasRoomForAdapter(const RunnerState& runner, const ModelSpec& model) const;
   std::optional<PlannedOrder> PlanAdapter(const ModelSpec& model, const AdapterName& adapter,
                                           SteadyTime now) const;
   Order MakeOrder(const RunnerState& runner, OrderKind kind, const ModelName& model,
--- a/servers/gateway/order_tracker.cc
+++ b/servers/gateway/order_tracker.cc
@@ -133,6 +133,11 @@
   return complete;
 }
 
+bool OrderTracker::ModelOrderPending(const RunnerId& runner) const {
+  const auto found = pending_.find(runner);
+  return found != pending_.end() && found->second.order.adapter.empty();
+}
+
 bool OrderTracker::Loading(const BackendName& backend, const FleetView& view,
                            const ModelName& model, const AdapterName& adapter) const {
   return std::any_of(pending_.begin(), pending_.end(), [&](const auto& entry) {
--- a/servers/gateway/runner_health.cc
+++ b/servers/gateway/runner_health.cc
@@ -2,13 +2,62 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace shallot::gateway {
+namespace {
+
+/// Reported load older than this is ignored; a report comes with each response.
+constexpr Millis kMaxReportedLoadAge{500};
+
+/// Weight that an observation still has after `age`.
+double WeightAfter(Duration age, Millis half_life) {
+  const std::chrono::duration<double> passed = age;
+  const std::chrono::duration<double> half = half_life;
+  return std::exp2(-passed / half);
+}
+
+}  // namespace
 
 double RunnerHealth::FailureRate(SteadyTime now) const {
-  const std::chrono::duration<double> age = now - failure_rate_at_;
-  const std::chrono::duration<double> half_life = kFailureHalfLife;
-  return failure_rate_ * std::exp2(-age / half_life);
+  return failure_rate_ * WeightAfter(now - failure_rate_at_, kFailureHalfLife);
+}
+
+double RunnerHealth::Slowness(SteadyTime now) const {
+  return 1.0 + (slowness_ - 1.0) * WeightAfter(now - slowness_at_, kSlownessHalfLife);
+}
+
+bool RunnerHealth::ReportFresh(SteadyTime now) const {
+  return reported_at && now - *reported_at < Duration(kMaxReportedLoadAge);
+}
+
+void RunnerHealth::AddPending(uint64_t urgency, double tokens) {
+  pending_tokens_[std::min<size_t>(urgency, kUrgencyLevels - 1)] += tokens;
+  mean_tokens_ += kOutcomeWeight * (tokens - mean_tokens_);
+}
+
+void RunnerHealth::RemovePending(uint64_t urgency, double tokens) {
+  double& pending = pending_tokens_[std::min<size_t>(urgency, kUrgencyLevels - 1)];
+  pending = std::max(0.0, pending - tokens);
+}
+
+double RunnerHealth::TokensAhead(uint64_t urgency, SteadyTime now) const {
+  const auto end = pending_tokens_.begin() +
+                   static_cast<std::ptrdiff_t>(std::min<size_t>(urgency + 1, kUrgencyLevels));
+  const double ahead = std::accumulate(pending_tokens_.begin(), end, 0.0);
+  if (!ReportFresh(now)) return ahead;
+  // The report does not tell the urgency of the waiting calls: those of all gateways are assumed to
+  // be mixed like this gateway's own.
+  const double all = std::accumulate(end, pending_tokens_.end(), ahead);
+  const double share = all > 0 ? ahead / all : 1.0;
+  return std::max(ahead, static_cast<double>(reported_waiting) * mean_tokens_ * share);
+}
+
+void RunnerHealth::ForgetObservations() {
+  RunnerHealth fresh;
+  fresh.in_flight = in_flight;
+  fresh.pending_tokens_ = pending_tokens_;
+  *this = fresh;
 }
 
 void RunnerHealth::OnSuccess(SteadyTime now) {
@@ -41,9 +90,16 @@
   return found != rejections_.end() && now < found->second.until;
 }
 
-void RunnerHealth::OnFirstEvent(double factor) {
+void RunnerHealth::OnFirstEvent(double factor, SteadyTime now) {
   const double bounded = std::clamp(factor, 0.5, kMaxSlowness);
-  slowness += kOutcomeWeight * (bounded - slowness);
+  slowness_ = Slowness(now);
+  slowness_ += kOutcomeWeight * (bounded - slowness_);
+  slowness_at_ = now;
+}
+
+void RunnerHealth::OnNoFirstEvent(double factor, SteadyTime now) {
+  // The time is a lower bound, which says nothing if it is less than expected.
+  if (factor > Slowness(now)) OnFirstEvent(factor, now);
 }
 
 }  // namespace shallot::gateway
--- a/servers/gateway/runner_health.h
+++ b/servers/gateway/runner_health.h
@@ -1,6 +1,8 @@
 #ifndef SERVERS_GATEWAY_RUNNER_HEALTH_H_
 #define SERVERS_GATEWAY_RUNNER_HEALTH_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -28,15 +30,17 @@
   /// Upper bound of the observed time to the first event over the predicted one.
   static constexpr double kMaxSlowness = 8.0;
 
+  /// Half-life of the observed slowness, so that a runner that no calls are sent to because it was
+  /// slow is tried again.
+  static constexpr Millis kSlownessHalfLife{3'000};
+  /// Number of urgency levels; 0 is the most urgent.
+  static constexpr size_t kUrgencyLevels = 10;
+
   uint64_t in_flight = 0;
-  /// Prompt tokens of this gateway's calls whose first event has not arrived.
-  double pending_tokens = 0;
   /// Calls running and waiting at the runner as last reported, and the time of that report.
   uint64_t reported_running = 0;
   uint64_t reported_waiting = 0;
   std::optional<SteadyTime> reported_at;
-  /// Smoothed ratio of the observed to the predicted time to the first event; 1 is as predicted.
-  double slowness = 1.0;
   CircuitBreaker breaker;
 
   void OnSuccess(SteadyTime now);
@@ -48,8 +52,25 @@
   void OnReachable() { unreachable_until_ = SteadyTime::min(); }
   /// Whether calls may be sent now.
   bool Available(SteadyTime now) const { return now >= unreachable_until_ && breaker.Allows(now); }
+  /// A call was sent whose prompt has `tokens` that the runner has to process.
+  void AddPending(uint64_t urgency, double tokens);
+  /// The first event of such a call arrived, or the call ended.
+  void RemovePending(uint64_t urgency, double tokens);
+  /// Prompt tokens that the runner processes before the prompt of a new call of this urgency: those
+  /// of this gateway's calls without a first event, or those of all calls that wait at the runner
+  /// as last reported, whichever is more.
+  double TokensAhead(uint64_t urgency, SteadyTime now) const;
+  /// Keeps the queue of this gateway's calls, which still report their end, and discards what was
+  /// learned about the runner.
+  void ForgetObservations();
   /// `factor`: observed time to the first event over the predicted one.
-  void OnFirstEvent(double factor);
+  void OnFirstEvent(double factor, SteadyTime now);
+  /// A call ended without a first event after `factor` times the predicted time.
+  void OnNoFirstEvent(double factor, SteadyTime now);
+  /// Smoothed ratio of the observed to the predicted time to the first event; 1 is as predicted.
+  double Slowness(SteadyTime now) const;
+  /// Whether the last reported load is recent enough to be used.
+  bool ReportFresh(SteadyTime now) const;
   /// The runner rejected a call for the model, for example because it is being unloaded.
   void OnModelRejected(const std::string& model, SteadyTime now);
   void OnModelServed(const std::string& model) { rejections_.erase(model); }
@@ -64,6 +85,11 @@
     SteadyTime until{};
   };
 
+  std::array<double, kUrgencyLevels> pending_tokens_{};
+  /// Smoothed number of prompt tokens of a call that the runner has to process.
+  double mean_tokens_ = 0;
+  double slowness_ = 1.0;
+  SteadyTime slowness_at_{};
   std::map<std::string, Rejection> rejections_;
   SteadyTime unreachable_until_ = SteadyTime::min();
   double failure_rate_ = 0;
--- a/servers/gateway/runner_picker.cc
+++ b/servers/gateway/runner_picker.cc
@@ -6,8 +6,6 @@
 namespace shallot::gateway {
 namespace {
 
-/// Reported load older than this is ignored; a report comes with each response.
-constexpr Millis kMaxReportedLoadAge{500};
 /// Score added for a failure rate of 1, in target latencies.
 constexpr double kFailureCost = 3.0;
 /// Predicted service time of a plain service's call, relative to its target latency.
@@ -26,8 +24,7 @@
 double RunnerPicker::Score(const Query& query, const RunnerState& runner,
                            const RunnerHealth& health, SteadyTime now, PickedRunner* picked) const {
   double first_event_ms = 0;
-  const bool report_fresh =
-      health.reported_at && now - *health.reported_at < Duration(kMaxReportedLoadAge);
+  const bool report_fresh = health.ReportFresh(now);
   const double busy =
       std::max<double>(static_cast<double>(health.in_flight),
                        report_fresh ? static_cast<double>(health.reported_running) : 0.0);
@@ -37,7 +34,7 @@
         prefixes_.KeptTokens(runner.entry.id, query.call->PrefixScope(), query.call->prompt);
     const double uncached = std::max(0.0, static_cast<double>(query.call->prompt_tokens) -
                                               static_cast<double>(picked->kept_tokens));
-    first_event_ms = (uncached + health.pending_tokens) / policy_->prefill_tokens_per_ms +
+    first_event_ms = (uncached + health.TokensAhead(query.urgency, now)) / policy_->prefill_tokens_per_ms +
                      (busy + waiting) * static_cast<double>(policy_->in_flight_cost.count());
   } else {
     const double slots = std::max<double>(1.0, static_cast<double>(runner.entry.slots));
@@ -45,7 +42,7 @@
         kPlainServiceShare * static_cast<double>(query.target_latency.count());
     first_event_ms = service_ms * (1.0 + (busy + waiting) / slots);
   }
-  first_event_ms *= health.slowness;
+  first_event_ms *= health.Slowness(now);
   picked->predicted = Millis(static_cast<int64_t>(first_event_ms));
   double score = first_event_ms;
   score +=
@@ -95,14 +92,8 @@
 }
 
 void RunnerPicker::Forget(const RunnerId& runner) {
-  // Calls in flight still report their end, so their counters are kept.
   const auto found = health_.find(runner);
-  if (found != health_.end()) {
-    RunnerHealth fresh;
-    fresh.in_flight = found->second.in_flight;
-    fresh.pending_tokens = found->second.pending_tokens;
-    found->second = fresh;
-  }
+  if (found != health_.end()) found->second.ForgetObservations();
   prefixes_.Forget(runner);
 }
 
--- a/servers/gateway/runner_picker.h
+++ b/servers/gateway/runner_picker.h
@@ -45,6 +45,8 @@
     /// Runners that must not be selected now.
     const std::set<RunnerId>* excluded = nullptr;
     Millis target_latency{0};
+    /// 0 is the most urgent; the runner serves more urgent calls first.
+    uint64_t urgency = 0;
   };
 
   std::optional<PickedRunner> Pick(const Query& query, SteadyTime now, PickError* problem);
--- a/servers/gateway/waiting_policy.cc
+++ b/servers/gateway/waiting_policy.cc
@@ -2,8 +2,18 @@
 
 #include <algorithm>
 
+#include "core/hashing.h"
+
 namespace shallot::gateway {
 
+namespace {
+
+/// Share by which Retry-After is spread over the callers that are refused at the same time.
+constexpr double kRetrySpread = 0.5;
+constexpr uint64_t kSpreadSteps = 1'000;
+
+}  // namespace
+
 LoadTime FastestLoad(const FleetView& view, const BackendName& backend, const ModelSpec& model) {
   LoadTime best{model.store_load, "store"};
   for (const auto& [id, runner] : view.runners()) {
@@ -30,8 +40,10 @@
   }
   const LoadTime fastest = FastestLoad(view, backend, model->second);
   decision.source = fastest.source;
-  // Calls that waited earlier have triggered the load, so part of it has elapsed.
-  const Millis remaining = std::max(Millis(0), fastest.load + policy.load_overhead - waited);
+  // Calls that waited earlier have triggered the load, so part of it has elapsed. A load that is
+  // overdue, for example because there is no leader, is expected to take as long again.
+  const Millis whole = fastest.load + policy.load_overhead;
+  const Millis remaining = waited <= whole ? whole - waited : waited;
   const Millis prefill(
       static_cast<int64_t>(static_cast<double>(call.prompt_tokens) / policy.prefill_tokens_per_ms));
   decision.predicted = remaining + prefill;
@@ -40,4 +52,16 @@
   return decision;
 }
 
+RefusalDecision DecideRefusal(Millis predicted, Millis patience_left, const RequestId& call) {
+  RefusalDecision decision;
+  decision.refuse = predicted > patience_left;
+  if (!decision.refuse) return decision;
+  const double position = static_cast<double>(StableHash(call.value()) % kSpreadSteps) /
+                          static_cast<double>(kSpreadSteps);
+  const double excess_ms = static_cast<double>((predicted - patience_left / 2).count());
+  decision.retry_after = std::max(
+      kMinRetryAfter, Millis(static_cast<int64_t>(excess_ms * (1.0 + kRetrySpread * position))));
+  return decision;
+}
+
 }  // namespace shallot::gateway
--- a/servers/gateway/waiting_policy.h
+++ b/servers/gateway/waiting_policy.h
@@ -34,11 +34,24 @@
 
 /// Decides whether a call whose model no runner holds may wait, for example while many rarely used
 /// models are requested at once. A call that cannot be served within `time_left` is refused
-/// immediately. `waited`: how long calls for this model have been waiting already.
+/// immediately. `time_left`: time until the caller gives up. `waited`: how long calls for this
+/// model have been waiting already.
 WaitDecision DecideWaiting(const FleetView& view, const EngineSpec& engine,
                            const GatewayPolicy& policy, const BackendName& backend,
                            const CallRequest& call, Millis time_left, Millis waited);
 
+/// Decision whether a call that a runner could take is refused instead.
+struct RefusalDecision {
+  bool refuse = false;
+  Millis retry_after{0};
+};
+
+/// Refuses a call whose first event is predicted for after the time at which its caller gives up,
+/// when a burst or the loss of runners has overloaded every runner of a model. Sending it would
+/// only delay the calls behind it. Retry-After is the time until the excess has been processed,
+/// spread by the call's id so that refused callers do not return at the same moment.
+RefusalDecision DecideRefusal(Millis predicted, Millis patience_left, const RequestId& call);
+
 }  // namespace shallot::gateway
 
 #endif  // SERVERS_GATEWAY_WAITING_POLICY_H_
--- a/tests/gateway_leader_election_test.cc
+++ b/tests/gateway_leader_election_test.cc
@@ -26,7 +26,7 @@
   election.OnLease(LeaseId(1), kTerm, kStart, kStart);
   CHECK(election.Next(kStart) == Action::kClaim);
   CHECK(election.ClaimCondition() == StoreRevision(0));
-  election.OnClaim(StoreRevision(7), kStart);
+  election.OnClaim(StoreRevision(7), false, kStart);
   return election;
 }
 
@@ -140,6 +140,46 @@
   CHECK(election.ClaimCondition() == StoreRevision(5));
 }
 
+struct ReclaimCase {
+  const char* name;
+  std::optional<LeaderRecord> record;
+  bool conflict;
+  bool expected_claim;
+};
+
+// Guards against seconds without placement after a store outage that was longer than the lease,
+// although the store still has this gateway's record, and against claims that cannot succeed.
+TEST_CASE("gateway: a former leader claims its own record again after an outage") {
+  for (const ReclaimCase& test :
+       {ReclaimCase{"own record is still there", Record("a", 7), false, true},
+        ReclaimCase{"claim failed because the record changed", Record("a", 7), true, false},
+        ReclaimCase{"another gateway took over", Record("b", 9), false, false}}) {
+    CAPTURE(std::string(test.name));
+    LeaderElection election = Elected();
+    BootTime now = kStart + kTerm;
+    REQUIRE(election.Next(now) == Action::kNone);
+    election.OnRecord(test.record, test.record->revision, now);
+    now += LeaderElection::kRetryPause * 2;
+    if (test.conflict) {
+      REQUIRE(election.Next(now) == Action::kCreateLease);
+      election.OnLease(LeaseId(2), kTerm, now, now);
+      REQUIRE(election.Next(now) == Action::kClaim);
+      election.OnClaim(std::nullopt, true, now);
+      now += LeaderElection::kRetryPause * 2;
+    }
+    CHECK((election.Next(now) == Action::kCreateLease) == test.expected_claim);
+    CHECK_FALSE(election.Leads(now));
+    if (!test.expected_claim) continue;
+    election.OnLease(LeaseId(2), kTerm, now, now);
+    REQUIRE(election.Next(now) == Action::kClaim);
+    CHECK(election.ReclaimsOwnRecord());
+    CHECK(election.ClaimCondition() == StoreRevision(7));
+    election.OnClaim(StoreRevision(11), false, now);
+    CHECK(election.Leads(now));
+    CHECK(election.fence() == FencingNumber(11));
+  }
+}
+
 // Guards against a claim under the lease of an earlier claim that failed.
 TEST_CASE("gateway: a failed claim starts over after a pause") {
   LeaderElection election(InstanceId("a"), kTerm, false, 1);
@@ -147,7 +187,7 @@
   REQUIRE(election.Next(kStart) == Action::kCreateLease);
   election.OnLease(LeaseId(1), kTerm, kStart, kStart);
   REQUIRE(election.Next(kStart) == Action::kClaim);
-  election.OnClaim(std::nullopt, kStart);
+  election.OnClaim(std::nullopt, false, kStart);
   CHECK_FALSE(election.Leads(kStart));
   CHECK(election.Next(kStart) == Action::kNone);
   CHECK(election.Next(kStart + LeaderElection::kRetryPause * 2) == Action::kCreateLease);
--- a/tests/gateway_load_planner_test.cc
+++ b/tests/gateway_load_planner_test.cc
@@ -84,6 +84,67 @@
   CHECK(fleet.Count(OrderKind::kUnload, 3) == 1);
 }
 
+struct OverloadCase {
+  const char* name;
+  /// Calls in flight at the only replica of the busy model.
+  uint64_t in_flight;
+  /// Calls per second for each of the other models, which all are in use.
+  double others_per_s;
+  bool expected_replica;
+};
+
+// Replays the load of a model that gets a third of all calls after its other replicas were lost
+// with their runners. Every other model has been called a moment ago, so without displacing one of
+// them the only replica was overloaded for 24 s and half of its callers left.
+TEST_CASE("gateway: an overloaded model displaces models with little traffic") {
+  for (const OverloadCase& test :
+       {OverloadCase{"overloaded", 120, 1.0, true}, OverloadCase{"not overloaded", 20, 1.0, false},
+        OverloadCase{"the others are as busy", 120, 30.0, false}}) {
+    CAPTURE(std::string(test.name));
+    PlacementFixture fleet(6);
+    fleet.AddRunner("a", {0, 1}, {0, 1});
+    fleet.AddRunner("b", {2, 3}, {0, 2, 3});
+    fleet.AddRunner("c", {4, 5}, {0, 4, 5});
+    for (const int model : {1, 2, 3, 4, 5}) {
+      TotalDemand& demand = fleet.Demand(model);
+      demand.since_last_call = Millis(100);
+      demand.calls_per_s = test.others_per_s;
+    }
+    TotalDemand& busy = fleet.Demand(0);
+    busy.calls_per_s = 34;
+    busy.since_last_call = Millis(0);
+    busy.in_flight = test.in_flight;
+    busy.in_flight_at[RunnerId("a")] = test.in_flight;
+    fleet.Run(Millis(1'500));
+    CHECK((fleet.Count(OrderKind::kLoad, 0) > 0) == test.expected_replica);
+    CHECK(fleet.Count(OrderKind::kUnload, 0) == 0);
+    CHECK_FALSE(fleet.overcommitted());
+  }
+}
+
+// Guards against an adapter that waits behind a runner whose slots are all in use while another
+// holder of its model has a free one.
+TEST_CASE("gateway: an adapter goes to a holder of its model with a free slot") {
+  PlacementFixture fleet(4, 1);
+  fleet.AddRunner("a", {0}, {0});
+  fleet.AddRunner("b", {0}, {0});
+  for (int adapter = 0; adapter < 2; ++adapter) {
+    TotalDemand& demand = fleet.Demand(0, "x" + std::to_string(adapter));
+    demand.waiting = 1;
+    demand.least_time_left = Millis(5'000);
+    fleet.Run(Millis(200));
+    demand.waiting = 0;
+    demand.in_flight = 1;
+    demand.since_last_call = Millis(0);
+  }
+  uint64_t unloads = 0;
+  for (const PlannedOrder& planned : fleet.history()) {
+    if (planned.order.kind == OrderKind::kUnload) ++unloads;
+  }
+  CHECK(unloads == 0);
+  CHECK_FALSE(fleet.overcommitted());
+}
+
 // Guards against new runners that stay empty while models have no holder, as happened when runners
 // were replaced one after another.
 TEST_CASE("gateway: free memory of a new runner is filled") {
--- a/tests/gateway_picker_test.cc
+++ b/tests/gateway_picker_test.cc
@@ -76,11 +76,15 @@
        "far"},
       {"prompts queued at the near one",
        [](PickerFixture* fixture) {
-         fixture->picker_.health(RunnerId("near")).pending_tokens = 20'000;
+         fixture->picker_.health(RunnerId("near")).AddPending(0, 20'000);
        },
        "far"},
       {"near one is slow",
-       [](PickerFixture* fixture) { fixture->picker_.health(RunnerId("near")).slowness = 4; },
+       [](PickerFixture* fixture) {
+         for (int call = 0; call < 20; ++call) {
+           fixture->picker_.health(RunnerId("near")).OnFirstEvent(4, kStart);
+         }
+       },
        "far"},
       {"near one fails",
        [](PickerFixture* fixture) {
@@ -203,6 +207,65 @@
   }
 }
 
+// Guards against calls that all wait for a load that does not come, for example while there is no
+// leader: each new caller was told that the load was about to end, and left unanswered.
+TEST_CASE("gateway: an overdue load is expected to take as long again") {
+  PickerFixture fixture;
+  fixture.Add("a", "north", false);
+  const auto decide = [&](int64_t waited_ms, int64_t left_ms) {
+    return DecideWaiting(fixture.view_, fixture.engine_, fixture.policy_, BackendName("engine"),
+                         fixture.call_, Millis(left_ms), Millis(waited_ms));
+  };
+  CHECK(decide(6'000, 1'000).wait);
+  CHECK_FALSE(decide(12'000, 2'000).wait);
+  CHECK(decide(12'000, 2'000).retry_after >= Millis(12'000));
+  CHECK(decide(12'000, 20'000).wait);
+}
+
+// Replays a runner whose queue takes longer than callers wait. Guards against sending it further
+// calls, which delay those in the queue, and against refused callers that return all at once.
+TEST_CASE("gateway: a call is refused when its caller would leave before the first event") {
+  struct Case {
+    const char* name;
+    int64_t predicted_ms;
+    int64_t patience_ms;
+    bool expected;
+  };
+  for (const Case& test : std::vector<Case>{{"short queue", 300, 2'000, false},
+                                            {"just in time", 2'000, 2'000, false},
+                                            {"too late", 2'100, 2'000, true},
+                                            {"patience used up", 100, 0, true}}) {
+    CAPTURE(std::string(test.name));
+    std::set<Millis> retries;
+    for (int caller = 0; caller < 20; ++caller) {
+      const RefusalDecision decision =
+          DecideRefusal(Millis(test.predicted_ms), Millis(test.patience_ms),
+                        RequestId("call-" + std::to_string(caller)));
+      CHECK(decision.refuse == test.expected);
+      if (test.expected) CHECK(decision.retry_after >= kMinRetryAfter);
+      retries.insert(decision.retry_after);
+    }
+    if (test.predicted_ms > 1'000 && test.expected) CHECK(retries.size() > 10);
+  }
+}
+
+// Guards against a prediction that counts calls which the runner serves later, and against a runner
+// that is never tried again because it once was slow.
+TEST_CASE("gateway: the queue ahead depends on urgency, and slowness fades") {
+  RunnerHealth health;
+  health.AddPending(0, 1'000);
+  health.AddPending(3, 5'000);
+  CHECK(health.TokensAhead(0, kStart) == 1'000);
+  CHECK(health.TokensAhead(3, kStart) == 6'000);
+  health.RemovePending(0, 1'000);
+  CHECK(health.TokensAhead(0, kStart) == 0);
+  for (int call = 0; call < 50; ++call) health.OnNoFirstEvent(6, kStart);
+  CHECK(health.Slowness(kStart) > 4);
+  health.OnNoFirstEvent(1, kStart);
+  CHECK(health.Slowness(kStart) > 4);
+  CHECK(health.Slowness(kStart + RunnerHealth::kSlownessHalfLife * 5) < 1.5);
+}
+
 // Guards against waiting for a backend without runners or for a model that is not configured.
 TEST_CASE("gateway: a call does not wait without runners or for an unknown model") {
   PickerFixture fixture;
