--- a/drivers/gateway/buffered_call.cc
+++ b/drivers/gateway/buffered_call.cc
@@ -13,8 +13,9 @@
 
   HeadVerdict OnHead(const HttpHead& head) override {
     if (owner_->is_call_answer_(head)) {
-      LogWarning("http", "event=foreign-answer reason=\"the answer of a call came to an order, a "
-                         "report or a store call\"");
+      LogWarning("http",
+                 "event=foreign-answer reason=\"the answer of a call came to an order, a "
+                 "report or a store call\"");
       return HeadVerdict::kSkip;
     }
     answer_.head = head;
--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -175,9 +175,8 @@
   // For a call that already waits, predicts again only if it has waited longer than predicted, or
   // if loading now takes longer, for example because a copy of the weights is gone.
   if (!newly_waiting && !overdue && fastest.load <= expected_load_) return true;
-  const WaitDecision verdict =
-      DecideWaiting(context_->view, *engine_, context_->settings.policy, backend_, call_,
-                    PatienceLeft(), longest_wait);
+  const WaitDecision verdict = DecideWaiting(context_->view, *engine_, context_->settings.policy,
+                                             backend_, call_, PatienceLeft(), longest_wait);
   expected_wait_ = WaitedFor() + verdict.predicted;
   expected_load_ = fastest.load;
   LogInfo("call",
--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -56,8 +56,8 @@
   if (answer_failure_ == AttemptFailure::kMalformed) {
     // The rest of it is of no use, and it may have no end.
     context_->client.Cancel(exchange_);
-    FailAttempt(AttemptFailure::kMalformed, fmt::format("status {} without proof of origin",
-                                                        head.status));
+    FailAttempt(AttemptFailure::kMalformed,
+                fmt::format("status {} without proof of origin", head.status));
     return HeadVerdict::kAccept;
   }
   streaming_ = !answer_failure_ && route_->kind == CallKind::kStream && head.status == 200;
--- a/drivers/gateway/fleet_follower.cc
+++ b/drivers/gateway/fleet_follower.cc
@@ -52,7 +52,10 @@
 
 void FleetFollower::OnStoreFailure() { context_->view.OnStoreFailure(context_->loop.Now()); }
 
-void FleetFollower::OnStoreSuccess() { context_->view.OnStoreResponse(context_->loop.Now()); }
+void FleetFollower::OnStoreSuccess() {
+  context_->view.OnStoreResponse(context_->loop.Now());
+  follower_.SetFollowers(context_->gateways.size());
+}
 
 void FleetFollower::OnRoutes(const StoreItem& item) {
   if (item.deleted || item.key != context_->protocol->RoutesKey()) return;
--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -34,7 +34,9 @@
         loop(system_clock),
         client(&loop),
         calls(&loop, &client,
-              [platform](const HttpHead& head) { return !platform->DecodeAnswer(head).call.empty(); }),
+              [platform](const HttpHead& head) {
+                return !platform->DecodeAnswer(head).call.empty();
+              }),
         picker(&settings.policy, &view, settings.domain) {}
 
   GatewaySettings settings;
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -16,6 +16,9 @@
 constexpr Millis kTickInterval{20};
 /// Interval of demand reports. One is also sent on the next tick after a call starts to wait.
 constexpr Millis kReportInterval{250};
+/// Interval of complete demand reports; the ones between contain changes only. A complete one also
+/// follows after a change of the leader and after a report that could not be sent.
+constexpr Millis kCompleteReportInterval{5'000};
 constexpr size_t kPeerMessagesPerTick = 64;
 /// Interval at which the settings file is read again, because it may change without a signal.
 constexpr Millis kReloadInterval{5'000};
@@ -234,10 +237,7 @@
 void GatewayDaemon::OnNotice(const RunnerNotice& notice) {
   context_->view.ApplyReport(notice.runner, notice.report, context_->loop.Now());
   if (placement_->Leads()) {
-    std::map<InstanceId, std::string> gateways = placement_->Reporters();
-    gateways.insert(context_->gateways.begin(), context_->gateways.end());
-    for (const auto& [gateway, address] : gateways) {
-      if (gateway == context_->settings.instance) continue;
+    for (const auto& [gateway, address] : placement_->NoticeReceivers(notice)) {
       if (!context_->peers.Send(address, notice)) {
         LogInfo("peer", "event=notice-not-sent gateway=" + gateway.value());
       }
@@ -265,37 +265,56 @@
   });
 }
 
+std::map<DemandMeter::Key, GatewayDaemon::WaitingDemand> GatewayDaemon::CountWaiting() const {
+  std::map<DemandMeter::Key, WaitingDemand> waiting;
+  for (const auto& [connection, session] : sessions_) {
+    if (!session->waiting()) continue;
+    const CallRequest& call = session->call();
+    WaitingDemand& demand = waiting[{session->backend(), call.model, call.adapter}];
+    demand.least_time_left = std::min(demand.least_time_left, session->TimeLeft());
+    ++demand.calls;
+  }
+  return waiting;
+}
+
 void GatewayDaemon::ReportDemand() {
   const SteadyTime now = context_->loop.Now();
   if (!demand_due_ && now - last_report_ < Duration(kReportInterval)) return;
   demand_due_ = false;
   last_report_ = now;
+  const bool own = placement_->Leads();
+  const std::optional<LeaderRecord>& leader = context_->leader;
+  if (!own && (!leader || leader->holder == context_->settings.instance)) return;
+  const InstanceId& receiver = own ? context_->settings.instance : leader->holder;
+
+  const std::map<DemandMeter::Key, WaitingDemand> waiting = CountWaiting();
   DemandReport report;
   report.gateway = context_->settings.instance;
   report.address = context_->settings.peer_address;
-  report.entries = context_->meter.Snapshot(now);
-  report.unreachable = context_->picker.Unreachable(now);
-  for (const auto& waiting : sessions_) {
-    const CallSession* session = waiting.second.get();
-    if (!session->waiting()) continue;
-    const CallRequest& call = session->call();
-    const auto entry =
-        std::find_if(report.entries.begin(), report.entries.end(), [&](const EntryDemand& demand) {
-          return demand.backend == session->backend() && demand.model == call.model &&
-                 demand.adapter == call.adapter;
-        });
-    if (entry == report.entries.end()) continue;
-    const Millis left = session->TimeLeft();
-    entry->least_time_left = entry->waiting == 0 ? left : std::min(entry->least_time_left, left);
-    ++entry->waiting;
+  report.changes_only =
+      receiver == reported_to_ && now - last_complete_report_ < Duration(kCompleteReportInterval);
+  // Entries whose calls no longer wait are reported once more.
+  for (const auto& [key, demand] : waiting) reported_waiting_.insert(key);
+  report.entries = report.changes_only ? context_->meter.Changes(reported_waiting_, now)
+                                       : context_->meter.Snapshot(now);
+  reported_waiting_.clear();
+  for (EntryDemand& entry : report.entries) {
+    const auto found = waiting.find({entry.backend, entry.model, entry.adapter});
+    if (found == waiting.end()) continue;
+    entry.waiting = found->second.calls;
+    entry.least_time_left = found->second.least_time_left;
+    reported_waiting_.insert(found->first);
   }
-  if (placement_->Leads()) {
+  report.unreachable = context_->picker.Unreachable(now);
+  if (!report.changes_only) last_complete_report_ = now;
+  reported_to_ = receiver;
+  if (own) {
     placement_->OnDemand(report);
     return;
   }
-  if (!context_->leader || context_->leader->holder == context_->settings.instance) return;
-  if (!context_->peers.Send(context_->leader->address, report)) {
-    LogInfo("peer", "event=demand-not-sent leader=" + context_->leader->holder.value());
+  if (!context_->peers.Send(leader->address, report)) {
+    LogInfo("peer", "event=demand-not-sent leader=" + leader->holder.value());
+    reported_to_ = InstanceId();
   }
 }
 
--- a/drivers/gateway/gateway_daemon.h
+++ b/drivers/gateway/gateway_daemon.h
@@ -47,6 +47,13 @@
   class ReadinessHandler;
   class MetricsHandler;
 
+  /// Calls that wait for one entry.
+  struct WaitingDemand {
+    uint64_t calls = 0;
+    Millis least_time_left = Millis::max();
+  };
+
+  std::map<DemandMeter::Key, WaitingDemand> CountWaiting() const;
   void Tick();
   void TickDrain();
   std::vector<std::shared_ptr<CallSession>> Sessions() const;
@@ -77,6 +84,10 @@
   std::atomic<bool> drained_{false};
   bool draining_ = false;
   SteadyTime drain_started_at_{};
+  SteadyTime last_complete_report_{};
+  InstanceId reported_to_;
+  /// Entries that the last report listed with waiting calls.
+  std::set<DemandMeter::Key> reported_waiting_;
   bool demand_due_ = true;
   SteadyTime last_report_{};
   SteadyTime last_reload_{};
--- a/drivers/gateway/gateway_settings.h
+++ b/drivers/gateway/gateway_settings.h
@@ -31,6 +31,8 @@
   bool orders_fenced = true;
   /// Time from the stop signal to the forced end of the process.
   Millis stop_grace{8'000};
+  /// Share of a processor core that the process may use.
+  double cpu_share = 1.0;
   GatewayPolicy policy;
 };
 
--- a/drivers/gateway/peer_codec.cc
+++ b/drivers/gateway/peer_codec.cc
@@ -10,6 +10,7 @@
 void EncodeDemand(const DemandReport& report, gateway_wire::DemandReport* wire) {
   wire->set_gateway(report.gateway.value());
   wire->set_address(report.address);
+  wire->set_changes_only(report.changes_only);
   for (const EntryDemand& entry : report.entries) {
     gateway_wire::EntryDemand* out = wire->add_entries();
     out->set_backend(entry.backend.value());
@@ -32,6 +33,7 @@
   DemandReport report;
   report.gateway = InstanceId(wire.gateway());
   report.address = wire.address();
+  report.changes_only = wire.changes_only();
   for (const gateway_wire::EntryDemand& entry : wire.entries()) {
     EntryDemand demand{BackendName(entry.backend()),
                        ModelName(entry.model()),
--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -13,6 +13,26 @@
 
 /// Interval between attempts to release the leadership at a planned stop.
 constexpr Millis kReleaseInterval{500};
+/// The next plan starts no sooner than this many times the duration of the last one, so that
+/// planning leaves the event loop free for calls on a weak instance.
+constexpr int kPlanPauseFactor = 8;
+/// Up to this many gateways get all notices.
+constexpr size_t kBroadcastGateways = 32;
+/// A gateway that had calls for a model within this time gets notices about it.
+constexpr Millis kRecentCalls{5'000};
+
+/// Models that only one of the two holds, or with different adapters.
+std::set<ModelName> ChangedModels(const Holdings& before, const Holdings& after) {
+  std::set<ModelName> changed;
+  for (const auto& [model, adapters] : before.models) {
+    const auto found = after.models.find(model);
+    if (found == after.models.end() || found->second != adapters) changed.insert(model);
+  }
+  for (const auto& [model, adapters] : after.models) {
+    if (!before.models.contains(model)) changed.insert(model);
+  }
+  return changed;
+}
 
 }  // namespace
 
@@ -23,7 +43,8 @@
       election_(context->settings.instance,
                 LeaderElection::Term(context->settings.orders_fenced, context->settings.order_lease,
                                      context->settings.min_lease),
-                context->settings.orders_fenced, EntropySeed()),
+                context->settings.orders_fenced, EntropySeed(),
+                LeaderElection::ClaimDelay(context->settings.cpu_share)),
       planner_(&context->settings.policy, &context->view, &tracker_) {}
 
 void PlacementDriver::Start() { Tick(); }
@@ -68,6 +89,7 @@
   const SteadyTime now = context_->loop.Now();
   demand_aggregator_.Apply(report, now);
   if (!Leads()) return;
+  AnswerWaitingCalls(report);
   // Calls that wait for a model which a runner already holds mean that a gateway missed the notice.
   // Polling the runner sends its report to all gateways again.
   for (const EntryDemand& demand : report.entries) {
@@ -79,6 +101,45 @@
   }
 }
 
+std::map<InstanceId, std::string> PlacementDriver::KnownGateways() const {
+  std::map<InstanceId, std::string> gateways = demand_aggregator_.Reporters(context_->loop.Now());
+  gateways.insert(context_->gateways.begin(), context_->gateways.end());
+  gateways.erase(context_->settings.instance);
+  return gateways;
+}
+
+std::map<InstanceId, std::string> PlacementDriver::NoticeReceivers(const RunnerNotice& notice) {
+  std::map<InstanceId, std::string> gateways = KnownGateways();
+  Holdings& announced = announced_[notice.runner];
+  const std::set<ModelName> changed = ChangedModels(announced, notice.report.holdings);
+  announced = notice.report.holdings;
+  const RunnerState* runner = context_->view.Find(notice.runner);
+  if (gateways.size() <= kBroadcastGateways || runner == nullptr) return gateways;
+  std::set<InstanceId> concerned;
+  for (const ModelName& model : changed) {
+    concerned.merge(demand_aggregator_.GatewaysUsing(runner->entry.backend, model, kRecentCalls,
+                                                     context_->loop.Now()));
+  }
+  std::erase_if(gateways, [&](const auto& gateway) { return !concerned.contains(gateway.first); });
+  return gateways;
+}
+
+void PlacementDriver::AnswerWaitingCalls(const DemandReport& report) {
+  if (report.gateway == context_->settings.instance) return;
+  if (KnownGateways().size() <= kBroadcastGateways) return;
+  for (const EntryDemand& demand : report.entries) {
+    if (demand.waiting == 0) continue;
+    for (const RunnerId& id : context_->view.UsableRunners(demand.backend)) {
+      const RunnerState* runner = context_->view.Find(id);
+      if (!runner->entry.holdings.Holds(demand.model, demand.adapter)) continue;
+      const auto known = context_->view.CurrentReport(id);
+      if (!context_->peers.Send(report.address, RunnerNotice{id, *known, election_.fence()})) {
+        LogInfo("peer", "event=notice-not-sent gateway=" + report.gateway.value());
+      }
+    }
+  }
+}
+
 void PlacementDriver::OnLeaderRecord(const std::optional<LeaderRecord>& record,
                                      StoreRevision revision) {
   election_.OnRecord(record, revision, context_->clock->BootNow());
@@ -96,6 +157,7 @@
     tracker_.Clear();
     planner_.Clear();
     demand_aggregator_.Clear();
+    announced_.clear();
   }
   context_->loop.After(kTickInterval, [this] { Tick(); });
 }
@@ -269,13 +331,15 @@
 void PlacementDriver::RunPlanner() {
   if (context_->routes == nullptr || context_->clock->BootNow() < orders_allowed_from_) return;
   const SteadyTime now = context_->loop.Now();
-  const auto demand = demand_aggregator_.Totals(now);
+  if (now < next_plan_) return;
+  const auto& demand = demand_aggregator_.Totals(now);
   const std::set<RunnerId> unreachable = demand_aggregator_.Unreachable(now);
   for (const auto& [name, backend] : context_->routes->backends) {
     if (!backend.engine) continue;
     const LoadPlanner::Input input{name, &*backend.engine, &demand, &unreachable};
     for (const PlannedOrder& planned : planner_.Plan(input, now)) SendOrder(planned);
   }
+  next_plan_ = now + (context_->loop.Now() - now) * kPlanPauseFactor;
 }
 
 void PlacementDriver::SendOrder(const PlannedOrder& planned) {
--- a/drivers/gateway/placement_driver.h
+++ b/drivers/gateway/placement_driver.h
@@ -39,6 +39,9 @@
   std::map<InstanceId, std::string> Reporters() const {
     return demand_aggregator_.Reporters(context_->loop.Now());
   }
+  /// Gateways to which the notice is sent. In a large fleet, these are the ones with calls for the
+  /// models that it changes; the others learn of the change from the runner's heartbeat.
+  std::map<InstanceId, std::string> NoticeReceivers(const RunnerNotice& notice);
   /// A notice was received from a leader with this fencing number.
   void OnNoticeFence(FencingNumber fence);
 
@@ -51,6 +54,9 @@
   void Release();
   void OnReleased(const Result<HttpMessage>& answer);
   void RunPlanner();
+  /// Tells the gateway which runners hold the entries that its calls wait for.
+  void AnswerWaitingCalls(const DemandReport& report);
+  std::map<InstanceId, std::string> KnownGateways() const;
   void SendOrder(const PlannedOrder& planned);
   void Transmit(const Order& order);
   void OnOrderAnswer(const Order& order, const Result<HttpMessage>& answer);
@@ -66,6 +72,9 @@
   OrderTracker tracker_;
   LoadPlanner planner_;
   std::set<RunnerId> polled_runners_;
+  /// Holdings of the last notice about each runner.
+  std::map<RunnerId, Holdings> announced_;
+  SteadyTime next_plan_{};
   /// Earliest time for orders. Where runners do not check fencing numbers, it is `order_lease`
   /// after the leadership was gained.
   BootTime orders_allowed_from_{};
--- a/drivers/gateway/prefix_follower.cc
+++ b/drivers/gateway/prefix_follower.cc
@@ -1,5 +1,7 @@
 #include "drivers/gateway/prefix_follower.h"
 
+#include <algorithm>
+
 #include "core/log.h"
 
 namespace shallot::gateway {
@@ -72,7 +74,9 @@
   const StoreBatch& batch = ValueOf(changes);
   for (const StoreItem& item : batch.items) listener_->OnChange(item);
   if (batch.revision > revision_) revision_ = batch.revision;
-  loop_->After(kWatchPause, [this] { Watch(); });
+  const Millis pause =
+      std::clamp(kWatchPause * followers_ / kFollowersAtFullRate, kWatchPause, kMaxWatchPause);
+  loop_->After(pause, [this] { Watch(); });
 }
 
 void PrefixFollower::Retry(const Error& error, bool read_again) {
--- a/drivers/gateway/prefix_follower.h
+++ b/drivers/gateway/prefix_follower.h
@@ -37,8 +37,12 @@
   static constexpr Millis kWaitAfterFailure{200};
   static constexpr Millis kReadTimeout{1'500};
   /// Pause between two watch calls. The platform charges for each call, and with a pause the
-  /// changes of a burst arrive in one answer.
+  /// changes of a burst arrive in one answer. It grows with the number of followers, because the
+  /// store's rates grow more slowly than the fleet.
   static constexpr Millis kWatchPause{350};
+  static constexpr Millis kMaxWatchPause{900};
+  /// Number of followers up to which the pause is kWatchPause.
+  static constexpr int64_t kFollowersAtFullRate = 32;
   /// Pause after a failed call.
   static constexpr Millis kRetryPause{250};
 
@@ -46,6 +50,8 @@
                  std::string store_address, std::string prefix, PrefixListener* listener);
 
   void Start() { Read(""); }
+  /// Number of processes that follow the store.
+  void SetFollowers(size_t followers) { followers_ = static_cast<int64_t>(followers); }
 
  private:
   void Read(const std::string& after);
@@ -66,6 +72,7 @@
   StoreRevision revision_;
   bool first_page_ = true;
   bool failing_ = false;
+  int64_t followers_ = 1;
 };
 
 }  // namespace shallot::gateway
--- a/servers/gateway/demand_aggregator.h
+++ b/servers/gateway/demand_aggregator.h
@@ -32,12 +32,14 @@
   std::map<RunnerId, uint64_t> in_flight_at;
 };
 
-/// One gateway's complete report to the placement leader; replaces its previous report.
+/// One gateway's report to the placement leader.
 struct DemandReport {
   InstanceId gateway;
   /// "IP:port" where the gateway accepts notices from the leader.
   std::string address;
   std::vector<EntryDemand> entries;
+  /// The report replaces the listed entries of the previous reports; otherwise it replaces all.
+  bool changes_only = false;
   /// Runners that the gateway cannot reach.
   std::set<RunnerId> unreachable;
 };
@@ -59,6 +61,8 @@
     double tokens_per_s = 0;
     SteadyTime updated{};
     SteadyTime last_call{};
+    /// A call began or ended since the last report.
+    bool changed = false;
   };
   struct Key {
     BackendName backend;
@@ -71,9 +75,15 @@
   void OnCall(const Key& key, double tokens, SteadyTime now);
   void OnSent(const Key& key, const RunnerId& runner);
   void OnEnded(const Key& key, const RunnerId& runner);
+  /// All entries.
   std::vector<EntryDemand> Snapshot(SteadyTime now);
+  /// Entries that changed since the last Snapshot() or Changes(), and those of `also`. The receiver
+  /// lets the rates of the other entries decay by itself.
+  std::vector<EntryDemand> Changes(const std::set<Key>& also, SteadyTime now);
 
  private:
+  static EntryDemand Describe(const Key& key, const Entry& entry, SteadyTime now);
+
   std::map<Key, Entry> entries_;
 };
 
@@ -90,23 +100,51 @@
   uint64_t InFlightAt(const RunnerId& runner) const;
 };
 
-/// Aggregates the gateways' demand reports at the placement leader.
+/// Aggregates the gateways' demand reports at the placement leader. The work for a report depends
+/// on its entries, not on the number of gateways and models.
 class DemandAggregator {
  public:
+  using Key = DemandMeter::Key;
   /// Reports older than this are ignored; gateways report every 250 ms.
   static constexpr Millis kMaxReportAge{2'000};
 
   void Apply(const DemandReport& report, SteadyTime now);
-  std::map<DemandMeter::Key, TotalDemand> Totals(SteadyTime now) const;
+  /// The demand for each entry. The reference is valid until the next call.
+  const std::map<Key, TotalDemand>& Totals(SteadyTime now);
   /// Runners that at least a third of the reporting gateways cannot reach.
   std::set<RunnerId> Unreachable(SteadyTime now) const;
   /// Addresses of the gateways with a current report, including those whose key in the store is
   /// missing.
   std::map<InstanceId, std::string> Reporters(SteadyTime now) const;
-  void Clear() { reports_.clear(); }
+  /// Gateways that have calls in flight or waiting for the model or one of its adapters, or had
+  /// calls within `recent`.
+  std::set<InstanceId> GatewaysUsing(const BackendName& backend, const ModelName& model,
+                                     Millis recent, SteadyTime now) const;
+  void Clear();
 
  private:
-  std::map<InstanceId, std::pair<SteadyTime, DemandReport>> reports_;
+  struct Part {
+    EntryDemand demand;
+    SteadyTime at{};
+  };
+  struct Reporter {
+    SteadyTime at{};
+    std::string address;
+    std::set<RunnerId> unreachable;
+    std::set<Key> keys;
+  };
+
+  void RemoveParts(const InstanceId& gateway, Reporter* reporter);
+  void DropSilentReporters(SteadyTime now);
+  static TotalDemand Sum(const std::map<InstanceId, Part>& parts, SteadyTime now);
+
+  std::map<InstanceId, Reporter> reporters_;
+  std::map<Key, std::map<InstanceId, Part>> parts_;
+  std::map<Key, TotalDemand> totals_;
+  /// When the rates and ages of `totals_` were computed.
+  SteadyTime totals_at_{};
+  /// Entries whose sum has to be computed again.
+  std::set<Key> changed_;
 };
 
 }  // namespace shallot::gateway
--- a/servers/gateway/fleet_view.cc
+++ b/servers/gateway/fleet_view.cc
@@ -72,17 +72,26 @@
   known.holdings_confirmed = !report.order_under_way;
 }
 
-std::optional<RunnerReport> FleetView::ReportAfterOrder(const RunnerId& id, bool load,
-                                                        const ModelName& model,
-                                                        const AdapterName& adapter,
-                                                        bool under_way) const {
+std::optional<RunnerReport> FleetView::CurrentReport(const RunnerId& id) const {
   const RunnerState* runner = Find(id);
   if (runner == nullptr) return std::nullopt;
   RunnerReport report;
   report.born = runner->entry.born;
-  report.sequence = runner->sequence.Next();
-  report.order_under_way = under_way;
+  report.sequence = runner->sequence;
+  report.order_under_way = !runner->holdings_confirmed;
   report.holdings = runner->entry.holdings;
+  return report;
+}
+
+std::optional<RunnerReport> FleetView::ReportAfterOrder(const RunnerId& id, bool load,
+                                                        const ModelName& model,
+                                                        const AdapterName& adapter,
+                                                        bool under_way) const {
+  std::optional<RunnerReport> current = CurrentReport(id);
+  if (!current) return std::nullopt;
+  RunnerReport& report = *current;
+  report.sequence = report.sequence.Next();
+  report.order_under_way = under_way;
   auto& models = report.holdings.models;
   if (adapter.empty()) {
     if (load) {
--- a/servers/gateway/fleet_view.h
+++ b/servers/gateway/fleet_view.h
@@ -106,6 +106,8 @@
   bool Apply(const RunnerEntry& entry, SteadyTime now);
   /// Applies a report about orders from the runner itself or from the placement leader.
   void ApplyReport(const RunnerId& id, const RunnerReport& report, SteadyTime now);
+  /// What is known about the runner, as a report; absent if the runner is unknown.
+  std::optional<RunnerReport> CurrentReport(const RunnerId& id) const;
   /// The report to expect from the runner after it has accepted a load or unload of one entry;
   /// absent if the runner is unknown.
   std::optional<RunnerReport> ReportAfterOrder(const RunnerId& id, bool load,
--- a/servers/gateway/leader_election.cc
+++ b/servers/gateway/leader_election.cc
@@ -5,10 +5,11 @@
 namespace shallot::gateway {
 
 LeaderElection::LeaderElection(InstanceId self, Millis term, bool orders_fenced,
-                               uint64_t jitter_seed)
+                               uint64_t jitter_seed, Millis claim_delay)
     : self_(std::move(self)),
       term_(term),
       jitter_(StableHash(self_.value(), jitter_seed) % static_cast<uint64_t>(kRetryPause.count())),
+      claim_delay_(claim_delay),
       orders_fenced_(orders_fenced) {}
 
 bool LeaderElection::Leads(BootTime now) const {
@@ -47,6 +48,7 @@
                               BootTime now) {
   // A record that predates this gateway's claim says nothing about that claim.
   if (leading_ && revision < fence_) return;
+  if (!record && (record_ || !record_known_)) next_try_ = std::max(next_try_, now + claim_delay_);
   record_ = record;
   record_known_ = true;
   const bool own = record && record->holder == self_ && record->revision == fence_;
--- a/servers/gateway/leader_election.h
+++ b/servers/gateway/leader_election.h
@@ -71,9 +71,17 @@
     kRenew,        ///< Then OnRenewed.
   };
 
+  /// An instance with a smaller share of a core lets others claim first.
+  static constexpr double kWeakCpuShare = 0.15;
+  static constexpr Millis kWeakClaimDelay{400};
+  static Millis ClaimDelay(double cpu_share) {
+    return cpu_share < kWeakCpuShare ? kWeakClaimDelay : Millis(0);
+  }
+
   /// `term`: lease duration, see Term(). `orders_fenced`: runners reject orders with an outdated
-  /// fencing number.
-  LeaderElection(InstanceId self, Millis term, bool orders_fenced, uint64_t jitter_seed);
+  /// fencing number. `claim_delay`: time from the end of another leader to this gateway's claim.
+  LeaderElection(InstanceId self, Millis term, bool orders_fenced, uint64_t jitter_seed,
+                 Millis claim_delay = Millis(0));
 
   /// Returns the next action; at most one is in progress at a time.
   Action Next(BootTime now);
@@ -110,6 +118,7 @@
   InstanceId self_;
   Millis term_;
   uint64_t jitter_;
+  Millis claim_delay_;
   std::optional<LeaderRecord> record_;
   bool record_known_ = false;
   LeaseId lease_;
--- a/servers/gateway/load_planner.cc
+++ b/servers/gateway/load_planner.cc
@@ -67,8 +67,8 @@
 }
 
 uint64_t LoadPlanner::Replicas(const ModelName& model) const {
-  const auto found = replica_counts_.find(model);
-  return found == replica_counts_.end() ? 0 : found->second;
+  const auto found = fleet_.replicas.find(model);
+  return found == fleet_.replicas.end() ? 0 : found->second;
 }
 
 bool LoadPlanner::Overloaded(const ModelName& model) const {
@@ -76,14 +76,33 @@
   return replicas > 0 && ReplicasForLoad(model) >= kOverloadFactor * static_cast<double>(replicas);
 }
 
-void LoadPlanner::UpdateReplicaCounts() {
-  replica_counts_.clear();
+void LoadPlanner::UpdateFleetSummary() {
+  fleet_ = FleetSummary();
+  for (const auto& [name, spec] : input_.engine->models) {
+    if (spec.adapters > 0) {
+      fleet_.largest_adapter_mb = std::max(fleet_.largest_adapter_mb, spec.adapter_mb);
+    }
+  }
   for (const auto& [id, runner] : view_->runners()) {
     if (!Eligible(runner)) continue;
-    for (const auto& [model, adapters] : runner.entry.holdings.models) ++replica_counts_[model];
+    const Holdings& holdings = runner.entry.holdings;
+    fleet_.eligible.push_back(&runner);
+    for (const auto& [model, adapters] : holdings.models) ++fleet_.replicas[model];
+    fleet_.local_copies.insert(holdings.in_memory.begin(), holdings.in_memory.end());
+    fleet_.local_copies.insert(holdings.on_disk.begin(), holdings.on_disk.end());
+    fleet_.most_free_mb = std::max(fleet_.most_free_mb, FreeMb(runner) - AdapterReserveMb(runner));
+  }
+  for (const Order& order : tracker_->PendingLoads()) {
+    const RunnerState* runner = view_->Find(order.runner);
+    if (runner == nullptr || !runner->Usable() || runner->entry.backend != input_.backend) continue;
+    fleet_.loading.emplace(order.model, order.adapter);
   }
 }
 
+bool LoadPlanner::Loading(const ModelName& model, const AdapterName& adapter) const {
+  return fleet_.loading.contains({model, adapter});
+}
+
 bool LoadPlanner::Reserved(const ModelName& model) const {
   return std::any_of(reservations_.begin(), reservations_.end(), [&](const auto& entry) {
     return entry.second.model == model && entry.second.backend == input_.backend;
@@ -91,11 +110,7 @@
 }
 
 bool LoadPlanner::HasLocalCopy(const ModelName& model) const {
-  return std::any_of(view_->runners().begin(), view_->runners().end(), [&](const auto& entry) {
-    const Holdings& holdings = entry.second.entry.holdings;
-    return Eligible(entry.second) &&
-           (holdings.on_disk.contains(model) || holdings.in_memory.contains(model));
-  });
+  return fleet_.local_copies.contains(model);
 }
 
 double LoadPlanner::FreeMb(const RunnerState& runner) const {
@@ -120,13 +135,9 @@
 }
 
 double LoadPlanner::AdapterReserveMb(const RunnerState& runner) const {
-  double largest = 0;
-  for (const auto& [name, spec] : input_.engine->models) {
-    if (spec.adapters > 0) largest = std::max(largest, spec.adapter_mb);
-  }
   const uint64_t held = runner.entry.holdings.AdapterCount();
   const uint64_t open = input_.engine->adapter_slots - std::min(held, input_.engine->adapter_slots);
-  return largest * static_cast<double>(open);
+  return fleet_.largest_adapter_mb * static_cast<double>(open);
 }
 
 LoadTier LoadPlanner::TierOn(const RunnerState& runner, const ModelName& model) const {
@@ -193,8 +204,7 @@
   std::vector<std::pair<double, ModelName>> candidates;
   for (const auto& [name, adapters] : runner.entry.holdings.models) {
     if (!input_.engine->models.contains(name)) continue;
-    const std::optional<double> cost = 
-        VictimCost(runner.entry.id, name, wanted.name, urgency, now);
+    const std::optional<double> cost = VictimCost(runner.entry.id, name, wanted.name, urgency, now);
     if (cost) candidates.emplace_back(*cost, name);
   }
   std::sort(candidates.begin(), candidates.end());
@@ -209,12 +219,9 @@
 }
 
 bool LoadPlanner::CanSpareRunnerForStoreLoad() const {
-  uint64_t eligible = 0;
-  for (const auto& [id, runner] : view_->runners()) {
-    if (Eligible(runner)) ++eligible;
-  }
   const uint64_t loading = tracker_->StoreLoadsUnderWay() + 1;
-  return static_cast<double>(loading) <= kStoreLoadShare * static_cast<double>(eligible);
+  return static_cast<double>(loading) <=
+         kStoreLoadShare * static_cast<double>(fleet_.eligible.size());
 }
 
 bool LoadPlanner::HasUnloadedCopy(const RunnerState& runner) {
@@ -225,10 +232,11 @@
 }
 
 bool LoadPlanner::AnyModelOrderPending() const {
-  return std::any_of(view_->runners().begin(), view_->runners().end(), [&](const auto& entry) {
-    return Eligible(entry.second) &&
-           (tracker_->ModelOrderPending(entry.first) || reservations_.contains(entry.first));
-  });
+  return std::any_of(fleet_.eligible.begin(), fleet_.eligible.end(),
+                     [&](const RunnerState* runner) {
+                       const RunnerId& id = runner->entry.id;
+                       return tracker_->ModelOrderPending(id) || reservations_.contains(id);
+                     });
 }
 
 std::optional<LoadPlanner::Placement> LoadPlanner::BestRunner(const ModelSpec& model,
@@ -237,8 +245,10 @@
   std::optional<Placement> best;
   const bool store_allows = StoreAllows(now);
   const bool spare_runners = CanSpareRunnerForStoreLoad();
-  for (const auto& [id, runner] : view_->runners()) {
-    if (!Eligible(runner) || !CanTakeOrder(runner, now) || reservations_.contains(id)) continue;
+  for (const RunnerState* candidate : fleet_.eligible) {
+    const RunnerState& runner = *candidate;
+    const RunnerId& id = runner.entry.id;
+    if (!CanTakeOrder(runner, now) || reservations_.contains(id)) continue;
     if (runner.entry.holdings.models.contains(model.name)) continue;
     const LoadTier tier = TierOn(runner, model.name);
     if (tier == LoadTier::kStore && !store_allows) continue;
@@ -289,7 +299,7 @@
   std::vector<std::pair<Millis, ModelName>> order;
   for (const auto& [model, left] : waiting) {
     if (Replicas(model) > 0 || Reserved(model)) continue;
-    if (tracker_->Loading(input_.backend, *view_, model, AdapterName())) continue;
+    if (Loading(model, AdapterName())) continue;
     order.emplace_back(left, model);
   }
   std::sort(order.begin(), order.end());
@@ -304,7 +314,7 @@
 void LoadPlanner::ReserveReplica(const ModelSpec& model, Urgency urgency, SteadyTime now) {
   if (Replicas(model.name) == 0 || Replicas(model.name) >= TargetReplicas(model.name)) return;
   if (Reserved(model.name)) return;
-  if (tracker_->Loading(input_.backend, *view_, model.name, AdapterName())) return;
+  if (Loading(model.name, AdapterName())) return;
   Reserve(model, urgency, urgency == Urgency::kOverload ? "overload" : "replica", now);
 }
 
@@ -323,7 +333,7 @@
   if (tracker_->StoreLoadsUnderWay() + 1 >= policy_->store_loads_at_once) return;
   for (const auto& [name, spec] : input_.engine->models) {
     if (Replicas(name) > 0 || HasLocalCopy(name) || Reserved(name)) continue;
-    if (tracker_->Loading(input_.backend, *view_, name, AdapterName())) continue;
+    if (Loading(name, AdapterName())) continue;
     Reserve(spec, Urgency::kPreload, "no-copy", now);
     return;
   }
@@ -332,8 +342,9 @@
 void LoadPlanner::ReserveFill(SteadyTime now) {
   std::vector<std::pair<double, ModelName>> absent;
   for (const auto& [name, spec] : input_.engine->models) {
+    if (spec.weights_mb > fleet_.most_free_mb) continue;
     if (Replicas(name) > 0 || Reserved(name)) continue;
-    if (tracker_->Loading(input_.backend, *view_, name, AdapterName())) continue;
+    if (Loading(name, AdapterName())) continue;
     absent.emplace_back(-DemandFor(name).calls_per_s, name);
   }
   std::sort(absent.begin(), absent.end());
@@ -405,8 +416,10 @@
                                                      SteadyTime now) const {
   const RunnerState* best = nullptr;
   std::pair<bool, uint64_t> best_rank;
-  for (const auto& [id, runner] : view_->runners()) {
-    if (!Eligible(runner) || !runner.entry.holdings.models.contains(model.name)) continue;
+  for (const RunnerState* candidate : fleet_.eligible) {
+    const RunnerState& runner = *candidate;
+    const RunnerId& id = runner.entry.id;
+    if (!runner.entry.holdings.models.contains(model.name)) continue;
     if (!CanTakeOrder(runner, now) || reservations_.contains(id)) continue;
     const std::pair<bool, uint64_t> rank{
         HasRoomForAdapter(runner, model),
@@ -445,11 +458,10 @@
     if (demanded.second.waiting == 0) continue;
     const auto spec = input_.engine->models.find(key.model);
     if (spec == input_.engine->models.end()) continue;
-    if (tracker_->Loading(input_.backend, *view_, key.model, key.adapter)) continue;
+    if (Loading(key.model, key.adapter)) continue;
     const bool held =
-        std::any_of(view_->runners().begin(), view_->runners().end(), [&](const auto& entry) {
-          return Eligible(entry.second) &&
-                 entry.second.entry.holdings.HoldsOrIsLoading(key.model, key.adapter);
+        std::any_of(fleet_.eligible.begin(), fleet_.eligible.end(), [&](const RunnerState* runner) {
+          return runner->entry.holdings.HoldsOrIsLoading(key.model, key.adapter);
         });
     if (held) continue;
     const auto planned = PlanAdapter(spec->second, key.adapter, now);
@@ -459,7 +471,7 @@
 
 std::vector<PlannedOrder> LoadPlanner::Plan(const Input& input, SteadyTime now) {
   input_ = input;
-  UpdateReplicaCounts();
+  UpdateFleetSummary();
   std::vector<PlannedOrder> plan;
   DropStaleReservations(now);
   ReserveForWaiting(now);
--- a/servers/gateway/load_planner.h
+++ b/servers/gateway/load_planner.h
@@ -88,9 +88,12 @@
   /// Whether the replicas of a model carry so much more than they should that other models' calls
   /// have to yield.
   bool Overloaded(const ModelName& model) const;
-  void UpdateReplicaCounts();
+  /// Computes what all decisions of one plan share, so that they do not go over all runners and
+  /// models again.
+  void UpdateFleetSummary();
   bool Reserved(const ModelName& model) const;
   bool HasLocalCopy(const ModelName& model) const;
+  bool Loading(const ModelName& model, const AdapterName& adapter) const;
   double FreeMb(const RunnerState& runner) const;
   /// Memory kept free for the adapter slots that are still open.
   double AdapterReserveMb(const RunnerState& runner) const;
@@ -133,8 +136,20 @@
   const FleetView* view_;
   const OrderTracker* tracker_;
   Input input_;
-  /// Number of eligible runners that hold each model; recomputed by each Plan() call.
-  std::map<ModelName, uint64_t> replica_counts_;
+  /// Recomputed by each Plan() call.
+  struct FleetSummary {
+    std::vector<const RunnerState*> eligible;
+    /// Number of eligible runners that hold each model.
+    std::map<ModelName, uint64_t> replicas;
+    /// Models with a copy in the memory or on the disk of an eligible runner.
+    std::set<ModelName> local_copies;
+    /// Entries that a pending order loads.
+    std::set<std::pair<ModelName, AdapterName>> loading;
+    double largest_adapter_mb = 0;
+    /// Most memory that is free on one runner, without the reserve for adapters.
+    double most_free_mb = 0;
+  };
+  FleetSummary fleet_;
   std::map<RunnerId, Reservation> reservations_;
   std::map<std::pair<RunnerId, ModelName>, SteadyTime> loaded_at_;
   std::map<RunnerId, SteadyTime> avoid_until_;
--- a/servers/gateway/order_tracker.cc
+++ b/servers/gateway/order_tracker.cc
@@ -138,16 +138,12 @@
   return found != pending_.end() && found->second.order.adapter.empty();
 }
 
-bool OrderTracker::Loading(const BackendName& backend, const FleetView& view,
-                           const ModelName& model, const AdapterName& adapter) const {
-  return std::any_of(pending_.begin(), pending_.end(), [&](const auto& entry) {
-    const Order& order = entry.second.order;
-    if (order.kind != OrderKind::kLoad || order.model != model || order.adapter != adapter) {
-      return false;
-    }
-    const RunnerState* runner = view.Find(entry.first);
-    return runner != nullptr && runner->Usable() && runner->entry.backend == backend;
-  });
+std::vector<Order> OrderTracker::PendingLoads() const {
+  std::vector<Order> loads;
+  for (const auto& [runner, pending] : pending_) {
+    if (pending.order.kind == OrderKind::kLoad) loads.push_back(pending.order);
+  }
+  return loads;
 }
 
 uint64_t OrderTracker::StoreLoadsUnderWay() const {
--- a/servers/gateway/order_tracker.h
+++ b/servers/gateway/order_tracker.h
@@ -85,9 +85,8 @@
   bool Idle(const RunnerId& runner) const { return !pending_.contains(runner); }
   /// Whether a load or unload of a model, not of an adapter, is pending at the runner.
   bool ModelOrderPending(const RunnerId& runner) const;
-  /// Whether a load of the entry is or may be in progress on a usable runner of the backend.
-  bool Loading(const BackendName& backend, const FleetView& view, const ModelName& model,
-               const AdapterName& adapter) const;
+  /// Loads that are or may be in progress.
+  std::vector<Order> PendingLoads() const;
   uint64_t StoreLoadsUnderWay() const;
   /// Returns the runners to request a report from now, and schedules their next request.
   std::vector<RunnerId> TakeDuePolls(SteadyTime now);
--- a/servers/gateway/runner_picker.cc
+++ b/servers/gateway/runner_picker.cc
@@ -34,8 +34,9 @@
         prefixes_.KeptTokens(runner.entry.id, query.call->PrefixScope(), query.call->prompt);
     const double uncached = std::max(0.0, static_cast<double>(query.call->prompt_tokens) -
                                               static_cast<double>(picked->kept_tokens));
-    first_event_ms = (uncached + health.TokensAhead(query.urgency, now)) / policy_->prefill_tokens_per_ms +
-                     (busy + waiting) * static_cast<double>(policy_->in_flight_cost.count());
+    first_event_ms =
+        (uncached + health.TokensAhead(query.urgency, now)) / policy_->prefill_tokens_per_ms +
+        (busy + waiting) * static_cast<double>(policy_->in_flight_cost.count());
   } else {
     const double slots = std::max<double>(1.0, static_cast<double>(runner.entry.slots));
     const double service_ms =
--- a/tests/gateway_daemon_test.cc
+++ b/tests/gateway_daemon_test.cc
@@ -8,13 +8,18 @@
 #include <Poco/StreamCopier.h>
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include "platform/platform_codec.h"
 #include "tests/gateway_fake_platform.h"
+#include "tests/raw_server.h"
 
 namespace shallot::gateway {
 namespace {
@@ -42,7 +47,8 @@
 
 class GatewayFixture {
  public:
-  GatewayFixture() {
+  explicit GatewayFixture(const GatewayPolicy& policy = {}) {
+    settings_.policy = policy;
     settings_.instance = InstanceId("front-1");
     settings_.domain = FailureDomain("north");
     settings_.caller_address = FreeLoopbackAddress();
@@ -119,6 +125,31 @@
     platform_.PutRunner();
   }
 
+  /// Adds a second runner of backend "engine" that holds m1 and is preferred to the first one.
+  void AddRunner(const std::string& address) {
+    platform_.Put("servers/a-0",
+                  R"({"service":"engine","address":")" + address +
+                      R"(","zone":"north","version":"v1","slots":8,"state":"ready","seq":1,)"
+                      R"("born":1,"models":[{"name":"m1","version":1,"adapters":[]}]})");
+  }
+
+  /// Makes the streams of kConfig resumable, with a short gap target.
+  void ConfigureResumable() {
+    Configure("models");
+    std::string config = kConfig;
+    for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+             {"\"version\":1", "\"version\":2"},
+             {"\"service\":\"models\"", "\"service\":\"engine\""},
+             {"{\"name\":\"engine\",\"max-conns\":10},", ""},
+             {"{\"name\":\"models\"", "{\"name\":\"engine\""},
+             {"\"max-attempts\":1,\"gap-aim-ms\":400",
+              "\"max-attempts\":2,\"resumable\":true,\"gap-aim-ms\":50"}}) {
+      REQUIRE(config.find(from) != std::string::npos);
+      config.replace(config.find(from), from.size(), to);
+    }
+    platform_.Put("op/config", config);
+  }
+
   FakePlatform platform_;
   platform::PlatformCodec codec_;
   GatewaySettings settings_;
@@ -230,5 +261,108 @@
   }
 }
 
+/// The answer of a scripted runner up to the end of its head; the id is that of the request.
+std::string AnswerHead(const std::string& request, const std::string& fields) {
+  const std::string name = "Attempt-Id: ";
+  const size_t at = request.find(name) + name.size();
+  return "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.substr(at, request.find('\r', at) - at) +
+         "\r\n" + fields + "\r\n";
+}
+
+constexpr const char* kChunkedSealed = "Server-Seal: s\r\nTransfer-Encoding: chunked\r\n";
+/// One event in a chunk.
+constexpr const char* kFirstEvent = "f\r\nid: 1\ndata: a\n\n\r\n";
+constexpr const char* kSecondEvent = "f\r\nid: 2\ndata: b\n\n\r\n";
+constexpr const char* kBothEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+// Guards against a stalled stream that never ends because its runner sends a byte now and then.
+TEST_CASE("gateway daemon: a stalled stream that sends single bytes continues elsewhere") {
+  GatewayFixture fixture;
+  std::atomic<bool> closed = false;
+  RawServer runner([&](RawConnection* connection, int /*number*/) {
+    const std::string request = connection->ReadHead();
+    if (request.find("POST /s/") == std::string::npos) return;
+    connection->Send(AnswerHead(request, kChunkedSealed) + kFirstEvent);
+    while (connection->Pause(Millis(20)) && connection->Send("1\r\nx\r\n")) {
+    }
+    closed = true;
+  });
+  fixture.ConfigureResumable();
+  REQUIRE(fixture.AwaitReady());
+  // Loads the model at the first runner, where the stream can continue.
+  REQUIRE(fixture.Call("/s/1", "m1").status == 200);
+  fixture.AddRunner(runner.address());
+  REQUIRE(fixture.Await([&] {
+    CHECK(fixture.Call("/s/1", "m1").body == kBothEvents);
+    return closed.load();
+  }));
+}
+
+// Guards against a slow but sound stream that is cancelled although no retry is left with which it
+// could continue elsewhere.
+TEST_CASE("gateway daemon: a slow stream is not cut when it cannot continue elsewhere") {
+  GatewayPolicy policy;
+  policy.retry_ratio = 0;
+  policy.retry_slack = 0;
+  GatewayFixture fixture(policy);
+  std::atomic<int> streams = 0;
+  RawServer runner([&](RawConnection* connection, int /*number*/) {
+    const std::string request = connection->ReadHead();
+    if (request.find("POST /s/") == std::string::npos) return;
+    ++streams;
+    connection->Send(AnswerHead(request, kChunkedSealed) + kFirstEvent);
+    // Longer than three gap targets, after which a resumable stream may continue elsewhere.
+    if (!connection->Pause(Millis(600))) return;
+    connection->Send(std::string(kSecondEvent) + "0\r\n\r\n");
+    connection->AwaitClose();
+  });
+  fixture.ConfigureResumable();
+  fixture.AddRunner(runner.address());
+  REQUIRE(fixture.AwaitReady());
+  Reply reply;
+  REQUIRE(fixture.Await([&] {
+    reply = fixture.Call("/s/1", "m1");
+    return streams > 0;
+  }));
+  CHECK(reply.status == 200);
+  CHECK(reply.body == kBothEvents);
+}
+
+// Guards against memory that grows while a runner sends bytes without end that are no answer, and
+// against a call that is not repeated although it may be.
+TEST_CASE("gateway daemon: bytes without end are closed and the call goes elsewhere") {
+  GatewayFixture fixture;
+  constexpr uint64_t kEndless = 268'435'456;
+  std::atomic<uint64_t> sent = 0;
+  std::atomic<int> answers = 0;
+  RawServer runner([&](RawConnection* connection, int number) {
+    const std::string request = connection->ReadHead();
+    if (request.empty()) return;
+    // A body without the runner's seal, a sealed body, and a head.
+    const std::string begin = number % 3 == 0   ? AnswerHead(request, "")
+                              : number % 3 == 1 ? AnswerHead(request, "Server-Seal: s\r\n")
+                                                : "HTTP/1.1 200 OK\r\nX: ";
+    connection->Send(begin);
+    sent = std::max(sent.load(), connection->SendWithoutEnd(std::string(65'536, 'x'), kEndless));
+    ++answers;
+  });
+  std::string config = kConfig;
+  const std::string once = "\"target-latency-ms\":100,\"service\":\"engine\",\"max-attempts\":1";
+  REQUIRE(config.find(once) != std::string::npos);
+  config.replace(config.find(once), once.size(),
+                 "\"target-latency-ms\":100,\"service\":\"engine\",\"max-attempts\":2");
+  fixture.platform_.Put("op/config", config);
+  fixture.platform_.PutRunner();
+  fixture.AddRunner(runner.address());
+  REQUIRE(fixture.AwaitReady());
+  for (int call = 0; call < 4; ++call) {
+    const Reply reply = fixture.Call("/p/1");
+    CHECK(reply.status == 200);
+    CHECK(reply.body == "echo POST body");
+  }
+  CHECK(fixture.Await([&] { return answers > 0; }));
+  CHECK(sent < kEndless);
+}
+
 }  // namespace
 }  // namespace shallot::gateway
--- a/tests/gateway_http_client_test.cc
+++ b/tests/gateway_http_client_test.cc
@@ -90,15 +90,17 @@
     HeadVerdict verdict;
   };
   for (const Case& test : std::vector<Case>{
-           {"field of the head", "HTTP/1.1 200 OK\r\nX: ", "xxxxxxxxxxxxxxxx", HeadVerdict::kAccept},
-           {"fields of the head", "HTTP/1.1 200 OK\r\n", "X: yyyyyyyyyyyy\r\n", HeadVerdict::kAccept},
+           {"field of the head", "HTTP/1.1 200 OK\r\nX: ", "xxxxxxxxxxxxxxxx",
+            HeadVerdict::kAccept},
+           {"fields of the head", "HTTP/1.1 200 OK\r\n", "X: yyyyyyyyyyyy\r\n",
+            HeadVerdict::kAccept},
            {"status line", "", "HTTP/1.1", HeadVerdict::kAccept},
            {"body until the connection ends", "HTTP/1.1 200 OK\r\n\r\n", "zzzzzzzzzzzzzzzz",
             HeadVerdict::kAccept},
            {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\nzzzzzzzz\r\n",
             HeadVerdict::kAccept},
-           {"size of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0000000000",
-            HeadVerdict::kAccept},
+           {"size of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "0000000000", HeadVerdict::kAccept},
            {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n", HeadVerdict::kAccept},
            {"answers to other requests", "", kAnswer, HeadVerdict::kSkip},
            {"body of another answer", "HTTP/1.1 200 OK\r\n\r\n", "zzzzzzzzzzzzzzzz",
--- a/tests/gateway_peer_codec_test.cc
+++ b/tests/gateway_peer_codec_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include "core/random.h"
 #include "core/settings.h"
 #include "drivers/gateway/policy_settings.h"
 #include "servers/gateway/demand_aggregator.h"
@@ -84,11 +85,82 @@
     report.entries[0].waiting = 2;
     board.Apply(report, kStart);
   }
-  CHECK(board.Totals(kStart)[key].waiting == 4);
-  CHECK(board.Totals(kStart)[key].InFlightAt(RunnerId("i-1")) == 8);
+  CHECK(board.Totals(kStart).at(key).waiting == 4);
+  CHECK(board.Totals(kStart).at(key).InFlightAt(RunnerId("i-1")) == 8);
   CHECK(board.Totals(kStart + DemandAggregator::kMaxReportAge + Millis(1)).empty());
 }
 
+// Guards against demand that differs at the leader because reports list only what changed, when
+// calls for many models come, wait and end at several gateways and some reports are complete.
+TEST_CASE("gateway: reports of changes add up to the same demand as complete reports") {
+  for (const uint64_t seed : {1, 2, 3}) {
+    CAPTURE(seed);
+    Random random(seed);
+    constexpr int kGateways = 5;
+    constexpr int kModels = 8;
+    std::vector<DemandMeter> meters(kGateways);
+    std::vector<DemandMeter> full_meters(kGateways);
+    DemandAggregator changes;
+    DemandAggregator complete;
+    SteadyTime now = kStart;
+    for (int round = 0; round < 400; ++round) {
+      now += Millis(50);
+      const size_t gateway = random.Below(kGateways);
+      const DemandMeter::Key key{BackendName("engine"),
+                                 ModelName("m" + std::to_string(random.Below(kModels))),
+                                 AdapterName()};
+      const RunnerId runner("i-" + std::to_string(random.Below(3)));
+      for (DemandMeter* meter : {&meters[gateway], &full_meters[gateway]}) {
+        meter->OnCall(key, 100, now);
+        meter->OnSent(key, runner);
+        if (round % 3 == 0) meter->OnEnded(key, runner);
+      }
+      DemandReport report;
+      report.gateway = InstanceId("front-" + std::to_string(gateway));
+      report.changes_only = round % 40 >= kGateways;
+      report.entries =
+          report.changes_only ? meters[gateway].Changes({}, now) : meters[gateway].Snapshot(now);
+      changes.Apply(report, now);
+      report.changes_only = false;
+      report.entries = full_meters[gateway].Snapshot(now);
+      complete.Apply(report, now);
+      const auto& expected = complete.Totals(now);
+      const auto& totals = changes.Totals(now);
+      if (round < 60) continue;
+      REQUIRE(totals.size() == expected.size());
+      for (const auto& [entry, total] : expected) {
+        CHECK(totals.at(entry).in_flight == total.in_flight);
+        CHECK(totals.at(entry).in_flight_at == total.in_flight_at);
+        CHECK(totals.at(entry).calls_per_s == doctest::Approx(total.calls_per_s).epsilon(0.02));
+      }
+    }
+  }
+}
+
+// Guards against notices that do not reach a gateway whose calls need them.
+TEST_CASE("gateway: gateways with calls for a model are known") {
+  DemandAggregator board;
+  struct Case {
+    const char* gateway;
+    uint64_t waiting;
+    uint64_t in_flight;
+    int64_t since_ms;
+  };
+  for (const Case& test : {Case{"waits", 1, 0, 90'000}, Case{"runs", 0, 1, 90'000},
+                           Case{"called", 0, 0, 100}, Case{"idle", 0, 0, 90'000}}) {
+    DemandReport report;
+    report.gateway = InstanceId(test.gateway);
+    EntryDemand demand = Demand(test.waiting);
+    demand.in_flight = test.in_flight;
+    demand.since_last_call = Millis(test.since_ms);
+    report.entries.push_back(demand);
+    board.Apply(report, kStart);
+  }
+  CHECK(board.GatewaysUsing(BackendName("engine"), ModelName("m"), Millis(5'000), kStart) ==
+        std::set<InstanceId>{InstanceId("waits"), InstanceId("runs"), InstanceId("called")});
+  CHECK(board.GatewaysUsing(BackendName("engine"), ModelName("n"), Millis(5'000), kStart).empty());
+}
+
 // Guards against treating runners as lost because one gateway is cut off from all of them.
 TEST_CASE("gateway: a runner is unreachable only if several gateways report it") {
   DemandAggregator board;
--- a/tests/raw_server.cc
+++ b/tests/raw_server.cc
@@ -48,6 +48,17 @@
   return sent;
 }
 
+bool RawConnection::Pause(std::chrono::milliseconds pause) {
+  try {
+    const Poco::Timespan limit(std::chrono::microseconds(pause).count());
+    if (!socket_->poll(limit, Poco::Net::Socket::SELECT_READ)) return true;
+    char byte = 0;
+    return socket_->receiveBytes(&byte, 1) > 0;
+  } catch (const Poco::Exception&) {
+    return false;
+  }
+}
+
 void RawConnection::AwaitClose() {
   std::array<char, 4096> discarded{};
   try {
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -2,6 +2,7 @@
 #define TESTS_RAW_SERVER_H_
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -28,6 +29,8 @@
   /// Sends `bytes` again and again until the peer closes the connection or `limit` bytes are sent.
   /// Returns the number of bytes sent.
   uint64_t SendWithoutEnd(std::string_view bytes, uint64_t limit);
+  /// Waits for `pause`. Returns false if the peer closes the connection meanwhile.
+  bool Pause(std::chrono::milliseconds pause);
   /// Waits until the peer closes the connection, discarding what it sends.
   void AwaitClose();
 
