Return to service sooner after the store does, and tell refused callers when

Ruled out: the platform's limits (no call to the store was rejected), the election (calls need none).

Change: while calls to the store fail, their time-outs go round 0.4, 0.8 and 1.5 s. Retry-After of a gateway without configuration is as long as it has been without (1 to 3 s, spread).

--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -61,7 +61,9 @@
   call_ = ValueOf(decoded);
   routes_ = context_->routes;
   if (routes_ == nullptr || !context_->view.ready()) {
-    Refuse("the gateway has not read the configuration and the runners yet", kShortRetryAfter);
+    const Millis since_start = ToMillis(context_->loop.Now() - context_->started_at);
+    Refuse("the gateway has not read the configuration and the runners yet",
+           RetryAfterWhileStarting(since_start, call_.id));
     return;
   }
   route_ = routes_->Find(call_.host, call_.path);
--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -30,6 +30,7 @@
       : settings(process_settings),
         protocol(platform),
         clock(system_clock),
+        started_at(system_clock->SteadyNow()),
         metrics(registry),
         loop(system_clock),
         client(&loop),
@@ -42,6 +43,7 @@
   GatewaySettings settings;
   const PlatformProtocol* protocol;
   const Clock* clock;
+  SteadyTime started_at;
   MetricsRegistry* metrics;
   EventLoop loop;
   HttpClient client;
--- a/drivers/gateway/prefix_follower.cc
+++ b/drivers/gateway/prefix_follower.cc
@@ -21,7 +21,8 @@
     snapshot_items_.clear();
     first_page_ = true;
   }
-  calls_->Start(address_, protocol_->RangeRequest(prefix_, after), kReadTimeout,
+  const Millis limit = failing_ ? TimeoutAfterFailure() : kReadTimeout;
+  calls_->Start(address_, protocol_->RangeRequest(prefix_, after), limit,
                 [this](const Result<HttpMessage>& answer) { OnPage(answer); });
 }
 
@@ -45,6 +46,7 @@
   }
   if (failing_) LogInfo("store", "following " + prefix_ + " again");
   failing_ = false;
+  failures_ = 0;
   listener_->OnStoreSuccess();
   listener_->OnSnapshot(snapshot_items_, revision_);
   snapshot_items_.clear();
@@ -53,7 +55,7 @@
 
 void PrefixFollower::Watch() {
   const Millis wait = failing_ ? kWaitAfterFailure : kWait;
-  const Millis limit = failing_ ? kReadTimeout : kWait + kAnswerMargin;
+  const Millis limit = failing_ ? kWaitAfterFailure + TimeoutAfterFailure() : kWait + kAnswerMargin;
   calls_->Start(address_, protocol_->WatchRequest(prefix_, revision_, wait), limit,
                 [this](const Result<HttpMessage>& answer) { OnChanges(answer); });
 }
@@ -70,6 +72,7 @@
   }
   if (failing_) LogInfo("store", "following " + prefix_ + " again");
   failing_ = false;
+  failures_ = 0;
   listener_->OnStoreSuccess();
   const StoreBatch& batch = ValueOf(changes);
   for (const StoreItem& item : batch.items) listener_->OnChange(item);
@@ -82,6 +85,7 @@
 void PrefixFollower::Retry(const Error& error, bool read_again) {
   if (!failing_) LogWarning("store", "cannot follow " + prefix_ + ": " + FormatError(error));
   failing_ = true;
+  ++failures_;
   listener_->OnStoreFailure();
   loop_->After(kRetryPause, [this, read_again] {
     if (read_again) {
--- a/drivers/gateway/prefix_follower.h
+++ b/drivers/gateway/prefix_follower.h
@@ -1,6 +1,7 @@
 #ifndef DRIVERS_GATEWAY_PREFIX_FOLLOWER_H_
 #define DRIVERS_GATEWAY_PREFIX_FOLLOWER_H_
 
+#include <array>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,11 @@
   /// Replaces kWait while calls fail, so that the end of an outage is noticed early.
   static constexpr Millis kWaitAfterFailure{200};
   static constexpr Millis kReadTimeout{1'500};
+  /// Timeouts of successive calls while calls fail. A store that is back answers in milliseconds,
+  /// and a call that was lost at the end of an outage must not delay the next one; the longest one
+  /// suits a store that is slow.
+  static constexpr std::array<Millis, 3> kTimeoutsAfterFailure{Millis(400), Millis(800),
+                                                               kReadTimeout};
   /// Pause between two watch calls. The platform charges for each call, and with a pause the
   /// changes of a burst arrive in one answer. It grows with the number of followers, because the
   /// store's rates grow more slowly than the fleet.
@@ -59,6 +65,9 @@
   void Watch();
   void OnChanges(const Result<HttpMessage>& answer);
   void Retry(const Error& error, bool read_again);
+  Millis TimeoutAfterFailure() const {
+    return kTimeoutsAfterFailure[failures_ % kTimeoutsAfterFailure.size()];
+  }
 
   EventLoop* loop_;
   BufferedCalls* calls_;
@@ -72,6 +81,7 @@
   StoreRevision revision_;
   bool first_page_ = true;
   bool failing_ = false;
+  size_t failures_ = 0;
   int64_t followers_ = 1;
 };
 
--- a/servers/gateway/waiting_policy.cc
+++ b/servers/gateway/waiting_policy.cc
@@ -11,6 +11,17 @@
 /// Share by which Retry-After is spread over the callers that are refused at the same time.
 constexpr double kRetrySpread = 0.5;
 constexpr uint64_t kSpreadSteps = 1'000;
+/// Range of Retry-After while the gateway has no configuration.
+constexpr Millis kMinStartRetry{1'000};
+constexpr Millis kMaxStartRetry{3'000};
+
+/// Lengthens `delay` by up to kRetrySpread, depending on the call.
+Millis Spread(Millis delay, const RequestId& call) {
+  const double position = static_cast<double>(StableHash(call.value()) % kSpreadSteps) /
+                          static_cast<double>(kSpreadSteps);
+  return Millis(
+      static_cast<int64_t>(static_cast<double>(delay.count()) * (1.0 + kRetrySpread * position)));
+}
 
 }  // namespace
 
@@ -56,12 +67,12 @@
   RefusalDecision decision;
   decision.refuse = predicted > patience_left;
   if (!decision.refuse) return decision;
-  const double position = static_cast<double>(StableHash(call.value()) % kSpreadSteps) /
-                          static_cast<double>(kSpreadSteps);
-  const double excess_ms = static_cast<double>((predicted - patience_left / 2).count());
-  decision.retry_after = std::max(
-      kMinRetryAfter, Millis(static_cast<int64_t>(excess_ms * (1.0 + kRetrySpread * position))));
+  decision.retry_after = std::max(kMinRetryAfter, Spread(predicted - patience_left / 2, call));
   return decision;
 }
 
+Millis RetryAfterWhileStarting(Millis since_start, const RequestId& call) {
+  return Spread(std::clamp(since_start, kMinStartRetry, kMaxStartRetry), call);
+}
+
 }  // namespace shallot::gateway
--- a/servers/gateway/waiting_policy.h
+++ b/servers/gateway/waiting_policy.h
@@ -52,6 +52,11 @@
 /// spread by the call's id so that refused callers do not return at the same moment.
 RefusalDecision DecideRefusal(Millis predicted, Millis patience_left, const RequestId& call);
 
+/// Retry-After while the gateway has no configuration, because it has just started or because the
+/// platform's store is away, for example after the loss of all gateways during an outage. The store
+/// is expected to stay away as long as it has been. Spread like that of DecideRefusal().
+Millis RetryAfterWhileStarting(Millis since_start, const RequestId& call);
+
 }  // namespace shallot::gateway
 
 #endif  // SERVERS_GATEWAY_WAITING_POLICY_H_
--- a/tests/gateway_picker_test.cc
+++ b/tests/gateway_picker_test.cc
@@ -249,6 +249,29 @@
   }
 }
 
+// Replays the restart of all gateways while the store is away. Guards against callers that are told
+// to return so soon that their only retry is refused as well.
+TEST_CASE("gateway: callers of a gateway without configuration return after the expected outage") {
+  struct Case {
+    int64_t since_start_ms;
+    int64_t least_ms;
+    int64_t most_ms;
+  };
+  for (const Case& test :
+       {Case{0, 1'000, 1'500}, Case{2'000, 2'000, 3'000}, Case{60'000, 3'000, 4'500}}) {
+    CAPTURE(test.since_start_ms);
+    std::set<Millis> retries;
+    for (int caller = 0; caller < 20; ++caller) {
+      const Millis retry = RetryAfterWhileStarting(Millis(test.since_start_ms),
+                                                   RequestId("call-" + std::to_string(caller)));
+      CHECK(retry >= Millis(test.least_ms));
+      CHECK(retry <= Millis(test.most_ms));
+      retries.insert(retry);
+    }
+    CHECK(retries.size() > 10);
+  }
+}
+
 // Guards against a prediction that counts calls which the runner serves later, and against a runner
 // that is never tried again because it once was slow.
 TEST_CASE("gateway: the queue ahead depends on urgency, and slowness fades") {
