Load overloaded models before rare ones, on runners with free slots

Predictions for the calls that runners serve last were too short: the slowness seen with urgent calls kept them down.

Ruled out: the limits of the weight store (all loads came from disks and memory).

Change: overloaded models are planned first; a load on a busy runner costs more, in proportion to the slots in use; slowness is kept for each level of urgency.

--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -84,9 +84,9 @@
                         static_cast<double>(predicted.count());
   RunnerHealth& health = context_->picker.health(runner_.runner);
   if (arrived) {
-    health.OnFirstEvent(factor, now);
+    health.OnFirstEvent(Urgency(), factor, now);
   } else {
-    health.OnNoFirstEvent(factor, now);
+    health.OnNoFirstEvent(Urgency(), factor, now);
   }
 }
 
--- a/servers/gateway/load_planner.cc
+++ b/servers/gateway/load_planner.cc
@@ -14,6 +14,8 @@
 constexpr double kUnloadCostMs = 150;
 /// Extra cost of unloading a model with running calls, because the unload waits for them.
 constexpr double kRunningVictimCostMs = 3'000;
+/// Extra cost of loading on a runner whose slots are all in use, in proportion to their use.
+constexpr double kFullRunnerCostMs = 2'500;
 /// Extra cost of unloading a model that was called recently.
 constexpr double kRecentVictimCostMs = 400;
 /// Maximum share of the runners that may preload from the weight store at the same time. Such a
@@ -83,6 +85,10 @@
       fleet_.largest_adapter_mb = std::max(fleet_.largest_adapter_mb, spec.adapter_mb);
     }
   }
+  for (const auto& [key, total] : *input_.demand) {
+    if (key.backend != input_.backend || !key.adapter.empty()) continue;
+    for (const auto& [runner, count] : total.in_flight_at) fleet_.in_flight[runner] += count;
+  }
   for (const auto& [id, runner] : view_->runners()) {
     if (!Eligible(runner)) continue;
     const Holdings& holdings = runner.entry.holdings;
@@ -224,6 +230,14 @@
          kStoreLoadShare * static_cast<double>(fleet_.eligible.size());
 }
 
+double LoadPlanner::BusyCost(const RunnerId& runner) const {
+  const auto found = fleet_.in_flight.find(runner);
+  if (found == fleet_.in_flight.end()) return 0;
+  const double share =
+      static_cast<double>(found->second) / std::max(1.0, static_cast<double>(input_.engine->slots));
+  return kFullRunnerCostMs * std::min(1.0, share);
+}
+
 bool LoadPlanner::HasUnloadedCopy(const RunnerState& runner) {
   const Holdings& holdings = runner.entry.holdings;
   const auto unloaded = [&](const ModelName& model) { return !holdings.models.contains(model); };
@@ -261,7 +275,7 @@
     const Millis load = tier == LoadTier::kStore  ? model.store_load
                         : tier == LoadTier::kDisk ? model.disk_load
                                                   : model.memory_load;
-    cost += static_cast<double>(load.count());
+    cost += static_cast<double>(load.count()) + BusyCost(id);
     if (best && cost >= best->cost_ms) continue;
     best = Placement{id, tier, cost};
   }
@@ -318,14 +332,12 @@
   Reserve(model, urgency, urgency == Urgency::kOverload ? "overload" : "replica", now);
 }
 
-void LoadPlanner::ReserveReplicas(SteadyTime now) {
-  for (const bool overloaded : {true, false}) {
-    for (const auto& [key, total] : *input_.demand) {
-      if (key.backend != input_.backend || !key.adapter.empty()) continue;
-      const auto spec = input_.engine->models.find(key.model);
-      if (spec == input_.engine->models.end() || Overloaded(key.model) != overloaded) continue;
-      ReserveReplica(spec->second, overloaded ? Urgency::kOverload : Urgency::kReplica, now);
-    }
+void LoadPlanner::ReserveReplicas(bool overloaded, SteadyTime now) {
+  for (const auto& [key, total] : *input_.demand) {
+    if (key.backend != input_.backend || !key.adapter.empty()) continue;
+    const auto spec = input_.engine->models.find(key.model);
+    if (spec == input_.engine->models.end() || Overloaded(key.model) != overloaded) continue;
+    ReserveReplica(spec->second, overloaded ? Urgency::kOverload : Urgency::kReplica, now);
   }
 }
 
@@ -474,8 +486,11 @@
   UpdateFleetSummary();
   std::vector<PlannedOrder> plan;
   DropStaleReservations(now);
+  // An overloaded model loses more calls than a rare one that waits, and the rare ones would take
+  // each runner as soon as it is free.
+  ReserveReplicas(true, now);
   ReserveForWaiting(now);
-  ReserveReplicas(now);
+  ReserveReplicas(false, now);
   ReservePreloads(now);
   ReserveFill(now);
   ContinueReservations(now, &plan);
--- a/servers/gateway/load_planner.h
+++ b/servers/gateway/load_planner.h
@@ -109,6 +109,8 @@
                                                 double* cost_ms) const;
   std::optional<Placement> BestRunner(const ModelSpec& model, Urgency urgency,
                                       SteadyTime now) const;
+  /// Cost in ms of loading on a runner that is busy with calls.
+  double BusyCost(const RunnerId& runner) const;
   /// Whether another load from the weight store leaves enough runners available for waiting calls.
   bool CanSpareRunnerForStoreLoad() const;
   /// Whether the runner has a local copy of a model that is not loaded, so that it could load it
@@ -118,7 +120,7 @@
   void Reserve(const ModelSpec& model, Urgency urgency, const char* reason, SteadyTime now);
   void DropStaleReservations(SteadyTime now);
   void ReserveForWaiting(SteadyTime now);
-  void ReserveReplicas(SteadyTime now);
+  void ReserveReplicas(bool overloaded, SteadyTime now);
   void ReserveReplica(const ModelSpec& model, Urgency urgency, SteadyTime now);
   void ReservePreloads(SteadyTime now);
   /// Reserves free memory, for example on new runners, for models that no runner holds.
@@ -139,6 +141,8 @@
   /// Recomputed by each Plan() call.
   struct FleetSummary {
     std::vector<const RunnerState*> eligible;
+    /// Calls in flight at each runner, for all its models.
+    std::map<RunnerId, uint64_t> in_flight;
     /// Number of eligible runners that hold each model.
     std::map<ModelName, uint64_t> replicas;
     /// Models with a copy in the memory or on the disk of an eligible runner.
--- a/servers/gateway/runner_health.cc
+++ b/servers/gateway/runner_health.cc
@@ -10,6 +10,10 @@
 /// Reported load older than this is ignored; a report comes with each response.
 constexpr Millis kMaxReportedLoadAge{500};
 
+size_t Level(uint64_t urgency) {
+  return std::min<size_t>(urgency, RunnerHealth::kUrgencyLevels - 1);
+}
+
 /// Weight that an observation still has after `age`.
 double WeightAfter(Duration age, Millis half_life) {
   const std::chrono::duration<double> passed = age;
@@ -23,8 +27,9 @@
   return failure_rate_ * WeightAfter(now - failure_rate_at_, kFailureHalfLife);
 }
 
-double RunnerHealth::Slowness(SteadyTime now) const {
-  return 1.0 + (slowness_ - 1.0) * WeightAfter(now - slowness_at_, kSlownessHalfLife);
+double RunnerHealth::Slowness(uint64_t urgency, SteadyTime now) const {
+  const SmoothedFactor& slowness = slowness_[Level(urgency)];
+  return 1.0 + (slowness.value - 1.0) * WeightAfter(now - slowness.at, kSlownessHalfLife);
 }
 
 bool RunnerHealth::ReportFresh(SteadyTime now) const {
@@ -32,18 +37,17 @@
 }
 
 void RunnerHealth::AddPending(uint64_t urgency, double tokens) {
-  pending_tokens_[std::min<size_t>(urgency, kUrgencyLevels - 1)] += tokens;
+  pending_tokens_[Level(urgency)] += tokens;
   mean_tokens_ += kOutcomeWeight * (tokens - mean_tokens_);
 }
 
 void RunnerHealth::RemovePending(uint64_t urgency, double tokens) {
-  double& pending = pending_tokens_[std::min<size_t>(urgency, kUrgencyLevels - 1)];
+  double& pending = pending_tokens_[Level(urgency)];
   pending = std::max(0.0, pending - tokens);
 }
 
 double RunnerHealth::TokensAhead(uint64_t urgency, SteadyTime now) const {
-  const auto end = pending_tokens_.begin() +
-                   static_cast<std::ptrdiff_t>(std::min<size_t>(urgency + 1, kUrgencyLevels));
+  const auto end = pending_tokens_.begin() + static_cast<std::ptrdiff_t>(Level(urgency) + 1);
   const double ahead = std::accumulate(pending_tokens_.begin(), end, 0.0);
   if (!ReportFresh(now)) return ahead;
   // The report does not tell the urgency of the waiting calls: those of all gateways are assumed to
@@ -90,16 +94,15 @@
   return found != rejections_.end() && now < found->second.until;
 }
 
-void RunnerHealth::OnFirstEvent(double factor, SteadyTime now) {
+void RunnerHealth::OnFirstEvent(uint64_t urgency, double factor, SteadyTime now) {
   const double bounded = std::clamp(factor, 0.5, kMaxSlowness);
-  slowness_ = Slowness(now);
-  slowness_ += kOutcomeWeight * (bounded - slowness_);
-  slowness_at_ = now;
+  const double before = Slowness(urgency, now);
+  slowness_[Level(urgency)] = {before + kOutcomeWeight * (bounded - before), now};
 }
 
-void RunnerHealth::OnNoFirstEvent(double factor, SteadyTime now) {
+void RunnerHealth::OnNoFirstEvent(uint64_t urgency, double factor, SteadyTime now) {
   // The time is a lower bound, which says nothing if it is less than expected.
-  if (factor > Slowness(now)) OnFirstEvent(factor, now);
+  if (factor > Slowness(urgency, now)) OnFirstEvent(urgency, factor, now);
 }
 
 }  // namespace shallot::gateway
--- a/servers/gateway/runner_health.h
+++ b/servers/gateway/runner_health.h
@@ -64,11 +64,12 @@
   /// learned about the runner.
   void ForgetObservations();
   /// `factor`: observed time to the first event over the predicted one.
-  void OnFirstEvent(double factor, SteadyTime now);
+  void OnFirstEvent(uint64_t urgency, double factor, SteadyTime now);
   /// A call ended without a first event after `factor` times the predicted time.
-  void OnNoFirstEvent(double factor, SteadyTime now);
-  /// Smoothed ratio of the observed to the predicted time to the first event; 1 is as predicted.
-  double Slowness(SteadyTime now) const;
+  void OnNoFirstEvent(uint64_t urgency, double factor, SteadyTime now);
+  /// Smoothed ratio of the observed to the predicted time to the first event; 1 is as predicted. It
+  /// differs between levels, because more urgent calls that arrive later overtake others.
+  double Slowness(uint64_t urgency, SteadyTime now) const;
   /// Whether the last reported load is recent enough to be used.
   bool ReportFresh(SteadyTime now) const;
   /// The runner rejected a call for the model, for example because it is being unloaded.
@@ -88,8 +89,11 @@
   std::array<double, kUrgencyLevels> pending_tokens_{};
   /// Smoothed number of prompt tokens of a call that the runner has to process.
   double mean_tokens_ = 0;
-  double slowness_ = 1.0;
-  SteadyTime slowness_at_{};
+  struct SmoothedFactor {
+    double value = 1.0;
+    SteadyTime at{};
+  };
+  std::array<SmoothedFactor, kUrgencyLevels> slowness_{};
   std::map<std::string, Rejection> rejections_;
   SteadyTime unreachable_until_ = SteadyTime::min();
   double failure_rate_ = 0;
--- a/servers/gateway/runner_picker.cc
+++ b/servers/gateway/runner_picker.cc
@@ -43,7 +43,7 @@
         kPlainServiceShare * static_cast<double>(query.target_latency.count());
     first_event_ms = service_ms * (1.0 + (busy + waiting) / slots);
   }
-  first_event_ms *= health.Slowness(now);
+  first_event_ms *= health.Slowness(query.urgency, now);
   picked->predicted = Millis(static_cast<int64_t>(first_event_ms));
   double score = first_event_ms;
   score +=
--- a/tests/gateway_load_planner_test.cc
+++ b/tests/gateway_load_planner_test.cc
@@ -122,6 +122,35 @@
   }
 }
 
+// Guards against an overloaded model that never gets a runner because rare models with waiting
+// calls take each one, and against a replica on a runner that is busy itself.
+TEST_CASE("gateway: an overloaded model comes before rare models, on a runner with free slots") {
+  PlacementFixture fleet(12);
+  fleet.AddRunner("a", {0, 1}, {0, 1});
+  fleet.AddRunner("b", {2, 3}, {0, 2, 3, 8, 9, 10, 11});
+  fleet.AddRunner("c", {4, 5}, {0, 4, 5, 8, 9, 10, 11});
+  for (const int model : {1, 2, 3, 4, 5}) {
+    fleet.Demand(model).since_last_call = Millis(100);
+    fleet.Demand(model).calls_per_s = 1;
+  }
+  fleet.Demand(2).in_flight = 60;
+  fleet.Demand(2).in_flight_at[RunnerId("b")] = 60;
+  for (const int model : {8, 9, 10, 11}) fleet.Demand(model) = Waiting(1);
+  TotalDemand& busy = fleet.Demand(0);
+  busy.calls_per_s = 34;
+  busy.since_last_call = Millis(0);
+  busy.in_flight = 120;
+  busy.in_flight_at[RunnerId("a")] = 120;
+  fleet.Run(Millis(1'500));
+  const auto load =
+      std::find_if(fleet.history().begin(), fleet.history().end(), [](const PlannedOrder& planned) {
+        return planned.order.kind == OrderKind::kLoad &&
+               planned.order.model == PlacementFixture::Model(0);
+      });
+  REQUIRE(load != fleet.history().end());
+  CHECK(load->order.runner == RunnerId("c"));
+}
+
 // Guards against an adapter that waits behind a runner whose slots are all in use while another
 // holder of its model has a free one.
 TEST_CASE("gateway: an adapter goes to a holder of its model with a free slot") {
--- a/tests/gateway_picker_test.cc
+++ b/tests/gateway_picker_test.cc
@@ -82,7 +82,7 @@
       {"near one is slow",
        [](PickerFixture* fixture) {
          for (int call = 0; call < 20; ++call) {
-           fixture->picker_.health(RunnerId("near")).OnFirstEvent(4, kStart);
+           fixture->picker_.health(RunnerId("near")).OnFirstEvent(0, 4, kStart);
          }
        },
        "far"},
@@ -282,11 +282,12 @@
   CHECK(health.TokensAhead(3, kStart) == 6'000);
   health.RemovePending(0, 1'000);
   CHECK(health.TokensAhead(0, kStart) == 0);
-  for (int call = 0; call < 50; ++call) health.OnNoFirstEvent(6, kStart);
-  CHECK(health.Slowness(kStart) > 4);
-  health.OnNoFirstEvent(1, kStart);
-  CHECK(health.Slowness(kStart) > 4);
-  CHECK(health.Slowness(kStart + RunnerHealth::kSlownessHalfLife * 5) < 1.5);
+  for (int call = 0; call < 50; ++call) health.OnNoFirstEvent(3, 6, kStart);
+  CHECK(health.Slowness(3, kStart) > 4);
+  health.OnNoFirstEvent(3, 1, kStart);
+  CHECK_MESSAGE(health.Slowness(0, kStart) == 1.0, "more urgent calls are served first");
+  CHECK(health.Slowness(3, kStart) > 4);
+  CHECK(health.Slowness(3, kStart + RunnerHealth::kSlownessHalfLife * 5) < 1.5);
 }
 
 // Guards against waiting for a backend without runners or for a model that is not configured.
