Measure a runner's slowness against the prediction without it

Cause: the ratio of the observed to the predicted time was taken with a prediction that already contained the slowness, so the estimate settled at its square root, and calls were sent whose callers left before the first event.

--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -79,9 +79,10 @@
 void CallSession::RecordFirstEvent(bool arrived) {
   if (engine_ == nullptr || first_event_seen_) return;
   const SteadyTime now = context_->loop.Now();
-  const Millis predicted = std::max(runner_.predicted, kMinPredicted);
-  const double factor = static_cast<double>(ToMillis(now - sent_at_).count()) /
-                        static_cast<double>(predicted.count());
+  const double predicted_ms =
+      std::max(static_cast<double>(runner_.predicted.count()) / runner_.slowness,
+               static_cast<double>(kMinPredicted.count()));
+  const double factor = static_cast<double>(ToMillis(now - sent_at_).count()) / predicted_ms;
   RunnerHealth& health = context_->picker.health(runner_.runner);
   if (arrived) {
     health.OnFirstEvent(Urgency(), factor, now);
--- a/servers/gateway/runner_picker.cc
+++ b/servers/gateway/runner_picker.cc
@@ -43,7 +43,8 @@
         kPlainServiceShare * static_cast<double>(query.target_latency.count());
     first_event_ms = service_ms * (1.0 + (busy + waiting) / slots);
   }
-  first_event_ms *= health.Slowness(query.urgency, now);
+  picked->slowness = health.Slowness(query.urgency, now);
+  first_event_ms *= picked->slowness;
   picked->predicted = Millis(static_cast<int64_t>(first_event_ms));
   double score = first_event_ms;
   score +=
@@ -82,7 +83,8 @@
       if (!best) *problem = PickError::kAllBusy;
       continue;
     }
-    PickedRunner candidate{id, Millis(0), 0};
+    PickedRunner candidate;
+    candidate.runner = id;
     const double score = Score(query, runner, health, now, &candidate);
     if (best && score >= best_score) continue;
     best = candidate;
--- a/servers/gateway/runner_picker.h
+++ b/servers/gateway/runner_picker.h
@@ -20,6 +20,8 @@
   RunnerId runner;
   /// Predicted time to the first event or to the response.
   Millis predicted{0};
+  /// Factor for the runner's observed slowness that `predicted` contains.
+  double slowness = 1.0;
   uint64_t kept_tokens = 0;
 };
 
