Answer requests that are arriving when a planned stop closes idle connections

Cause: a connection on which only a part of a request had arrived counted as idle, also one whose bytes the operating system had received but the gateway had not read. A planned stop closed it without an answer, and the process exited while requests were still arriving. Found by looking for what operators of similar systems reported; the new test failed first (0 bytes instead of an answer).

Change: such connections are not idle, and the drain waits for them within its limit.

--- a/drivers/gateway/caller_connection.h
+++ b/drivers/gateway/caller_connection.h
@@ -28,6 +28,10 @@
   void Abort();
 
   bool busy() const { return busy_; }
+  /// Whether neither a request nor a part of one has arrived that has no answer yet.
+  bool idle() const {
+    return !busy_ && input_.empty() && !parser_.begun() && !tcp_.has_unread_bytes();
+  }
   bool open() const { return tcp_.open(); }
   /// Time at which the first byte of the current request was read.
   SteadyTime request_started_at() const { return request_started_at_; }
--- a/drivers/gateway/caller_listener.cc
+++ b/drivers/gateway/caller_listener.cc
@@ -5,6 +5,8 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <algorithm>
+
 #include "core/log.h"
 #include "drivers/gateway/caller_connection.h"
 
@@ -67,9 +69,14 @@
 void CallerListener::CloseIdleConnections() {
   std::vector<CallerConnection*> idle;
   for (const auto& [connection, owned] : connections_) {
-    if (!connection->busy()) idle.push_back(connection);
+    if (connection->idle()) idle.push_back(connection);
   }
   for (CallerConnection* connection : idle) connection->OnEnd(false);
 }
 
+bool CallerListener::HasRequests() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& entry) { return !entry.first->idle(); });
+}
+
 }  // namespace shallot::gateway
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -362,7 +362,7 @@
     for (const auto& session : Sessions()) session->OnProcessExit();
   }
   callers_->CloseIdleConnections();
-  if (sessions_.empty()) drained_ = true;
+  if (sessions_.empty() && !callers_->HasRequests()) drained_ = true;
 }
 
 std::vector<std::shared_ptr<CallSession>> GatewayDaemon::Sessions() const {
--- a/drivers/gateway/tcp_connection.cc
+++ b/drivers/gateway/tcp_connection.cc
@@ -69,6 +69,16 @@
   socket_.reset();
 }
 
+bool TcpConnection::has_unread_bytes() const {
+  if (!socket_) return false;
+  try {
+    return socket_->available() > 0;
+  } catch (const Poco::Exception& error) {
+    LogInfo("tcp", "cannot tell the number of unread bytes: " + error.displayText());
+    return false;
+  }
+}
+
 void TcpConnection::CloseAndNotify(bool reset) {
   if (!socket_) return;
   Close(false);
--- a/drivers/gateway/tcp_connection.h
+++ b/drivers/gateway/tcp_connection.h
@@ -41,6 +41,8 @@
 
   void Send(std::string_view bytes);
   size_t queued_bytes() const { return output_.size() - sent_; }
+  /// Whether the operating system has received bytes that were not read yet.
+  bool has_unread_bytes() const;
   bool connected() const { return connected_; }
   bool open() const { return socket_ != nullptr; }
   /// True when the constructor could not set the connection up.
--- a/tests/gateway_daemon_test.cc
+++ b/tests/gateway_daemon_test.cc
@@ -261,6 +261,31 @@
   }
 }
 
+// Guards against a request that is cut off at a planned stop because only a part of it has arrived
+// when idle connections are closed.
+TEST_CASE("gateway daemon: a request that arrives in parts during a planned stop is answered") {
+  GatewayFixture fixture;
+  fixture.Configure("engine");
+  REQUIRE(fixture.AwaitReady());
+  const Poco::Net::SocketAddress address(fixture.settings_.caller_address);
+  Poco::Net::StreamSocket idle{address};
+  Poco::Net::StreamSocket caller{address};
+  const std::string begin =
+      "POST /p/1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: x\r\nDeadline-Ms: 9000\r\n"
+      "Content-Length: 4\r\n\r\nbo";
+  caller.sendBytes(begin.data(), static_cast<int>(begin.size()));
+  fixture.daemon_->BeginDrain("test");
+  char byte = 0;
+  idle.setReceiveTimeout(Poco::Timespan(30, 0));
+  CHECK(idle.receiveBytes(&byte, 1) == 0);
+  caller.sendBytes("dy", 2);
+  caller.setReceiveTimeout(Poco::Timespan(30, 0));
+  std::string answer(12, ' ');
+  CHECK(caller.receiveBytes(answer.data(), 12) == 12);
+  CHECK(answer.starts_with("HTTP/1.1 "));
+  CHECK(fixture.daemon_->WaitUntilDrained(Millis(30'000)));
+}
+
 /// The answer of a scripted runner up to the end of its head; the id is that of the request.
 std::string AnswerHead(const std::string& request, const std::string& fields) {
   const std::string name = "Attempt-Id: ";
--- a/tests/gateway_http_client_test.cc
+++ b/tests/gateway_http_client_test.cc
@@ -48,7 +48,7 @@
 };
 
 // Guards against a client that reads a list of idle connections after it has freed the list, when
-// the last connection to an address has expired (docs/incidents/2026-12-04-gateway-crash-open.md).
+// the last connection to an address has expired (docs/incidents/2026-12-04-gateway-crash.md).
 TEST_CASE("http client: opens a new connection when all idle ones have expired") {
   for (const int idle : {1, 3}) {
     CAPTURE(idle);
