Skip the wait for another leader's orders only after having led under the record

Change: only a record under which this process has led counts, and the earliest time for orders is kept. The new test failed on the former rule (it answered that the record may be reclaimed).

--- a/drivers/gateway/caller_connection.h
+++ b/drivers/gateway/caller_connection.h
@@ -27,7 +27,6 @@
   /// Resets the connection, so that a partial answer does not look complete.
   void Abort();
 
-  bool busy() const { return busy_; }
   /// Whether neither a request nor a part of one has arrived that has no answer yet.
   bool idle() const {
     return !busy_ && input_.empty() && !parser_.begun() && !tcp_.has_unread_bytes();
--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -225,10 +225,12 @@
         election_.OnClaim(ValueOf(revision), false, now);
         LogInfo("placement",
                 fmt::format("event=leadership-gained fence={}", ValueOf(revision).value()));
-        orders_allowed_from_ = now;
-        // The orders of two holders must be this far apart where runners do not tell them apart.
-        if (!context_->settings.orders_fenced && !reclaims) {
-          orders_allowed_from_ += context_->settings.order_lease;
+        // The orders of two holders must be this far apart where runners do not tell them apart. A
+        // leader that returns to its own record keeps the time that it had.
+        if (context_->settings.orders_fenced) {
+          orders_allowed_from_ = now;
+        } else if (!reclaims) {
+          orders_allowed_from_ = now + context_->settings.order_lease;
         }
         for (const auto& [id, runner] : context_->view.runners()) {
           tracker_.RequestPoll(id, context_->loop.Now());
--- a/servers/gateway/leader_election.cc
+++ b/servers/gateway/leader_election.cc
@@ -72,7 +72,7 @@
   action_pending_ = false;
   if (!revision) {
     // The record is gone or another gateway's: the watch tells which.
-    if (conflict && ReclaimsOwnRecord()) record_known_ = false;
+    if (conflict && record_ && record_->holder == self_) record_known_ = false;
     // The lease of a claim with an unknown outcome is left to expire.
     lease_ = LeaseId();
     next_try_ = now + kRetryPause + Millis(jitter_);
--- a/servers/gateway/leader_election.h
+++ b/servers/gateway/leader_election.h
@@ -106,9 +106,12 @@
   /// Revision that the record must have for a claim to succeed; 0 if it must be absent.
   StoreRevision ClaimCondition() const;
   const std::optional<LeaderRecord>& record() const { return record_; }
-  /// Whether a claim would replace this gateway's own record, so that no other gateway can have led
-  /// since it was written.
-  bool ReclaimsOwnRecord() const { return record_ && record_->holder == self_; }
+  /// Whether a claim would replace the record under which this gateway has led, so that no other
+  /// gateway can have led since. A record of its own that it has not led under, for example after a
+  /// restart or a claim without an answer, may have replaced another gateway's a moment ago.
+  bool ReclaimsOwnRecord() const {
+    return record_ && record_->holder == self_ && record_->revision == fence_;
+  }
 
  private:
   bool MayClaim() const;
--- a/tests/gateway_leader_election_test.cc
+++ b/tests/gateway_leader_election_test.cc
@@ -180,6 +180,24 @@
   }
 }
 
+// Guards against two holders whose orders are too close where runners do not check fencing numbers:
+// a record of its own under which a gateway has not led may have replaced another leader's just
+// now.
+TEST_CASE("gateway: a record from a claim without an answer does not count as led under") {
+  LeaderElection election(InstanceId("a"), kTerm, false, 1);
+  election.OnRecord(std::nullopt, StoreRevision(1), kStart);
+  REQUIRE(election.Next(kStart) == Action::kCreateLease);
+  election.OnLease(LeaseId(1), kTerm, kStart, kStart);
+  REQUIRE(election.Next(kStart) == Action::kClaim);
+  election.OnClaim(std::nullopt, false, kStart);
+  election.OnRecord(Record("a", 9), StoreRevision(9), kStart);
+  const BootTime later = kStart + LeaderElection::kRetryPause * 2;
+  REQUIRE(election.Next(later) == Action::kCreateLease);
+  election.OnLease(LeaseId(2), kTerm, later, later);
+  REQUIRE(election.Next(later) == Action::kClaim);
+  CHECK_FALSE(election.ReclaimsOwnRecord());
+}
+
 // Guards against a claim under the lease of an earlier claim that failed.
 TEST_CASE("gateway: a failed claim starts over after a pause") {
   LeaderElection election(InstanceId("a"), kTerm, false, 1);
