Log the prompt parts of failed attempts and whether the answer had begun

The log could not tell crashes that calls cause from crashes of the runners' own: no line named what the lost calls have in common.

--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -20,8 +20,21 @@
 /// An answer that is not a stream is buffered up to this size.
 constexpr uint64_t kMaxBufferedAnswerBytes = 4'194'304;
 
+/// Number of prompt parts that a log line names.
+constexpr size_t kLoggedParts = 8;
+
 Millis ToMillis(Duration duration) { return std::chrono::duration_cast<Millis>(duration); }
 
+/// The ids of the first parts of a prompt, for log lines.
+std::string PartIds(const std::vector<PromptPart>& prompt) {
+  std::string ids;
+  for (size_t index = 0; index < std::min(prompt.size(), kLoggedParts); ++index) {
+    if (index > 0) ids += ',';
+    ids += prompt[index].id;
+  }
+  return ids;
+}
+
 }  // namespace
 
 HeadVerdict CallSession::OnHead(const HttpHead& head) {
@@ -159,9 +172,11 @@
 void CallSession::RecordFailure(AttemptFailure failure, const std::string& detail) {
   const SteadyTime now = context_->loop.Now();
   LogInfo("call",
-          fmt::format("event=attempt-failed runner={} failure={} after_ms={} reason=\"{}\"",
+          fmt::format("event=attempt-failed runner={} failure={} after_ms={} begun={} parts={} "
+                      "reason=\"{}\"",
                       runner_.runner.value(), AttemptFailureName(failure),
-                      ToMillis(now - sent_at_).count(), detail),
+                      ToMillis(now - sent_at_).count(), first_event_seen_ ? "yes" : "no",
+                      PartIds(call_.prompt), detail),
           call_.id.value());
   context_->metrics
       ->GetCounter(
