Show that calls that crash their runners keep reaching runners

The test has two runners that crash when they begin to answer a call with one prompt part, and sends 20 such calls between sound ones.

--- /dev/null
+++ b/tests/gateway_daemon_fixture.h
@@ -0,0 +1,172 @@
+#ifndef TESTS_GATEWAY_DAEMON_FIXTURE_H_
+#define TESTS_GATEWAY_DAEMON_FIXTURE_H_
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/StreamCopier.h>
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "drivers/gateway/gateway_daemon.h"
+#include "platform/platform_codec.h"
+#include "tests/gateway_fake_platform.h"
+
+namespace shallot::gateway {
+
+inline constexpr const char* kConfig =
+    R"({"version":1,"routes":[
+{"name":"plain","hostname":"h.example","path-prefix":"/p/","kind":"idempotent","timeout-ms":20000,
+"target-latency-ms":100,"service":"engine","max-attempts":1},
+{"name":"stream","hostname":"h.example","path-prefix":"/s/","kind":"stream","timeout-ms":20000,
+"target-latency-ms":800,"service":"models","max-attempts":1,"gap-aim-ms":400}],
+"services":[{"name":"engine","max-conns":10},{"name":"models","max-conns":10,"engine":{"slots":8,
+"weights-mb":100,"adapter-slots":2,"loads-per-s":2,"models":[{"name":"m1","weights-mb":10,
+"load-s":1,"warm-s":0.01,"disk-s":0.02},{"name":"m2","weights-mb":10,"load-s":30}]}}]})";
+
+/// Limit on waiting for a condition. Conditions normally hold within a second; only a hang reaches
+/// the limit.
+inline constexpr Seconds kConditionTimeout{30};
+
+struct Reply {
+  int status = 0;
+  std::string body;
+  std::string retry_after;
+  std::string call_id;
+};
+
+/// A gateway with a fake platform, and a caller of it.
+class GatewayFixture {
+ public:
+  explicit GatewayFixture(const GatewayPolicy& policy = {}) {
+    settings_.policy = policy;
+    settings_.instance = InstanceId("front-1");
+    settings_.domain = FailureDomain("north");
+    settings_.caller_address = FreeLoopbackAddress();
+    settings_.readiness_address = FreeLoopbackAddress();
+    settings_.peer_address = FreeLoopbackAddress();
+    settings_.metrics_address = FreeLoopbackAddress();
+    settings_.store_address = platform_.store_address();
+    daemon_ = std::make_unique<GatewayDaemon>(
+        settings_, &codec_, [this] { return Result<GatewaySettings>(settings_); });
+    REQUIRE(IsOk(daemon_->Start()));
+  }
+
+  ~GatewayFixture() { daemon_->Stop(); }
+
+  Reply Send(const std::string& address, const std::string& method, const std::string& path,
+             const std::string& body = "", const std::string& model = "",
+             const std::string& prompt = "") {
+    Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(address)};
+    session.setTimeout(Poco::Timespan(30, 0));
+    Poco::Net::HTTPRequest request(method, path, "HTTP/1.1");
+    request.setHost("h.example");
+    request.set("Attempt-Id", "call-" + std::to_string(++calls_));
+    request.set("Deadline-Ms", "10000");
+    if (!model.empty()) request.set("Model-Name", model);
+    if (!prompt.empty()) request.set("Prompt-Prefix", prompt);
+    request.setContentLength(static_cast<int64_t>(body.size()));
+    session.sendRequest(request) << body;
+    Poco::Net::HTTPResponse response;
+    std::istream& stream = session.receiveResponse(response);
+    Reply reply;
+    reply.status = response.getStatus();
+    reply.retry_after = response.get("Retry-After", "");
+    reply.call_id = response.get("Attempt-Id", "");
+    Poco::StreamCopier::copyToString(stream, reply.body);
+    return reply;
+  }
+
+  Reply Call(const std::string& path, const std::string& model = "",
+             const std::string& prompt = "") {
+    return Send(settings_.caller_address, "POST", path, "body", model, prompt);
+  }
+
+  int Readiness() {
+    return Send(settings_.readiness_address, "GET", codec_.ReadinessPath()).status;
+  }
+
+  /// Sends readiness requests, each of which waits for its answer, until the condition holds.
+  /// Returns false after the time limit.
+  template <class Condition>
+  bool Await(Condition condition) {
+    const SystemClock clock;
+    const SteadyTime end = clock.SteadyNow() + kConditionTimeout;
+    while (clock.SteadyNow() < end) {
+      if (condition()) return true;
+      (void)Readiness();
+    }
+    return false;
+  }
+
+  bool AwaitReady() {
+    return Await([this] { return Readiness() == 200; });
+  }
+
+  void Configure(const std::string& runner_backend) {
+    std::string config = kConfig;
+    // The fake platform has a single runner, of backend "engine", so the tested backend takes that
+    // name.
+    if (runner_backend == "models") {
+      const std::string from = "\"service\":\"models\"";
+      config.replace(config.find(from), from.size(), "\"service\":\"engine\"");
+      const std::string name = "{\"name\":\"models\"";
+      config.replace(config.find(name), name.size(), "{\"name\":\"engine\"");
+      const std::string plain = "{\"name\":\"engine\",\"max-conns\":10},";
+      config.erase(config.find(plain), plain.size());
+    }
+    platform_.Put("op/config", config);
+    platform_.PutRunner();
+  }
+
+  /// Adds a second runner of backend "engine" that holds m1 and is preferred to the first one.
+  void AddRunner(const std::string& address, const std::string& id = "a-0", uint64_t born = 1) {
+    platform_.Put("servers/" + id,
+                  R"({"service":"engine","address":")" + address +
+                      R"(","zone":"north","version":"v1","slots":8,"state":"ready","seq":1,)"
+                      R"("born":)" +
+                      std::to_string(born) +
+                      R"(,"models":[{"name":"m1","version":1,"adapters":[]}]})");
+  }
+
+  /// Makes the streams of kConfig resumable, with a short gap target.
+  void ConfigureResumable() {
+    Configure("models");
+    std::string config = kConfig;
+    for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+             {"\"version\":1", "\"version\":2"},
+             {"\"service\":\"models\"", "\"service\":\"engine\""},
+             {"{\"name\":\"engine\",\"max-conns\":10},", ""},
+             {"{\"name\":\"models\"", "{\"name\":\"engine\""},
+             {"\"max-attempts\":1,\"gap-aim-ms\":400",
+              "\"max-attempts\":2,\"resumable\":true,\"gap-aim-ms\":50"}}) {
+      REQUIRE(config.find(from) != std::string::npos);
+      config.replace(config.find(from), from.size(), to);
+    }
+    platform_.Put("op/config", config);
+  }
+
+  FakePlatform platform_;
+  platform::PlatformCodec codec_;
+  GatewaySettings settings_;
+  std::unique_ptr<GatewayDaemon> daemon_;
+  int calls_ = 0;
+};
+
+/// The answer of a scripted runner up to the end of its head; the id is that of the request.
+inline std::string AnswerHead(const std::string& request, const std::string& fields) {
+  const std::string name = "Attempt-Id: ";
+  const size_t at = request.find(name) + name.size();
+  return "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.substr(at, request.find('\r', at) - at) +
+         "\r\n" + fields + "\r\n";
+}
+
+inline constexpr const char* kChunkedSealed = "Server-Seal: s\r\nTransfer-Encoding: chunked\r\n";
+}  // namespace shallot::gateway
+
+#endif  // TESTS_GATEWAY_DAEMON_FIXTURE_H_
--- /dev/null
+++ b/tests/gateway_request_crash_test.cc
@@ -0,0 +1,95 @@
+#include <doctest/doctest.h>
+
+#include <array>
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "tests/gateway_daemon_fixture.h"
+#include "tests/raw_server.h"
+
+namespace shallot::gateway {
+namespace {
+
+constexpr const char* kOneEvent = "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
+/// The platform's rule: five crashes, and three more calls that reach a runner.
+constexpr int kMaxArrivals = 8;
+
+/// Two runners that hold m1 and crash when they begin to answer a call that has the text `deadly`
+/// in its head. A crashed runner restarts at once under its id, with a later start time.
+class CrashingRunners {
+ public:
+  CrashingRunners(GatewayFixture* fixture, std::string deadly)
+      : fixture_(fixture), deadly_(std::move(deadly)) {
+    for (size_t index = 0; index < runners_.size(); ++index) {
+      runners_[index] = std::make_unique<RawServer>(
+          [this, index](RawConnection* connection, int /*number*/) { Serve(index, connection); });
+      Register(index);
+    }
+  }
+
+  int deadly_arrivals() const { return deadly_arrivals_; }
+
+ private:
+  void Register(size_t index) {
+    fixture_->AddRunner(runners_[index]->address(), "a-" + std::to_string(index), born_[index]);
+  }
+
+  void Serve(size_t index, RawConnection* connection) {
+    while (true) {
+      const std::string request = connection->ReadHead();
+      if (request.empty()) return;
+      if (request.find("/v1/report") != std::string::npos) {
+        const std::string body = R"({"models":[{"name":"m1","version":1,"adapters":[]}],)"
+                                 R"("busy":false,"seq":0,"born":)" +
+                                 std::to_string(born_[index]) + "}";
+        connection->Send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
+                         std::to_string(body.size()) + "\r\n\r\n" + body);
+        continue;
+      }
+      if (request.find("POST /s/") == std::string::npos) return;
+      if (request.find(deadly_) != std::string::npos) {
+        ++deadly_arrivals_;
+        ++born_[index];
+        Register(index);
+        return;
+      }
+      connection->Send(AnswerHead(request, kChunkedSealed) + kOneEvent);
+    }
+  }
+
+  GatewayFixture* fixture_;
+  std::string deadly_;
+  std::array<std::atomic<uint64_t>, 2> born_ = {1, 1};
+  std::atomic<int> deadly_arrivals_{0};
+  std::array<std::unique_ptr<RawServer>, 2> runners_;
+};
+
+// Guards against calls with one prompt part, or for one adapter, that crash one runner after the
+// other.
+TEST_CASE("gateway daemon: calls that crash their runners stop reaching runners" *
+          doctest::should_fail()) {
+  struct Case {
+    const char* name;
+    const char* deadly;
+    const char* model;
+    const char* prompt;
+  };
+  for (const Case& test : {Case{"prompt part", ",dead:", "m1", "aa:10,bb:20,dead:5,"}}) {
+    CAPTURE(std::string(test.name));
+    GatewayFixture fixture;
+    fixture.ConfigureResumable();
+    CrashingRunners runners(&fixture, test.deadly);
+    REQUIRE(fixture.AwaitReady());
+    for (int round = 0; round < 20; ++round) {
+      const std::string own = std::to_string(round) + ":3";
+      CHECK(fixture.Call("/s/1", "m1", "aa:10,bb:20," + own).status == 200);
+      const Reply reply = fixture.Call("/s/1", test.model, test.prompt + own);
+      CHECK(reply.status >= 500);
+    }
+    CHECK(runners.deadly_arrivals() <= kMaxArrivals);
+  }
+}
+
+}  // namespace
+}  // namespace shallot::gateway
