Refuse the calls that crash one runner after the other

Cause: each call was treated on its own. A lost call was sent to the next runner, the callers' retries and new calls with the part followed from all gateways, and no gateway remembered what the lost calls have in common. Class of fault: a failure that belongs to the request was counted against the runner.

Change: CrashQuarantine combines the crashes that all gateways report and refuses the calls with all traits that the strongest suspect's calls share: prompt parts, adapter, model. Two crashes decide, a third if sound calls were lost in both. CrashMonitor tells crashes from connections that merely ended. FindingsDriver writes each gateway's findings to a key of its own in the store and, in fleets up to 32 gateways, sends them to the others.

--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -73,6 +73,8 @@
   }
   backend_ = ChooseBackend(*route_, StableHash(call_.id.value()));
   engine_ = routes_->Engine(backend_);
+  if (engine_ != nullptr) traits_ = TraitsOf(backend_, call_);
+  if (RefuseIfQuarantined()) return;
   Millis budget = call_.time_budget;
   if (route_->timeout > Millis(0)) budget = std::min(budget, route_->timeout);
   deadline_ = started_at_ + budget;
@@ -115,7 +117,31 @@
   return query;
 }
 
+bool CallSession::RefuseIfQuarantined() {
+  if (traits_.empty() || answer_begun_) return false;
+  const auto match = context_->quarantine.Match(traits_, context_->loop.Now());
+  if (!match) return false;
+  context_->metrics->GetCounter("calls_quarantined_total").Add();
+  Refuse(fmt::format("calls with {} crash runners", DescribeTraits(match->traits)),
+         match->remaining);
+  return true;
+}
+
+void CallSession::OnQuarantine() {
+  if (ended_ || first_event_seen_ || !context_->quarantine.Match(traits_, context_->loop.Now())) {
+    return;
+  }
+  if (in_flight_) {
+    context_->client.Cancel(exchange_);
+    EndAttempt();
+    // The runner may have run it until now.
+    ++runs_;
+  }
+  RefuseIfQuarantined();
+}
+
 void CallSession::Dispatch() {
+  if (RefuseIfQuarantined()) return;
   const std::set<RunnerId> excluded = RecentlyRejected();
   PickError problem = PickError::kNone;
   const auto picked = context_->picker.Pick(MakeQuery(&excluded), context_->loop.Now(), &problem);
@@ -204,6 +230,7 @@
 void CallSession::Send(const PickedRunner& picked) {
   const RunnerState* runner = context_->view.Find(picked.runner);
   runner_ = picked;
+  runner_born_ = runner->entry.born;
   ++attempts_;
   tried_.insert(picked.runner);
   rejected_until_.erase(picked.runner);
--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "drivers/gateway/caller_connection.h"
 #include "drivers/gateway/event_stream.h"
@@ -43,6 +44,8 @@
   void OnStopping();
   /// The process is about to exit. Answers the call according to its current state.
   void OnProcessExit();
+  /// Refuses the call if the quarantine that has begun covers it and its answer has not begun.
+  void OnQuarantine();
   /// Tries again to send a waiting call to a runner, after the state of some runner changed.
   void TryDispatch();
 
@@ -70,6 +73,8 @@
   Millis PatienceLeft() const;
   std::set<RunnerId> RecentlyRejected() const;
   void Dispatch();
+  /// Refuses the call if calls like it crash runners. Returns true if it does.
+  bool RefuseIfQuarantined();
   RunnerPicker::Query MakeQuery(const std::set<RunnerId>* excluded) const;
   /// Refuses the call if its first event would come after the caller has given up.
   bool RefuseIfTooLate(const PickedRunner& picked);
@@ -117,6 +122,8 @@
   bool ended_ = false;
   TimerId deadline_timer_;
   TimerId silence_timer_;
+  /// Empty for calls to plain services.
+  std::vector<CallTrait> traits_;
   std::set<RunnerId> tried_;
   std::map<RunnerId, SteadyTime> rejected_until_;
   /// Attempts in which the runner may have run the call.
@@ -126,6 +133,7 @@
   // State of the current attempt.
   ExchangeId exchange_;
   PickedRunner runner_;
+  RunnerStartTime runner_born_;
   SteadyTime sent_at_{};
   double sent_tokens_ = 0;
   bool in_flight_ = false;
--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -111,6 +111,7 @@
       context_->picker.health(runner_.runner).RemovePending(Urgency(), sent_tokens_);
       RecordFirstEvent(true);
       first_event_seen_ = true;
+      context_->quarantine.OnAnswerBegun(traits_, context_->loop.Now());
       context_->metrics->GetHistogram("first_event_seconds")
           .Record(context_->loop.Now() - started_at_);
     }
@@ -143,6 +144,7 @@
     return;
   }
   EndAttempt();
+  if (!first_event_seen_) context_->quarantine.OnAnswerBegun(traits_, context_->loop.Now());
   RunnerHealth& health = context_->picker.health(runner_.runner);
   health.OnSuccess(context_->loop.Now());
   health.OnModelServed(call_.model.value());
@@ -193,8 +195,13 @@
     case AttemptFailure::kWrongInstance:
       context_->view.MarkReplaced(runner_.runner);
       return;
-    case AttemptFailure::kSilent:
     case AttemptFailure::kLostAnswer:
+      if (!traits_.empty() && !first_event_seen_ && context_->crash_observer != nullptr) {
+        context_->crash_observer->OnCallLost({{runner_.runner, runner_born_}, sent_at_, traits_});
+      }
+      health.OnFailure(now, true);
+      return;
+    case AttemptFailure::kSilent:
       health.OnFailure(now, true);
       return;
     case AttemptFailure::kNotExecuted:
--- /dev/null
+++ b/drivers/gateway/findings_driver.cc
@@ -0,0 +1,149 @@
+#include "drivers/gateway/findings_driver.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "core/log.h"
+#include "drivers/gateway/lease_renewal.h"
+#include "drivers/gateway/peer_codec.h"
+
+namespace shallot::gateway {
+namespace {
+
+/// Lifetime of published findings: that of the evidence or of the longest quarantine.
+Millis Lifetime(const CrashFindings& findings) {
+  Millis lifetime = CrashQuarantine::kEvidenceLifetime;
+  for (const QuarantinedTraits& quarantined : findings.quarantined) {
+    lifetime = std::max(lifetime, quarantined.remaining);
+  }
+  return std::min<Millis>(lifetime, CrashQuarantine::kLongestQuarantine);
+}
+
+}  // namespace
+
+FindingsDriver::FindingsDriver(GatewayContext* context)
+    : context_(context),
+      key_(context->protocol->FindingsPrefix() + context->settings.instance.value()),
+      random_(EntropySeed()) {}
+
+Millis FindingsDriver::ScaledPause(Millis pause) const {
+  return pause * (1 + context_->gateways.size() / kGatewaysAtFullRate);
+}
+
+void FindingsDriver::OnItem(const StoreItem& item) {
+  if (item.key == key_) {
+    if (item.revision < revision_) return;
+    revision_ = item.deleted ? StoreRevision(0) : item.revision;
+    // The key ended before its lease, for example in an outage of the store.
+    if (item.deleted && !writing_) context_->quarantine.MarkChanged();
+  }
+  if (item.deleted) return;
+  const auto report = DecodeFindings(item.value);
+  if (!IsOk(report)) {
+    LogWarning("crashes",
+               "ignoring the findings of key " + item.key + ": " + FormatError(ErrorOf(report)));
+    return;
+  }
+  OnReport(ValueOf(report));
+}
+
+void FindingsDriver::OnSnapshot(const std::vector<StoreItem>& items) {
+  const bool present = std::any_of(items.begin(), items.end(),
+                                   [&](const StoreItem& item) { return item.key == key_; });
+  if (!present && revision_ != StoreRevision(0)) {
+    revision_ = StoreRevision(0);
+    context_->quarantine.MarkChanged();
+  }
+}
+
+void FindingsDriver::OnReport(const FindingsReport& report) {
+  context_->quarantine.Merge(report.gateway, report.crashes, context_->loop.Now());
+}
+
+void FindingsDriver::Tick() {
+  const SteadyTime now = context_->loop.Now();
+  context_->quarantine.SetSettleTime(context_->gateways.size() > kBroadcastGateways
+                                         ? CrashQuarantine::kSettleByStore
+                                         : CrashQuarantine::kSettleDirect);
+  context_->quarantine.Update(now);
+  if (context_->quarantine.TakeChanged() && !due_) {
+    due_ = true;
+    const Millis spread = ScaledPause(kPublishPause) - kPublishPause;
+    const Millis delay(static_cast<int64_t>(random_.Unit() * static_cast<double>(spread.count())));
+    next_ = std::max(next_, now + Duration(delay));
+  }
+  if (due_ && !writing_ && now >= next_) {
+    due_ = false;
+    next_ = now + Duration(ScaledPause(kPublishPause));
+    const CrashFindings findings = context_->quarantine.Own(now);
+    // Findings that have expired leave the store with their lease.
+    if (!findings.empty()) Publish(findings);
+  }
+  context_->loop.After(kTickInterval, [this] { Tick(); });
+}
+
+void FindingsDriver::Publish(const CrashFindings& findings) {
+  const FindingsReport report{context_->settings.instance, findings};
+  SendToPeers(report);
+  writing_ = true;
+  const std::string value = EncodeFindings(report);
+  context_->calls.Start(context_->settings.store_address,
+                        context_->protocol->LeaseRequest(Lifetime(findings)), kStoreCallTimeout,
+                        [this, value](const Result<HttpMessage>& answer) {
+                          if (!IsOk(answer)) {
+                            Fail(ErrorOf(answer).message);
+                            return;
+                          }
+                          const auto lease = context_->protocol->DecodeLease(ValueOf(answer));
+                          if (!IsOk(lease)) {
+                            Fail(ErrorOf(lease).message);
+                            return;
+                          }
+                          Write(value, ValueOf(lease).lease);
+                        });
+}
+
+void FindingsDriver::SendToPeers(const FindingsReport& report) {
+  if (context_->gateways.size() > kBroadcastGateways) return;
+  for (const auto& [gateway, address] : context_->gateways) {
+    if (gateway == context_->settings.instance) continue;
+    if (!context_->peers.Send(address, report)) {
+      LogInfo("peer", "event=findings-not-sent gateway=" + gateway.value());
+    }
+  }
+}
+
+void FindingsDriver::Write(const std::string& value, LeaseId lease) {
+  const ConditionalWrite write{key_, value, revision_, lease};
+  context_->calls.Start(context_->settings.store_address, context_->protocol->WriteRequest(write),
+                        kStoreCallTimeout,
+                        [this](const Result<HttpMessage>& answer) { OnWritten(answer); });
+}
+
+void FindingsDriver::OnWritten(const Result<HttpMessage>& answer) {
+  if (!IsOk(answer)) {
+    Fail(ErrorOf(answer).message);
+    return;
+  }
+  const auto revision = context_->protocol->DecodeWrite(ValueOf(answer));
+  if (!IsOk(revision)) {
+    // After a conflict, the watch brings the key's present revision before the next attempt.
+    Fail(ErrorOf(revision).message);
+    return;
+  }
+  writing_ = false;
+  failing_ = false;
+  revision_ = std::max(revision_, ValueOf(revision));
+  LogInfo("crashes", fmt::format("event=findings-published revision={}", revision_.value()));
+}
+
+void FindingsDriver::Fail(const std::string& reason) {
+  if (!failing_) LogWarning("crashes", "event=findings-not-published reason=\"" + reason + "\"");
+  failing_ = true;
+  writing_ = false;
+  due_ = true;
+  next_ = context_->loop.Now() + Duration(ScaledPause(kRetryPause));
+}
+
+}  // namespace shallot::gateway
--- a/drivers/gateway/fleet_follower.cc
+++ b/drivers/gateway/fleet_follower.cc
@@ -19,6 +19,8 @@
     OnRunner(item);
   } else if (item.key == protocol.LeaderKey() || item.key.starts_with(protocol.GatewaysPrefix())) {
     OnGatewayItem(item);
+  } else if (item_listener_ != nullptr && item.key.starts_with(item_prefix_)) {
+    item_listener_->OnItem(item);
   }
 }
 
@@ -36,6 +38,7 @@
   context_->view.Reconcile(present, context_->loop.Now());
   if (leader_listener_) leader_listener_(context_->leader, revision);
   if (key_listener_) key_listener_(key_revision, revision);
+  if (item_listener_ != nullptr) item_listener_->OnSnapshot(items);
   on_change_();
 }
 
--- a/drivers/gateway/fleet_follower.h
+++ b/drivers/gateway/fleet_follower.h
@@ -3,12 +3,24 @@
 
 #include <functional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "drivers/gateway/gateway_context.h"
 #include "drivers/gateway/prefix_follower.h"
 
 namespace shallot::gateway {
 
+/// Receives the store's items under one prefix.
+class StoreItemListener {
+ public:
+  virtual ~StoreItemListener() = default;
+  /// An item was read, written or deleted.
+  virtual void OnItem(const StoreItem& item) = 0;
+  /// All items were read and passed to OnItem; `items` has those under all prefixes.
+  virtual void OnSnapshot(const std::vector<StoreItem>& items) = 0;
+};
+
 /// Keeps the configuration, the runners and the other gateways of a GatewayContext in sync with the
 /// store. A single watch serves all three, because the platform charges for each pending watch
 /// call.
@@ -31,6 +43,13 @@
   /// at which it was valid, after each snapshot and each change of the record.
   void SetLeaderListener(LeaderListener listener) { leader_listener_ = std::move(listener); }
 
+  /// Sets the receiver of the items whose keys begin with `prefix`; `listener` must live as long as
+  /// the follower.
+  void SetItemListener(std::string prefix, StoreItemListener* listener) {
+    item_prefix_ = std::move(prefix);
+    item_listener_ = listener;
+  }
+
   using KeyListener =
       std::function<void(const std::optional<StoreRevision>& key, StoreRevision as_of)>;
   /// Sets the callback for the revision of one key (empty when the key is absent). It is called
@@ -52,6 +71,8 @@
   /// The one key whose revision `key_listener_` receives.
   std::string listener_key_;
   KeyListener key_listener_;
+  std::string item_prefix_;
+  StoreItemListener* item_listener_ = nullptr;
   PrefixFollower follower_;
 };
 
--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "core/metrics.h"
 #include "drivers/gateway/buffered_call.h"
@@ -14,6 +15,7 @@
 #include "drivers/gateway/http_client.h"
 #include "drivers/gateway/peer_channel.h"
 #include "drivers/gateway/platform_protocol.h"
+#include "servers/gateway/crash_quarantine.h"
 #include "servers/gateway/demand_aggregator.h"
 #include "servers/gateway/fleet_routes.h"
 #include "servers/gateway/fleet_view.h"
@@ -23,6 +25,21 @@
 
 namespace shallot::gateway {
 
+/// A call that ended with its runner's connection before its answer had begun.
+struct LostCall {
+  /// The run of the runner that it was sent to.
+  CrashId crash;
+  SteadyTime sent_at;
+  std::vector<CallTrait> traits;
+};
+
+/// Is told of calls that may have crashed their runner.
+class CrashObserver {
+ public:
+  virtual ~CrashObserver() = default;
+  virtual void OnCallLost(const LostCall& call) = 0;
+};
+
 /// State shared by the components of one gateway process. Used on the event loop's thread only.
 struct GatewayContext {
   GatewayContext(const GatewaySettings& process_settings, const PlatformProtocol* platform,
@@ -38,7 +55,8 @@
               [platform](const HttpHead& head) {
                 return !platform->DecodeAnswer(head).call.empty();
               }),
-        picker(&settings.policy, &view, settings.domain) {}
+        picker(&settings.policy, &view, settings.domain),
+        quarantine(settings.instance) {}
 
   GatewaySettings settings;
   const PlatformProtocol* protocol;
@@ -54,6 +72,9 @@
   FleetView view;
   RunnerPicker picker;
   DemandMeter meter;
+  CrashQuarantine quarantine;
+  /// Set while the gateway runs.
+  CrashObserver* crash_observer = nullptr;
   std::map<BackendName, RetryShare> retry_shares;
   /// Peer addresses of all registered gateways, by instance.
   std::map<InstanceId, std::string> gateways;
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -90,6 +90,9 @@
         .Set(static_cast<int64_t>(owner_->context_->client.connections_open()));
     metrics.GetGauge("runner_connections_opened")
         .Set(static_cast<int64_t>(owner_->context_->client.connections_opened()));
+    metrics.GetGauge("traits_quarantined")
+        .Set(static_cast<int64_t>(
+            owner_->context_->quarantine.Quarantined(owner_->context_->loop.Now()).size()));
     metrics.GetGauge("log_lines_dropped").Set(static_cast<int64_t>(DroppedLogLines()));
     metrics.GetGauge("placement_leader").Set(owner_->placement_->Leads() ? 1 : 0);
     metrics.GetGauge("config_version")
@@ -119,7 +122,11 @@
           std::make_unique<FleetFollower>(context_.get(), [this] { DispatchWaitingCalls(); })),
       placement_(std::make_unique<PlacementDriver>(
           context_.get(), [this](const RunnerNotice& notice) { OnNotice(notice); })),
-      presence_(std::make_unique<PresenceDriver>(context_.get())) {
+      presence_(std::make_unique<PresenceDriver>(context_.get())),
+      crash_monitor_(std::make_unique<CrashMonitor>(context_.get())),
+      findings_(std::make_unique<FindingsDriver>(context_.get())) {
+  context_->crash_observer = crash_monitor_.get();
+  follower_->SetItemListener(findings_->Prefix(), findings_.get());
   follower_->SetLeaderListener(
       [this](const std::optional<LeaderRecord>& record, StoreRevision revision) {
         placement_->OnLeaderRecord(record, revision);
@@ -155,6 +162,7 @@
   follower_->Start();
   placement_->Start();
   presence_->Start();
+  findings_->Start();
   Tick();
   thread_ = std::thread([this] { context_->loop.Run(); });
   return OkStatus();
@@ -252,19 +260,37 @@
       placement_->OnDemand(*demand);
       return;
     }
-    const auto& notice = std::get<RunnerNotice>(message);
-    placement_->OnNoticeFence(notice.fence);
-    // A former leader that was suspended may send a report that it read before its successor gave
-    // orders.
-    if (context_->leader && notice.fence.value() < context_->leader->revision.value()) {
-      LogInfo("peer", "event=notice-outdated runner=" + notice.runner.value());
+    if (const auto* findings = std::get_if<FindingsReport>(&message)) {
+      findings_->OnReport(*findings);
       return;
     }
-    context_->view.ApplyReport(notice.runner, notice.report, context_->loop.Now());
-    DispatchWaitingCalls();
+    OnPeerNotice(std::get<RunnerNotice>(message));
   });
 }
 
+void GatewayDaemon::OnPeerNotice(const RunnerNotice& notice) {
+  placement_->OnNoticeFence(notice.fence);
+  // A former leader that was suspended may send a report that it read before its successor gave
+  // orders.
+  if (context_->leader && notice.fence.value() < context_->leader->revision.value()) {
+    LogInfo("peer", "event=notice-outdated runner=" + notice.runner.value());
+    return;
+  }
+  context_->view.ApplyReport(notice.runner, notice.report, context_->loop.Now());
+  DispatchWaitingCalls();
+}
+
+void GatewayDaemon::ApplyNewQuarantines() {
+  const std::vector<TraitSet> begun = context_->quarantine.TakeNew();
+  if (begun.empty()) return;
+  for (const TraitSet& traits : begun) {
+    LogWarning("crashes", fmt::format("event=quarantine traits={} crashes={}",
+                                      DescribeTraits(traits), context_->quarantine.crashes()));
+    metrics_.GetCounter("quarantines_total").Add();
+  }
+  for (const auto& session : Sessions()) session->OnQuarantine();
+}
+
 std::map<DemandMeter::Key, GatewayDaemon::WaitingDemand> GatewayDaemon::CountWaiting() const {
   std::map<DemandMeter::Key, WaitingDemand> waiting;
   for (const auto& [connection, session] : sessions_) {
@@ -393,6 +419,8 @@
   for (const RunnerId& runner : context_->view.AdoptUnconfirmed(context_->loop.Now())) {
     LogInfo("runners", "event=holdings-from-heartbeat runner=" + runner.value());
   }
+  crash_monitor_->Tick();
+  ApplyNewQuarantines();
   ReportDemand();
   DispatchWaitingCalls();
   context_->loop.After(kTickInterval, [this] { Tick(); });
--- a/drivers/gateway/gateway_daemon.h
+++ b/drivers/gateway/gateway_daemon.h
@@ -12,6 +12,8 @@
 #include "drivers/daemon.h"
 #include "drivers/gateway/call_session.h"
 #include "drivers/gateway/caller_listener.h"
+#include "drivers/gateway/crash_monitor.h"
+#include "drivers/gateway/findings_driver.h"
 #include "drivers/gateway/fleet_follower.h"
 #include "drivers/gateway/gateway_context.h"
 #include "drivers/gateway/placement_driver.h"
@@ -62,6 +64,9 @@
   void DispatchWaitingCalls();
   void ReportDemand();
   void OnNotice(const RunnerNotice& notice);
+  void OnPeerNotice(const RunnerNotice& notice);
+  /// Logs quarantines that have begun and applies them to the calls in progress.
+  void ApplyNewQuarantines();
   void ReloadSettings();
   void CloseStalePeers();
   bool Ready() const;
@@ -78,6 +83,8 @@
   std::unique_ptr<FleetFollower> follower_;
   std::unique_ptr<PlacementDriver> placement_;
   std::unique_ptr<PresenceDriver> presence_;
+  std::unique_ptr<CrashMonitor> crash_monitor_;
+  std::unique_ptr<FindingsDriver> findings_;
   std::map<CallerConnection*, std::shared_ptr<CallSession>> sessions_;
   std::thread thread_;
   std::atomic<bool> drain_requested_{false};
--- a/drivers/gateway/peer_channel.h
+++ b/drivers/gateway/peer_channel.h
@@ -9,6 +9,7 @@
 #include <variant>
 
 #include "core/result.h"
+#include "servers/gateway/crash_quarantine.h"
 #include "servers/gateway/demand_aggregator.h"
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/leader_election.h"
@@ -23,10 +24,17 @@
   FencingNumber fence;
 };
 
-using PeerMessage = std::variant<DemandReport, RunnerNotice>;
+/// One gateway's findings, sent to all gateways and written to its key in the store.
+struct FindingsReport {
+  InstanceId gateway;
+  CrashFindings crashes;
+};
+
+using PeerMessage = std::variant<DemandReport, RunnerNotice, FindingsReport>;
 
-/// Messages between gateways over ZeroMQ: demand reports to the leader, notices from it. Both are
-/// soft state that newer messages replace, so a lost message is not sent again.
+/// Messages between gateways over ZeroMQ: demand reports to the leader, notices from it, and
+/// findings to all. They are soft state that newer messages replace, so a lost message is not sent
+/// again.
 class PeerChannel {
  public:
   PeerChannel();
--- a/drivers/gateway/peer_codec.cc
+++ b/drivers/gateway/peer_codec.cc
@@ -105,12 +105,86 @@
   return notice;
 }
 
+template <class Repeated, class Traits>
+void EncodeTraits(const Traits& traits, Repeated* wire) {
+  for (const CallTrait& trait : traits) *wire->Add() = trait.value();
+}
+
+template <class Repeated>
+TraitSet DecodeTraits(const Repeated& wire) {
+  TraitSet traits;
+  for (const std::string& trait : wire) traits.insert(CallTrait(trait));
+  return traits;
+}
+
+void EncodeCrash(const CrashReport& report, gateway_wire::CrashReport* wire) {
+  wire->set_runner(report.crash.runner.value());
+  wire->set_born(report.crash.born.value());
+  wire->set_domain(report.domain.value());
+  for (const auto& call : report.calls) EncodeTraits(call, wire->add_calls()->mutable_traits());
+  EncodeTraits(report.served_before, wire->mutable_served_before());
+  EncodeTraits(report.served_after, wire->mutable_served_after());
+}
+
+CrashReport DecodeCrash(const gateway_wire::CrashReport& wire) {
+  CrashReport report;
+  report.crash = {RunnerId(wire.runner()), RunnerStartTime(wire.born())};
+  report.domain = FailureDomain(wire.domain());
+  for (const gateway_wire::CrashedCall& call : wire.calls()) {
+    std::vector<CallTrait>& traits = report.calls.emplace_back();
+    for (const std::string& trait : call.traits()) traits.emplace_back(trait);
+  }
+  report.served_before = DecodeTraits(wire.served_before());
+  report.served_after = DecodeTraits(wire.served_after());
+  return report;
+}
+
+void EncodeReport(const FindingsReport& report, gateway_wire::Findings* wire) {
+  wire->set_gateway(report.gateway.value());
+  for (const CrashReport& crash : report.crashes.crashes) EncodeCrash(crash, wire->add_crashes());
+  for (const QuarantinedTraits& quarantined : report.crashes.quarantined) {
+    gateway_wire::QuarantinedTraits* out = wire->add_quarantined();
+    EncodeTraits(quarantined.traits, out->mutable_traits());
+    out->set_relapses(quarantined.relapses);
+    out->set_remaining_ms(quarantined.remaining.count());
+  }
+}
+
+FindingsReport DecodeReport(const gateway_wire::Findings& wire) {
+  FindingsReport report;
+  report.gateway = InstanceId(wire.gateway());
+  for (const gateway_wire::CrashReport& crash : wire.crashes()) {
+    report.crashes.crashes.push_back(DecodeCrash(crash));
+  }
+  for (const gateway_wire::QuarantinedTraits& quarantined : wire.quarantined()) {
+    report.crashes.quarantined.push_back({DecodeTraits(quarantined.traits()),
+                                          quarantined.relapses(),
+                                          Millis(quarantined.remaining_ms())});
+  }
+  return report;
+}
+
 }  // namespace
 
+std::string EncodeFindings(const FindingsReport& report) {
+  gateway_wire::Findings wire;
+  EncodeReport(report, &wire);
+  return wire.SerializeAsString();
+}
+
+Result<FindingsReport> DecodeFindings(const std::string& bytes) {
+  gateway_wire::Findings wire;
+  if (wire.ParseFromString(bytes) && !wire.gateway().empty()) return DecodeReport(wire);
+  return Error{ErrorKind::kInvalidArgument, "cannot decode a gateway's findings",
+               "remove the key; gateways write it again"};
+}
+
 std::string EncodePeerMessage(const PeerMessage& message) {
   gateway_wire::PeerMessage wire;
   if (const auto* demand = std::get_if<DemandReport>(&message)) {
     EncodeDemand(*demand, wire.mutable_demand());
+  } else if (const auto* findings = std::get_if<FindingsReport>(&message)) {
+    EncodeReport(*findings, wire.mutable_findings());
   } else {
     EncodeNotice(std::get<RunnerNotice>(message), wire.mutable_notice());
   }
@@ -122,6 +196,7 @@
   if (wire.ParseFromString(bytes)) {
     if (wire.has_demand()) return PeerMessage(DecodeDemand(wire.demand()));
     if (wire.has_notice()) return PeerMessage(DecodeNotice(wire.notice()));
+    if (wire.has_findings()) return PeerMessage(DecodeReport(wire.findings()));
   }
   return Error{ErrorKind::kInvalidArgument, "cannot decode a message from another gateway",
                "run the same version on all gateways"};
--- a/drivers/gateway/peer_codec.h
+++ b/drivers/gateway/peer_codec.h
@@ -12,6 +12,9 @@
 /// invalid bytes.
 std::string EncodePeerMessage(const PeerMessage& message);
 Result<PeerMessage> DecodePeerMessage(const std::string& bytes);
+/// The value of a gateway's findings key.
+std::string EncodeFindings(const FindingsReport& report);
+Result<FindingsReport> DecodeFindings(const std::string& bytes);
 
 }  // namespace shallot::gateway
 
--- a/drivers/gateway/platform_protocol.h
+++ b/drivers/gateway/platform_protocol.h
@@ -107,6 +107,8 @@
   virtual std::string LeaderKey() const = 0;
   /// Prefix of the keys under which running gateways are registered.
   virtual std::string GatewaysPrefix() const = 0;
+  /// Prefix of the keys with the findings of each gateway.
+  virtual std::string FindingsPrefix() const = 0;
   virtual HttpMessage RangeRequest(const std::string& prefix, const std::string& after) const = 0;
   virtual HttpMessage WatchRequest(const std::string& prefix, StoreRevision after,
                                    Millis wait) const = 0;
--- /dev/null
+++ b/servers/gateway/crash_quarantine.cc
@@ -0,0 +1,398 @@
+#include "servers/gateway/crash_quarantine.h"
+
+#include <algorithm>
+
+namespace shallot::gateway {
+namespace {
+
+/// Suspicion that one crash adds for a trait.
+constexpr int kFullSuspicion = 2;
+/// The same if calls with the trait were answered shortly before.
+constexpr int kWeakSuspicion = 1;
+/// Two crashes of an unknown trait, or four of one that used to be served.
+constexpr int kQuarantineScore = 4;
+/// From here on, undecided calls are held.
+constexpr int kUndecidedScore = 6;
+
+CallTrait MakeTrait(std::string text) {
+  if (text.size() > CrashQuarantine::kMaxTraitBytes) text.resize(CrashQuarantine::kMaxTraitBytes);
+  return CallTrait(std::move(text));
+}
+
+bool HasAll(const std::vector<CallTrait>& traits, const TraitSet& wanted) {
+  return std::all_of(wanted.begin(), wanted.end(), [&](const CallTrait& trait) {
+    return std::find(traits.begin(), traits.end(), trait) != traits.end();
+  });
+}
+
+template <class Set>
+bool Includes(const Set& set, const Set& part) {
+  return std::includes(set.begin(), set.end(), part.begin(), part.end());
+}
+
+}  // namespace
+
+std::vector<CallTrait> TraitsOf(const BackendName& backend, const CallRequest& call) {
+  std::vector<CallTrait> traits;
+  // Two places are kept for the adapter and the model.
+  constexpr size_t kMaxParts = CrashQuarantine::kMaxTraitsPerCall - 2;
+  for (size_t index = call.prompt.size(); index > 1 && traits.size() < kMaxParts; --index) {
+    traits.push_back(MakeTrait("part:" + call.prompt[index - 2].id));
+  }
+  const std::string model = backend.value() + "/" + call.model.value();
+  if (!call.adapter.empty()) {
+    traits.push_back(MakeTrait("adapter:" + model + "/" + call.adapter.value()));
+  }
+  if (!call.model.empty()) traits.push_back(MakeTrait("model:" + model));
+  return traits;
+}
+
+std::string DescribeTraits(const TraitSet& traits) {
+  std::string text;
+  for (const CallTrait& trait : traits) text += (text.empty() ? "" : ",") + trait.value();
+  return text;
+}
+
+CrashQuarantine::Crash& CrashQuarantine::Remember(const CrashId& id, const FailureDomain& domain,
+                                                  SteadyTime now) {
+  const auto [found, is_new] = crashes_.try_emplace(id);
+  if (!is_new) return found->second;
+  found->second.domain = domain;
+  found->second.learned_at = now;
+  if (crashes_.size() > kMaxCrashes) {
+    const auto oldest =
+        std::min_element(crashes_.begin(), crashes_.end(), [&](const auto& a, const auto& b) {
+          return a.first != id && (b.first == id || a.second.learned_at < b.second.learned_at);
+        });
+    crashes_.erase(oldest);
+  }
+  return found->second;
+}
+
+void CrashQuarantine::SetReport(Crash* crash, const InstanceId& gateway, CrashReport report) {
+  crash->reports[gateway] = std::move(report);
+  crash->suspected.clear();
+  TraitSet served_before;
+  for (const auto& [reporter, known] : crash->reports) {
+    served_before.insert(known.served_before.begin(), known.served_before.end());
+    for (const auto& call : known.calls) crash->suspected.insert(call.begin(), call.end());
+  }
+  crash->unknown.clear();
+  std::set_difference(crash->suspected.begin(), crash->suspected.end(), served_before.begin(),
+                      served_before.end(), std::inserter(crash->unknown, crash->unknown.end()));
+}
+
+bool CrashQuarantine::HasCall(const Crash& crash, const TraitSet& traits) {
+  return std::any_of(crash.reports.begin(), crash.reports.end(), [&](const auto& entry) {
+    return std::any_of(entry.second.calls.begin(), entry.second.calls.end(),
+                       [&](const auto& call) { return HasAll(call, traits); });
+  });
+}
+
+bool CrashQuarantine::ServedSince(const TraitSet& traits, SteadyTime since) const {
+  return std::all_of(traits.begin(), traits.end(), [&](const CallTrait& trait) {
+    const auto found = served_at_.find(trait);
+    return found != served_at_.end() && found->second > since;
+  });
+}
+
+bool CrashQuarantine::ServedBefore(const CallTrait& trait, SteadyTime now) const {
+  const auto found = served_at_.find(trait);
+  return found != served_at_.end() && now - found->second < Duration(kServedMemory);
+}
+
+void CrashQuarantine::OnCrash(const CrashId& id, const FailureDomain& domain,
+                              std::vector<std::vector<CallTrait>> calls, SteadyTime now) {
+  CrashReport report;
+  report.crash = id;
+  report.domain = domain;
+  // If not all calls fit, the ones with the most unknown traits are kept.
+  std::stable_sort(calls.begin(), calls.end(), [&](const auto& a, const auto& b) {
+    const auto unknown = [&](const CallTrait& trait) { return !ServedBefore(trait, now); };
+    return std::count_if(a.begin(), a.end(), unknown) > std::count_if(b.begin(), b.end(), unknown);
+  });
+  if (calls.size() > kMaxCallsPerCrash) calls.resize(kMaxCallsPerCrash);
+  for (const auto& traits : calls) {
+    for (const CallTrait& trait : traits) {
+      if (ServedBefore(trait, now)) report.served_before.insert(trait);
+    }
+  }
+  report.calls = std::move(calls);
+  Crash& crash = Remember(id, domain, now);
+  const auto own = crash.reports.find(self_);
+  if (own != crash.reports.end()) report.served_after = own->second.served_after;
+  if (own != crash.reports.end() && own->second == report) return;
+  SetReport(&crash, self_, std::move(report));
+  changed_ = true;
+  EvaluateLater(now);
+}
+
+void CrashQuarantine::OnAnswerBegun(const std::vector<CallTrait>& traits, SteadyTime now) {
+  for (const CallTrait& trait : traits) served_at_[trait] = now;
+  if (served_at_.size() > kMaxServedTraits) {
+    std::erase_if(served_at_, [&](const auto& served) {
+      return now - served.second > Duration(kServedMemory) / 2;
+    });
+    if (served_at_.size() > kMaxServedTraits) served_at_.clear();
+  }
+  for (auto& [id, crash] : crashes_) {
+    for (const CallTrait& trait : traits) {
+      if (!crash.suspected.contains(trait) || !crash.served_after.insert(trait).second) continue;
+      // The other gateways need to be told only of traits that nobody knew to be served.
+      if (!crash.unknown.contains(trait)) continue;
+      CrashReport& own = crash.reports[self_];
+      own.crash = id;
+      own.domain = crash.domain;
+      own.served_after.insert(trait);
+      changed_ = true;
+    }
+  }
+}
+
+void CrashQuarantine::Merge(const InstanceId& gateway, const CrashFindings& findings,
+                            SteadyTime now) {
+  for (const CrashReport& report : findings.crashes) {
+    Crash& crash = Remember(report.crash, report.domain, now);
+    crash.served_after.insert(report.served_after.begin(), report.served_after.end());
+    // Reports only grow. A shorter one is older, or was left by an earlier run of the gateway.
+    const auto known = crash.reports.find(gateway);
+    const bool older = known != crash.reports.end() &&
+                       (gateway == self_ || known->second.calls.size() > report.calls.size());
+    if (!older) SetReport(&crash, gateway, report);
+  }
+  for (const QuarantinedTraits& remote : findings.quarantined) {
+    // Findings that are a little older may tell of a quarantine that a wider one has replaced.
+    const bool covered =
+        std::any_of(quarantines_.begin(), quarantines_.end(), [&](const auto& entry) {
+          return entry.second.proven && now < entry.second.until && entry.first != remote.traits &&
+                 Includes(remote.traits, entry.first);
+        });
+    if (covered) continue;
+    if (quarantines_.size() >= kMaxQuarantined && !quarantines_.contains(remote.traits)) continue;
+    const SteadyTime until = now + std::min<Duration>(remote.remaining, kLongestQuarantine);
+    Quarantine& known = quarantines_.try_emplace(remote.traits).first->second;
+    if (known.until <= now) {
+      known.since = now;
+      new_.push_back(remote.traits);
+    }
+    known.own = known.own || gateway == self_;
+    known.until = std::max(known.until, until);
+    known.relapses = std::max(known.relapses, remote.relapses);
+    known.proven = true;
+  }
+  if (!findings.crashes.empty()) EvaluateLater(now);
+}
+
+void CrashQuarantine::EvaluateLater(SteadyTime now) {
+  if (!evaluate_at_) evaluate_at_ = now + Duration(settle_);
+}
+
+void CrashQuarantine::Update(SteadyTime now) {
+  Expire(now);
+  if (!evaluate_at_ || now < *evaluate_at_) return;
+  evaluate_at_.reset();
+  Evaluate(now);
+}
+
+void CrashQuarantine::Expire(SteadyTime now) {
+  std::erase_if(crashes_, [&](const auto& crash) {
+    return now - crash.second.learned_at > Duration(kEvidenceLifetime);
+  });
+  std::erase_if(quarantines_, [&](const auto& entry) {
+    if (ServedSince(entry.first, entry.second.since)) return true;
+    const Duration kept = entry.second.proven ? kRelapseWindow : kEvidenceLifetime;
+    return now - entry.second.until > kept;
+  });
+}
+
+void CrashQuarantine::RenewRelapsed(SteadyTime now) {
+  std::vector<std::pair<TraitSet, uint64_t>> relapsed;
+  for (const auto& [traits, quarantine] : quarantines_) {
+    if (!quarantine.proven || now < quarantine.until) continue;
+    for (const auto& [id, crash] : crashes_) {
+      if (crash.learned_at < quarantine.until) continue;
+      if (!HasCall(crash, traits) || Includes(crash.served_after, traits)) continue;
+      relapsed.emplace_back(traits, quarantine.relapses + 1);
+      break;
+    }
+  }
+  for (const auto& [traits, relapses] : relapsed) Begin(traits, relapses, now);
+}
+
+CrashQuarantine::Suspects CrashQuarantine::FindSuspects(const CrashList& crashes) {
+  Suspects suspects;
+  /// When a crash in a failure domain was last counted for a trait.
+  std::map<std::pair<CallTrait, FailureDomain>, SteadyTime> counted_at;
+  for (size_t crash_index = 0; crash_index < crashes.size(); ++crash_index) {
+    const Crash& crash = *crashes[crash_index];
+    size_t call_index = 0;
+    for (const auto& [gateway, report] : crash.reports) {
+      for (const auto& call : report.calls) {
+        for (const CallTrait& trait : call) {
+          if (crash.served_after.contains(trait)) continue;
+          suspects[trait].calls.emplace(crash_index, call_index);
+        }
+        ++call_index;
+      }
+    }
+    for (const CallTrait& trait : crash.suspected) {
+      if (crash.served_after.contains(trait)) continue;
+      const auto [last, is_first] =
+          counted_at.emplace(std::pair(trait, crash.domain), crash.learned_at);
+      if (!is_first && crash.learned_at - last->second < Duration(kCommonCause)) continue;
+      last->second = crash.learned_at;
+      suspects[trait].score += crash.unknown.contains(trait) ? kFullSuspicion : kWeakSuspicion;
+    }
+  }
+  return suspects;
+}
+
+TraitSet CrashQuarantine::SharedTraits(const Suspects& suspects, const Suspect& suspect) {
+  TraitSet shared;
+  for (const auto& [trait, other] : suspects) {
+    if (other.score >= suspect.score && Includes(other.calls, suspect.calls)) shared.insert(trait);
+  }
+  return shared;
+}
+
+TraitSet CrashQuarantine::FindCause(const Suspects& suspects, int* score,
+                                    std::vector<TraitSet>* undecided) {
+  const Suspect* best = nullptr;
+  for (const auto& [trait, suspect] : suspects) {
+    if (suspect.score < kQuarantineScore) continue;
+    if (best == nullptr || suspect.score > best->score ||
+        (suspect.score == best->score && suspect.calls.size() < best->calls.size())) {
+      best = &suspect;
+    }
+  }
+  if (best == nullptr) return {};
+  *score = best->score;
+  TraitSet cause = SharedTraits(suspects, *best);
+  std::set<TraitSet> rivals;
+  for (const auto& [trait, rival] : suspects) {
+    if (rival.score < best->score || cause.contains(trait)) continue;
+    rivals.insert(SharedTraits(suspects, rival));
+  }
+  if (!rivals.empty()) {
+    rivals.insert(cause);
+    undecided->assign(rivals.begin(), rivals.end());
+  }
+  return cause;
+}
+
+void CrashQuarantine::Begin(const TraitSet& traits, uint64_t relapses, SteadyTime now) {
+  if (quarantines_.size() >= kMaxQuarantined && !quarantines_.contains(traits)) return;
+  Duration duration = kFirstQuarantine;
+  for (uint64_t count = 0; count < relapses && duration < kLongestQuarantine; ++count) {
+    duration *= 2;
+  }
+  Quarantine& quarantine = quarantines_[traits];
+  quarantine.since = now;
+  quarantine.own = std::any_of(crashes_.begin(), crashes_.end(), [&](const auto& entry) {
+    return entry.second.reports.contains(self_) && HasCall(entry.second, traits);
+  });
+  quarantine.until = now + std::min<Duration>(duration, kLongestQuarantine);
+  quarantine.relapses = relapses;
+  quarantine.proven = true;
+  new_.push_back(traits);
+  changed_ = true;
+}
+
+void CrashQuarantine::HoldUndecided(const std::vector<TraitSet>& undecided, int score,
+                                    SteadyTime now) {
+  for (const TraitSet& traits : undecided) {
+    if (quarantines_.size() >= kMaxQuarantined) return;
+    const auto [known, is_new] = quarantines_.try_emplace(traits);
+    if (!is_new && (known->second.proven || known->second.score >= score)) continue;
+    known->second.since = now;
+    known->second.until = now + Duration(kUndecidedHold);
+    known->second.proven = false;
+    known->second.score = score;
+    new_.push_back(traits);
+  }
+}
+
+void CrashQuarantine::LiftExplained(const std::set<TraitSet>& causes) {
+  std::erase_if(quarantines_, [&](const auto& entry) {
+    const TraitSet& traits = entry.first;
+    if (causes.contains(traits)) return false;
+    bool any = false;
+    for (const auto& known : crashes_) {
+      const Crash& crash = known.second;
+      if (!HasCall(crash, traits)) continue;
+      any = true;
+      const bool explained = std::any_of(causes.begin(), causes.end(), [&](const TraitSet& cause) {
+        return HasCall(crash, cause);
+      });
+      if (!explained) return false;
+    }
+    return any;
+  });
+}
+
+void CrashQuarantine::Evaluate(SteadyTime now) {
+  RenewRelapsed(now);
+  std::set<TraitSet> causes;
+  CrashList unexplained;
+  for (const auto& [id, crash] : crashes_) unexplained.push_back(&crash);
+  std::stable_sort(unexplained.begin(), unexplained.end(),
+                   [](const Crash* a, const Crash* b) { return a->learned_at < b->learned_at; });
+  while (!unexplained.empty()) {
+    int score = 0;
+    std::vector<TraitSet> undecided;
+    const TraitSet cause = FindCause(FindSuspects(unexplained), &score, &undecided);
+    if (cause.empty()) break;
+    if (!undecided.empty()) {
+      if (score >= kUndecidedScore) HoldUndecided(undecided, score, now);
+      break;
+    }
+    causes.insert(cause);
+    const auto known = quarantines_.find(cause);
+    const bool active =
+        known != quarantines_.end() && known->second.proven && now < known->second.until;
+    if (!active) Begin(cause, 0, now);
+    std::erase_if(unexplained, [&](const Crash* crash) { return HasCall(*crash, cause); });
+  }
+  LiftExplained(causes);
+}
+
+std::optional<QuarantinedTraits> CrashQuarantine::Match(const std::vector<CallTrait>& traits,
+                                                        SteadyTime now) const {
+  for (const auto& [set, quarantine] : quarantines_) {
+    if (now >= quarantine.until || !HasAll(traits, set)) continue;
+    return QuarantinedTraits{set, quarantine.relapses,
+                             std::chrono::duration_cast<Millis>(quarantine.until - now)};
+  }
+  return std::nullopt;
+}
+
+CrashFindings CrashQuarantine::Own(SteadyTime now) const {
+  CrashFindings findings;
+  std::vector<std::pair<SteadyTime, const CrashReport*>> own;
+  for (const auto& [id, crash] : crashes_) {
+    const auto report = crash.reports.find(self_);
+    if (report != crash.reports.end()) own.emplace_back(crash.learned_at, &report->second);
+  }
+  std::stable_sort(own.begin(), own.end(),
+                   [](const auto& a, const auto& b) { return a.first > b.first; });
+  if (own.size() > kMaxOwnCrashes) own.resize(kMaxOwnCrashes);
+  for (const auto& [learned_at, report] : own) findings.crashes.push_back(*report);
+  for (const auto& [traits, quarantine] : quarantines_) {
+    if (!quarantine.proven || !quarantine.own || now >= quarantine.until) continue;
+    findings.quarantined.push_back(
+        {traits, quarantine.relapses, std::chrono::duration_cast<Millis>(quarantine.until - now)});
+  }
+  return findings;
+}
+
+std::vector<QuarantinedTraits> CrashQuarantine::Quarantined(SteadyTime now) const {
+  std::vector<QuarantinedTraits> active;
+  for (const auto& [traits, quarantine] : quarantines_) {
+    if (now >= quarantine.until) continue;
+    active.push_back(
+        {traits, quarantine.relapses, std::chrono::duration_cast<Millis>(quarantine.until - now)});
+  }
+  return active;
+}
+
+}  // namespace shallot::gateway
--- /dev/null
+++ b/servers/gateway/crash_quarantine.h
@@ -0,0 +1,211 @@
+#ifndef SERVERS_GATEWAY_CRASH_QUARANTINE_H_
+#define SERVERS_GATEWAY_CRASH_QUARANTINE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "servers/gateway/call_request.h"
+#include "servers/gateway/fleet_view.h"
+
+namespace shallot::gateway {
+
+/// Something that calls have in common and that may crash the runner which begins to answer them: a
+/// prompt part, an adapter or a model. The text is "part:ID", "adapter:BACKEND/MODEL/NAME" or
+/// "model:BACKEND/MODEL".
+using CallTrait = StrongId<struct CallTraitTag>;
+using TraitSet = std::set<CallTrait>;
+
+/// The traits of a call, the most specific first: the prompt parts from the last one to the first,
+/// the adapter, the model. Without the prompt's last part, which belongs to this call alone.
+std::vector<CallTrait> TraitsOf(const BackendName& backend, const CallRequest& call);
+
+/// The end of one run of a runner.
+struct CrashId {
+  RunnerId runner;
+  RunnerStartTime born;
+  auto operator<=>(const CrashId&) const = default;  // NOLINT(modernize-use-nullptr)
+};
+
+/// What one gateway knows of a crash.
+struct CrashReport {
+  CrashId crash;
+  FailureDomain domain;
+  /// Traits of each call whose answer had not begun when the runner crashed.
+  std::vector<std::vector<CallTrait>> calls;
+  /// Traits of `calls` with which calls had been answered shortly before.
+  TraitSet served_before;
+  /// Traits with which calls were answered after the crash.
+  TraitSet served_after;
+
+  bool operator==(const CrashReport&) const = default;
+};
+
+/// Traits whose common calls are refused.
+struct QuarantinedTraits {
+  /// Calls that have all of them are refused. The evidence does not tell which of them is the
+  /// cause.
+  TraitSet traits;
+  /// How often a runner crashed again after a quarantine had ended; each doubles the next one.
+  uint64_t relapses = 0;
+  Millis remaining{0};
+};
+
+/// The traits as one text, separated by commas, for logs.
+std::string DescribeTraits(const TraitSet& traits);
+
+/// One gateway's knowledge that the others need. Replaces what it told before.
+struct CrashFindings {
+  std::vector<CrashReport> crashes;
+  std::vector<QuarantinedTraits> quarantined;
+
+  bool empty() const { return crashes.empty() && quarantined.empty(); }
+};
+
+/// Finds out what the calls have in common that crash one runner after the other, and refuses these
+/// calls. Load pattern: a few calls among many sound ones, at all gateways, crash each runner that
+/// begins to answer them; the other calls at that runner are lost with them and share most of their
+/// traits.
+///
+/// A trait is suspected for each crash at which a call that has it was waiting for its answer. The
+/// suspicion is weaker if such calls were answered shortly before, and void if one was answered
+/// since. The strongest suspect is quarantined on the evidence of two crashes, together with the
+/// traits that all of its calls share: a call is refused only if it has all of them. A crash by a
+/// call that has some of them leaves only the common ones. If calls without the strongest suspect
+/// are as suspect, a third crash has to decide; if that does not either, both are held back for a
+/// short time. A quarantine ends when calls with each of its traits were answered, when another one
+/// explains its crashes, and otherwise by itself; the first crash that follows renews it for twice
+/// the time.
+///
+/// All gateways combine their findings and draw the same conclusions; none decides for the others.
+/// Not thread-safe.
+class CrashQuarantine {
+ public:
+  /// Crashes older than this say nothing about the calls of today.
+  static constexpr Seconds kEvidenceLifetime{60};
+  /// How long an answered call speaks for its traits.
+  static constexpr Seconds kServedMemory{60};
+  static constexpr Seconds kFirstQuarantine{120};
+  /// The platform's leases, under which findings are stored, last no longer.
+  static constexpr Seconds kLongestQuarantine{600};
+  /// A crash within this time after a quarantine has ended renews it.
+  static constexpr Seconds kRelapseWindow{600};
+  /// Hold of calls between which the evidence does not decide.
+  static constexpr Seconds kUndecidedHold{3};
+  /// Time in which the other gateways' findings about a crash arrive, before conclusions are drawn:
+  /// directly, or by the store alone.
+  static constexpr Millis kSettleDirect{150};
+  static constexpr Millis kSettleByStore{1'000};
+  /// Crashes in one failure domain within this time may have a common cause, such as a lost rack,
+  /// and count as one.
+  static constexpr Millis kCommonCause{1'000};
+
+  // Limits of the findings' size: the record of a gateway stays below 128 kB.
+  static constexpr size_t kMaxCrashes = 32;
+  static constexpr size_t kMaxOwnCrashes = 16;
+  static constexpr size_t kMaxCallsPerCrash = 8;
+  static constexpr size_t kMaxTraitsPerCall = 8;
+  static constexpr size_t kMaxTraitBytes = 64;
+  static constexpr size_t kMaxQuarantined = 64;
+  /// Number of traits whose last answer is remembered.
+  static constexpr size_t kMaxServedTraits = 8'192;
+
+  explicit CrashQuarantine(InstanceId self) : self_(std::move(self)) {}
+
+  /// This gateway lost `calls`, whose answers had not begun, at a runner that has crashed. Replaces
+  /// an earlier report of the same crash.
+  void OnCrash(const CrashId& crash, const FailureDomain& domain,
+               std::vector<std::vector<CallTrait>> calls, SteadyTime now);
+  /// A runner began to answer a call with these traits.
+  void OnAnswerBegun(const std::vector<CallTrait>& traits, SteadyTime now);
+  /// Findings of a gateway arrived; those that an earlier run of this gateway left are its own.
+  void Merge(const InstanceId& gateway, const CrashFindings& findings, SteadyTime now);
+  /// Draws the conclusions that are due and drops what has expired. To be called frequently.
+  void Update(SteadyTime now);
+  void SetSettleTime(Millis settle) { settle_ = settle; }
+
+  /// The quarantine that a call with these traits falls under.
+  std::optional<QuarantinedTraits> Match(const std::vector<CallTrait>& traits,
+                                         SteadyTime now) const;
+  /// What the other gateways have to know.
+  CrashFindings Own(SteadyTime now) const;
+  /// Whether Own() has changed since the last call of this function.
+  bool TakeChanged() { return std::exchange(changed_, false); }
+  /// Makes Own() count as changed, after the published findings were lost.
+  void MarkChanged() { changed_ = true; }
+  std::vector<QuarantinedTraits> Quarantined(SteadyTime now) const;
+  /// The quarantines that began since the last call of this function.
+  std::vector<TraitSet> TakeNew() { return std::exchange(new_, {}); }
+  /// Number of crashes that are remembered.
+  size_t crashes() const { return crashes_.size(); }
+
+ private:
+  struct Crash {
+    FailureDomain domain;
+    std::map<InstanceId, CrashReport> reports;
+    /// All traits of the reported calls, and those of them that no reporter had seen served.
+    TraitSet suspected;
+    TraitSet unknown;
+    TraitSet served_after;
+    SteadyTime learned_at;
+  };
+  struct Quarantine {
+    SteadyTime since;
+    SteadyTime until;
+    uint64_t relapses = 0;
+    /// False for the hold of undecided calls, which proves nothing.
+    bool proven = true;
+    /// This gateway saw crashes that led to it, and tells the others of it.
+    bool own = false;
+    /// The score when it began; undecided calls are held again only with a higher one.
+    int score = 0;
+  };
+  struct Suspect {
+    int score = 0;
+    /// The calls that have the trait, as (index of the crash, index of the call).
+    std::set<std::pair<size_t, size_t>> calls;
+  };
+  using Suspects = std::map<CallTrait, Suspect>;
+  using CrashList = std::vector<const Crash*>;
+
+  Crash& Remember(const CrashId& id, const FailureDomain& domain, SteadyTime now);
+  static void SetReport(Crash* crash, const InstanceId& gateway, CrashReport report);
+  static bool HasCall(const Crash& crash, const TraitSet& traits);
+  bool ServedBefore(const CallTrait& trait, SteadyTime now) const;
+  bool ServedSince(const TraitSet& traits, SteadyTime since) const;
+  void RenewRelapsed(SteadyTime now);
+  static Suspects FindSuspects(const CrashList& crashes);
+  /// The traits that all calls of the strongest suspect share; empty if there is none. `undecided`
+  /// receives the suspects of other calls that are as strong.
+  static TraitSet FindCause(const Suspects& suspects, int* score, std::vector<TraitSet>* undecided);
+  static TraitSet SharedTraits(const Suspects& suspects, const Suspect& suspect);
+  void Begin(const TraitSet& traits, uint64_t relapses, SteadyTime now);
+  void HoldUndecided(const std::vector<TraitSet>& undecided, int score, SteadyTime now);
+  void Expire(SteadyTime now);
+  void EvaluateLater(SteadyTime now);
+  void Evaluate(SteadyTime now);
+  /// Ends quarantines whose crashes are all explained by one of `causes` instead.
+  void LiftExplained(const std::set<TraitSet>& causes);
+
+  InstanceId self_;
+  std::map<CrashId, Crash> crashes_;
+  /// Present and past quarantines; the past ones for kRelapseWindow.
+  std::map<TraitSet, Quarantine> quarantines_;
+  std::unordered_map<CallTrait, SteadyTime> served_at_;
+  std::vector<TraitSet> new_;
+  Millis settle_{kSettleDirect};
+  /// When conclusions are to be drawn; absent if nothing has changed.
+  std::optional<SteadyTime> evaluate_at_;
+  bool changed_ = false;
+};
+
+}  // namespace shallot::gateway
+
+#endif  // SERVERS_GATEWAY_CRASH_QUARANTINE_H_
