Treat a stream that ends with its connection before any event as broken off

Callers would have seen an empty stream that looks complete, and the crash quarantine would have counted the call as answered: a runner that crashes when it begins to answer can send the head of a stream without length or chunks and close.

Cause: an answer without length ends with its connection, and only a stream that ended inside an event counted as broken off. Class of fault: the end of a connection taken for the end of a message.

Ruled out: streams with chunks (their end is marked), and a resumed stream whose remaining part is empty (chunked or with a length, it is complete as before).

The test failed before in the case without an event (status 200, 502 expected); the case that ends inside its first event was handled already.

--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -143,6 +143,12 @@
     FailAttempt(AttemptFailure::kLostAnswer, "the stream ended within an event");
     return;
   }
+  // A runner that crashes when it begins to answer may end an unframed stream like this.
+  const bool framed = answer_.head.chunked || answer_.head.content_length.has_value();
+  if (streaming_ && !framed && !first_event_seen_) {
+    FailAttempt(AttemptFailure::kLostAnswer, "the stream ended before its first event");
+    return;
+  }
   EndAttempt();
   if (!first_event_seen_) context_->quarantine.OnAnswerBegun(traits_, context_->loop.Now());
   RunnerHealth& health = context_->picker.health(runner_.runner);
--- a/tests/gateway_daemon_test.cc
+++ b/tests/gateway_daemon_test.cc
@@ -171,6 +171,41 @@
   }));
 }
 
+// Guards against a stream without length and chunks that is taken for complete although its runner
+// broke it off.
+TEST_CASE("gateway daemon: a stream that ends with its connection is complete after whole events") {
+  struct Case {
+    const char* name;
+    const char* body;
+    int status;
+    const char* expected;
+  };
+  for (const Case& test :
+       {Case{"after its last event", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 200, kBothEvents},
+        Case{"before its first event", "", 502, nullptr},
+        Case{"within its first event", "id: 1\nda", 502, nullptr}}) {
+    CAPTURE(std::string(test.name));
+    GatewayFixture fixture;
+    std::atomic<int> streams = 0;
+    RawServer runner([&](RawConnection* connection, int /*number*/) {
+      const std::string request = connection->ReadHead();
+      if (request.find("GET /s/") == std::string::npos) return;
+      ++streams;
+      connection->Send(AnswerHead(request, "Server-Seal: s\r\n") + test.body);
+    });
+    fixture.Configure("models");
+    fixture.AddRunner(runner.address());
+    REQUIRE(fixture.AwaitReady());
+    Reply reply;
+    REQUIRE(fixture.Await([&] {
+      reply = fixture.Send(fixture.settings_.caller_address, "GET", "/s/1", "", "m1");
+      return streams > 0;
+    }));
+    CHECK(reply.status == test.status);
+    if (test.expected != nullptr) CHECK(reply.body == std::string(test.expected));
+  }
+}
+
 // Guards against a slow but sound stream that is cancelled although no retry is left with which it
 // could continue elsewhere.
 TEST_CASE("gateway daemon: a slow stream is not cut when it cannot continue elsewhere") {
