Keep a reported quarantine that narrower conclusions also fit

Callers saw: sound streams cut off by crashes after the cause was known.

Cause: a gateway ended a quarantine when another conclusion explained all of its crashes. If the other conclusion has the same traits and one more, all crashes that it explains have calls with the quarantine's traits, so it proves nothing against it. Class of fault: two rules that undo each other's result.

Ruled out: calls that were served since, and holds of undecided calls.

Change: only conclusions without all of the quarantine's traits end it. The test failed before (twice not refused).

--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -280,14 +280,18 @@
   DispatchWaitingCalls();
 }
 
-void GatewayDaemon::ApplyNewQuarantines() {
-  const std::vector<TraitSet> begun = context_->quarantine.TakeNew();
-  if (begun.empty()) return;
-  for (const TraitSet& traits : begun) {
-    LogWarning("crashes", fmt::format("event=quarantine traits={} crashes={}",
-                                      DescribeTraits(traits), context_->quarantine.crashes()));
+void GatewayDaemon::ApplyQuarantineChanges() {
+  bool begun = false;
+  for (const QuarantineChange& change : context_->quarantine.TakeQuarantineChanges()) {
+    LogWarning("crashes", fmt::format("event={} traits={} reason={} crashes={}",
+                                      change.begun ? "quarantine" : "quarantine-ended",
+                                      DescribeTraits(change.traits), change.reason,
+                                      context_->quarantine.crashes()));
+    if (!change.begun) continue;
     metrics_.GetCounter("quarantines_total").Add();
+    begun = true;
   }
+  if (!begun) return;
   for (const auto& session : Sessions()) session->OnQuarantine();
 }
 
@@ -420,7 +424,7 @@
     LogInfo("runners", "event=holdings-from-heartbeat runner=" + runner.value());
   }
   crash_monitor_->Tick();
-  ApplyNewQuarantines();
+  ApplyQuarantineChanges();
   ReportDemand();
   DispatchWaitingCalls();
   context_->loop.After(kTickInterval, [this] { Tick(); });
--- a/drivers/gateway/gateway_daemon.h
+++ b/drivers/gateway/gateway_daemon.h
@@ -65,8 +65,8 @@
   void ReportDemand();
   void OnNotice(const RunnerNotice& notice);
   void OnPeerNotice(const RunnerNotice& notice);
-  /// Logs quarantines that have begun and applies them to the calls in progress.
-  void ApplyNewQuarantines();
+  /// Logs quarantines that have begun or ended, and applies new ones to the calls in progress.
+  void ApplyQuarantineChanges();
   void ReloadSettings();
   void CloseStalePeers();
   bool Ready() const;
--- a/servers/gateway/crash_quarantine.cc
+++ b/servers/gateway/crash_quarantine.cc
@@ -173,10 +173,11 @@
     Quarantine& known = quarantines_.try_emplace(remote.traits).first->second;
     if (known.until <= now) {
       known.since = now;
-      new_.push_back(remote.traits);
+      changes_.push_back({remote.traits, "reported", true});
     }
     known.own = known.own || gateway == self_;
     known.until = std::max(known.until, until);
+    known.active = true;
     known.relapses = std::max(known.relapses, remote.relapses);
     known.proven = true;
   }
@@ -198,6 +199,12 @@
   std::erase_if(crashes_, [&](const auto& crash) {
     return now - crash.second.learned_at > Duration(kEvidenceLifetime);
   });
+  for (auto& [traits, quarantine] : quarantines_) {
+    const bool served = ServedSince(traits, quarantine.since);
+    if (!quarantine.active || (!served && now < quarantine.until)) continue;
+    quarantine.active = false;
+    changes_.push_back({traits, served ? "served" : "expired", false});
+  }
   std::erase_if(quarantines_, [&](const auto& entry) {
     if (ServedSince(entry.first, entry.second.since)) return true;
     const Duration kept = entry.second.proven ? kRelapseWindow : kEvidenceLifetime;
@@ -292,9 +299,10 @@
     return entry.second.reports.contains(self_) && HasCall(entry.second, traits);
   });
   quarantine.until = now + std::min<Duration>(duration, kLongestQuarantine);
+  quarantine.active = true;
   quarantine.relapses = relapses;
   quarantine.proven = true;
-  new_.push_back(traits);
+  changes_.push_back({traits, "crashes", true});
   changed_ = true;
 }
 
@@ -306,16 +314,21 @@
     if (!is_new && (known->second.proven || known->second.score >= score)) continue;
     known->second.since = now;
     known->second.until = now + Duration(kUndecidedHold);
+    known->second.active = true;
     known->second.proven = false;
     known->second.score = score;
-    new_.push_back(traits);
+    changes_.push_back({traits, "undecided", true});
   }
 }
 
 void CrashQuarantine::LiftExplained(const std::set<TraitSet>& causes) {
   std::erase_if(quarantines_, [&](const auto& entry) {
     const TraitSet& traits = entry.first;
-    if (causes.contains(traits)) return false;
+    // A cause with more traits explains these crashes no better: all its calls have `traits`, too.
+    const bool narrowed = std::any_of(causes.begin(), causes.end(), [&](const TraitSet& cause) {
+      return Includes(cause, traits);
+    });
+    if (narrowed) return false;
     bool any = false;
     for (const auto& known : crashes_) {
       const Crash& crash = known.second;
@@ -326,6 +339,7 @@
       });
       if (!explained) return false;
     }
+    if (any && entry.second.active) changes_.push_back({traits, "explained", false});
     return any;
   });
 }
--- a/servers/gateway/crash_quarantine.h
+++ b/servers/gateway/crash_quarantine.h
@@ -58,6 +58,14 @@
   Millis remaining{0};
 };
 
+/// A quarantine that has begun or ended, for logs.
+struct QuarantineChange {
+  TraitSet traits;
+  /// Why it began ("crashes", "undecided", "reported") or ended ("served", "explained", "expired").
+  const char* reason = "";
+  bool begun = false;
+};
+
 /// The traits as one text, separated by commas, for logs.
 std::string DescribeTraits(const TraitSet& traits);
 
@@ -141,8 +149,8 @@
   /// Makes Own() count as changed, after the published findings were lost.
   void MarkChanged() { changed_ = true; }
   std::vector<QuarantinedTraits> Quarantined(SteadyTime now) const;
-  /// The quarantines that began since the last call of this function.
-  std::vector<TraitSet> TakeNew() { return std::exchange(new_, {}); }
+  /// The quarantines that began or ended since the last call of this function.
+  std::vector<QuarantineChange> TakeQuarantineChanges() { return std::exchange(changes_, {}); }
   /// Number of crashes that are remembered.
   size_t crashes() const { return crashes_.size(); }
 
@@ -160,6 +168,8 @@
     SteadyTime since;
     SteadyTime until;
     uint64_t relapses = 0;
+    /// False once its end has been recorded.
+    bool active = false;
     /// False for the hold of undecided calls, which proves nothing.
     bool proven = true;
     /// This gateway saw crashes that led to it, and tells the others of it.
@@ -199,7 +209,7 @@
   /// Present and past quarantines; the past ones for kRelapseWindow.
   std::map<TraitSet, Quarantine> quarantines_;
   std::unordered_map<CallTrait, SteadyTime> served_at_;
-  std::vector<TraitSet> new_;
+  std::vector<QuarantineChange> changes_;
   Millis settle_{kSettleDirect};
   /// When conclusions are to be drawn; absent if nothing has changed.
   std::optional<SteadyTime> evaluate_at_;
--- a/tests/gateway_crash_quarantine_test.cc
+++ b/tests/gateway_crash_quarantine_test.cc
@@ -264,6 +264,19 @@
   CHECK(late.Refuses("dead s3"));
 }
 
+// Guards against a quarantine that ends at a gateway whose own evidence also fits a narrower one:
+// until the next report, calls of the wider one reach runners again.
+TEST_CASE("gateway: a reported quarantine outlasts narrower conclusions") {
+  QuarantineFixture fixture;
+  fixture.Crash({"dead s1 f1"});
+  fixture.quarantine_.Merge(InstanceId("front-2"), {{}, {{{CallTrait("dead")}, 0, Seconds(60)}}},
+                            fixture.now_);
+  for (int crash = 0; crash < 2; ++crash) {
+    fixture.Crash({"dead s1 f1"});
+    CHECK(fixture.Refuses("dead s2 f2"));
+  }
+}
+
 // Guards against sound calls that are refused because only one gateway knows that they are served.
 TEST_CASE("gateway: a call that one gateway served is sound for all") {
   QuarantineFixture first("front-1");
