Tell which suspected traits a gateway has seen answered, in fleets of any size

Cause: each gateway of a large fleet sees few calls, so the gateways that lost calls in a crash had not seen the shared first parts answered and took them for unknown; four first parts that sound calls share were quarantined, and calls that are refused everywhere can clear nobody. Suspicion of parts that used to be answered added up over crashes, because answers were told only for unknown parts, and a gateway adopted reported quarantines that its own evidence refuted. Class of fault: a conclusion from the evidence of a few for all.

Ruled out: late findings (the deadly part itself was found after 0.8 s), too few crashes in memory.

Change: a gateway that learns of a crash tells which suspected traits it has seen answered. A suspect that used to be answered is delayed for two settling times, in which gateways tell that it is answered again. Quarantines that the evidence refutes end and are not adopted. A report that has not changed is not evaluated again.

--- a/servers/gateway/crash_quarantine.cc
+++ b/servers/gateway/crash_quarantine.cc
@@ -11,6 +11,8 @@
 constexpr int kWeakSuspicion = 1;
 /// Two crashes of an unknown trait, or four of one that used to be served.
 constexpr int kQuarantineScore = 4;
+/// From here on, gateways tell when calls with a trait that used to be served are served again.
+constexpr int kContestScore = 3;
 /// From here on, undecided calls are held.
 constexpr int kUndecidedScore = 6;
 
@@ -120,13 +122,31 @@
   report.calls = std::move(calls);
   Crash& crash = Remember(id, domain, now);
   const auto own = crash.reports.find(self_);
-  if (own != crash.reports.end()) report.served_after = own->second.served_after;
-  if (own != crash.reports.end() && own->second == report) return;
+  if (own != crash.reports.end()) {
+    report.served_before.merge(TraitSet(own->second.served_before));
+    report.served_after = own->second.served_after;
+    if (own->second == report) return;
+  }
   SetReport(&crash, self_, std::move(report));
+  ReportServed(id, &crash, now);
   changed_ = true;
   EvaluateLater(now);
 }
 
+void CrashQuarantine::ReportServed(const CrashId& id, Crash* crash, SteadyTime now) {
+  TraitSet served;
+  for (const CallTrait& trait : crash->unknown) {
+    if (ServedBefore(trait, now)) served.insert(trait);
+  }
+  if (served.empty()) return;
+  CrashReport report = crash->reports[self_];
+  report.crash = id;
+  report.domain = crash->domain;
+  report.served_before.merge(served);
+  SetReport(crash, self_, std::move(report));
+  changed_ = true;
+}
+
 void CrashQuarantine::OnAnswerBegun(const std::vector<CallTrait>& traits, SteadyTime now) {
   for (const CallTrait& trait : traits) served_at_[trait] = now;
   if (served_at_.size() > kMaxServedTraits) {
@@ -138,8 +158,8 @@
   for (auto& [id, crash] : crashes_) {
     for (const CallTrait& trait : traits) {
       if (!crash.suspected.contains(trait) || !crash.served_after.insert(trait).second) continue;
-      // The other gateways need to be told only of traits that nobody knew to be served.
-      if (!crash.unknown.contains(trait)) continue;
+      // The other gateways need to be told only of traits whose calls may be refused.
+      if (!crash.unknown.contains(trait) && !contested_.contains(trait)) continue;
       CrashReport& own = crash.reports[self_];
       own.crash = id;
       own.domain = crash.domain;
@@ -158,7 +178,16 @@
     const auto known = crash.reports.find(gateway);
     const bool older = known != crash.reports.end() &&
                        (gateway == self_ || known->second.calls.size() > report.calls.size());
-    if (!older) SetReport(&crash, gateway, report);
+    if (older) continue;
+    CrashReport merged = report;
+    if (known != crash.reports.end()) {
+      merged.served_before.merge(TraitSet(known->second.served_before));
+    }
+    // A gateway publishes all its reports again with each new one.
+    if (known != crash.reports.end() && known->second == merged) continue;
+    SetReport(&crash, gateway, std::move(merged));
+    ReportServed(report.crash, &crash, now);
+    EvaluateLater(now);
   }
   for (const QuarantinedTraits& remote : findings.quarantined) {
     // Findings that are a little older may tell of a quarantine that a wider one has replaced.
@@ -167,7 +196,11 @@
           return entry.second.proven && now < entry.second.until && entry.first != remote.traits &&
                  Includes(remote.traits, entry.first);
         });
-    if (covered) continue;
+    const bool served =
+        std::all_of(remote.traits.begin(), remote.traits.end(),
+                    [&](const CallTrait& trait) { return ServedBefore(trait, now); });
+    // Conclusions that other evidence contradicts, and those that this gateway can draw by itself.
+    if (covered || served || Refuted(remote.traits)) continue;
     if (quarantines_.size() >= kMaxQuarantined && !quarantines_.contains(remote.traits)) continue;
     const SteadyTime until = now + std::min<Duration>(remote.remaining, kLongestQuarantine);
     Quarantine& known = quarantines_.try_emplace(remote.traits).first->second;
@@ -181,7 +214,6 @@
     known.relapses = std::max(known.relapses, remote.relapses);
     known.proven = true;
   }
-  if (!findings.crashes.empty()) EvaluateLater(now);
 }
 
 void CrashQuarantine::EvaluateLater(SteadyTime now) {
@@ -248,7 +280,9 @@
           counted_at.emplace(std::pair(trait, crash.domain), crash.learned_at);
       if (!is_first && crash.learned_at - last->second < Duration(kCommonCause)) continue;
       last->second = crash.learned_at;
-      suspects[trait].score += crash.unknown.contains(trait) ? kFullSuspicion : kWeakSuspicion;
+      const bool unknown = crash.unknown.contains(trait);
+      suspects[trait].score += unknown ? kFullSuspicion : kWeakSuspicion;
+      if (unknown) suspects[trait].weak = false;
     }
   }
   return suspects;
@@ -321,32 +355,75 @@
   }
 }
 
-void CrashQuarantine::LiftExplained(const std::set<TraitSet>& causes) {
-  std::erase_if(quarantines_, [&](const auto& entry) {
-    const TraitSet& traits = entry.first;
-    // A cause with more traits explains these crashes no better: all its calls have `traits`, too.
-    const bool narrowed = std::any_of(causes.begin(), causes.end(), [&](const TraitSet& cause) {
-      return Includes(cause, traits);
-    });
-    if (narrowed) return false;
-    bool any = false;
-    for (const auto& known : crashes_) {
-      const Crash& crash = known.second;
-      if (!HasCall(crash, traits)) continue;
-      any = true;
-      const bool explained = std::any_of(causes.begin(), causes.end(), [&](const TraitSet& cause) {
-        return HasCall(crash, cause);
-      });
-      if (!explained) return false;
+bool CrashQuarantine::Refuted(const TraitSet& traits) const {
+  bool any = false;
+  for (const auto& [id, crash] : crashes_) {
+    if (!HasCall(crash, traits)) continue;
+    any = true;
+    for (const CallTrait& trait : traits) {
+      if (crash.unknown.contains(trait) && !crash.served_after.contains(trait)) return false;
     }
-    if (any && entry.second.active) changes_.push_back({traits, "explained", false});
-    return any;
+  }
+  // A trait that used to be served is not refuted as long as nobody has seen it served again.
+  return any && std::none_of(traits.begin(), traits.end(), [&](const CallTrait& trait) {
+           const auto contested = contested_.find(trait);
+           return contested != contested_.end() && !ServedSince({trait}, contested->second);
+         });
+}
+
+bool CrashQuarantine::Explained(const TraitSet& traits, const std::set<TraitSet>& causes) const {
+  // A cause with more traits explains these crashes no better: all its calls have `traits`, too.
+  const bool narrowed = std::any_of(causes.begin(), causes.end(),
+                                    [&](const TraitSet& cause) { return Includes(cause, traits); });
+  if (narrowed) return false;
+  bool any = false;
+  for (const auto& [id, crash] : crashes_) {
+    if (!HasCall(crash, traits)) continue;
+    any = true;
+    const bool explained =
+        std::any_of(causes.begin(), causes.end(),
+                    [&known = crash](const TraitSet& cause) { return HasCall(known, cause); });
+    if (!explained) return false;
+  }
+  return any;
+}
+
+void CrashQuarantine::LiftUnfounded(const std::set<TraitSet>& causes) {
+  std::erase_if(quarantines_, [&](const auto& entry) {
+    const auto& [traits, quarantine] = entry;
+    if (causes.contains(traits)) return false;
+    const char* reason = Explained(traits, causes) ? "explained"
+                         : Refuted(traits)         ? "refuted"
+                                                   : nullptr;
+    if (reason != nullptr && quarantine.active) changes_.push_back({traits, reason, false});
+    return reason != nullptr;
   });
 }
 
+void CrashQuarantine::DelayWeakSuspects(Suspects* suspects, Contested* contested, SteadyTime now) {
+  const Duration delay = settle_ * 2;
+  for (auto suspect = suspects->begin(); suspect != suspects->end();) {
+    const auto& [trait, suspicion] = *suspect;
+    if (!suspicion.weak || suspicion.score < kContestScore) {
+      ++suspect;
+      continue;
+    }
+    const auto known = contested_.find(trait);
+    const SteadyTime since = known == contested_.end() ? now : known->second;
+    contested->emplace(trait, since);
+    if (now - since < delay) {
+      EvaluateLater(now);
+      suspect = suspects->erase(suspect);
+    } else {
+      ++suspect;
+    }
+  }
+}
+
 void CrashQuarantine::Evaluate(SteadyTime now) {
   RenewRelapsed(now);
   std::set<TraitSet> causes;
+  Contested contested;
   CrashList unexplained;
   for (const auto& [id, crash] : crashes_) unexplained.push_back(&crash);
   std::stable_sort(unexplained.begin(), unexplained.end(),
@@ -354,7 +431,9 @@
   while (!unexplained.empty()) {
     int score = 0;
     std::vector<TraitSet> undecided;
-    const TraitSet cause = FindCause(FindSuspects(unexplained), &score, &undecided);
+    Suspects suspects = FindSuspects(unexplained);
+    DelayWeakSuspects(&suspects, &contested, now);
+    const TraitSet cause = FindCause(suspects, &score, &undecided);
     if (cause.empty()) break;
     if (!undecided.empty()) {
       if (score >= kUndecidedScore) HoldUndecided(undecided, score, now);
@@ -367,7 +446,8 @@
     if (!active) Begin(cause, 0, now);
     std::erase_if(unexplained, [&](const Crash* crash) { return HasCall(*crash, cause); });
   }
-  LiftExplained(causes);
+  contested_ = std::move(contested);
+  LiftUnfounded(causes);
 }
 
 std::optional<QuarantinedTraits> CrashQuarantine::Match(const std::vector<CallTrait>& traits,
--- a/servers/gateway/crash_quarantine.h
+++ b/servers/gateway/crash_quarantine.h
@@ -40,7 +40,7 @@
   FailureDomain domain;
   /// Traits of each call whose answer had not begun when the runner crashed.
   std::vector<std::vector<CallTrait>> calls;
-  /// Traits of `calls` with which calls had been answered shortly before.
+  /// Suspected traits with which calls had been answered shortly before.
   TraitSet served_before;
   /// Traits with which calls were answered after the crash.
   TraitSet served_after;
@@ -61,7 +61,8 @@
 /// A quarantine that has begun or ended, for logs.
 struct QuarantineChange {
   TraitSet traits;
-  /// Why it began ("crashes", "undecided", "reported") or ended ("served", "explained", "expired").
+  /// Why it began ("crashes", "undecided", "reported") or ended ("served", "explained", "refuted",
+  /// "expired").
   const char* reason = "";
   bool begun = false;
 };
@@ -93,6 +94,9 @@
 /// the time.
 ///
 /// All gateways combine their findings and draw the same conclusions; none decides for the others.
+/// In a large fleet each sees few calls, so a gateway that learns of a crash tells which suspected
+/// traits it has seen answered. A trait that used to be answered is quarantined only after a delay
+/// in which every gateway that sees it answered again can tell so.
 /// Not thread-safe.
 class CrashQuarantine {
  public:
@@ -179,15 +183,26 @@
   };
   struct Suspect {
     int score = 0;
+    /// In none of the crashes was the trait unknown to all reporters.
+    bool weak = true;
     /// The calls that have the trait, as (index of the crash, index of the call).
     std::set<std::pair<size_t, size_t>> calls;
   };
   using Suspects = std::map<CallTrait, Suspect>;
+  /// Suspects that used to be answered, and since when they are suspected.
+  using Contested = std::map<CallTrait, SteadyTime>;
   using CrashList = std::vector<const Crash*>;
 
   Crash& Remember(const CrashId& id, const FailureDomain& domain, SteadyTime now);
   static void SetReport(Crash* crash, const InstanceId& gateway, CrashReport report);
   static bool HasCall(const Crash& crash, const TraitSet& traits);
+  /// Reports which traits that nobody has seen answered this gateway has.
+  void ReportServed(const CrashId& id, Crash* crash, SteadyTime now);
+  /// Whether the crashes with calls that have `traits` do not support their quarantine.
+  bool Refuted(const TraitSet& traits) const;
+  /// Records the suspects that used to be answered in `contested`, and removes those whose delay is
+  /// not over.
+  void DelayWeakSuspects(Suspects* suspects, Contested* contested, SteadyTime now);
   bool ServedBefore(const CallTrait& trait, SteadyTime now) const;
   bool ServedSince(const TraitSet& traits, SteadyTime since) const;
   void RenewRelapsed(SteadyTime now);
@@ -201,14 +216,16 @@
   void Expire(SteadyTime now);
   void EvaluateLater(SteadyTime now);
   void Evaluate(SteadyTime now);
-  /// Ends quarantines whose crashes are all explained by one of `causes` instead.
-  void LiftExplained(const std::set<TraitSet>& causes);
+  /// Ends quarantines that are refuted, or whose crashes are all explained by one of `causes`.
+  void LiftUnfounded(const std::set<TraitSet>& causes);
+  bool Explained(const TraitSet& traits, const std::set<TraitSet>& causes) const;
 
   InstanceId self_;
   std::map<CrashId, Crash> crashes_;
   /// Present and past quarantines; the past ones for kRelapseWindow.
   std::map<TraitSet, Quarantine> quarantines_;
   std::unordered_map<CallTrait, SteadyTime> served_at_;
+  Contested contested_;
   std::vector<QuarantineChange> changes_;
   Millis settle_{kSettleDirect};
   /// When conclusions are to be drawn; absent if nothing has changed.
