Keep the limits that runners name over all gateways

Cause: no gateway read the limit that a runner names in its answers. Class of fault: a limit that is stated for all and kept by nobody.

Change: RunnerLimits holds the limits, which gateways share as findings, and the permits; calls that would exceed a limit wait for one, other runners count as sooner. PermitIssuer, at the placement leader, issues permits from one token bucket a runner. Without the leader each gateway uses an equal share. A call whose permit comes too late for its caller is refused at once. The planner does not count a limited runner as a replica of a model with more calls than the limit.

--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -150,16 +150,41 @@
     return;
   }
   if (RefuseIfTooLate(*picked)) return;
+  if (picked->permit_wait > Millis(0)) {
+    WaitForPermit(*picked);
+    return;
+  }
   waiting_ = false;
   Send(*picked);
 }
 
+void CallSession::WaitForPermit(const PickedRunner& picked) {
+  context_->limits.Want(picked.runner);
+  if (waiting_) return;
+  waiting_ = true;
+  waiting_since_ = context_->loop.Now();
+  context_->metrics->GetCounter("calls_waited_for_permit_total").Add();
+  LogInfo("call",
+          fmt::format("event=wait-for-permit runner={} predicted_ms={} left_ms={}",
+                      picked.runner.value(), picked.permit_wait.count(), TimeLeft().count()),
+          call_.id.value());
+}
+
 bool CallSession::RefuseIfTooLate(const PickedRunner& picked) {
   // An answer that has begun is continued even if the caller may leave before the next event.
-  if (engine_ == nullptr || answer_begun_) return false;
+  const bool limited = picked.permit_wait > Millis(0);
+  if ((engine_ == nullptr && !limited) || answer_begun_) return false;
   const Millis left = PatienceLeft();
-  const RefusalDecision decision = DecideRefusal(picked.predicted, left, call_.id);
+  const Millis predicted = picked.predicted + picked.permit_wait;
+  const RefusalDecision decision = DecideRefusal(predicted, left, call_.id);
   if (!decision.refuse) return false;
+  if (limited) {
+    Refuse(fmt::format("the runners of backend {} limit their calls (next permit: {} ms, caller "
+                       "waits: {} ms)",
+                       backend_.value(), picked.permit_wait.count(), left.count()),
+           decision.retry_after);
+    return true;
+  }
   Refuse(fmt::format("the runners of model {} are overloaded (predicted: {} ms, caller waits: {} "
                      "ms)",
                      call_.model.value(), picked.predicted.count(), left.count()),
@@ -242,6 +267,7 @@
   answer_failure_.reset();
   events_.DropPartial();
 
+  context_->limits.OnSent(picked.runner, sent_at_);
   RunnerHealth& health = context_->picker.health(picked.runner);
   health.breaker.OnAttempt(sent_at_);
   ++health.in_flight;
@@ -304,7 +330,7 @@
   const auto other = context_->picker.Pick(MakeQuery(&excluded), context_->loop.Now(), &problem);
   // Without another runner to try, or without a retry left, cancelling the attempt would only lose
   // its progress: the runner may be slow but alive.
-  if (!other || tried_.contains(other->runner) || !TakeRetry()) {
+  if (!other || other->permit_wait > Millis(0) || tried_.contains(other->runner) || !TakeRetry()) {
     ArmSilenceTimer(SilenceLimit(runner_));
     return;
   }
--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -76,6 +76,8 @@
   /// Refuses the call if calls like it crash runners. Returns true if it does.
   bool RefuseIfQuarantined();
   RunnerPicker::Query MakeQuery(const std::set<RunnerId>* excluded) const;
+  /// Waits for a permit of a limited runner.
+  void WaitForPermit(const PickedRunner& picked);
   /// Refuses the call if its first event would come after the caller has given up.
   bool RefuseIfTooLate(const PickedRunner& picked);
   void WaitOrRefuse(PickError problem);
--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -52,6 +52,10 @@
     health.reported_waiting = metadata.load->waiting;
     health.reported_at = context_->loop.Now();
   }
+  if (!metadata.call.empty()) {
+    context_->limits.OnAnswer({runner_.runner, runner_born_}, metadata.calls_per_s, sent_at_,
+                              context_->loop.Now());
+  }
   answer_.head = head;
   if (metadata.not_executed) {
     if (head.status != 421) {
--- a/drivers/gateway/crash_monitor.cc
+++ b/drivers/gateway/crash_monitor.cc
@@ -10,7 +10,7 @@
 /// Checks once whether anything listens at a runner's address.
 class CrashMonitor::Probe final : public TcpHandler {
  public:
-  Probe(CrashMonitor* owner, const CrashId& crash, const std::string& address)
+  Probe(CrashMonitor* owner, const RunnerRun& crash, const std::string& address)
       : owner_(owner),
         crash_(crash),
         tcp_(&owner->context_->loop, this, address, kProbeTimeout),
@@ -37,7 +37,7 @@
   }
 
   CrashMonitor* owner_;
-  CrashId crash_;
+  RunnerRun crash_;
   TcpConnection tcp_;
   TimerId timer_;
 };
@@ -67,7 +67,7 @@
   }
 }
 
-void CrashMonitor::Confirm(const CrashId& crash, const char* evidence) {
+void CrashMonitor::Confirm(const RunnerRun& crash, const char* evidence) {
   const auto found = suspicions_.find(crash);
   if (found == suspicions_.end() || found->second.confirmed) return;
   found->second.confirmed = true;
@@ -78,15 +78,15 @@
   Report(crash, found->second);
 }
 
-void CrashMonitor::Report(const CrashId& crash, const Suspicion& suspicion) {
+void CrashMonitor::Report(const RunnerRun& crash, const Suspicion& suspicion) {
   context_->quarantine.OnCrash(crash, suspicion.domain, suspicion.calls, context_->loop.Now());
 }
 
 void CrashMonitor::Tick() {
   const SteadyTime now = context_->loop.Now();
-  std::vector<CrashId> restarted;
+  std::vector<RunnerRun> restarted;
   for (auto suspicion = suspicions_.begin(); suspicion != suspicions_.end();) {
-    const CrashId& crash = suspicion->first;
+    const RunnerRun& crash = suspicion->first;
     if (now - suspicion->second.since > Duration(kMemory)) {
       suspicion = suspicions_.erase(suspicion);
       continue;
@@ -95,7 +95,7 @@
     if (runner == nullptr || runner->entry.born > crash.born) restarted.push_back(crash);
     ++suspicion;
   }
-  for (const CrashId& crash : restarted) Confirm(crash, "restarted");
+  for (const RunnerRun& crash : restarted) Confirm(crash, "restarted");
 }
 
 }  // namespace shallot::gateway
--- a/drivers/gateway/crash_monitor.h
+++ b/drivers/gateway/crash_monitor.h
@@ -41,11 +41,11 @@
     std::shared_ptr<Probe> probe;
   };
 
-  void Confirm(const CrashId& crash, const char* evidence);
-  void Report(const CrashId& crash, const Suspicion& suspicion);
+  void Confirm(const RunnerRun& crash, const char* evidence);
+  void Report(const RunnerRun& crash, const Suspicion& suspicion);
 
   GatewayContext* context_;
-  std::map<CrashId, Suspicion> suspicions_;
+  std::map<RunnerRun, Suspicion> suspicions_;
 };
 
 }  // namespace shallot::gateway
--- a/drivers/gateway/findings_driver.cc
+++ b/drivers/gateway/findings_driver.cc
@@ -59,6 +59,9 @@
 
 void FindingsDriver::OnReport(const FindingsReport& report) {
   context_->quarantine.Merge(report.gateway, report.crashes, context_->loop.Now());
+  if (report.gateway != context_->settings.instance) {
+    context_->limits.Merge(report.limits, context_->loop.Now());
+  }
 }
 
 void FindingsDriver::Tick() {
@@ -67,7 +70,9 @@
                                          ? CrashQuarantine::kSettleByStore
                                          : CrashQuarantine::kSettleDirect);
   context_->quarantine.Update(now);
-  if (context_->quarantine.TakeChanged() && !due_) {
+  const bool quarantine_changed = context_->quarantine.TakeChanged();
+  const bool limits_changed = context_->limits.TakeChanged();
+  if ((quarantine_changed || limits_changed) && !due_) {
     due_ = true;
     const Millis spread = ScaledPause(kPublishPause) - kPublishPause;
     const Millis delay(static_cast<int64_t>(random_.Unit() * static_cast<double>(spread.count())));
@@ -76,21 +81,21 @@
   if (due_ && !writing_ && now >= next_) {
     due_ = false;
     next_ = now + Duration(ScaledPause(kPublishPause));
-    const CrashFindings findings = context_->quarantine.Own(now);
+    const FindingsReport report{context_->settings.instance, context_->quarantine.Own(now),
+                                context_->limits.Own(now)};
     // Findings that have expired leave the store with their lease.
-    if (!findings.empty()) Publish(findings);
+    if (!report.crashes.empty() || !report.limits.empty()) Publish(report);
   }
   context_->loop.After(kTickInterval, [this] { Tick(); });
 }
 
-void FindingsDriver::Publish(const CrashFindings& findings) {
-  const FindingsReport report{context_->settings.instance, findings};
+void FindingsDriver::Publish(const FindingsReport& report) {
   SendToPeers(report);
   writing_ = true;
   const std::string value = EncodeFindings(report);
   context_->calls.Start(context_->settings.store_address,
-                        context_->protocol->LeaseRequest(Lifetime(findings)), kStoreCallTimeout,
-                        [this, value](const Result<HttpMessage>& answer) {
+                        context_->protocol->LeaseRequest(Lifetime(report.crashes)),
+                        kStoreCallTimeout, [this, value](const Result<HttpMessage>& answer) {
                           if (!IsOk(answer)) {
                             Fail(ErrorOf(answer).message);
                             return;
--- a/drivers/gateway/findings_driver.h
+++ b/drivers/gateway/findings_driver.h
@@ -36,7 +36,7 @@
 
  private:
   void Tick();
-  void Publish(const CrashFindings& findings);
+  void Publish(const FindingsReport& report);
   void SendToPeers(const FindingsReport& report);
   void Write(const std::string& value, LeaseId lease);
   void OnWritten(const Result<HttpMessage>& answer);
--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -21,6 +21,7 @@
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/leader_election.h"
 #include "servers/gateway/retry_share.h"
+#include "servers/gateway/runner_limits.h"
 #include "servers/gateway/runner_picker.h"
 
 namespace shallot::gateway {
@@ -28,7 +29,7 @@
 /// A call that ended with its runner's connection before its answer had begun.
 struct LostCall {
   /// The run of the runner that it was sent to.
-  CrashId crash;
+  RunnerRun crash;
   SteadyTime sent_at;
   std::vector<CallTrait> traits;
 };
@@ -55,7 +56,7 @@
               [platform](const HttpHead& head) {
                 return !platform->DecodeAnswer(head).call.empty();
               }),
-        picker(&settings.policy, &view, settings.domain),
+        picker(&settings.policy, &view, settings.domain, &limits),
         quarantine(settings.instance) {}
 
   GatewaySettings settings;
@@ -70,6 +71,7 @@
   /// Newest configuration; null until the first one has been read.
   std::shared_ptr<const FleetRoutes> routes;
   FleetView view;
+  RunnerLimits limits;
   RunnerPicker picker;
   DemandMeter meter;
   CrashQuarantine quarantine;
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -93,6 +93,8 @@
     metrics.GetGauge("traits_quarantined")
         .Set(static_cast<int64_t>(
             owner_->context_->quarantine.Quarantined(owner_->context_->loop.Now()).size()));
+    metrics.GetGauge("runners_limited")
+        .Set(static_cast<int64_t>(owner_->context_->limits.Limited().size()));
     metrics.GetGauge("log_lines_dropped").Set(static_cast<int64_t>(DroppedLogLines()));
     metrics.GetGauge("placement_leader").Set(owner_->placement_->Leads() ? 1 : 0);
     metrics.GetGauge("config_version")
@@ -124,7 +126,8 @@
           context_.get(), [this](const RunnerNotice& notice) { OnNotice(notice); })),
       presence_(std::make_unique<PresenceDriver>(context_.get())),
       crash_monitor_(std::make_unique<CrashMonitor>(context_.get())),
-      findings_(std::make_unique<FindingsDriver>(context_.get())) {
+      findings_(std::make_unique<FindingsDriver>(context_.get())),
+      permits_(std::make_unique<PermitDriver>(context_.get(), placement_.get())) {
   context_->crash_observer = crash_monitor_.get();
   follower_->SetItemListener(findings_->Prefix(), findings_.get());
   follower_->SetLeaderListener(
@@ -264,6 +267,14 @@
       findings_->OnReport(*findings);
       return;
     }
+    if (const auto* request = std::get_if<PermitRequest>(&message)) {
+      permits_->OnRequest(*request);
+      return;
+    }
+    if (const auto* response = std::get_if<PermitResponse>(&message)) {
+      permits_->OnResponse(*response);
+      return;
+    }
     OnPeerNotice(std::get<RunnerNotice>(message));
   });
 }
@@ -427,6 +438,7 @@
   ApplyQuarantineChanges();
   ReportDemand();
   DispatchWaitingCalls();
+  if (permits_->Tick()) DispatchWaitingCalls();
   context_->loop.After(kTickInterval, [this] { Tick(); });
 }
 
--- a/drivers/gateway/peer_channel.h
+++ b/drivers/gateway/peer_channel.h
@@ -7,12 +7,14 @@
 #include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "core/result.h"
 #include "servers/gateway/crash_quarantine.h"
 #include "servers/gateway/demand_aggregator.h"
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/leader_election.h"
+#include "servers/gateway/runner_limits.h"
 
 namespace shallot::gateway {
 
@@ -28,13 +30,31 @@
 struct FindingsReport {
   InstanceId gateway;
   CrashFindings crashes;
+  std::vector<LimitFinding> limits;
 };
 
-using PeerMessage = std::variant<DemandReport, RunnerNotice, FindingsReport>;
+/// A gateway's request for permits, sent to the placement leader.
+struct PermitRequest {
+  InstanceId gateway;
+  /// "IP:port" where the gateway accepts the response.
+  std::string address;
+  /// Echoed in the response.
+  uint64_t number = 0;
+  std::vector<PermitWish> wishes;
+};
+
+/// The leader's response to a PermitRequest.
+struct PermitResponse {
+  uint64_t number = 0;
+  std::vector<Permits> permits;
+};
+
+using PeerMessage =
+    std::variant<DemandReport, RunnerNotice, FindingsReport, PermitRequest, PermitResponse>;
 
-/// Messages between gateways over ZeroMQ: demand reports to the leader, notices from it, and
-/// findings to all. They are soft state that newer messages replace, so a lost message is not sent
-/// again.
+/// Messages between gateways over ZeroMQ: demand reports and permit requests to the leader, notices
+/// and permits from it, and findings to all. They are soft state that newer messages replace, so a
+/// lost message is not sent again.
 class PeerChannel {
  public:
   PeerChannel();
--- a/drivers/gateway/peer_codec.cc
+++ b/drivers/gateway/peer_codec.cc
@@ -1,5 +1,7 @@
 #include "drivers/gateway/peer_codec.h"
 
+#include <cmath>
+
 #include "drivers/wire/gateway.pb.h"
 
 namespace shallot::gateway {
@@ -139,6 +141,60 @@
   return report;
 }
 
+void EncodeLimit(const RunnerRun& run, double calls_per_s, gateway_wire::RunnerLimit* wire) {
+  wire->set_runner(run.runner.value());
+  wire->set_born(run.born.value());
+  wire->set_calls_per_s(calls_per_s);
+}
+
+LimitFinding DecodeLimit(const gateway_wire::RunnerLimit& wire) {
+  // Values from another version or from a foreign writer must not become a rate.
+  const bool valid = std::isfinite(wire.calls_per_s()) && wire.calls_per_s() > 0;
+  return {{RunnerId(wire.runner()), RunnerStartTime(wire.born())},
+          valid ? wire.calls_per_s() : 0.0};
+}
+
+void EncodeRequest(const PermitRequest& request, gateway_wire::PermitRequest* wire) {
+  wire->set_gateway(request.gateway.value());
+  wire->set_address(request.address);
+  wire->set_number(request.number);
+  for (const PermitWish& wish : request.wishes) {
+    gateway_wire::PermitWish* out = wire->add_wishes();
+    EncodeLimit(wish.run, wish.calls_per_s, out->mutable_limit());
+    out->set_calls(wish.calls);
+  }
+}
+
+PermitRequest DecodeRequest(const gateway_wire::PermitRequest& wire) {
+  PermitRequest request{InstanceId(wire.gateway()), wire.address(), wire.number(), {}};
+  for (const gateway_wire::PermitWish& wish : wire.wishes()) {
+    const LimitFinding limit = DecodeLimit(wish.limit());
+    request.wishes.push_back({limit.run, limit.calls_per_s, wish.calls()});
+  }
+  return request;
+}
+
+void EncodeResponse(const PermitResponse& response, gateway_wire::PermitResponse* wire) {
+  wire->set_number(response.number);
+  for (const Permits& permits : response.permits) {
+    gateway_wire::Permits* out = wire->add_permits();
+    out->set_runner(permits.run.runner.value());
+    out->set_born(permits.run.born.value());
+    out->set_calls(permits.calls);
+    out->set_next_ms(permits.next.count());
+  }
+}
+
+PermitResponse DecodeResponse(const gateway_wire::PermitResponse& wire) {
+  PermitResponse response{wire.number(), {}};
+  for (const gateway_wire::Permits& permits : wire.permits()) {
+    response.permits.push_back({{RunnerId(permits.runner()), RunnerStartTime(permits.born())},
+                                permits.calls(),
+                                Millis(permits.next_ms())});
+  }
+  return response;
+}
+
 void EncodeReport(const FindingsReport& report, gateway_wire::Findings* wire) {
   wire->set_gateway(report.gateway.value());
   for (const CrashReport& crash : report.crashes.crashes) EncodeCrash(crash, wire->add_crashes());
@@ -148,6 +204,9 @@
     out->set_relapses(quarantined.relapses);
     out->set_remaining_ms(quarantined.remaining.count());
   }
+  for (const LimitFinding& limit : report.limits) {
+    EncodeLimit(limit.run, limit.calls_per_s, wire->add_limits());
+  }
 }
 
 FindingsReport DecodeReport(const gateway_wire::Findings& wire) {
@@ -161,6 +220,9 @@
                                           quarantined.relapses(),
                                           Millis(quarantined.remaining_ms())});
   }
+  for (const gateway_wire::RunnerLimit& limit : wire.limits()) {
+    report.limits.push_back(DecodeLimit(limit));
+  }
   return report;
 }
 
@@ -185,6 +247,10 @@
     EncodeDemand(*demand, wire.mutable_demand());
   } else if (const auto* findings = std::get_if<FindingsReport>(&message)) {
     EncodeReport(*findings, wire.mutable_findings());
+  } else if (const auto* request = std::get_if<PermitRequest>(&message)) {
+    EncodeRequest(*request, wire.mutable_permit_request());
+  } else if (const auto* response = std::get_if<PermitResponse>(&message)) {
+    EncodeResponse(*response, wire.mutable_permit_response());
   } else {
     EncodeNotice(std::get<RunnerNotice>(message), wire.mutable_notice());
   }
@@ -197,6 +263,8 @@
     if (wire.has_demand()) return PeerMessage(DecodeDemand(wire.demand()));
     if (wire.has_notice()) return PeerMessage(DecodeNotice(wire.notice()));
     if (wire.has_findings()) return PeerMessage(DecodeReport(wire.findings()));
+    if (wire.has_permit_request()) return PeerMessage(DecodeRequest(wire.permit_request()));
+    if (wire.has_permit_response()) return PeerMessage(DecodeResponse(wire.permit_response()));
   }
   return Error{ErrorKind::kInvalidArgument, "cannot decode a message from another gateway",
                "run the same version on all gateways"};
--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -336,9 +336,13 @@
   if (now < next_plan_) return;
   const auto& demand = demand_aggregator_.Totals(now);
   const std::set<RunnerId> unreachable = demand_aggregator_.Unreachable(now);
+  std::map<RunnerId, double> limits;
+  for (const LimitFinding& limit : context_->limits.Limited()) {
+    limits[limit.run.runner] = limit.calls_per_s;
+  }
   for (const auto& [name, backend] : context_->routes->backends) {
     if (!backend.engine) continue;
-    const LoadPlanner::Input input{name, &*backend.engine, &demand, &unreachable};
+    const LoadPlanner::Input input{name, &*backend.engine, &demand, &unreachable, limits};
     for (const PlannedOrder& planned : planner_.Plan(input, now)) SendOrder(planned);
   }
   next_plan_ = now + (context_->loop.Now() - now) * kPlanPauseFactor;
--- a/drivers/gateway/platform_protocol.h
+++ b/drivers/gateway/platform_protocol.h
@@ -34,6 +34,8 @@
     uint64_t slots = 0;
   };
   std::optional<Load> load;
+  /// Calls a second that the runner takes from all gateways together, if it names a limit.
+  std::optional<double> calls_per_s;
 };
 
 /// What the gateway adds to a call that it sends to a runner.
--- a/servers/gateway/crash_quarantine.cc
+++ b/servers/gateway/crash_quarantine.cc
@@ -55,7 +55,7 @@
   return text;
 }
 
-CrashQuarantine::Crash& CrashQuarantine::Remember(const CrashId& id, const FailureDomain& domain,
+CrashQuarantine::Crash& CrashQuarantine::Remember(const RunnerRun& id, const FailureDomain& domain,
                                                   SteadyTime now) {
   const auto [found, is_new] = crashes_.try_emplace(id);
   if (!is_new) return found->second;
@@ -103,7 +103,7 @@
   return found != served_at_.end() && now - found->second < Duration(kServedMemory);
 }
 
-void CrashQuarantine::OnCrash(const CrashId& id, const FailureDomain& domain,
+void CrashQuarantine::OnCrash(const RunnerRun& id, const FailureDomain& domain,
                               std::vector<std::vector<CallTrait>> calls, SteadyTime now) {
   CrashReport report;
   report.crash = id;
@@ -133,7 +133,7 @@
   EvaluateLater(now);
 }
 
-void CrashQuarantine::ReportServed(const CrashId& id, Crash* crash, SteadyTime now) {
+void CrashQuarantine::ReportServed(const RunnerRun& id, Crash* crash, SteadyTime now) {
   TraitSet served;
   for (const CallTrait& trait : crash->unknown) {
     if (ServedBefore(trait, now)) served.insert(trait);
--- a/servers/gateway/crash_quarantine.h
+++ b/servers/gateway/crash_quarantine.h
@@ -27,16 +27,9 @@
 /// the adapter, the model. Without the prompt's last part, which belongs to this call alone.
 std::vector<CallTrait> TraitsOf(const BackendName& backend, const CallRequest& call);
 
-/// The end of one run of a runner.
-struct CrashId {
-  RunnerId runner;
-  RunnerStartTime born;
-  auto operator<=>(const CrashId&) const = default;  // NOLINT(modernize-use-nullptr)
-};
-
 /// What one gateway knows of a crash.
 struct CrashReport {
-  CrashId crash;
+  RunnerRun crash;
   FailureDomain domain;
   /// Traits of each call whose answer had not begun when the runner crashed.
   std::vector<std::vector<CallTrait>> calls;
@@ -133,7 +126,7 @@
 
   /// This gateway lost `calls`, whose answers had not begun, at a runner that has crashed. Replaces
   /// an earlier report of the same crash.
-  void OnCrash(const CrashId& crash, const FailureDomain& domain,
+  void OnCrash(const RunnerRun& crash, const FailureDomain& domain,
                std::vector<std::vector<CallTrait>> calls, SteadyTime now);
   /// A runner began to answer a call with these traits.
   void OnAnswerBegun(const std::vector<CallTrait>& traits, SteadyTime now);
@@ -193,11 +186,11 @@
   using Contested = std::map<CallTrait, SteadyTime>;
   using CrashList = std::vector<const Crash*>;
 
-  Crash& Remember(const CrashId& id, const FailureDomain& domain, SteadyTime now);
+  Crash& Remember(const RunnerRun& id, const FailureDomain& domain, SteadyTime now);
   static void SetReport(Crash* crash, const InstanceId& gateway, CrashReport report);
   static bool HasCall(const Crash& crash, const TraitSet& traits);
   /// Reports which traits that nobody has seen answered this gateway has.
-  void ReportServed(const CrashId& id, Crash* crash, SteadyTime now);
+  void ReportServed(const RunnerRun& id, Crash* crash, SteadyTime now);
   /// Whether the crashes with calls that have `traits` do not support their quarantine.
   bool Refuted(const TraitSet& traits) const;
   /// Records the suspects that used to be answered in `contested`, and removes those whose delay is
@@ -221,7 +214,7 @@
   bool Explained(const TraitSet& traits, const std::set<TraitSet>& causes) const;
 
   InstanceId self_;
-  std::map<CrashId, Crash> crashes_;
+  std::map<RunnerRun, Crash> crashes_;
   /// Present and past quarantines; the past ones for kRelapseWindow.
   std::map<TraitSet, Quarantine> quarantines_;
   std::unordered_map<CallTrait, SteadyTime> served_at_;
--- a/servers/gateway/fleet_view.h
+++ b/servers/gateway/fleet_view.h
@@ -16,6 +16,13 @@
 
 /// Unix time in milliseconds of a runner's start; distinguishes runs with the same id.
 using RunnerStartTime = StrongNumber<struct RunnerStartTimeTag>;
+/// One run of a runner, from its start to its end.
+struct RunnerRun {
+  RunnerId runner;
+  RunnerStartTime born;
+  auto operator<=>(const RunnerRun&) const = default;  // NOLINT(modernize-use-nullptr)
+};
+
 /// Number of orders that a runner has accepted since its start.
 using OrderSequence = StrongNumber<struct OrderSequenceTag>;
 
--- a/servers/gateway/load_planner.cc
+++ b/servers/gateway/load_planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 #include "core/hashing.h"
 
@@ -26,6 +27,8 @@
 /// An overloaded model may displace models with at most this share of the calls that each of its
 /// replicas gets.
 constexpr double kDisplacedTrafficShare = 0.5;
+/// Share of a limited runner's calls that one model may use before it needs another replica.
+constexpr double kLimitShare = 1.0;
 /// Extra cost of unloading a model, per call per second for it.
 constexpr double kVictimRateCostMs = 50;
 /// Time horizon in seconds for the probability that an unloaded model is called again.
@@ -50,6 +53,12 @@
   return found == input_.demand->end() ? kNone : found->second;
 }
 
+bool LoadPlanner::LimitAllows(const RunnerId& runner, const ModelName& model) const {
+  const auto limit = input_.limits.find(runner);
+  return limit == input_.limits.end() ||
+         DemandFor(model).calls_per_s <= kLimitShare * limit->second;
+}
+
 double LoadPlanner::ReplicasForLoad(const ModelName& model) const {
   const TotalDemand& demand = DemandFor(model);
   const double by_tokens = demand.prompt_tokens_per_s /
@@ -93,7 +102,9 @@
     if (!Eligible(runner)) continue;
     const Holdings& holdings = runner.entry.holdings;
     fleet_.eligible.push_back(&runner);
-    for (const auto& [model, adapters] : holdings.models) ++fleet_.replicas[model];
+    for (const auto& [model, adapters] : holdings.models) {
+      if (LimitAllows(id, model)) ++fleet_.replicas[model];
+    }
     fleet_.local_copies.insert(holdings.in_memory.begin(), holdings.in_memory.end());
     fleet_.local_copies.insert(holdings.on_disk.begin(), holdings.on_disk.end());
     fleet_.most_free_mb = std::max(fleet_.most_free_mb, FreeMb(runner) - AdapterReserveMb(runner));
@@ -264,6 +275,7 @@
     const RunnerId& id = runner.entry.id;
     if (!CanTakeOrder(runner, now) || reservations_.contains(id)) continue;
     if (runner.entry.holdings.models.contains(model.name)) continue;
+    if (!LimitAllows(id, model.name)) continue;
     const LoadTier tier = TierOn(runner, model.name);
     if (tier == LoadTier::kStore && !store_allows) continue;
     if (tier == LoadTier::kStore && urgency != Urgency::kWaiting && !spare_runners &&
@@ -427,21 +439,22 @@
                                                      const AdapterName& adapter,
                                                      SteadyTime now) const {
   const RunnerState* best = nullptr;
-  std::pair<bool, uint64_t> best_rank;
+  std::tuple<bool, bool, uint64_t> best_rank;
   for (const RunnerState* candidate : fleet_.eligible) {
     const RunnerState& runner = *candidate;
     const RunnerId& id = runner.entry.id;
     if (!runner.entry.holdings.models.contains(model.name)) continue;
+    if (runner.entry.holdings.HoldsOrIsLoading(model.name, adapter)) continue;
     if (!CanTakeOrder(runner, now) || reservations_.contains(id)) continue;
-    const std::pair<bool, uint64_t> rank{
-        HasRoomForAdapter(runner, model),
+    const std::tuple<bool, bool, uint64_t> rank{
+        LimitAllows(id, model.name), HasRoomForAdapter(runner, model),
         RendezvousWeight(model.name.value() + "/" + adapter.value(), id.value())};
     if (best != nullptr && rank <= best_rank) continue;
     best = &runner;
     best_rank = rank;
   }
   if (best == nullptr) return std::nullopt;
-  if (best_rank.first) {
+  if (std::get<1>(best_rank)) {
     return PlannedOrder{MakeOrder(*best, OrderKind::kLoad, model.name, adapter), "adapter-waits"};
   }
   // No adapter slot or no memory is free: unload the adapter that was called least recently.
@@ -473,7 +486,8 @@
     if (Loading(key.model, key.adapter)) continue;
     const bool held =
         std::any_of(fleet_.eligible.begin(), fleet_.eligible.end(), [&](const RunnerState* runner) {
-          return runner->entry.holdings.HoldsOrIsLoading(key.model, key.adapter);
+          return runner->entry.holdings.HoldsOrIsLoading(key.model, key.adapter) &&
+                 (Replicas(key.model) == 0 || LimitAllows(runner->entry.id, key.model));
         });
     if (held) continue;
     const auto planned = PlanAdapter(spec->second, key.adapter, now);
--- a/servers/gateway/load_planner.h
+++ b/servers/gateway/load_planner.h
@@ -25,9 +25,10 @@
 };
 
 /// Decides which runner loads and unloads which model or adapter. Handles bursts of calls for many
-/// rarely used models, demand that shifts to other models, and the loss of runners that have local
-/// copies of weights. Plans at most one order per runner at a time, never more memory than a runner
-/// has, and never more loads from the weight store than its limits allow.
+/// rarely used models, demand that shifts to other models, the loss of runners that have local
+/// copies of weights, and busy models on runners that limit their calls. Plans at most one order
+/// per runner at a time, never more memory than a runner has, and never more loads from the weight
+/// store than its limits allow.
 class LoadPlanner {
  public:
   /// How long a runner stays reserved for a model while other models are unloaded from it; an
@@ -45,6 +46,8 @@
     const EngineSpec* engine = nullptr;
     const std::map<DemandMeter::Key, TotalDemand>* demand = nullptr;
     const std::set<RunnerId>* unreachable = nullptr;
+    /// Calls a second that limited runners take from all gateways.
+    std::map<RunnerId, double> limits;
   };
 
   /// Returns the orders to send now. Each must be sent and recorded in the tracker before the next
@@ -79,6 +82,9 @@
   };
 
   bool Eligible(const RunnerState& runner) const;
+  /// Whether the runner's limit, if it has one, leaves enough for the model's calls. Otherwise it
+  /// does not count as a replica of the model.
+  bool LimitAllows(const RunnerId& runner, const ModelName& model) const;
   bool CanTakeOrder(const RunnerState& runner, SteadyTime now) const;
   const TotalDemand& DemandFor(const ModelName& model) const;
   /// Replicas that the current load of a model needs.
@@ -143,7 +149,7 @@
     std::vector<const RunnerState*> eligible;
     /// Calls in flight at each runner, for all its models.
     std::map<RunnerId, uint64_t> in_flight;
-    /// Number of eligible runners that hold each model.
+    /// Number of eligible runners that hold each model and whose limits allow its calls.
     std::map<ModelName, uint64_t> replicas;
     /// Models with a copy in the memory or on the disk of an eligible runner.
     std::set<ModelName> local_copies;
--- /dev/null
+++ b/servers/gateway/runner_limits.cc
@@ -0,0 +1,203 @@
+#include "servers/gateway/runner_limits.h"
+
+#include <algorithm>
+
+namespace shallot::gateway {
+namespace {
+
+double SecondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+Millis TimePerCall(double calls_per_s) {
+  constexpr double kLongest = 60'000;
+  return Millis(static_cast<int64_t>(std::min(kLongest, 1000.0 / std::max(calls_per_s, 1e-3))));
+}
+
+}  // namespace
+
+RunnerLimits::Limit* RunnerLimits::Find(const RunnerRun& run) {
+  const auto found = limits_.find(run.runner);
+  if (found != limits_.end() && found->second.born >= run.born) {
+    return found->second.born == run.born ? &found->second : nullptr;
+  }
+  if (found == limits_.end() && limits_.size() >= kMaxRunners) return nullptr;
+  Limit& limit = limits_[run.runner];
+  limit = Limit();
+  limit.born = run.born;
+  return &limit;
+}
+
+void RunnerLimits::Change(const RunnerId& runner, Limit* limit, double calls_per_s) {
+  if (limit->calls_per_s == calls_per_s) return;
+  limit->calls_per_s = calls_per_s;
+  limit_changes_.push_back({{runner, limit->born}, calls_per_s});
+}
+
+void RunnerLimits::OnAnswer(const RunnerRun& run, std::optional<double> calls_per_s,
+                            SteadyTime sent_at, SteadyTime now) {
+  if (!calls_per_s && !limits_.contains(run.runner)) return;
+  Limit* limit = Find(run);
+  if (limit == nullptr) return;
+  if (calls_per_s) {
+    limit->named_at = now;
+    limit->ended_at.reset();
+    if (limit->calls_per_s == *calls_per_s) return;
+    // Only the first gateway that learns of a value tells the others.
+    limit->own = true;
+    changed_ = true;
+    Change(run.runner, limit, *calls_per_s);
+    return;
+  }
+  // An answer to an earlier call may arrive late.
+  if (limit->calls_per_s == 0 || (limit->named_at && sent_at <= *limit->named_at)) return;
+  limit->ended_at = now;
+  limit->own = true;
+  changed_ = true;
+  Change(run.runner, limit, 0);
+}
+
+void RunnerLimits::Merge(const std::vector<LimitFinding>& findings, SteadyTime now) {
+  for (const LimitFinding& finding : findings) {
+    if (finding.calls_per_s == 0 && !limits_.contains(finding.run.runner)) continue;
+    Limit* limit = Find(finding.run);
+    if (limit == nullptr || limit->calls_per_s == finding.calls_per_s) continue;
+    const bool own_is_newer =
+        finding.calls_per_s > 0
+            ? limit->named_at || (limit->ended_at && now - *limit->ended_at < kOwnEndTrust)
+            : limit->named_at && now - *limit->named_at < kFindingLag;
+    if (own_is_newer) continue;
+    limit->own = false;
+    if (finding.calls_per_s == 0) limit->named_at.reset();
+    Change(finding.run.runner, limit, finding.calls_per_s);
+  }
+}
+
+void RunnerLimits::Forget(const RunnerId& runner, RunnerStartTime born) {
+  const auto found = limits_.find(runner);
+  if (found == limits_.end() || found->second.born > born) return;
+  if (found->second.own) changed_ = true;
+  Change(runner, &found->second, 0);
+  limits_.erase(found);
+}
+
+double RunnerLimits::ShareAt(const Limit& limit, SteadyTime now) const {
+  if (!limit.unanswered_since) return 0;
+  const SteadyTime from = std::max(limit.share_at, *limit.unanswered_since + kResponseTime);
+  if (now <= from) return limit.share;
+  const double rate = limit.calls_per_s / static_cast<double>(std::max<uint64_t>(gateways_, 1));
+  return std::min(1.0, limit.share + rate * SecondsOf(now - from));
+}
+
+bool RunnerLimits::HasPermit(const Limit& limit, SteadyTime now) const {
+  if (limit.permits > 0 && now < limit.permits_until) return true;
+  return ShareAt(limit, now) >= 1.0;
+}
+
+Millis RunnerLimits::PermitWait(const RunnerId& runner, SteadyTime now) const {
+  const auto found = limits_.find(runner);
+  if (found == limits_.end() || found->second.calls_per_s == 0) return Millis(0);
+  const Limit& limit = found->second;
+  if (HasPermit(limit, now)) return Millis(0);
+  if (limit.unanswered_since && now - *limit.unanswered_since > Duration(kResponseTime)) {
+    const double rate = limit.calls_per_s / static_cast<double>(std::max<uint64_t>(gateways_, 1));
+    return std::max(kAskTime, TimePerCall(rate / (1.0 - ShareAt(limit, now))));
+  }
+  // Calls of this gateway that came before this one get the next permits.
+  const Millis before = TimePerCall(limit.calls_per_s) * static_cast<int64_t>(limit.wanted);
+  const auto next = std::chrono::duration_cast<Millis>(limit.next_permit - now);
+  return std::max(kAskTime, next) + before;
+}
+
+void RunnerLimits::OnSent(const RunnerId& runner, SteadyTime now) {
+  const auto found = limits_.find(runner);
+  if (found == limits_.end()) return;
+  Limit& limit = found->second;
+  if (limit.permits > 0 && now < limit.permits_until) {
+    --limit.permits;
+    return;
+  }
+  limit.share = std::max(0.0, ShareAt(limit, now) - 1.0);
+  limit.share_at = now;
+}
+
+void RunnerLimits::Want(const RunnerId& runner) {
+  const auto found = limits_.find(runner);
+  if (found != limits_.end()) ++found->second.wanted;
+}
+
+std::vector<PermitWish> RunnerLimits::TakeWishes(SteadyTime now) {
+  std::vector<PermitWish> wishes;
+  for (auto& [runner, limit] : limits_) {
+    if (limit.wanted == 0) {
+      // Without waiting calls there is no request that could be unanswered.
+      limit.unanswered_since.reset();
+      limit.share = 0;
+      continue;
+    }
+    if (now - limit.asked_at >= Duration(kAskPause)) {
+      limit.asked_at = now;
+      if (!limit.unanswered_since) limit.unanswered_since = now;
+      wishes.push_back({{runner, limit.born}, limit.calls_per_s, limit.wanted});
+    }
+    limit.wanted = 0;
+  }
+  return wishes;
+}
+
+void RunnerLimits::OnPermits(const Permits& permits, SteadyTime asked_at, SteadyTime now) {
+  const auto found = limits_.find(permits.run.runner);
+  if (found == limits_.end() || found->second.born != permits.run.born) return;
+  // After a suspension of either side, the permits may have been meant for calls long gone.
+  if (now - asked_at > Duration(kPermitLifetime) / 2) return;
+  Limit& limit = found->second;
+  limit.unanswered_since.reset();
+  limit.share = 0;
+  limit.next_permit = now + permits.next;
+  if (permits.calls == 0) return;
+  const uint64_t left = now < limit.permits_until ? limit.permits : 0;
+  limit.permits = left + permits.calls;
+  limit.permits_until = now + kPermitLifetime;
+}
+
+std::vector<LimitFinding> RunnerLimits::Own(SteadyTime now) const {
+  std::vector<LimitFinding> findings;
+  for (const auto& [runner, limit] : limits_) {
+    if (!limit.own || findings.size() >= kMaxOwnFindings) continue;
+    const bool told = limit.calls_per_s == 0 && limit.ended_at && now - *limit.ended_at > kEndTold;
+    if (!told) findings.push_back({{runner, limit.born}, limit.calls_per_s});
+  }
+  return findings;
+}
+
+std::vector<LimitFinding> RunnerLimits::Limited() const {
+  std::vector<LimitFinding> limited;
+  for (const auto& [runner, limit] : limits_) {
+    if (limit.calls_per_s > 0) limited.push_back({{runner, limit.born}, limit.calls_per_s});
+  }
+  return limited;
+}
+
+void PermitIssuer::Start(SteadyTime now) {
+  buckets_.clear();
+  started_at_ = now;
+}
+
+Permits PermitIssuer::Issue(const InstanceId& gateway, const PermitWish& wish, SteadyTime now) {
+  if (!buckets_.contains(wish.run) && buckets_.size() >= kMaxBuckets) buckets_.clear();
+  const double most = kBurstCalls + wish.calls_per_s * SecondsOf(kBurstTime);
+  const double first = now - started_at_ > Duration(kWindow) ? most : 0;
+  Bucket& bucket = buckets_.try_emplace(wish.run, Bucket{first, now, {}}).first->second;
+  bucket.permits = std::min(most, bucket.permits + wish.calls_per_s * SecondsOf(now - bucket.at));
+  bucket.at = now;
+  const auto calls = std::min(wish.calls, static_cast<uint64_t>(bucket.permits));
+  bucket.permits -= static_cast<double>(calls);
+  bucket.waiting[gateway] = {wish.calls - calls, now};
+  uint64_t waiting = 0;
+  std::erase_if(bucket.waiting, [&](const auto& entry) {
+    const auto& [count, asked_at] = entry.second;
+    waiting += count;
+    return count == 0 || now - asked_at > Duration(kWishLifetime);
+  });
+  return {wish.run, calls, TimePerCall(wish.calls_per_s) * static_cast<int64_t>(waiting)};
+}
+
+}  // namespace shallot::gateway
--- a/servers/gateway/runner_picker.cc
+++ b/servers/gateway/runner_picker.cc
@@ -47,6 +47,8 @@
   first_event_ms *= picked->slowness;
   picked->predicted = Millis(static_cast<int64_t>(first_event_ms));
   double score = first_event_ms;
+  if (limits_ != nullptr) picked->permit_wait = limits_->PermitWait(runner.entry.id, now);
+  score += static_cast<double>(picked->permit_wait.count());
   score +=
       health.FailureRate(now) * kFailureCost * static_cast<double>(query.target_latency.count());
   if (runner.entry.domain != own_domain_) {
--- a/servers/gateway/runner_picker.h
+++ b/servers/gateway/runner_picker.h
@@ -12,6 +12,7 @@
 #include "servers/gateway/gateway_policy.h"
 #include "servers/gateway/prefix_index.h"
 #include "servers/gateway/runner_health.h"
+#include "servers/gateway/runner_limits.h"
 
 namespace shallot::gateway {
 
@@ -23,6 +24,8 @@
   /// Factor for the runner's observed slowness that `predicted` contains.
   double slowness = 1.0;
   uint64_t kept_tokens = 0;
+  /// Predicted wait for a permit of a limited runner; 0 if the call may be sent now.
+  Millis permit_wait{0};
 };
 
 /// Why no runner was selected.
@@ -30,12 +33,14 @@
 
 /// Selects the runner for a call by the predicted time to its first event, from the runner's queue,
 /// the part of the prompt that is not in its prefix cache, its observed speed and failures, and its
-/// failure domain. Handles uneven replicas of a busy model, slow and failing runners, and sessions
-/// that share prompts.
+/// failure domain. Handles uneven replicas of a busy model, slow, failing and limited runners, and
+/// sessions that share prompts.
 class RunnerPicker {
  public:
-  RunnerPicker(const GatewayPolicy* policy, const FleetView* view, FailureDomain own_domain)
-      : policy_(policy), view_(view), own_domain_(std::move(own_domain)) {}
+  /// `limits` may be null.
+  RunnerPicker(const GatewayPolicy* policy, const FleetView* view, FailureDomain own_domain,
+               const RunnerLimits* limits = nullptr)
+      : policy_(policy), view_(view), own_domain_(std::move(own_domain)), limits_(limits) {}
 
   struct Query {
     BackendName backend;
@@ -68,6 +73,7 @@
   const GatewayPolicy* policy_;
   const FleetView* view_;
   FailureDomain own_domain_;
+  const RunnerLimits* limits_;
   std::map<RunnerId, RunnerHealth> health_;
   PrefixIndex prefixes_;
 };
--- a/tests/gateway_crash_fleet_test.cc
+++ b/tests/gateway_crash_fleet_test.cc
@@ -99,7 +99,7 @@
     call.emplace_back("dead");
     if (gateway.quarantine->Match(call, now_)) return;
     if (fifth_crash_ && now_ > *fifth_crash_ + kStable) ++late_;
-    const CrashId crash{RunnerId("r" + std::to_string(++crashes_)), RunnerStartTime(1)};
+    const RunnerRun crash{RunnerId("r" + std::to_string(++crashes_)), RunnerStartTime(1)};
     if (crashes_ == 5) fifth_crash_ = now_;
     const FailureDomain domain("d" + std::to_string(random_.Below(kDomains)));
     gateway.quarantine->OnCrash(crash, domain, {call}, now_);
--- a/tests/gateway_crash_quarantine_test.cc
+++ b/tests/gateway_crash_quarantine_test.cc
@@ -41,7 +41,7 @@
 
   void Crash(const std::vector<std::string>& calls, const std::string& domain = "") {
     ++crashes_;
-    const CrashId id{RunnerId("r" + std::to_string(crashes_)), RunnerStartTime(crashes_)};
+    const RunnerRun id{RunnerId("r" + std::to_string(crashes_)), RunnerStartTime(crashes_)};
     const std::string place = domain.empty() ? "d" + std::to_string(crashes_) : domain;
     quarantine_.OnCrash(id, FailureDomain(place), CallsOf(calls), now_);
     Advance(kStep);
--- a/tests/gateway_load_planner_test.cc
+++ b/tests/gateway_load_planner_test.cc
@@ -122,6 +122,27 @@
   }
 }
 
+// Guards against a model whose calls wait for a limited runner while others have room.
+TEST_CASE("gateway: a limited runner is no replica of a model with more calls than its limit") {
+  struct Case {
+    const char* name;
+    double calls_per_s;
+    bool expected_load;
+  };
+  for (const Case& test : {Case{"more calls", 3, true}, Case{"fewer calls", 0.5, false}}) {
+    CAPTURE(std::string(test.name));
+    PlacementFixture fleet(4);
+    fleet.AddRunner("a", {0, 1}, {0, 1});
+    fleet.AddRunner("b", {2, 3}, {0, 2, 3});
+    fleet.limits()[RunnerId("a")] = 1.5;
+    fleet.Demand(0) = Waiting(1);
+    fleet.Demand(0).calls_per_s = test.calls_per_s;
+    for (const int model : {1, 2, 3}) fleet.Demand(model).since_last_call = Millis(30'000);
+    fleet.Run(Millis(1'500));
+    CHECK((fleet.Count(OrderKind::kLoad, 0) > 0) == test.expected_load);
+  }
+}
+
 // Guards against an overloaded model that never gets a runner because rare models with waiting
 // calls take each one, and against a replica on a runner that is busy itself.
 TEST_CASE("gateway: an overloaded model comes before rare models, on a runner with free slots") {
--- a/tests/gateway_peer_codec_test.cc
+++ b/tests/gateway_peer_codec_test.cc
@@ -60,6 +60,30 @@
   CHECK(copy.report.holdings == notice.report.holdings);
   CHECK(copy.report.sequence == notice.report.sequence);
   CHECK(copy.report.order_under_way);
+
+  const RunnerRun run{RunnerId("i-1"), RunnerStartTime(5)};
+  const auto asked = DecodePeerMessage(
+      EncodePeerMessage(PermitRequest{InstanceId("front-1"), "10.0.0.1:7380", 7, {{run, 1.6, 2}}}));
+  REQUIRE(IsOk(asked));
+  const auto& request = std::get<PermitRequest>(ValueOf(asked));
+  CHECK(request.address == "10.0.0.1:7380");
+  CHECK(request.number == 7);
+  REQUIRE(request.wishes.size() == 1);
+  CHECK(request.wishes[0].run == run);
+  CHECK(request.wishes[0].calls_per_s == 1.6);
+  CHECK(request.wishes[0].calls == 2);
+  const auto issued =
+      DecodePeerMessage(EncodePeerMessage(PermitResponse{7, {{run, 1, Millis(600)}}}));
+  REQUIRE(IsOk(issued));
+  const auto& response = std::get<PermitResponse>(ValueOf(issued));
+  CHECK(response.number == 7);
+  REQUIRE(response.permits.size() == 1);
+  CHECK(response.permits[0].run == run);
+  CHECK(response.permits[0].calls == 1);
+  CHECK(response.permits[0].next == Millis(600));
+  const auto found = DecodeFindings(EncodeFindings({InstanceId("front-1"), {}, {{run, 1.6}}}));
+  REQUIRE(IsOk(found));
+  CHECK(ValueOf(found).limits == std::vector<LimitFinding>{{run, 1.6}});
   CHECK_FALSE(IsOk(DecodePeerMessage("\xff\xff")));
   CHECK_FALSE(IsOk(DecodePeerMessage("")));
 }
--- a/tests/gateway_placement_fixture.h
+++ b/tests/gateway_placement_fixture.h
@@ -71,7 +71,7 @@
   /// Plans once and sends the orders to the runners. `accept` false: no order reaches its runner
   /// and no answer comes back.
   std::vector<PlannedOrder> Step(bool accept = true) {
-    const LoadPlanner::Input input{backend_, &engine_, &demand_, &unreachable_};
+    const LoadPlanner::Input input{backend_, &engine_, &demand_, &unreachable_, limits_};
     std::vector<PlannedOrder> plan = planner_.Plan(input, now_);
     for (const PlannedOrder& planned : plan) {
       tracker_.OnSent(planned.order, now_);
@@ -126,6 +126,7 @@
   uint64_t StoreLoadsUnderWay() const { return tracker_.StoreLoadsUnderWay(); }
   GatewayPolicy& policy() { return policy_; }
   std::set<RunnerId>& unreachable() { return unreachable_; }
+  std::map<RunnerId, double>& limits() { return limits_; }
   bool overcommitted() const { return overcommitted_; }
 
  private:
@@ -192,6 +193,7 @@
   LoadPlanner planner_;
   std::map<DemandMeter::Key, TotalDemand> demand_;
   std::set<RunnerId> unreachable_;
+  std::map<RunnerId, double> limits_;
   std::map<RunnerId, Runner> runners_;
   std::vector<PlannedOrder> history_;
   SteadyTime now_{std::chrono::seconds(1000)};
--- a/tests/gateway_runner_limit_test.cc
+++ b/tests/gateway_runner_limit_test.cc
@@ -65,8 +65,7 @@
 };
 
 // Guards against a runner that gets more calls than the limit that it names in its answers.
-TEST_CASE("gateway daemon: a runner gets no more calls than the limit that it has named" *
-          doctest::should_fail()) {
+TEST_CASE("gateway daemon: a runner gets no more calls than the limit that it has named") {
   GatewayFixture fixture;
   fixture.Configure("models");
   LimitedRunner runner(&fixture);
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -102,6 +102,14 @@
   CHECK_FALSE(metadata.not_executed);
   REQUIRE(metadata.load);
   CHECK(metadata.load->waiting == 1);
+  CHECK_FALSE(metadata.calls_per_s);
+  for (const auto& [text, expected] : std::vector<std::pair<std::string, double>>{
+           {"1.6", 1.6}, {"20", 20}, {"", 0}, {"0", 0}, {"-1", 0}, {"nan", 0}, {"1.6/s", 0}}) {
+    CAPTURE(text);
+    HttpHead limited = head;
+    limited.fields.emplace_back("Server-Limit", text);
+    CHECK(codec.DecodeAnswer(limited).calls_per_s.value_or(0) == expected);
+  }
 
   HttpHead rejected;
   rejected.status = 503;
