Play calls that crash their runners in the process soak

The soak had no runner that a call can crash, so it could not show that such calls keep reaching runners.

The soak checks the platform's rules: at most three such calls reach runners later than the stable window after the fifth crash, from gateways in touch, and sound streams are then served at least half as often as before. A crashed runner's port now refuses connections, as on the platform.

--- a/tests/soak/call_checker.cc
+++ b/tests/soak/call_checker.cc
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-CallChecker::CallChecker(SoakFleet* fleet) : fleet_(fleet) {
+CallChecker::CallChecker(SoakFleet* fleet) : fleet_(fleet), incidents_(fleet) {
   fleet_->ledger().SetRunListener(
       [this](const SentCall& call, const CallRun& run) { OnRun(call, run); });
 }
@@ -75,6 +75,7 @@
 }
 
 void CallChecker::OnResult(const SentCall& call, const CallResult& result) {
+  incidents_.OnResult(call, result);
   const SteadyTime due = call.sent_at + call.timeout + SoakBounds::kTimeoutSlack;
   if (result.at > call.sent_at + call.timeout &&
       fleet_->GatewayUndisturbed(call.gateway, call.sent_at, result.at, false)) {
@@ -142,6 +143,7 @@
 }
 
 void CallChecker::CheckEnd() {
+  incidents_.CheckEnd();
   if (late_answers_ >= kMinViolatingCalls && late_answers_ * 4 > checked_timeouts_) {
     fleet_->ledger().AddViolation(
         fmt::format("{} of {} calls had no answer half a second after their timeout", late_answers_,
--- a/tests/soak/call_checker.h
+++ b/tests/soak/call_checker.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 
+#include "tests/soak/incident_checker.h"
 #include "tests/soak/soak_fleet.h"
 
 namespace shallot::soak {
@@ -36,6 +37,7 @@
   bool CountCheck(bool undisturbed);
 
   SoakFleet* fleet_;
+  IncidentChecker incidents_;
   uint64_t checked_ = 0;
   uint64_t excused_ = 0;
   uint64_t checked_timeouts_ = 0;
--- a/tests/soak/call_ledger.cc
+++ b/tests/soak/call_ledger.cc
@@ -120,6 +120,7 @@
   if (found == calls_.end()) return;
   arrivals_[backend].push_back({at, found->second.arrived});
   found->second.arrived = true;
+  if (arrival_listener_) arrival_listener_(found->second.call, at);
 }
 
 void CallLedger::CheckRepeats(double ratio, double slack, Millis window) {
--- a/tests/soak/call_ledger.h
+++ b/tests/soak/call_ledger.h
@@ -27,6 +27,8 @@
   std::string target;
   std::string body;
   std::string model;
+  /// Crashes each runner that begins to answer it.
+  bool deadly = false;
   /// Index of the gateway that the caller is connected to.
   size_t gateway = 0;
   SteadyTime sent_at;
@@ -80,6 +82,10 @@
   }
   /// A call reached a runner, whether the runner executes or rejects it.
   void OnArrival(const RequestId& id, const BackendName& backend, SteadyTime at);
+  /// The listener is called for each arrival of a call that a caller sent.
+  void SetArrivalListener(std::function<void(const SentCall&, SteadyTime)> listener) {
+    arrival_listener_ = std::move(listener);
+  }
   /// A runner answered a call with this status.
   void OnRunnerAnswer(const RequestId& id, int status);
   void OnResult(const RequestId& id, const CallResult& result);
@@ -124,6 +130,7 @@
   std::map<RequestId, Record> calls_;
   std::map<BackendName, std::vector<Arrival>> arrivals_;
   std::function<void(const SentCall&, const CallRun&)> run_listener_;
+  std::function<void(const SentCall&, SteadyTime)> arrival_listener_;
   std::vector<std::string> violations_;
   uint64_t ended_ = 0;
   uint64_t completed_ = 0;
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -157,6 +157,14 @@
   return OkStatus();
 }
 
+void FaultProxy::Close() {
+  std::vector<Link*> open;
+  for (const auto& [link, owned] : links_) open.push_back(link);
+  for (Link* link : open) link->Reset();
+  if (socket_) loop_->Remove(*socket_);
+  socket_.reset();
+}
+
 bool FaultProxy::IsHeld(bool to_server) const {
   switch (fault_) {
     case LinkFault::kDark:
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -37,6 +37,9 @@
   ~FaultProxy() override;
 
   Status Open(const std::string& address);
+  /// The server has crashed: resets all connections, and new ones are refused until Open().
+  void Close();
+  bool open() const { return socket_ != nullptr; }
   /// `delay` is used by LinkFault::kDelay only.
   void SetFault(LinkFault fault, Millis delay);
   void OnReadable() override;
--- /dev/null
+++ b/tests/soak/incident_checker.cc
@@ -0,0 +1,63 @@
+#include "tests/soak/incident_checker.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace shallot::soak {
+namespace {
+
+/// Gateways have to know deadly calls once these have crashed so many runners.
+constexpr size_t kCrashesToKnow = 5;
+constexpr uint64_t kMaxLateDeadlyCalls = 3;
+/// Shares of served calls are compared from this number of calls on.
+constexpr uint64_t kMinCalls = 20;
+
+}  // namespace
+
+IncidentChecker::IncidentChecker(SoakFleet* fleet) : fleet_(fleet) {
+  fleet_->ledger().SetArrivalListener(
+      [this](const SentCall& call, SteadyTime at) { OnArrival(call, at); });
+}
+
+SteadyTime IncidentChecker::CrashesKnownFrom() const {
+  const std::vector<SteadyTime>& crashes = fleet_->deadly_crashes();
+  if (crashes.empty()) return SteadyTime::max();
+  return crashes[std::min(crashes.size(), kCrashesToKnow) - 1] + Duration(SoakBounds::kStable);
+}
+
+void IncidentChecker::OnArrival(const SentCall& call, SteadyTime at) {
+  if (!call.deadly || fleet_->deadly_crashes().size() < kCrashesToKnow) return;
+  if (at <= CrashesKnownFrom() || !fleet_->GatewayUndisturbed(call.gateway, at, at, true)) return;
+  ++late_deadly_calls_;
+  fleet_->LogEvent(fmt::format("deadly call {} of gateway {} reached a runner late",
+                               call.id.value(), call.gateway));
+}
+
+void IncidentChecker::OnResult(const SentCall& call, const CallResult& result) {
+  if (call.deadly || call.model.empty() || result.end == CallEnd::kAbandoned) return;
+  if (!fleet_->AllUndisturbed(call.gateway, call.sent_at, result.at, true)) return;
+  Served* served = nullptr;
+  if (fleet_->deadly_crashes().empty()) served = &before_crashes_;
+  if (call.sent_at > CrashesKnownFrom() + Duration(SoakBounds::kStable)) served = &after_crashes_;
+  if (served == nullptr) return;
+  ++served->calls;
+  if (result.status == 200) ++served->completed;
+}
+
+void IncidentChecker::CheckEnd() {
+  if (late_deadly_calls_ > kMaxLateDeadlyCalls) {
+    fleet_->ledger().AddViolation(
+        fmt::format("{} deadly calls reached runners although the gateways had to know them",
+                    late_deadly_calls_));
+  }
+  if (std::min(before_crashes_.calls, after_crashes_.calls) < kMinCalls) return;
+  if (after_crashes_.Share() * 2 < before_crashes_.Share()) {
+    fleet_->ledger().AddViolation(
+        fmt::format("{} of {} sound calls were served beside deadly ones, {} of {} before",
+                    after_crashes_.completed, after_crashes_.calls, before_crashes_.completed,
+                    before_crashes_.calls));
+  }
+}
+
+}  // namespace shallot::soak
--- /dev/null
+++ b/tests/soak/incident_checker.h
@@ -0,0 +1,39 @@
+#ifndef TESTS_SOAK_INCIDENT_CHECKER_H_
+#define TESTS_SOAK_INCIDENT_CHECKER_H_
+
+#include <cstdint>
+
+#include "tests/soak/soak_fleet.h"
+
+namespace shallot::soak {
+
+/// Checks the guarantees around incidents that runners suffer: calls that crash them.
+class IncidentChecker {
+ public:
+  explicit IncidentChecker(SoakFleet* fleet);
+
+  void OnResult(const SentCall& call, const CallResult& result);
+  /// Checks the guarantees that are stated over all calls of the run. Called once, at its end.
+  void CheckEnd();
+
+ private:
+  /// Sound calls that runners may take, and those of them that were completed.
+  struct Served {
+    uint64_t calls = 0;
+    uint64_t completed = 0;
+    double Share() const { return static_cast<double>(completed) / static_cast<double>(calls); }
+  };
+
+  void OnArrival(const SentCall& call, SteadyTime at);
+  /// From when on the gateways have to know the deadly calls; SteadyTime::max() without crashes.
+  SteadyTime CrashesKnownFrom() const;
+
+  SoakFleet* fleet_;
+  uint64_t late_deadly_calls_ = 0;
+  Served before_crashes_;
+  Served after_crashes_;
+};
+
+}  // namespace shallot::soak
+
+#endif  // TESTS_SOAK_INCIDENT_CHECKER_H_
--- a/tests/soak/process_soak_main.cc
+++ b/tests/soak/process_soak_main.cc
@@ -8,7 +8,10 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <memory>
+#include <stdexcept>
+#include <string>
 #include <vector>
 
 #include "core/clock.h"
@@ -37,6 +40,9 @@
 /// Memory limit of an entry instance in both deployments.
 constexpr uint64_t kMemoryLimitKilobytes = 260 * 1024;
 
+const std::map<std::string, Incident> kIncidents = {{"none", Incident::kNone},
+                                                    {"deadly-calls", Incident::kDeadlyCalls}};
+
 /// Seeds that failed before, with the cause. CI runs them again.
 struct RegressionSeed {
   uint64_t seed;
@@ -192,6 +198,8 @@
       cxxopts::value<std::string>()->default_value(
           (std::filesystem::temp_directory_path() / "shallot-soak").string()))(
       "keep", "keep the logs of seeds that pass")(
+      "incident", "none, or deadly-calls: calls crash their runners",
+      cxxopts::value<std::string>()->default_value("none"))(
       "stall-logs", "let the gateways log to pipes that nobody reads")(
       "regressions", "run the seeds that failed once instead")("help", "print this help");
   const auto parsed = parser.parse(argc, argv);
@@ -207,6 +215,9 @@
   options.engines = parsed["engines"].as<size_t>();
   options.desks = parsed["desks"].as<size_t>();
   options.callers = parsed["callers"].as<size_t>();
+  const auto incident = parsed["incident"].as<std::string>();
+  if (!kIncidents.contains(incident)) throw std::invalid_argument("unknown incident " + incident);
+  options.incident = kIncidents.at(incident);
   options.stall_logs = parsed.count("stall-logs") > 0;
   std::vector<uint64_t> seeds;
   if (parsed.count("regressions") > 0) {
--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -67,6 +67,8 @@
                                ? random.Below(2)
                                : random.Below(StandinRunner::kModels);
     call.model = fmt::format("m{}", model);
+    const double deadly_share = fleet_->deadly_share();
+    call.deadly = deadly_share > 0 && random.Unit() < deadly_share;
   }
   call.gateway = *gateway_;
   call.sent_at = fleet_->loop()->Now();
@@ -89,7 +91,9 @@
   if (!call_.model.empty()) {
     request.head.Set("Model-Name", call_.model);
     request.head.Set("Token-Usage", "1000,60");
-    request.head.Set("Prompt-Prefix", fmt::format("ab:800,{:x}:200", number_));
+    const std::string middle =
+        call_.deadly ? fmt::format("{}:100,", StandinRunner::kDeadlyPart) : "";
+    request.head.Set("Prompt-Prefix", fmt::format("ab:800,{}{:x}:200", middle, number_));
   }
   request.body = call_.body;
   fleet_->ledger().OnSent(call_);
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -98,7 +98,8 @@
       random_(options.seed),
       store_(loop, options.seed + 1),
       probe_client_(loop),
-      context_{loop, &store_, &ledger_, &random_} {
+      context_{loop, &store_, &ledger_, &random_,
+               [this](const std::string& runner) { OnDeadlyCall(runner); }} {
   // Each process uses its own loopback addresses, so that several runs can work in parallel.
   const auto id = static_cast<uint64_t>(getpid());
   address_base_ = fmt::format("127.{}.{}.", 64 + id / 256 % 128, id % 256);
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -38,6 +38,13 @@
   static constexpr Millis kRetryWindow{10'000};
 };
 
+/// What a run plays besides its random faults.
+enum class Incident {
+  kNone,
+  /// Calls with one prompt part crash each runner that begins to answer them.
+  kDeadlyCalls,
+};
+
 struct SoakOptions {
   std::string gateway_program;
   /// Folder for the settings and logs of the processes.
@@ -49,6 +56,7 @@
   size_t engines = 3;
   size_t desks = 4;
   size_t callers = 24;
+  Incident incident = Incident::kNone;
   /// The gateways log to pipes that nobody reads.
   bool stall_logs = false;
 };
@@ -137,6 +145,13 @@
   // Planned work.
   void ChangeConfig();
 
+  // Incidents.
+  /// Callers add the prompt part that crashes runners to this share of their streams.
+  void SetDeadlyShare(double share) { deadly_share_ = share; }
+  double deadly_share() const { return deadly_share_; }
+  /// When deadly calls crashed a runner.
+  const std::vector<SteadyTime>& deadly_crashes() const { return deadly_crashes_; }
+
   size_t gateways() const { return gateways_.size(); }
   size_t runners() const { return runners_.size(); }
   /// Ends all faults and starts the runners that are down or draining.
@@ -178,6 +193,7 @@
   void UpdateRunnerEntries();
   void ProbeReadiness();
   Status StartRunner(size_t runner);
+  void OnDeadlyCall(const std::string& runner);
   void EndRunner(size_t runner);
   void PutConfig();
   std::string ConfigText() const;
@@ -201,6 +217,8 @@
   std::vector<std::string> events_;
   std::string address_base_;
   uint64_t last_runner_ = 0;
+  double deadly_share_ = 0;
+  std::vector<SteadyTime> deadly_crashes_;
   bool store_unavailable_ = false;
   bool entries_expire_ = false;
   bool stopping_ = false;
--- a/tests/soak/soak_fleet_faults.cc
+++ b/tests/soak/soak_fleet_faults.cc
@@ -13,6 +13,8 @@
 constexpr Millis kGraceSlack{300};
 /// Watches are sent no changes for this long before the history is dropped.
 constexpr Millis kMutedBeforeDrop{1'000};
+/// Time until a runner that a deadly call crashed is back.
+constexpr Millis kDeadlyDown{1'500};
 
 }  // namespace
 
@@ -137,16 +139,27 @@
 
 void SoakFleet::EndRunner(size_t index) { runners_[index].server.reset(); }
 
+void SoakFleet::OnDeadlyCall(const std::string& id) {
+  for (size_t index = 0; index < runners_.size(); ++index) {
+    if (runners_[index].spec.id != id || runners_[index].server == nullptr) continue;
+    deadly_crashes_.push_back(loop_->Now());
+    CrashRunner(index, kDeadlyDown, random_.Below(2) == 0);
+    return;
+  }
+}
+
 void SoakFleet::CrashRunner(size_t index, Millis down, bool same_id) {
   Runner& runner = runners_[index];
   if (runner.server == nullptr) return;
   LogEvent(fmt::format("runner {} crashes for {} ms{}", runner.spec.id, down.count(),
                        same_id ? " and keeps its id" : ""));
   EndRunner(index);
+  runner.proxy->Close();
   const std::string old_id = runner.spec.id;
   AddTimedDisturbance(Scope::Runners(), down, false, [this, index, same_id, old_id] {
     Runner& stopped = runners_[index];
     if (stopped.server != nullptr) return;
+    (void)stopped.proxy->Open(stopped.spec.public_address);
     const bool was_listed = stopped.listed;
     if (Status started = StartRunner(index); !IsOk(started)) {
       ledger_.AddViolation("a runner could not be started again: " + FormatError(ErrorOf(started)));
@@ -245,6 +258,7 @@
   for (size_t index = 0; index < runners_.size(); ++index) {
     Runner& runner = runners_[index];
     runner.proxy->SetFault(LinkFault::kNone, Millis(0));
+    if (!runner.proxy->open()) (void)runner.proxy->Open(runner.spec.public_address);
     if (runner.server == nullptr || runner.server->draining()) {
       EndRunner(index);
       store_.Remove("servers/" + runner.spec.id);
--- a/tests/soak/soak_schedule.cc
+++ b/tests/soak/soak_schedule.cc
@@ -19,6 +19,9 @@
 constexpr uint64_t kLongestMs = 3'500;
 /// Probability that an event is followed by another one at once.
 constexpr double kSeriesProbability = 0.15;
+/// Pause before an incident begins, and the share of the streams that are deadly calls.
+constexpr Millis kIncidentDelay{5'000};
+constexpr double kDeadlyShare = 0.15;
 constexpr std::array<LinkFault, 7> kLinkFaults = {
     LinkFault::kDelay,       LinkFault::kCutToServer, LinkFault::kCutToClient, LinkFault::kDark,
     LinkFault::kSilenceOpen, LinkFault::kResetOpen,   LinkFault::kRefuse};
@@ -56,6 +59,15 @@
   for (const Event& event : events_) kinds += fmt::format(" {},", event.name);
   fleet_->LogEvent(fmt::format("faults every {} ms on average:{}", mean_gap_.count(), kinds));
   ScheduleNext();
+  ScheduleIncident();
+}
+
+void SoakSchedule::ScheduleIncident() {
+  if (fleet_->options().incident == Incident::kNone) return;
+  fleet_->loop()->After(kIncidentDelay, [this] {
+    fleet_->LogEvent("deadly calls begin");
+    fleet_->SetDeadlyShare(kDeadlyShare);
+  });
 }
 
 void SoakSchedule::ScheduleNext() {
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -30,6 +30,8 @@
   void AddStoreEvents();
   void AddRunnerEvents();
   void ScheduleNext();
+  /// Begins the incident of the run's options. It lasts until the run's end.
+  void ScheduleIncident();
   Millis RandomDuration();
   size_t RandomGateway();
   size_t RandomRunner();
--- a/tests/soak/standin_runner.cc
+++ b/tests/soak/standin_runner.cc
@@ -194,6 +194,7 @@
   Work work;
   work.id = RequestId(Field(request, "Attempt-Id"));
   work.stream = spec_.is_engine;
+  work.deadly = Field(request, "Prompt-Prefix").find(kDeadlyPart) != std::string::npos;
   CallRun run{RunnerId(spec_.id),
               BackendName(spec_.backend),
               request.head.method,
@@ -212,7 +213,9 @@
   context_->ledger->OnRun(work.id, run);
   work.request = std::move(request);
   work.timer = context_->loop->After(WorkTime(), [this, connection] {
-    if (executing_.at(connection).stream) {
+    if (executing_.at(connection).deadly) {
+      context_->loop->Defer([crash = context_->crash, id = spec_.id] { crash(id); });
+    } else if (executing_.at(connection).stream) {
       SendNextEvent(connection);
     } else {
       FinishPlain(connection);
--- a/tests/soak/standin_runner.h
+++ b/tests/soak/standin_runner.h
@@ -2,6 +2,7 @@
 #define TESTS_SOAK_STANDIN_RUNNER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -24,6 +25,8 @@
   gateway::StandinStore* store = nullptr;
   CallLedger* ledger = nullptr;
   Random* random = nullptr;
+  /// Crashes the runner of this id, because it began to answer a deadly call.
+  std::function<void(const std::string&)> crash;
 };
 
 struct RunnerSpec {
@@ -58,6 +61,8 @@
   /// Size of each model in megabytes.
   static constexpr int kModelMb = 40;
   static constexpr int kModels = 4;
+  /// Prompt part that crashes the runner when it begins to answer.
+  static constexpr const char* kDeadlyPart = "dead";
 
   StandinRunner(RunnerContext* context, const RunnerSpec& spec);
   ~StandinRunner() override;
@@ -86,6 +91,7 @@
   struct Work {
     RequestId id;
     bool stream = false;
+    bool deadly = false;
     bool head_sent = false;
     uint64_t next_event = 1;
     gateway::TimerId timer;
