Show operators which calls are refused because they crash runners

Callers saw refusals that an operator could explain from log lines only, one gateway at a time.

The handler of the admin address moves out of the daemon.

--- /dev/null
+++ b/drivers/gateway/admin_handler.cc
@@ -0,0 +1,57 @@
+#include "drivers/gateway/admin_handler.h"
+
+#include <nlohmann/json.hpp>
+
+#include "core/log.h"
+#include "drivers/gateway/caller_connection.h"
+
+namespace shallot::gateway {
+namespace {
+
+using Json = nlohmann::json;
+
+}  // namespace
+
+void AdminHandler::OnRequest(CallerConnection* connection, HttpMessage request) {
+  const std::string path = request.head.Path();
+  if (path == "/metrics") {
+    connection->Answer(TextAnswer(200, "OK", "text/plain; version=0.0.4", Metrics()));
+  } else if (path == "/quarantine") {
+    connection->Answer(TextAnswer(200, "OK", "application/json", Quarantine()));
+  } else {
+    connection->Answer(TextAnswer(404, "Not Found", "text/plain", ""));
+  }
+}
+
+std::string AdminHandler::Metrics() {
+  const DaemonFigures figures = figures_();
+  MetricsRegistry& metrics = *context_->metrics;
+  const auto set = [&metrics](const char* name, auto value) {
+    metrics.GetGauge(name).Set(static_cast<int64_t>(value));
+  };
+  set("caller_connections", figures.caller_connections);
+  set("calls_in_progress", figures.calls_in_progress);
+  set("placement_leader", figures.leads_placement ? 1 : 0);
+  set("runner_connections", context_->client.connections_open());
+  set("runner_connections_opened", context_->client.connections_opened());
+  set("traits_quarantined", context_->quarantine.Quarantined(context_->loop.Now()).size());
+  set("runners_limited", context_->limits.Limited().size());
+  set("log_lines_dropped", DroppedLogLines());
+  set("config_version", context_->routes ? context_->routes->version.value() : 0);
+  return metrics.Render();
+}
+
+std::string AdminHandler::Quarantine() const {
+  Json quarantined = Json::array();
+  for (const QuarantinedTraits& entry : context_->quarantine.Quarantined(context_->loop.Now())) {
+    quarantined.push_back({{"traits", DescribeTraits(entry.traits)},
+                           {"remaining_ms", entry.remaining.count()},
+                           {"relapses", entry.relapses}});
+  }
+  return Json{{"gateway", context_->settings.instance.value()},
+              {"crashes", context_->quarantine.crashes()},
+              {"quarantined", quarantined}}
+      .dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+}  // namespace shallot::gateway
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -44,15 +44,6 @@
 
 void OnReloadSignal(int /*signal*/) { reload_requested = true; }
 
-HttpMessage PlainAnswer(int status, const std::string& reason, const std::string& body) {
-  HttpMessage answer;
-  answer.head.status = status;
-  answer.head.reason = reason;
-  answer.head.Set("Content-Type", "text/plain; version=0.0.4");
-  answer.body = body;
-  return answer;
-}
-
 }  // namespace
 
 void CatchReloadSignal() { (void)std::signal(SIGHUP, OnReloadSignal); }
@@ -62,46 +53,12 @@
   explicit ReadinessHandler(GatewayDaemon* owner) : owner_(owner) {}
   void OnRequest(CallerConnection* connection, HttpMessage request) override {
     if (request.head.Path() != owner_->context_->protocol->ReadinessPath()) {
-      connection->Answer(PlainAnswer(404, "Not Found", ""));
+      connection->Answer(TextAnswer(404, "Not Found", "text/plain", ""));
       return;
     }
     const bool ready = owner_->Ready();
-    connection->Answer(PlainAnswer(ready ? 200 : 503, ready ? "OK" : "Service Unavailable", ""));
-  }
-  void OnCallerGone(CallerConnection* /*connection*/) override {}
-
- private:
-  GatewayDaemon* owner_;
-};
-
-class GatewayDaemon::MetricsHandler final : public CallerHandler {
- public:
-  explicit MetricsHandler(GatewayDaemon* owner) : owner_(owner) {}
-  void OnRequest(CallerConnection* connection, HttpMessage request) override {
-    if (request.head.Path() != "/metrics") {
-      connection->Answer(PlainAnswer(404, "Not Found", ""));
-      return;
-    }
-    MetricsRegistry& metrics = owner_->metrics_;
-    metrics.GetGauge("caller_connections")
-        .Set(static_cast<int64_t>(owner_->callers_->connections()));
-    metrics.GetGauge("calls_in_progress").Set(static_cast<int64_t>(owner_->sessions_.size()));
-    metrics.GetGauge("runner_connections")
-        .Set(static_cast<int64_t>(owner_->context_->client.connections_open()));
-    metrics.GetGauge("runner_connections_opened")
-        .Set(static_cast<int64_t>(owner_->context_->client.connections_opened()));
-    metrics.GetGauge("traits_quarantined")
-        .Set(static_cast<int64_t>(
-            owner_->context_->quarantine.Quarantined(owner_->context_->loop.Now()).size()));
-    metrics.GetGauge("runners_limited")
-        .Set(static_cast<int64_t>(owner_->context_->limits.Limited().size()));
-    metrics.GetGauge("log_lines_dropped").Set(static_cast<int64_t>(DroppedLogLines()));
-    metrics.GetGauge("placement_leader").Set(owner_->placement_->Leads() ? 1 : 0);
-    metrics.GetGauge("config_version")
-        .Set(owner_->context_->routes
-                 ? static_cast<int64_t>(owner_->context_->routes->version.value())
-                 : 0);
-    connection->Answer(PlainAnswer(200, "OK", metrics.Render()));
+    connection->Answer(
+        TextAnswer(ready ? 200 : 503, ready ? "OK" : "Service Unavailable", "text/plain", ""));
   }
   void OnCallerGone(CallerConnection* /*connection*/) override {}
 
@@ -114,12 +71,16 @@
     : context_(std::make_unique<GatewayContext>(settings, protocol, &clock_, &metrics_)),
       reload_(std::move(reload)),
       readiness_handler_(std::make_unique<ReadinessHandler>(this)),
-      metrics_handler_(std::make_unique<MetricsHandler>(this)),
+      admin_handler_(std::make_unique<AdminHandler>(
+          context_.get(),
+          [this] {
+            return DaemonFigures{callers_->connections(), sessions_.size(), placement_->Leads()};
+          })),
       callers_(std::make_unique<CallerListener>(&context_->loop, "callers", this)),
       readiness_(
           std::make_unique<CallerListener>(&context_->loop, "readiness", readiness_handler_.get())),
-      metrics_listener_(
-          std::make_unique<CallerListener>(&context_->loop, "metrics", metrics_handler_.get())),
+      admin_listener_(
+          std::make_unique<CallerListener>(&context_->loop, "metrics", admin_handler_.get())),
       follower_(
           std::make_unique<FleetFollower>(context_.get(), [this] { DispatchWaitingCalls(); })),
       placement_(std::make_unique<PlacementDriver>(
@@ -152,7 +113,7 @@
     return opened;
   }
   // A gateway without metrics can still serve calls.
-  if (Status opened = metrics_listener_->Open(settings.metrics_address); !IsOk(opened)) {
+  if (Status opened = admin_listener_->Open(settings.metrics_address); !IsOk(opened)) {
     LogError("metrics", FormatError(ErrorOf(opened)));
   }
   if (Status opened = context_->peers.Open(settings.peer_address); !IsOk(opened)) {
--- a/drivers/gateway/gateway_daemon.h
+++ b/drivers/gateway/gateway_daemon.h
@@ -10,6 +10,7 @@
 
 #include "core/metrics.h"
 #include "drivers/daemon.h"
+#include "drivers/gateway/admin_handler.h"
 #include "drivers/gateway/call_session.h"
 #include "drivers/gateway/caller_listener.h"
 #include "drivers/gateway/crash_monitor.h"
@@ -48,7 +49,6 @@
 
  private:
   class ReadinessHandler;
-  class MetricsHandler;
 
   /// Calls that wait for one entry.
   struct WaitingDemand {
@@ -77,10 +77,10 @@
   std::unique_ptr<GatewayContext> context_;
   SettingsLoader reload_;
   std::unique_ptr<ReadinessHandler> readiness_handler_;
-  std::unique_ptr<MetricsHandler> metrics_handler_;
+  std::unique_ptr<AdminHandler> admin_handler_;
   std::unique_ptr<CallerListener> callers_;
   std::unique_ptr<CallerListener> readiness_;
-  std::unique_ptr<CallerListener> metrics_listener_;
+  std::unique_ptr<CallerListener> admin_listener_;
   std::unique_ptr<FleetFollower> follower_;
   std::unique_ptr<PlacementDriver> placement_;
   std::unique_ptr<PresenceDriver> presence_;
--- a/drivers/gateway/http_message.cc
+++ b/drivers/gateway/http_message.cc
@@ -78,6 +78,16 @@
   for (const std::string_view name : kHopByHopFields) head->Remove(name);
 }
 
+HttpMessage TextAnswer(int status, const std::string& reason, const std::string& type,
+                       std::string text) {
+  HttpMessage answer;
+  answer.head.status = status;
+  answer.head.reason = reason;
+  answer.head.Set("Content-Type", type);
+  answer.body = std::move(text);
+  return answer;
+}
+
 std::string FormatRequest(const HttpMessage& request) {
   std::string text = fmt::format("{} {} HTTP/1.1\r\n", request.head.method, request.head.target);
   AppendFields(request.head, &text);
--- a/drivers/gateway/http_message.h
+++ b/drivers/gateway/http_message.h
@@ -47,6 +47,10 @@
 /// `Connection` names them.
 void RemoveHopByHopFields(HttpHead* head, const std::vector<std::string_view>& keep);
 
+/// An answer whose body is `text`, of the media type `type`.
+HttpMessage TextAnswer(int status, const std::string& reason, const std::string& type,
+                       std::string text);
+
 /// Serializes a request. Sets Content-Length if there is a body or the method implies one.
 std::string FormatRequest(const HttpMessage& request);
 /// Serializes a whole answer with Content-Length.
--- a/main/ctl/commands.h
+++ b/main/ctl/commands.h
@@ -14,6 +14,7 @@
 int RunReport(const CtlOptions& options);
 int RunKeys(const CtlOptions& options);
 int RunExplain(const CtlOptions& options);
+int RunQuarantine(const CtlOptions& options);
 
 }  // namespace shallot::ctl
 
--- a/main/ctl/fleet_commands.cc
+++ b/main/ctl/fleet_commands.cc
@@ -15,17 +15,6 @@
 
 using nlohmann::json;
 
-Result<json> FetchJson(const std::string& address, const std::string& path) {
-  const Result<std::string> body = Fetch(address, "GET", path);
-  if (!IsOk(body)) return ErrorOf(body);
-  json parsed = json::parse(ValueOf(body), nullptr, false);
-  if (parsed.is_discarded()) {
-    return Error{ErrorKind::kInternal, address + path + " did not answer with JSON",
-                 "check that the address is the right one"};
-  }
-  return parsed;
-}
-
 std::string JoinNames(const json& names) {
   std::string text;
   for (const json& name : names) text += (text.empty() ? "" : " ") + name.get<std::string>();
--- a/main/ctl/session.cc
+++ b/main/ctl/session.cc
@@ -58,4 +58,15 @@
   return ValueOf(reply).body;
 }
 
+Result<nlohmann::json> FetchJson(const std::string& address, const std::string& path) {
+  const Result<std::string> body = Fetch(address, "GET", path);
+  if (!IsOk(body)) return ErrorOf(body);
+  nlohmann::json parsed = nlohmann::json::parse(ValueOf(body), nullptr, false);
+  if (parsed.is_discarded()) {
+    return Error{ErrorKind::kInternal, address + path + " did not answer with JSON",
+                 "check that the address is the right one"};
+  }
+  return parsed;
+}
+
 }  // namespace shallot::ctl
--- a/main/ctl/session.h
+++ b/main/ctl/session.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 
@@ -53,6 +54,8 @@
 /// when there is no response or its status is not 2xx.
 Result<std::string> Fetch(const std::string& address, const std::string& method,
                           const std::string& path, const std::string& body = "");
+/// GETs a JSON document; kInternal when the response is none.
+Result<nlohmann::json> FetchJson(const std::string& address, const std::string& path);
 
 }  // namespace shallot::ctl
 
--- a/main/shallotctl_main.cc
+++ b/main/shallotctl_main.cc
@@ -25,6 +25,8 @@
   catalog                          entries, their policy and where they are loaded
   report burn                      error budget consumption by class
   explain REQUEST LOG...           timeline and causes of failure of a call, from gateway logs
+  quarantine                       calls that gateways refuse because such calls crash runners;
+                                   --router names the gateways' metrics addresses
   keys [ROUTER...]                 generate the keys of a fleet: section [keys] for the agents and
                                    [keys ROUTER] for the [keys] of each router; without names
                                    one [keys] for all
@@ -74,6 +76,7 @@
   if (command == "catalog") return shallot::ctl::RunCatalog(options);
   if (command == "report") return shallot::ctl::RunReport(options);
   if (command == "explain") return shallot::ctl::RunExplain(options);
+  if (command == "quarantine") return shallot::ctl::RunQuarantine(options);
   if (command == "keys") return shallot::ctl::RunKeys(options);
   if (command.empty()) return shallot::ctl::UsageError("a command is missing");
   return shallot::ctl::UsageError("unknown command \"" + command + "\"");
--- a/servers/call_explanation.cc
+++ b/servers/call_explanation.cc
@@ -65,6 +65,8 @@
       if (event == "runner-draining" || event == "runner-removed" || event == "runner-lapsed") {
         leaving_.insert(line.Field("runner"));
       }
+    } else if (line.part == "crashes") {
+      ReadCrash(line, event);
     } else if (line.part == "daemon") {
       if (event == "drain") draining_.insert(line.process);
     } else if (line.Field("request") == request_.value()) {
@@ -100,6 +102,16 @@
     if (line.text.find("following") != std::string::npos) store_down_.erase(line.process);
   }
 
+  void ReadCrash(const LogLine& line, const std::string& event) {
+    if (event == "runner-crashed") {
+      Emit(line.Field("runner") + " crashed and lost " + line.Field("calls") + " calls of " +
+           line.process.value() + " whose answers had not begun.");
+    }
+    if (event == "quarantine") {
+      quarantined_[line.Field("traits")] = line.Field("crashes") + " crashes known";
+    }
+  }
+
   void ReadCall(const LogLine& line, const std::string& event) {
     process_ = line.process;
     if (!line.Field("model").empty()) model_ = line.Field("model");
@@ -108,7 +120,14 @@
     if (event == "next-step" && line.Field("budget") == "no") {
       Emit("The retry budget was used up, so the call was not sent again.");
     }
-    if (event == "end") ended_ = true;
+    if (event != "end") return;
+    ended_ = true;
+    for (const auto& [traits, evidence] : quarantined_) {
+      if (line.Field("reason") == "calls with " + traits + " crash runners") {
+        Emit("Calls with " + traits + " were refused because such calls crash runners (" +
+             evidence + ").");
+      }
+    }
   }
 
   void ReadWait(const LogLine& line, const std::string& event) {
@@ -155,6 +174,8 @@
   std::set<std::pair<std::string, std::string>> loaded_;
   std::set<std::string> leaving_;
   std::set<InstanceId> draining_;
+  /// The evidence for each quarantine, by its traits.
+  std::map<std::string, std::string> quarantined_;
   std::set<InstanceId> store_down_;
   std::vector<std::string> causes_;
 };
@@ -201,11 +222,12 @@
 
 CallExplanationBuilder::Scope CallExplanationBuilder::FindScope(
     const std::vector<LogLine>& own) const {
-  Scope scope{own.front().at - kBefore, own.back().at + kAfter, {}, {}, {}};
+  Scope scope{own.front().at - kBefore, own.back().at + kAfter, {}, {}, {}, {}};
   for (const LogLine& line : own) {
     scope.processes.insert(line.process);
     if (!line.Field("runner").empty()) scope.runners.insert(line.Field("runner"));
     if (!line.Field("model").empty()) scope.models.insert(line.Field("model"));
+    if (line.Event() == "end") scope.refusal = line.Field("reason");
   }
   return scope;
 }
@@ -217,7 +239,12 @@
            (line.Event() == "order-sent" && scope.runners.contains(line.Field("runner")));
   }
   const bool same_process = scope.processes.contains(line.process);
-  if (line.part == "runners") return same_process && scope.runners.contains(line.Field("runner"));
+  if (line.part == "runners" || line.Event() == "runner-crashed") {
+    return same_process && scope.runners.contains(line.Field("runner"));
+  }
+  if (line.Event() == "quarantine") {
+    return same_process && scope.refusal.find(line.Field("traits")) != std::string::npos;
+  }
   return same_process && (line.part == "store" || line.part == "daemon" || line.part == "config" ||
                           line.part == "gateways");
 }
@@ -235,13 +262,15 @@
   CauseFinder causes(request_);
   for (const LogLine& line : lines) {
     const bool is_own = line.Field("request") == request_.value();
-    // Leadership gained long before the call is still valid, so it counts for the causes but is
-    // shown only within the time range.
-    const bool leadership =
-        line.part == "placement" && line.Event().starts_with("leadership") && line.at <= scope.to;
+    // Leadership gained and quarantines begun long before the call are still valid, so they count
+    // for the causes but are shown only within the time range.
+    const bool still_valid =
+        line.at <= scope.to &&
+        ((line.part == "placement" && line.Event().starts_with("leadership")) ||
+         line.Event() == "quarantine");
     const bool is_related = is_own || IsRelated(scope, line);
     if (is_related) explanation.timeline.push_back(line);
-    if (is_related || leadership) causes.Read(line);
+    if (is_related || still_valid) causes.Read(line);
   }
   explanation.causes = causes.Take();
   return explanation;
--- a/servers/call_explanation.h
+++ b/servers/call_explanation.h
@@ -63,6 +63,8 @@
     std::set<std::string> runners;
     std::set<std::string> models;
     std::set<InstanceId> processes;
+    /// Reason of the call's refusal; empty if it was not refused.
+    std::string refusal;
   };
 
   Scope FindScope(const std::vector<LogLine>& own) const;
--- a/tests/gateway_request_crash_test.cc
+++ b/tests/gateway_request_crash_test.cc
@@ -109,6 +109,9 @@
       CHECK(reply.status >= 500);
     }
     CHECK(runners.LateArrivals() <= kMaxLateArrivals);
+    const Reply shown = fixture.Send(fixture.settings_.metrics_address, "GET", "/quarantine");
+    CHECK(shown.status == 200);
+    CHECK(shown.body.find("part:dead") != std::string::npos);
   }
 }
 
