Do not take planned ends of runners for crashes

Callers would have seen sound calls refused for two minutes: a call that loses its connection to a runner which then drains, or leaves the list, within ten seconds counted as lost in a crash, and its traits were quarantined after two such runners, for example during a release with lossy links.

Cause: CrashMonitor asked whether the runner was leaving only when the call was lost, not when the runner ended. Class of fault: a conclusion from a state that was read too early.

Ruled out: runners that restart without leaving (their start time shows it), and crashed runners whose entry lapses (their port refuses connections before that).

Change: an unconfirmed suspicion ends when the runner drains, and when it leaves the list after it accepted the connection of the probe. Found by reading; the test failed before in both cases (calls refused 30 s later) and passes now.

--- a/drivers/gateway/crash_monitor.cc
+++ b/drivers/gateway/crash_monitor.cc
@@ -22,6 +22,7 @@
 
   void OnConnected() override {
     StopTimer();
+    owner_->OnReached(crash_);
     tcp_.Close(false);
   }
   void OnData(std::string_view /*bytes*/) override {}
@@ -57,7 +58,7 @@
     suspicion.address = runner->entry.address;
     suspicion.since = now;
   }
-  // A call that was sent after the crash, on a connection that was still open, did not cause it.
+  // What was sent after the crash, on a connection that was still open, did not cause it.
   if (call.sent_at >= suspicion.since || suspicion.calls.size() >= kMaxCalls) return;
   suspicion.calls.push_back(call.traits);
   if (suspicion.confirmed) {
@@ -67,6 +68,11 @@
   }
 }
 
+void CrashMonitor::OnReached(const RunnerRun& crash) {
+  const auto found = suspicions_.find(crash);
+  if (found != suspicions_.end()) found->second.reached = true;
+}
+
 void CrashMonitor::Confirm(const RunnerRun& crash, const char* evidence) {
   const auto found = suspicions_.find(crash);
   if (found == suspicions_.end() || found->second.confirmed) return;
@@ -87,11 +93,13 @@
   std::vector<RunnerRun> restarted;
   for (auto suspicion = suspicions_.begin(); suspicion != suspicions_.end();) {
     const RunnerRun& crash = suspicion->first;
-    if (now - suspicion->second.since > Duration(kMemory)) {
+    const RunnerState* runner = context_->view.Find(crash.runner);
+    const bool left = runner == nullptr ? suspicion->second.reached : !runner->Usable();
+    const bool planned = left && !suspicion->second.confirmed;
+    if (planned || now - suspicion->second.since > Duration(kMemory)) {
       suspicion = suspicions_.erase(suspicion);
       continue;
     }
-    const RunnerState* runner = context_->view.Find(crash.runner);
     if (runner == nullptr || runner->entry.born > crash.born) restarted.push_back(crash);
     ++suspicion;
   }
--- a/drivers/gateway/crash_monitor.h
+++ b/drivers/gateway/crash_monitor.h
@@ -12,7 +12,8 @@
 
 /// Tells crashes of runners from connections that merely ended, and reports the calls that were
 /// lost in a crash to CrashQuarantine. A crash is certain when the runner's port refuses
-/// connections, or when the runner has restarted or left the list without draining first.
+/// connections, or when the runner has restarted or left the list without draining first. A runner
+/// that still accepts connections and then leaves the list ends as planned.
 class CrashMonitor final : public CrashObserver {
  public:
   static constexpr Millis kProbeTimeout{300};
@@ -37,10 +38,13 @@
     std::string address;
     SteadyTime since;
     bool confirmed = false;
+    /// It accepted a connection after the loss.
+    bool reached = false;
     std::vector<std::vector<CallTrait>> calls;
     std::shared_ptr<Probe> probe;
   };
 
+  void OnReached(const RunnerRun& crash);
   void Confirm(const RunnerRun& crash, const char* evidence);
   void Report(const RunnerRun& crash, const Suspicion& suspicion);
 
--- a/tests/gateway_daemon_fixture.h
+++ b/tests/gateway_daemon_fixture.h
@@ -125,32 +125,37 @@
   }
 
   /// Adds a second runner of backend "engine" that holds m1 and is preferred to the first one.
-  void AddRunner(const std::string& address, const std::string& id = "a-0", uint64_t born = 1) {
+  void AddRunner(const std::string& address, const std::string& id = "a-0", uint64_t born = 1,
+                 const std::string& state = "ready") {
     platform_.Put("servers/" + id,
                   R"({"service":"engine","address":")" + address +
-                      R"(","zone":"north","version":"v1","slots":8,"state":"ready","seq":1,)"
-                      R"("born":)" +
-                      std::to_string(born) +
+                      R"(","zone":"north","version":"v1","slots":8,"seq":1,"state":")" + state +
+                      R"(","born":)" + std::to_string(born) +
                       R"(,"models":[{"name":"m1","version":1,"adapters":[]}]})");
   }
 
-  /// Makes the streams of kConfig resumable, with a short gap target.
-  void ConfigureResumable() {
-    Configure("models");
+  /// Writes kConfig with its models at backend "engine", and each first text of `changes` replaced
+  /// by the second. The runners are those that the test adds.
+  void ConfigureModels(std::vector<std::pair<std::string, std::string>> changes) {
+    changes.insert(changes.end(), {{"\"service\":\"models\"", "\"service\":\"engine\""},
+                                   {"{\"name\":\"engine\",\"max-conns\":10},", ""},
+                                   {"{\"name\":\"models\"", "{\"name\":\"engine\""}});
     std::string config = kConfig;
-    for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
-             {"\"version\":1", "\"version\":2"},
-             {"\"service\":\"models\"", "\"service\":\"engine\""},
-             {"{\"name\":\"engine\",\"max-conns\":10},", ""},
-             {"{\"name\":\"models\"", "{\"name\":\"engine\""},
-             {"\"max-attempts\":1,\"gap-aim-ms\":400",
-              "\"max-attempts\":2,\"resumable\":true,\"gap-aim-ms\":50"}}) {
+    for (const auto& [from, to] : changes) {
       REQUIRE(config.find(from) != std::string::npos);
       config.replace(config.find(from), from.size(), to);
     }
     platform_.Put("op/config", config);
   }
 
+  /// Makes the streams of kConfig resumable, with a short gap target.
+  void ConfigureResumable() {
+    Configure("models");
+    ConfigureModels({{"\"version\":1", "\"version\":2"},
+                     {"\"max-attempts\":1,\"gap-aim-ms\":400",
+                      "\"max-attempts\":2,\"resumable\":true,\"gap-aim-ms\":50"}});
+  }
+
   FakePlatform platform_;
   platform::PlatformCodec codec_;
   GatewaySettings settings_;
--- a/tests/gateway_fake_platform.cc
+++ b/tests/gateway_fake_platform.cc
@@ -37,7 +37,7 @@
 }
 
 void FakePlatform::ApplyPuts() {
-  std::vector<std::pair<std::string, std::string>> puts;
+  std::vector<std::pair<std::string, std::optional<std::string>>> puts;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     puts.swap(puts_);
@@ -54,8 +54,10 @@
                     {"seq", ++heartbeat_},
                     {"born", kBorn}});
       store_.Put("servers/i-1", entry.dump());
+    } else if (value) {
+      store_.Put(key, *value);
     } else {
-      store_.Put(key, value);
+      store_.Remove(key);
     }
   }
   loop_.After(kApplyInterval, [this] { ApplyPuts(); });
@@ -71,6 +73,11 @@
   puts_.emplace_back(key, value);
 }
 
+void FakePlatform::Remove(const std::string& key) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  puts_.emplace_back(key, std::nullopt);
+}
+
 void FakePlatform::PutRunner() { Put("", ""); }
 
 Json FakePlatform::Holdings() const {
--- a/tests/gateway_fake_platform.h
+++ b/tests/gateway_fake_platform.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -28,6 +29,8 @@
   const std::string& runner_address() const { return runner_address_; }
   /// Writes a key to the store, asynchronously. May be called from any thread.
   void Put(const std::string& key, const std::string& value);
+  /// Removes a key, asynchronously. May be called from any thread.
+  void Remove(const std::string& key);
   /// Writes the runner's entry with the models that it holds, asynchronously. May be called from
   /// any thread.
   void PutRunner();
@@ -42,7 +45,7 @@
   void OnCallerGone(CallerConnection* connection) override;
 
  private:
-  /// Writes the values that Put() and PutRunner() have queued.
+  /// Makes the changes that Put(), PutRunner() and Remove() have queued.
   void ApplyPuts();
   void Answer(CallerConnection* connection, int status, const nlohmann::json& body);
   void HandleOrder(CallerConnection* connection, const std::string& body);
@@ -63,7 +66,8 @@
   std::atomic<uint64_t> calls_{0};
   std::atomic<uint64_t> calls_abandoned_{0};
   std::mutex mutex_;
-  std::vector<std::pair<std::string, std::string>> puts_;
+  /// Keys and their new values; without a value, the key is removed.
+  std::vector<std::pair<std::string, std::optional<std::string>>> puts_;
   std::thread thread_;
 };
 
--- a/tests/gateway_request_crash_test.cc
+++ b/tests/gateway_request_crash_test.cc
@@ -115,5 +115,54 @@
   }
 }
 
+/// A runner that holds m1 and closes the connection of a call without an answer if told to.
+class DroppingRunner {
+ public:
+  explicit DroppingRunner(GatewayFixture* fixture)
+      : fixture_(fixture), server_([this](RawConnection* connection, int /*number*/) {
+          while (true) {
+            const std::string request = connection->ReadHead();
+            if (request.find("POST /s/") == std::string::npos || drop_) return;
+            connection->Send(AnswerHead(request, kChunkedSealed) + kOneEvent);
+          }
+        }) {}
+
+  void Register(uint64_t born, const char* state) {
+    fixture_->AddRunner(server_.address(), "a-0", born, state);
+  }
+  std::atomic<bool> drop_{false};
+
+ private:
+  GatewayFixture* fixture_;
+  RawServer server_;
+};
+
+// Guards against planned restarts of runners that are taken for crashes, because a connection to
+// the runner was lost shortly before.
+TEST_CASE("gateway daemon: a runner that leaves the list before it restarts has not crashed") {
+  for (const bool drains : {true, false}) {
+    CAPTURE(drains);
+    GatewayFixture fixture;
+    fixture.ConfigureModels({});
+    DroppingRunner runner(&fixture);
+    runner.Register(1, "ready");
+    REQUIRE(fixture.AwaitReady());
+    const auto call = [&fixture] { return fixture.Call("/s/1", "m1", "aa:10,bb:20,cc:30").status; };
+    const SystemClock clock;
+    runner.drop_ = true;
+    for (uint64_t born = 1; born <= 3; ++born) {
+      // Crashes in one failure domain at the same time count as one.
+      const SteadyTime next = clock.SteadyNow() + CrashQuarantine::kCommonCause;
+      REQUIRE(fixture.Await([&] { return call() == 502; }));
+      drains ? runner.Register(born, "draining") : fixture.platform_.Remove("servers/a-0");
+      REQUIRE(fixture.Await([&] { return call() == 503; }));
+      runner.Register(born + 1, "ready");
+      REQUIRE(fixture.Await([&] { return clock.SteadyNow() > next; }));
+    }
+    runner.drop_ = false;
+    CHECK(fixture.Await([&] { return call() == 200; }));
+  }
+}
+
 }  // namespace
 }  // namespace shallot::gateway
