Stop loading models that crash the runners that load them

The same cause elsewhere: a model whose load crashes its runner was ordered at the next runner, again and again, and each crash lost the calls of that runner.

Cause: the quarantine only knew calls. A load that its runner did not complete was treated as the runner's failure, and the planner chose another runner.

Change: the placement leader reports a pending load whose runner has crashed, as other gateways report it or its entry shows, with the traits that all calls of the entry have. The quarantine concludes as it does for calls, at all gateways; the planner loads no entry under quarantine and its calls are refused. A pending load of a restarted runner no longer counts as in progress.

--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -26,7 +26,8 @@
 
 namespace shallot::gateway {
 
-/// A call that ended with its runner's connection before its answer had begun.
+/// A call that ended with its runner's connection before its answer had begun, or a load that its
+/// runner did not complete.
 struct LostCall {
   /// The run of the runner that it was sent to.
   RunnerRun crash;
@@ -34,7 +35,7 @@
   std::vector<CallTrait> traits;
 };
 
-/// Is told of calls that may have crashed their runner.
+/// Is told of calls and loads that may have crashed their runner.
 class CrashObserver {
  public:
   virtual ~CrashObserver() = default;
--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -148,6 +148,7 @@
 void PlacementDriver::Tick() {
   RunElection();
   if (Leads()) {
+    ReportLostLoads();
     PollReports();
     RunPlanner();
   } else if (was_leader_) {
@@ -261,6 +262,25 @@
   for (const RunnerId& runner : tracker_.TakeDuePolls(now)) PollReport(runner);
 }
 
+void PlacementDriver::ReportLostLoads() {
+  const auto lost = [this](const Order& order) {
+    const RunnerState* runner = context_->view.Find(order.runner);
+    return runner != nullptr && (runner->entry.born > order.born ||
+                                 context_->quarantine.Knows({order.runner, order.born}));
+  };
+  for (const Order& order : tracker_.TakeLostLoads(lost)) {
+    const RunnerState* runner = context_->view.Find(order.runner);
+    LogInfo("placement",
+            fmt::format("event=load-lost runner={} model={} adapter={}", order.runner.value(),
+                        order.model.value(), order.adapter.value()));
+    context_->crash_observer->OnCallLost(
+        {{order.runner, order.born},
+         order.sent_at,
+         TraitsOfEntry(runner->entry.backend, order.model, order.adapter)});
+    if (runner->entry.born > order.born) tracker_.OnRunnerGone(order.runner);
+  }
+}
+
 void PlacementDriver::AssumeComplete(const Order& order) {
   auto report = context_->view.ReportAfterOrder(order.runner, order.kind == OrderKind::kLoad,
                                                 order.model, order.adapter, false);
@@ -342,7 +362,8 @@
   }
   for (const auto& [name, backend] : context_->routes->backends) {
     if (!backend.engine) continue;
-    const LoadPlanner::Input input{name, &*backend.engine, &demand, &unreachable, limits};
+    const LoadPlanner::Input input{name,         &*backend.engine, &demand,
+                                   &unreachable, limits,           &context_->quarantine};
     for (const PlannedOrder& planned : planner_.Plan(input, now)) SendOrder(planned);
   }
   next_plan_ = now + (context_->loop.Now() - now) * kPlanPauseFactor;
--- a/drivers/gateway/placement_driver.h
+++ b/drivers/gateway/placement_driver.h
@@ -61,6 +61,8 @@
   void Transmit(const Order& order);
   void OnOrderAnswer(const Order& order, const Result<HttpMessage>& answer);
   void PollReports();
+  /// Reports loads whose runners have crashed meanwhile.
+  void ReportLostLoads();
   void AssumeComplete(const Order& order);
   void PollReport(const RunnerId& runner);
   void OnReport(const RunnerId& runner, const Result<HttpMessage>& answer);
--- a/servers/gateway/crash_quarantine.cc
+++ b/servers/gateway/crash_quarantine.cc
@@ -41,11 +41,17 @@
   for (size_t index = call.prompt.size(); index > 1 && traits.size() < kMaxParts; --index) {
     traits.push_back(MakeTrait("part:" + call.prompt[index - 2].id));
   }
-  const std::string model = backend.value() + "/" + call.model.value();
-  if (!call.adapter.empty()) {
-    traits.push_back(MakeTrait("adapter:" + model + "/" + call.adapter.value()));
-  }
-  if (!call.model.empty()) traits.push_back(MakeTrait("model:" + model));
+  const std::vector<CallTrait> entry = TraitsOfEntry(backend, call.model, call.adapter);
+  traits.insert(traits.end(), entry.begin(), entry.end());
+  return traits;
+}
+
+std::vector<CallTrait> TraitsOfEntry(const BackendName& backend, const ModelName& model,
+                                     const AdapterName& adapter) {
+  std::vector<CallTrait> traits;
+  const std::string path = backend.value() + "/" + model.value();
+  if (!adapter.empty()) traits.push_back(MakeTrait("adapter:" + path + "/" + adapter.value()));
+  if (!model.empty()) traits.push_back(MakeTrait("model:" + path));
   return traits;
 }
 
--- a/servers/gateway/crash_quarantine.h
+++ b/servers/gateway/crash_quarantine.h
@@ -26,6 +26,9 @@
 /// The traits of a call, the most specific first: the prompt parts from the last one to the first,
 /// the adapter, the model. Without the prompt's last part, which belongs to this call alone.
 std::vector<CallTrait> TraitsOf(const BackendName& backend, const CallRequest& call);
+/// The traits of all calls for an entry, and of its load: the adapter, if it is one, and the model.
+std::vector<CallTrait> TraitsOfEntry(const BackendName& backend, const ModelName& model,
+                                     const AdapterName& adapter);
 
 /// What one gateway knows of a crash.
 struct CrashReport {
@@ -148,6 +151,8 @@
   std::vector<QuarantinedTraits> Quarantined(SteadyTime now) const;
   /// The quarantines that began or ended since the last call of this function.
   std::vector<QuarantineChange> TakeQuarantineChanges() { return std::exchange(changes_, {}); }
+  /// Whether some gateway has reported this crash.
+  bool Knows(const RunnerRun& crash) const { return crashes_.contains(crash); }
   /// Number of crashes that are remembered.
   size_t crashes() const { return crashes_.size(); }
 
--- a/servers/gateway/load_planner.cc
+++ b/servers/gateway/load_planner.cc
@@ -59,6 +59,12 @@
          DemandFor(model).calls_per_s <= kLimitShare * limit->second;
 }
 
+bool LoadPlanner::Quarantined(const ModelName& model, const AdapterName& adapter,
+                              SteadyTime now) const {
+  return input_.quarantine != nullptr &&
+         input_.quarantine->Match(TraitsOfEntry(input_.backend, model, adapter), now);
+}
+
 double LoadPlanner::ReplicasForLoad(const ModelName& model) const {
   const TotalDemand& demand = DemandFor(model);
   const double by_tokens = demand.prompt_tokens_per_s /
@@ -299,6 +305,7 @@
 
 void LoadPlanner::Reserve(const ModelSpec& model, Urgency urgency, const char* reason,
                           SteadyTime now) {
+  if (Quarantined(model.name, AdapterName(), now)) return;
   const std::optional<Placement> place = BestRunner(model, urgency, now);
   if (!place) return;
   reservations_[place->runner] =
@@ -411,6 +418,7 @@
     if (runner == nullptr || !CanTakeOrder(*runner, now)) continue;
     const auto spec = input_.engine->models.find(reservation.model);
     if (spec == input_.engine->models.end()) continue;
+    if (Quarantined(reservation.model, AdapterName(), now)) continue;
     double cost = 0;
     const auto victims = Victims(*runner, spec->second, reservation.urgency, now, &cost);
     if (!victims) continue;
@@ -484,6 +492,7 @@
     const auto spec = input_.engine->models.find(key.model);
     if (spec == input_.engine->models.end()) continue;
     if (Loading(key.model, key.adapter)) continue;
+    if (Quarantined(key.model, key.adapter, now)) continue;
     const bool held =
         std::any_of(fleet_.eligible.begin(), fleet_.eligible.end(), [&](const RunnerState* runner) {
           return runner->entry.holdings.HoldsOrIsLoading(key.model, key.adapter) &&
--- a/servers/gateway/load_planner.h
+++ b/servers/gateway/load_planner.h
@@ -11,6 +11,7 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "servers/gateway/crash_quarantine.h"
 #include "servers/gateway/demand_aggregator.h"
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/gateway_policy.h"
@@ -26,7 +27,8 @@
 
 /// Decides which runner loads and unloads which model or adapter. Handles bursts of calls for many
 /// rarely used models, demand that shifts to other models, the loss of runners that have local
-/// copies of weights, and busy models on runners that limit their calls. Plans at most one order
+/// copies of weights, busy models on runners that limit their calls, and models that crash the
+/// runners that load them. Plans at most one order
 /// per runner at a time, never more memory than a runner has, and never more loads from the weight
 /// store than its limits allow.
 class LoadPlanner {
@@ -48,6 +50,8 @@
     const std::set<RunnerId>* unreachable = nullptr;
     /// Calls a second that limited runners take from all gateways.
     std::map<RunnerId, double> limits;
+    /// Entries under quarantine are not loaded; may be null.
+    const CrashQuarantine* quarantine = nullptr;
   };
 
   /// Returns the orders to send now. Each must be sent and recorded in the tracker before the next
@@ -85,6 +89,8 @@
   /// Whether the runner's limit, if it has one, leaves enough for the model's calls. Otherwise it
   /// does not count as a replica of the model.
   bool LimitAllows(const RunnerId& runner, const ModelName& model) const;
+  /// Whether runners that load the entry would crash.
+  bool Quarantined(const ModelName& model, const AdapterName& adapter, SteadyTime now) const;
   bool CanTakeOrder(const RunnerState& runner, SteadyTime now) const;
   const TotalDemand& DemandFor(const ModelName& model) const;
   /// Replicas that the current load of a model needs.
--- a/servers/gateway/order_tracker.cc
+++ b/servers/gateway/order_tracker.cc
@@ -35,7 +35,11 @@
 }
 
 void OrderTracker::OnSent(const Order& order, SteadyTime now) {
-  pending_[order.runner] = Pending{order, false, true, 0, now + order.duration};
+  Pending& pending = pending_[order.runner];
+  pending = Pending();
+  pending.order = order;
+  pending.order.sent_at = now;
+  pending.next_poll = now + order.duration;
 }
 
 bool OrderTracker::CountsAsDone(const Order& order) {
@@ -138,6 +142,17 @@
   return found != pending_.end() && found->second.order.adapter.empty();
 }
 
+std::vector<Order> OrderTracker::TakeLostLoads(const std::function<bool(const Order&)>& lost) {
+  std::vector<Order> loads;
+  for (auto& [runner, pending] : pending_) {
+    if (pending.order.kind != OrderKind::kLoad || pending.reported_lost) continue;
+    if (!lost(pending.order)) continue;
+    pending.reported_lost = true;
+    loads.push_back(pending.order);
+  }
+  return loads;
+}
+
 std::vector<Order> OrderTracker::PendingLoads() const {
   std::vector<Order> loads;
   for (const auto& [runner, pending] : pending_) {
--- a/servers/gateway/order_tracker.h
+++ b/servers/gateway/order_tracker.h
@@ -2,6 +2,7 @@
 #define SERVERS_GATEWAY_ORDER_TRACKER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -33,6 +34,8 @@
   Millis duration{0};
   /// Nothing at the runner, such as running calls, can delay the order.
   bool cannot_be_delayed = false;
+  /// Set by OrderTracker::OnSent().
+  SteadyTime sent_at{};
 };
 
 enum class OrderAnswer {
@@ -85,6 +88,8 @@
   bool Idle(const RunnerId& runner) const { return !pending_.contains(runner); }
   /// Whether a load or unload of a model, not of an adapter, is pending at the runner.
   bool ModelOrderPending(const RunnerId& runner) const;
+  /// Returns the pending loads for which `lost` holds now for the first time.
+  std::vector<Order> TakeLostLoads(const std::function<bool(const Order&)>& lost);
   /// Loads that are or may be in progress.
   std::vector<Order> PendingLoads() const;
   uint64_t StoreLoadsUnderWay() const;
@@ -102,6 +107,7 @@
     bool accepted = false;
     bool unanswered = true;
     uint64_t resends = 0;
+    bool reported_lost = false;
     SteadyTime next_poll{};
   };
 
