--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -165,8 +165,10 @@
   waiting_since_ = context_->loop.Now();
   context_->metrics->GetCounter("calls_waited_for_permit_total").Add();
   LogInfo("call",
-          fmt::format("event=wait-for-permit runner={} predicted_ms={} left_ms={}",
-                      picked.runner.value(), picked.permit_wait.count(), TimeLeft().count()),
+          fmt::format("event=wait-for-permit runner={} model={} adapter={} predicted_ms={} "
+                      "left_ms={}",
+                      picked.runner.value(), call_.model.value(), call_.adapter.value(),
+                      picked.permit_wait.count(), TimeLeft().count()),
           call_.id.value());
 }
 
@@ -179,9 +181,10 @@
   const RefusalDecision decision = DecideRefusal(predicted, left, call_.id);
   if (!decision.refuse) return false;
   if (limited) {
-    Refuse(fmt::format("the runners of backend {} limit their calls (next permit: {} ms, caller "
-                       "waits: {} ms)",
-                       backend_.value(), picked.permit_wait.count(), left.count()),
+    const std::string runners = engine_ == nullptr ? "the runners of backend " + backend_.value()
+                                                   : "the runners of model " + call_.model.value();
+    Refuse(fmt::format("{} limit their calls (next permit: {} ms, caller waits: {} ms)", runners,
+                       picked.permit_wait.count(), left.count()),
            decision.retry_after);
     return true;
   }
