Dispatch late calls after those that can still be in time

Callers of limited runners saw nearly all answers late: calls waited up to ten seconds for permits, and permits went to the earliest deadline, which is that of a call that is late already.

Cause: earliest deadline first under lasting overload. Class of fault: an order that suits bursts is applied to lasting overload.

Change: within an urgency, calls whose target latency has passed come last.

--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -53,6 +53,8 @@
   Millis WaitedFor() const;
   Millis TimeLeft() const;
   SteadyTime deadline() const { return deadline_; }
+  /// Whether the call's target latency has passed.
+  bool late() const { return Elapsed() > route_->target_latency; }
   /// 0 is the most urgent, 9 the least.
   uint64_t Urgency() const;
   const CallRequest& call() const { return call_; }
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -201,7 +201,7 @@
   for (const auto& [connection, session] : sessions_) {
     if (!session->waiting()) continue;
     sessions.push_back(session);
-    waiting.push_back({session->Urgency(), session->deadline()});
+    waiting.push_back({session->Urgency(), session->deadline(), session->late()});
   }
   for (const size_t index : DispatchOrder(waiting)) sessions[index]->TryDispatch();
 }
