Move busy models off limited runners before rare ones

Cause: the planner compared each model alone with each runner's limit, so two models that exceed it together stayed; a model whose calls exceed all limits waited for a cheaper place as long as any runner was finishing an order, which is always so while rare models move. Class of fault: a shared budget that is checked for each user alone.

Change: LimitAllocation divides the limits among the models that the runners hold. A model whose calls exceed what its runners take counts as overloaded by the excess; it displaces models with at most half as many calls. Limited runners that could not take the model are not waited for.

The planner's new test failed before (no load of the busy model).

--- a/servers/gateway/load_planner.cc
+++ b/servers/gateway/load_planner.cc
@@ -2,9 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
-
-#include "core/hashing.h"
 
 namespace shallot::gateway {
 namespace {
@@ -24,11 +21,9 @@
 constexpr double kStoreLoadShare = 0.34;
 /// A model is overloaded when its load is enough for at least this many times its replicas.
 constexpr double kOverloadFactor = 2;
-/// An overloaded model may displace models with at most this share of the calls that each of its
-/// replicas gets.
+/// An overloaded model may displace models with at most this share of the calls that another
+/// replica of it would get.
 constexpr double kDisplacedTrafficShare = 0.5;
-/// Share of a limited runner's calls that one model may use before it needs another replica.
-constexpr double kLimitShare = 1.0;
 /// Extra cost of unloading a model, per call per second for it.
 constexpr double kVictimRateCostMs = 50;
 /// Time horizon in seconds for the probability that an unloaded model is called again.
@@ -53,10 +48,24 @@
   return found == input_.demand->end() ? kNone : found->second;
 }
 
-bool LoadPlanner::LimitAllows(const RunnerId& runner, const ModelName& model) const {
-  const auto limit = input_.limits.find(runner);
-  return limit == input_.limits.end() ||
-         DemandFor(model).calls_per_s <= kLimitShare * limit->second;
+void LoadPlanner::AllocateLimits() {
+  if (input_.limits.empty()) return;
+  std::set<ModelName> held_without_limit;
+  for (const RunnerState* runner : fleet_.eligible) {
+    if (input_.limits.contains(runner->entry.id)) continue;
+    for (const auto& [model, adapters] : runner->entry.holdings.models) {
+      held_without_limit.insert(model);
+    }
+  }
+  for (const RunnerState* runner : fleet_.eligible) {
+    const auto limit = input_.limits.find(runner->entry.id);
+    if (limit == input_.limits.end()) continue;
+    std::vector<LimitAllocation::HeldModel> held;
+    for (const auto& [model, adapters] : runner->entry.holdings.models) {
+      held.push_back({model, DemandFor(model).calls_per_s, held_without_limit.contains(model)});
+    }
+    fleet_.limits.Add(runner->entry.id, limit->second, held);
+  }
 }
 
 bool LoadPlanner::Quarantined(const ModelName& model, const AdapterName& adapter,
@@ -89,6 +98,7 @@
 }
 
 bool LoadPlanner::Overloaded(const ModelName& model) const {
+  if (!fleet_.limits.Sufficient(model)) return true;
   const uint64_t replicas = Replicas(model);
   return replicas > 0 && ReplicasForLoad(model) >= kOverloadFactor * static_cast<double>(replicas);
 }
@@ -108,13 +118,17 @@
     if (!Eligible(runner)) continue;
     const Holdings& holdings = runner.entry.holdings;
     fleet_.eligible.push_back(&runner);
-    for (const auto& [model, adapters] : holdings.models) {
-      if (LimitAllows(id, model)) ++fleet_.replicas[model];
-    }
     fleet_.local_copies.insert(holdings.in_memory.begin(), holdings.in_memory.end());
     fleet_.local_copies.insert(holdings.on_disk.begin(), holdings.on_disk.end());
     fleet_.most_free_mb = std::max(fleet_.most_free_mb, FreeMb(runner) - AdapterReserveMb(runner));
   }
+  AllocateLimits();
+  for (const RunnerState* runner : fleet_.eligible) {
+    for (const auto& [model, adapters] : runner->entry.holdings.models) {
+      const bool serves = fleet_.limits.Serves(runner->entry.id, model);
+      if (serves && fleet_.limits.Sufficient(model)) ++fleet_.replicas[model];
+    }
+  }
   for (const Order& order : tracker_->PendingLoads()) {
     const RunnerState* runner = view_->Find(order.runner);
     if (runner == nullptr || !runner->Usable() || runner->entry.backend != input_.backend) continue;
@@ -200,9 +214,11 @@
   const bool recent = demand.since_last_call < policy_->idle_after;
   const bool running = demand.InFlightAt(runner) > 0;
   if (urgency == Urgency::kOverload && !surplus) {
-    const double calls_per_replica = DemandFor(wanted).calls_per_s /
-                                     static_cast<double>(std::max<uint64_t>(1, Replicas(wanted)));
-    if (demand.calls_per_s > kDisplacedTrafficShare * calls_per_replica) return std::nullopt;
+    const double per_replica = DemandFor(wanted).calls_per_s /
+                               static_cast<double>(std::max<uint64_t>(1, Replicas(wanted)));
+    const double calls_for_load =
+        fleet_.limits.Sufficient(wanted) ? per_replica : fleet_.limits.Excess(wanted);
+    if (demand.calls_per_s > kDisplacedTrafficShare * calls_for_load) return std::nullopt;
   }
   // An unload waits for running calls, during which the runner takes no other order.
   const bool optional_load = urgency == Urgency::kReplica || urgency == Urgency::kPreload;
@@ -262,11 +278,13 @@
          std::any_of(holdings.in_memory.begin(), holdings.in_memory.end(), unloaded);
 }
 
-bool LoadPlanner::AnyModelOrderPending() const {
+bool LoadPlanner::AnyModelOrderPending(const ModelName& wanted) const {
+  const double calls_per_s = DemandFor(wanted).calls_per_s;
   return std::any_of(fleet_.eligible.begin(), fleet_.eligible.end(),
                      [&](const RunnerState* runner) {
                        const RunnerId& id = runner->entry.id;
-                       return tracker_->ModelOrderPending(id) || reservations_.contains(id);
+                       return fleet_.limits.HasRoom(id, calls_per_s) &&
+                              (tracker_->ModelOrderPending(id) || reservations_.contains(id));
                      });
 }
 
@@ -281,7 +299,7 @@
     const RunnerId& id = runner.entry.id;
     if (!CanTakeOrder(runner, now) || reservations_.contains(id)) continue;
     if (runner.entry.holdings.models.contains(model.name)) continue;
-    if (!LimitAllows(id, model.name)) continue;
+    if (!fleet_.limits.HasRoom(id, DemandFor(model.name).calls_per_s)) continue;
     const LoadTier tier = TierOn(runner, model.name);
     if (tier == LoadTier::kStore && !store_allows) continue;
     if (tier == LoadTier::kStore && urgency != Urgency::kWaiting && !spare_runners &&
@@ -299,7 +317,9 @@
   }
   // Waiting for a runner that is finishing an order may be cheaper than waiting for running calls
   // to end.
-  if (best && best->cost_ms >= kRunningVictimCostMs && AnyModelOrderPending()) return std::nullopt;
+  if (best && best->cost_ms >= kRunningVictimCostMs && AnyModelOrderPending(model.name)) {
+    return std::nullopt;
+  }
   return best;
 }
 
@@ -345,7 +365,9 @@
 }
 
 void LoadPlanner::ReserveReplica(const ModelSpec& model, Urgency urgency, SteadyTime now) {
-  if (Replicas(model.name) == 0 || Replicas(model.name) >= TargetReplicas(model.name)) return;
+  const uint64_t replicas = Replicas(model.name);
+  if (replicas == 0 && fleet_.limits.Sufficient(model.name)) return;
+  if (replicas >= TargetReplicas(model.name)) return;
   if (Reserved(model.name)) return;
   if (Loading(model.name, AdapterName())) return;
   Reserve(model, urgency, urgency == Urgency::kOverload ? "overload" : "replica", now);
@@ -406,11 +428,6 @@
   return order;
 }
 
-bool LoadPlanner::HasOrderFor(const std::vector<PlannedOrder>& plan, const RunnerId& runner) const {
-  return std::any_of(plan.begin(), plan.end(),
-                     [&](const PlannedOrder& planned) { return planned.order.runner == runner; });
-}
-
 void LoadPlanner::ContinueReservations(SteadyTime now, std::vector<PlannedOrder>* plan) {
   for (const auto& [id, reservation] : reservations_) {
     if (reservation.backend != input_.backend) continue;
@@ -438,72 +455,6 @@
   }
 }
 
-bool LoadPlanner::HasRoomForAdapter(const RunnerState& runner, const ModelSpec& model) const {
-  return runner.entry.holdings.AdapterCount() < input_.engine->adapter_slots &&
-         FreeMb(runner) >= model.adapter_mb;
-}
-
-std::optional<PlannedOrder> LoadPlanner::PlanAdapter(const ModelSpec& model,
-                                                     const AdapterName& adapter,
-                                                     SteadyTime now) const {
-  const RunnerState* best = nullptr;
-  std::tuple<bool, bool, uint64_t> best_rank;
-  for (const RunnerState* candidate : fleet_.eligible) {
-    const RunnerState& runner = *candidate;
-    const RunnerId& id = runner.entry.id;
-    if (!runner.entry.holdings.models.contains(model.name)) continue;
-    if (runner.entry.holdings.HoldsOrIsLoading(model.name, adapter)) continue;
-    if (!CanTakeOrder(runner, now) || reservations_.contains(id)) continue;
-    const std::tuple<bool, bool, uint64_t> rank{
-        LimitAllows(id, model.name), HasRoomForAdapter(runner, model),
-        RendezvousWeight(model.name.value() + "/" + adapter.value(), id.value())};
-    if (best != nullptr && rank <= best_rank) continue;
-    best = &runner;
-    best_rank = rank;
-  }
-  if (best == nullptr) return std::nullopt;
-  if (std::get<1>(best_rank)) {
-    return PlannedOrder{MakeOrder(*best, OrderKind::kLoad, model.name, adapter), "adapter-waits"};
-  }
-  // No adapter slot or no memory is free: unload the adapter that was called least recently.
-  std::optional<std::pair<ModelName, AdapterName>> oldest;
-  Millis oldest_age{-1};
-  for (const auto& [name, adapters] : best->entry.holdings.models) {
-    for (const AdapterName& held : adapters) {
-      const auto demand = input_.demand->find({input_.backend, name, held});
-      const bool known = demand != input_.demand->end();
-      if (known && (demand->second.in_flight > 0 || demand->second.waiting > 0)) continue;
-      const Millis age = known ? demand->second.since_last_call : Millis::max();
-      if (age <= oldest_age) continue;
-      oldest = {name, held};
-      oldest_age = age;
-    }
-  }
-  if (!oldest) return std::nullopt;
-  return PlannedOrder{MakeOrder(*best, OrderKind::kUnload, oldest->first, oldest->second),
-                      "adapter-waits"};
-}
-
-void LoadPlanner::PlanAdapters(SteadyTime now, std::vector<PlannedOrder>* plan) {
-  for (const auto& demanded : *input_.demand) {
-    const DemandMeter::Key& key = demanded.first;
-    if (key.backend != input_.backend || key.adapter.empty()) continue;
-    if (demanded.second.waiting == 0) continue;
-    const auto spec = input_.engine->models.find(key.model);
-    if (spec == input_.engine->models.end()) continue;
-    if (Loading(key.model, key.adapter)) continue;
-    if (Quarantined(key.model, key.adapter, now)) continue;
-    const bool held =
-        std::any_of(fleet_.eligible.begin(), fleet_.eligible.end(), [&](const RunnerState* runner) {
-          return runner->entry.holdings.HoldsOrIsLoading(key.model, key.adapter) &&
-                 (Replicas(key.model) == 0 || LimitAllows(runner->entry.id, key.model));
-        });
-    if (held) continue;
-    const auto planned = PlanAdapter(spec->second, key.adapter, now);
-    if (planned && !HasOrderFor(*plan, planned->order.runner)) plan->push_back(*planned);
-  }
-}
-
 std::vector<PlannedOrder> LoadPlanner::Plan(const Input& input, SteadyTime now) {
   input_ = input;
   UpdateFleetSummary();
--- a/servers/gateway/load_planner.h
+++ b/servers/gateway/load_planner.h
@@ -15,6 +15,7 @@
 #include "servers/gateway/demand_aggregator.h"
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/gateway_policy.h"
+#include "servers/gateway/limit_allocation.h"
 #include "servers/gateway/order_tracker.h"
 
 namespace shallot::gateway {
@@ -86,9 +87,8 @@
   };
 
   bool Eligible(const RunnerState& runner) const;
-  /// Whether the runner's limit, if it has one, leaves enough for the model's calls. Otherwise it
-  /// does not count as a replica of the model.
-  bool LimitAllows(const RunnerId& runner, const ModelName& model) const;
+  /// Decides which of their models limited runners serve. They are no replicas of the others.
+  void AllocateLimits();
   /// Whether runners that load the entry would crash.
   bool Quarantined(const ModelName& model, const AdapterName& adapter, SteadyTime now) const;
   bool CanTakeOrder(const RunnerState& runner, SteadyTime now) const;
@@ -97,8 +97,8 @@
   double ReplicasForLoad(const ModelName& model) const;
   uint64_t TargetReplicas(const ModelName& model) const;
   uint64_t Replicas(const ModelName& model) const;
-  /// Whether the replicas of a model carry so much more than they should that other models' calls
-  /// have to yield.
+  /// Whether the replicas of a model carry so much more than they should, or its calls exceed the
+  /// limits of all its runners so far, that other models' calls have to yield.
   bool Overloaded(const ModelName& model) const;
   /// Computes what all decisions of one plan share, so that they do not go over all runners and
   /// models again.
@@ -128,7 +128,8 @@
   /// Whether the runner has a local copy of a model that is not loaded, so that it could load it
   /// quickly for a waiting call.
   static bool HasUnloadedCopy(const RunnerState& runner);
-  bool AnyModelOrderPending() const;
+  /// Whether a runner that could hold `wanted` is finishing an order.
+  bool AnyModelOrderPending(const ModelName& wanted) const;
   void Reserve(const ModelSpec& model, Urgency urgency, const char* reason, SteadyTime now);
   void DropStaleReservations(SteadyTime now);
   void ReserveForWaiting(SteadyTime now);
@@ -153,6 +154,7 @@
   /// Recomputed by each Plan() call.
   struct FleetSummary {
     std::vector<const RunnerState*> eligible;
+    LimitAllocation limits;
     /// Calls in flight at each runner, for all its models.
     std::map<RunnerId, uint64_t> in_flight;
     /// Number of eligible runners that hold each model and whose limits allow its calls.
--- a/tests/gateway_load_planner_test.cc
+++ b/tests/gateway_load_planner_test.cc
@@ -143,6 +143,32 @@
   }
 }
 
+// Guards against a busy model whose calls wait at limited runners while rare models take each other
+// runner, and against models that displace others in turn.
+TEST_CASE("gateway: a model with more calls than its runners take displaces models with fewer") {
+  struct Case {
+    const char* name;
+    double calls_of_others;
+    bool expected_load;
+  };
+  for (const Case& test : {Case{"fewer calls", 0.3, true}, Case{"as many calls", 3, false}}) {
+    CAPTURE(std::string(test.name));
+    PlacementFixture fleet(5);
+    fleet.AddRunner("a", {0, 1}, {0, 1});
+    fleet.AddRunner("b", {2, 3}, {0, 2, 3});
+    fleet.limits()[RunnerId("a")] = 1.5;
+    fleet.Demand(0).calls_per_s = 4;
+    for (const int model : {2, 3}) {
+      fleet.Demand(model).calls_per_s = test.calls_of_others;
+      fleet.Demand(model).since_last_call = Millis(100);
+      fleet.Demand(model).in_flight = 1;
+      fleet.Demand(model).in_flight_at[RunnerId("b")] = 1;
+    }
+    fleet.Run(Millis(1'500));
+    CHECK((fleet.Count(OrderKind::kLoad, 0) > 0) == test.expected_load);
+  }
+}
+
 // Guards against an overloaded model that never gets a runner because rare models with waiting
 // calls take each one, and against a replica on a runner that is busy itself.
 TEST_CASE("gateway: an overloaded model comes before rare models, on a runner with free slots") {
