Show operators which runners limit their calls

GET /limits on the gateway's metrics address and shallotctl limits list the limited runners, their limits and the wait for the next permit, over several gateways. shallotctl explain says that a call waited for a permit. A command whose gateways do not answer no longer says that none lists anything.

--- a/drivers/gateway/admin_handler.cc
+++ b/drivers/gateway/admin_handler.cc
@@ -10,6 +10,11 @@
 
 using Json = nlohmann::json;
 
+/// Names come from other processes and may not be UTF-8.
+std::string Dump(const Json& document) {
+  return document.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 }  // namespace
 
 void AdminHandler::OnRequest(CallerConnection* connection, HttpMessage request) {
@@ -18,6 +23,8 @@
     connection->Answer(TextAnswer(200, "OK", "text/plain; version=0.0.4", Metrics()));
   } else if (path == "/quarantine") {
     connection->Answer(TextAnswer(200, "OK", "application/json", Quarantine()));
+  } else if (path == "/limits") {
+    connection->Answer(TextAnswer(200, "OK", "application/json", Limits()));
   } else {
     connection->Answer(TextAnswer(404, "Not Found", "text/plain", ""));
   }
@@ -48,10 +55,21 @@
                            {"remaining_ms", entry.remaining.count()},
                            {"relapses", entry.relapses}});
   }
-  return Json{{"gateway", context_->settings.instance.value()},
-              {"crashes", context_->quarantine.crashes()},
-              {"quarantined", quarantined}}
-      .dump(-1, ' ', false, Json::error_handler_t::replace);
+  return Dump({{"gateway", context_->settings.instance.value()},
+               {"crashes", context_->quarantine.crashes()},
+               {"quarantined", quarantined}});
+}
+
+std::string AdminHandler::Limits() const {
+  const SteadyTime now = context_->loop.Now();
+  Json limited = Json::array();
+  for (const LimitFinding& limit : context_->limits.Limited()) {
+    limited.push_back(
+        {{"runner", limit.run.runner.value()},
+         {"calls_per_s", limit.calls_per_s},
+         {"next_permit_ms", context_->limits.PermitWait(limit.run.runner, now).count()}});
+  }
+  return Dump({{"gateway", context_->settings.instance.value()}, {"limited", limited}});
 }
 
 }  // namespace shallot::gateway
--- a/drivers/gateway/admin_handler.h
+++ b/drivers/gateway/admin_handler.h
@@ -17,8 +17,9 @@
   bool leads_placement = false;
 };
 
-/// Answers operators: `GET /metrics` with all metrics as text, `GET /quarantine` with the calls
-/// that the gateway refuses because such calls crash runners, as JSON.
+/// Answers operators: `GET /metrics` with all metrics as text; as JSON, `GET /quarantine` with the
+/// calls that the gateway refuses because such calls crash runners, and `GET /limits` with the
+/// runners that limit their calls.
 class AdminHandler final : public CallerHandler {
  public:
   AdminHandler(GatewayContext* context, std::function<DaemonFigures()> figures)
@@ -30,6 +31,7 @@
  private:
   std::string Metrics();
   std::string Quarantine() const;
+  std::string Limits() const;
 
   GatewayContext* context_;
   std::function<DaemonFigures()> figures_;
--- a/main/ctl/commands.h
+++ b/main/ctl/commands.h
@@ -15,6 +15,7 @@
 int RunKeys(const CtlOptions& options);
 int RunExplain(const CtlOptions& options);
 int RunQuarantine(const CtlOptions& options);
+int RunLimits(const CtlOptions& options);
 
 }  // namespace shallot::ctl
 
--- a/main/ctl/gateway_commands.cc
+++ b/main/ctl/gateway_commands.cc
@@ -1,7 +1,9 @@
 #include <fmt/format.h>
 
+#include <functional>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <string>
 #include <vector>
 
 #include "main/ctl/commands.h"
@@ -29,31 +31,57 @@
   return replies;
 }
 
-/// "at 5 of 6 gateways".
-std::string PresentAt(const json& row, size_t gateways) {
-  return fmt::format("at {} of {} gateways", row.value("gateways", json::array()).size(), gateways);
-}
-
-}  // namespace
+/// What a command shows of the gateways.
+struct RowQuery {
+  const char* path;
+  const char* list;
+  std::vector<std::string> key;
+  /// Printed when no gateway lists a row.
+  const char* none;
+};
 
-int RunQuarantine(const CtlOptions& options) {
-  if (options.routers.empty()) return UsageError("quarantine needs --router IP:PORT of gateways");
+/// Prints the merged rows of all given gateways, one a line.
+int ShowRows(const CtlOptions& options, const RowQuery& query,
+             const std::function<std::string(const json&)>& describe) {
+  if (options.routers.empty()) {
+    return UsageError("--router IP:PORT must name the metrics addresses of gateways");
+  }
   int exit_code = kExitOk;
-  const std::vector<json> replies = FetchFromGateways(options, "/quarantine", &exit_code);
-  const json rows = MergeGatewayRows(replies, "quarantined", {"traits"});
+  const std::vector<json> replies = FetchFromGateways(options, query.path, &exit_code);
+  const json rows = MergeGatewayRows(replies, query.list, query.key);
   if (options.json) {
     std::cout << rows.dump() << std::endl;
     return exit_code;
   }
-  if (rows.empty()) {
-    std::cout << fmt::format("no calls are refused ({} gateways asked)\n", replies.size());
+  if (rows.empty() && !replies.empty()) {
+    std::cout << fmt::format("{} ({} gateways asked)\n", query.none, replies.size());
   }
   for (const json& row : rows) {
-    std::cout << fmt::format("{:<48} {:>5} s left  {} relapses  {}\n", row.value("traits", ""),
-                             row.value("remaining_ms", 0) / 1'000, row.value("relapses", 0),
-                             PresentAt(row, replies.size()));
+    std::cout << fmt::format("{}  at {} of {} gateways\n", describe(row),
+                             row.value("gateways", json::array()).size(), replies.size());
   }
   return exit_code;
 }
 
+}  // namespace
+
+int RunQuarantine(const CtlOptions& options) {
+  return ShowRows(options, {"/quarantine", "quarantined", {"traits"}, "no calls are refused"},
+                  [](const json& row) {
+                    return fmt::format("{:<48} {:>5} s left  {} relapses", row.value("traits", ""),
+                                       row.value("remaining_ms", 0) / 1'000,
+                                       row.value("relapses", 0));
+                  });
+}
+
+int RunLimits(const CtlOptions& options) {
+  return ShowRows(options,
+                  {"/limits", "limited", {"runner", "calls_per_s"}, "no runner limits its calls"},
+                  [](const json& row) {
+                    return fmt::format("{:<24} {:>8.2f} calls/s  next permit in {} ms at most",
+                                       row.value("runner", ""), row.value("calls_per_s", 0.0),
+                                       row.value("next_permit_ms", 0));
+                  });
+}
+
 }  // namespace shallot::ctl
--- a/main/shallotctl_main.cc
+++ b/main/shallotctl_main.cc
@@ -27,6 +27,7 @@
   explain REQUEST LOG...           timeline and causes of failure of a call, from gateway logs
   quarantine                       calls that gateways refuse because such calls crash runners;
                                    --router names the gateways' metrics addresses
+  limits                           runners that limit their calls; --router as for quarantine
   keys [ROUTER...]                 generate the keys of a fleet: section [keys] for the agents and
                                    [keys ROUTER] for the [keys] of each router; without names
                                    one [keys] for all
@@ -77,6 +78,7 @@
   if (command == "report") return shallot::ctl::RunReport(options);
   if (command == "explain") return shallot::ctl::RunExplain(options);
   if (command == "quarantine") return shallot::ctl::RunQuarantine(options);
+  if (command == "limits") return shallot::ctl::RunLimits(options);
   if (command == "keys") return shallot::ctl::RunKeys(options);
   if (command.empty()) return shallot::ctl::UsageError("a command is missing");
   return shallot::ctl::UsageError("unknown command \"" + command + "\"");
--- a/servers/call_explanation.cc
+++ b/servers/call_explanation.cc
@@ -116,6 +116,10 @@
     process_ = line.process;
     if (!line.Field("model").empty()) model_ = line.Field("model");
     if (event == "wait" || event == "no-wait") ReadWait(line, event);
+    if (event == "wait-for-permit") {
+      Emit("The call waited for a permit of " + line.Field("runner") +
+           ", which limits its calls (" + line.Field("predicted_ms") + " ms predicted).");
+    }
     if (event == "attempt-failed") ReadFailure(line);
     if (event == "next-step" && line.Field("budget") == "no") {
       Emit("The retry budget was used up, so the call was not sent again.");
--- a/tests/call_explanation_test.cc
+++ b/tests/call_explanation_test.cc
@@ -94,6 +94,13 @@
         "runners\" request=r1"},
        1,
        {"Calls with part:ab were refused because such calls crash runners (2 crashes known)."}},
+      {"its runner was limited",
+       {"01.000 g1 call: event=wait-for-permit runner=i-1 model=m predicted_ms=900 left_ms=5000 "
+        "request=r1",
+        "02.000 g1 call: event=send runner=i-1 request=r1",
+        "02.100 g1 call: event=end outcome=completed status=200 request=r1"},
+       3,
+       {"The call waited for a permit of i-1, which limits its calls (900 ms predicted)."}},
       {"the store was unreachable",
        {"00.100 g1 placement: event=leadership-gained fence=3",
         "00.500 g1 store: cannot follow : no answer in time; try again",
--- a/tests/gateway_runner_limit_test.cc
+++ b/tests/gateway_runner_limit_test.cc
@@ -79,6 +79,8 @@
   }
   const double seconds = static_cast<double>(kWindow.count()) / 1000.0;
   CHECK(static_cast<double>(runner.MostInWindow()) <= kFactor * kCallsPerSecond * seconds + kSlack);
+  const Reply shown = fixture.Send(fixture.settings_.metrics_address, "GET", "/limits");
+  CHECK(shown.body.find("\"calls_per_s\":2.0") != std::string::npos);
   // The runner's capacity is used, too.
   CHECK(served >= static_cast<int>(kCallsPerSecond * seconds));
 }
