Play limited runners in the process soak

The soak's runners named no limits, so it could not show that they get more calls than they take.

The soak checks the platform's rule: in each 4 s, from gateways in touch that have passed on an answer with the limit half a second before, at most one and a half times what the limit allows, and five calls.

--- a/tests/soak/call_ledger.cc
+++ b/tests/soak/call_ledger.cc
@@ -115,12 +115,13 @@
   }
 }
 
-void CallLedger::OnArrival(const RequestId& id, const BackendName& backend, SteadyTime at) {
+void CallLedger::OnArrival(const RequestId& id, const RunnerId& runner, const BackendName& backend,
+                           SteadyTime at) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
   arrivals_[backend].push_back({at, found->second.arrived});
   found->second.arrived = true;
-  if (arrival_listener_) arrival_listener_(found->second.call, at);
+  if (arrival_listener_) arrival_listener_(found->second.call, runner, at);
 }
 
 void CallLedger::CheckRepeats(double ratio, double slack, Millis window) {
--- a/tests/soak/call_ledger.h
+++ b/tests/soak/call_ledger.h
@@ -81,11 +81,11 @@
     run_listener_ = std::move(listener);
   }
   /// A call reached a runner, whether the runner executes or rejects it.
-  void OnArrival(const RequestId& id, const BackendName& backend, SteadyTime at);
+  void OnArrival(const RequestId& id, const RunnerId& runner, const BackendName& backend,
+                 SteadyTime at);
+  using ArrivalListener = std::function<void(const SentCall&, const RunnerId&, SteadyTime)>;
   /// The listener is called for each arrival of a call that a caller sent.
-  void SetArrivalListener(std::function<void(const SentCall&, SteadyTime)> listener) {
-    arrival_listener_ = std::move(listener);
-  }
+  void SetArrivalListener(ArrivalListener listener) { arrival_listener_ = std::move(listener); }
   /// A runner answered a call with this status.
   void OnRunnerAnswer(const RequestId& id, int status);
   void OnResult(const RequestId& id, const CallResult& result);
@@ -130,7 +130,7 @@
   std::map<RequestId, Record> calls_;
   std::map<BackendName, std::vector<Arrival>> arrivals_;
   std::function<void(const SentCall&, const CallRun&)> run_listener_;
-  std::function<void(const SentCall&, SteadyTime)> arrival_listener_;
+  ArrivalListener arrival_listener_;
   std::vector<std::string> violations_;
   uint64_t ended_ = 0;
   uint64_t completed_ = 0;
--- a/tests/soak/incident_checker.cc
+++ b/tests/soak/incident_checker.cc
@@ -12,12 +12,18 @@
 constexpr uint64_t kMaxLateDeadlyCalls = 3;
 /// Shares of served calls are compared from this number of calls on.
 constexpr uint64_t kMinCalls = 20;
+/// A limited runner gets at most this many times what its limit allows in each window, and a few
+/// calls, from gateways that have passed on an answer with the limit some time ago.
+constexpr double kLimitFactor = 1.5;
+constexpr double kLimitSlack = 5;
+constexpr Seconds kLimitWindow{4};
+constexpr Millis kInformedFor{500};
 
 }  // namespace
 
 IncidentChecker::IncidentChecker(SoakFleet* fleet) : fleet_(fleet) {
-  fleet_->ledger().SetArrivalListener(
-      [this](const SentCall& call, SteadyTime at) { OnArrival(call, at); });
+  fleet_->ledger().SetArrivalListener([this](const SentCall& call, const RunnerId& runner,
+                                             SteadyTime at) { OnArrival(call, runner, at); });
 }
 
 SteadyTime IncidentChecker::CrashesKnownFrom() const {
@@ -26,7 +32,32 @@
   return crashes[std::min(crashes.size(), kCrashesToKnow) - 1] + Duration(SoakBounds::kStable);
 }
 
-void IncidentChecker::OnArrival(const SentCall& call, SteadyTime at) {
+void IncidentChecker::OnArrival(const SentCall& call, const RunnerId& runner, SteadyTime at) {
+  CheckDeadly(call, at);
+  CheckLimit(call, runner, at);
+}
+
+void IncidentChecker::CheckLimit(const SentCall& call, const RunnerId& runner, SteadyTime at) {
+  const auto limit = fleet_->LimitOf(runner);
+  if (!limit) return;
+  sent_to_limited_[call.id] = runner;
+  LimitedArrivals& arrivals = limited_[runner];
+  const auto informed = arrivals.informed.find(call.gateway);
+  if (informed == arrivals.informed.end() || at - informed->second < Duration(kInformedFor)) return;
+  if (at - limit->since < Duration(SoakBounds::kStable)) return;
+  if (!fleet_->GatewayUndisturbed(call.gateway, at, at, false)) return;
+  arrivals.window.push_back(at);
+  while (at - arrivals.window.front() > Duration(kLimitWindow)) arrivals.window.pop_front();
+  const double allowed =
+      kLimitFactor * limit->calls_per_s * static_cast<double>(kLimitWindow.count()) + kLimitSlack;
+  if (static_cast<double>(arrivals.window.size()) <= allowed || arrivals.exceeded) return;
+  arrivals.exceeded = true;
+  fleet_->ledger().AddViolation(fmt::format("runner {} got {} calls in {} s, its limit allows {}",
+                                            runner.value(), arrivals.window.size(),
+                                            kLimitWindow.count(), allowed));
+}
+
+void IncidentChecker::CheckDeadly(const SentCall& call, SteadyTime at) {
   if (!call.deadly || fleet_->deadly_crashes().size() < kCrashesToKnow) return;
   if (at <= CrashesKnownFrom() || !fleet_->GatewayUndisturbed(call.gateway, at, at, true)) return;
   ++late_deadly_calls_;
@@ -35,6 +66,10 @@
 }
 
 void IncidentChecker::OnResult(const SentCall& call, const CallResult& result) {
+  const auto limited = sent_to_limited_.find(call.id);
+  if (limited != sent_to_limited_.end() && result.sealed) {
+    limited_[limited->second].informed.try_emplace(call.gateway, result.at);
+  }
   if (call.deadly || call.model.empty() || result.end == CallEnd::kAbandoned) return;
   if (!fleet_->AllUndisturbed(call.gateway, call.sent_at, result.at, true)) return;
   Served* served = nullptr;
--- a/tests/soak/incident_checker.h
+++ b/tests/soak/incident_checker.h
@@ -2,12 +2,15 @@
 #define TESTS_SOAK_INCIDENT_CHECKER_H_
 
 #include <cstdint>
+#include <deque>
+#include <map>
 
 #include "tests/soak/soak_fleet.h"
 
 namespace shallot::soak {
 
-/// Checks the guarantees around incidents that runners suffer: calls that crash them.
+/// Checks the guarantees around incidents that runners suffer: calls that crash them, and more
+/// calls than the limits that they name.
 class IncidentChecker {
  public:
   explicit IncidentChecker(SoakFleet* fleet);
@@ -24,7 +27,18 @@
     double Share() const { return static_cast<double>(completed) / static_cast<double>(calls); }
   };
 
-  void OnArrival(const SentCall& call, SteadyTime at);
+  /// Arrivals at a limited runner.
+  struct LimitedArrivals {
+    /// Arrivals of the present window.
+    std::deque<SteadyTime> window;
+    /// When a gateway first passed on an answer with the limit.
+    std::map<size_t, SteadyTime> informed;
+    bool exceeded = false;
+  };
+
+  void OnArrival(const SentCall& call, const RunnerId& runner, SteadyTime at);
+  void CheckDeadly(const SentCall& call, SteadyTime at);
+  void CheckLimit(const SentCall& call, const RunnerId& runner, SteadyTime at);
   /// From when on the gateways have to know the deadly calls; SteadyTime::max() without crashes.
   SteadyTime CrashesKnownFrom() const;
 
@@ -32,6 +46,9 @@
   uint64_t late_deadly_calls_ = 0;
   Served before_crashes_;
   Served after_crashes_;
+  std::map<RunnerId, LimitedArrivals> limited_;
+  /// The limited runner that each call was last sent to.
+  std::map<RequestId, RunnerId> sent_to_limited_;
 };
 
 }  // namespace shallot::soak
--- a/tests/soak/process_soak_main.cc
+++ b/tests/soak/process_soak_main.cc
@@ -41,7 +41,8 @@
 constexpr uint64_t kMemoryLimitKilobytes = 260 * 1024;
 
 const std::map<std::string, Incident> kIncidents = {{"none", Incident::kNone},
-                                                    {"deadly-calls", Incident::kDeadlyCalls}};
+                                                    {"deadly-calls", Incident::kDeadlyCalls},
+                                                    {"limited-runners", Incident::kLimitedRunners}};
 
 /// Seeds that failed before, with the cause. CI runs them again.
 struct RegressionSeed {
@@ -198,7 +199,8 @@
       cxxopts::value<std::string>()->default_value(
           (std::filesystem::temp_directory_path() / "shallot-soak").string()))(
       "keep", "keep the logs of seeds that pass")(
-      "incident", "none, or deadly-calls: calls crash their runners",
+      "incident",
+      "none, deadly-calls (calls crash their runners) or limited-runners (runners name limits)",
       cxxopts::value<std::string>()->default_value("none"))(
       "stall-logs", "let the gateways log to pipes that nobody reads")(
       "regressions", "run the seeds that failed once instead")("help", "print this help");
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -393,6 +393,13 @@
   return std::nullopt;
 }
 
+std::optional<StandinRunner::Limit> SoakFleet::LimitOf(const RunnerId& id) const {
+  for (const Runner& runner : runners_) {
+    if (runner.spec.id == id.value() && runner.server != nullptr) return runner.server->limit();
+  }
+  return std::nullopt;
+}
+
 uint64_t SoakFleet::LargestMemoryKilobytes() const {
   uint64_t largest = 0;
   for (const Gateway& gateway : gateways_) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -43,6 +43,8 @@
   kNone,
   /// Calls with one prompt part crash each runner that begins to answer them.
   kDeadlyCalls,
+  /// An engine and a runner of a plain service limit their calls.
+  kLimitedRunners,
 };
 
 struct SoakOptions {
@@ -149,6 +151,10 @@
   /// Callers add the prompt part that crashes runners to this share of their streams.
   void SetDeadlyShare(double share) { deadly_share_ = share; }
   double deadly_share() const { return deadly_share_; }
+  /// The first engine and the first other runner name this limit until they restart.
+  void LimitRunners(double calls_per_s);
+  /// The limit that a runner names now.
+  std::optional<StandinRunner::Limit> LimitOf(const RunnerId& runner) const;
   /// When deadly calls crashed a runner.
   const std::vector<SteadyTime>& deadly_crashes() const { return deadly_crashes_; }
 
--- a/tests/soak/soak_fleet_faults.cc
+++ b/tests/soak/soak_fleet_faults.cc
@@ -139,6 +139,15 @@
 
 void SoakFleet::EndRunner(size_t index) { runners_[index].server.reset(); }
 
+void SoakFleet::LimitRunners(double calls_per_s) {
+  for (const size_t index : {size_t{0}, options_.engines}) {
+    if (index >= runners_.size() || runners_[index].server == nullptr) continue;
+    runners_[index].server->SetLimit(StandinRunner::Limit{calls_per_s, loop_->Now()});
+    LogEvent(fmt::format("runner {} limits its calls to {} a second", runners_[index].spec.id,
+                         calls_per_s));
+  }
+}
+
 void SoakFleet::OnDeadlyCall(const std::string& id) {
   for (size_t index = 0; index < runners_.size(); ++index) {
     if (runners_[index].spec.id != id || runners_[index].server == nullptr) continue;
--- a/tests/soak/soak_schedule.cc
+++ b/tests/soak/soak_schedule.cc
@@ -22,6 +22,8 @@
 /// Pause before an incident begins, and the share of the streams that are deadly calls.
 constexpr Millis kIncidentDelay{5'000};
 constexpr double kDeadlyShare = 0.15;
+/// A fraction of the calls that a runner gets in a calm run.
+constexpr double kLimitCallsPerS = 3;
 constexpr std::array<LinkFault, 7> kLinkFaults = {
     LinkFault::kDelay,       LinkFault::kCutToServer, LinkFault::kCutToClient, LinkFault::kDark,
     LinkFault::kSilenceOpen, LinkFault::kResetOpen,   LinkFault::kRefuse};
@@ -65,6 +67,10 @@
 void SoakSchedule::ScheduleIncident() {
   if (fleet_->options().incident == Incident::kNone) return;
   fleet_->loop()->After(kIncidentDelay, [this] {
+    if (fleet_->options().incident == Incident::kLimitedRunners) {
+      fleet_->LimitRunners(kLimitCallsPerS);
+      return;
+    }
     fleet_->LogEvent("deadly calls begin");
     fleet_->SetDeadlyShare(kDeadlyShare);
   });
--- a/tests/soak/standin_runner.cc
+++ b/tests/soak/standin_runner.cc
@@ -176,13 +176,14 @@
   head.reason = "Answer";
   head.Set("Attempt-Id", id.value());
   head.Set("Server-Seal", "seal-" + spec_.id);
+  if (limit_) head.Set("Server-Limit", fmt::format("{}", limit_->calls_per_s));
   return head;
 }
 
 void StandinRunner::HandleCall(CallerConnection* connection, HttpMessage request) {
   const std::string model = Field(request, "Model-Name");
-  context_->ledger->OnArrival(RequestId(Field(request, "Attempt-Id")), BackendName(spec_.backend),
-                              context_->loop->Now());
+  context_->ledger->OnArrival(RequestId(Field(request, "Attempt-Id")), RunnerId(spec_.id),
+                              BackendName(spec_.backend), context_->loop->Now());
   if (spec_.is_engine && !models_.contains(model)) {
     Reject(connection, 421);
     return;
--- a/tests/soak/standin_runner.h
+++ b/tests/soak/standin_runner.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -70,6 +71,13 @@
   Status Open() { return listener_->Open(spec_.listen_address); }
   const RunnerSpec& spec() const { return spec_; }
   void SetFaults(const RunnerFaults& faults) { faults_ = faults; }
+  /// A limit that the runner names in its answers from `since` on.
+  struct Limit {
+    double calls_per_s = 0;
+    SteadyTime since;
+  };
+  void SetLimit(const std::optional<Limit>& limit) { limit_ = limit; }
+  const std::optional<Limit>& limit() const { return limit_; }
   /// Writes the runner's entry to the store. The fleet calls this only while the store is
   /// available.
   void Heartbeat();
@@ -115,6 +123,7 @@
   RunnerSpec spec_;
   std::unique_ptr<gateway::CallerListener> listener_;
   RunnerFaults faults_;
+  std::optional<Limit> limit_;
   std::map<gateway::CallerConnection*, Work> executing_;
   std::set<std::string> models_;
   std::set<std::string> on_disk_;
