Keep turns at limited runners when limits or gateways change

Found on reading the diff, before any caller saw it: a limit of more than 1,000 calls a second made the period of the equal share zero and divided by it, and turns were counted by their number, so a gateway that joined, which makes the period longer, took the next turn years away. Class of fault: a position kept in a unit that changes.

Change: the last turn is kept as a time, turns within a permit's lifetime may be used after one another, and the period is at least a millisecond. Gateways stop asking for permits of runners that no longer limit their calls. A load of a runner that drains is not reported as lost.

The fleet test's new row failed before: 3 calls in 30 s of 45 a second that the limit of 3,000 allows.

--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -265,11 +265,13 @@
 void PlacementDriver::ReportLostLoads() {
   const auto lost = [this](const Order& order) {
     const RunnerState* runner = context_->view.Find(order.runner);
-    return runner != nullptr && (runner->entry.born > order.born ||
+    return runner != nullptr && (!runner->Usable() || runner->entry.born > order.born ||
                                  context_->quarantine.Knows({order.runner, order.born}));
   };
   for (const Order& order : tracker_.TakeLostLoads(lost)) {
     const RunnerState* runner = context_->view.Find(order.runner);
+    // A runner that drains ends as planned.
+    if (!runner->Usable()) continue;
     LogInfo("placement",
             fmt::format("event=load-lost runner={} model={} adapter={}", order.runner.value(),
                         order.model.value(), order.adapter.value()));
--- a/servers/gateway/runner_limits.cc
+++ b/servers/gateway/runner_limits.cc
@@ -86,41 +86,39 @@
 }
 
 Duration RunnerLimits::TurnPeriod(const Limit& limit) const {
-  const auto gateways = static_cast<int64_t>(std::max<uint64_t>(gateways_, 1));
-  return TimePerCall(limit.calls_per_s) * gateways;
+  constexpr double kLongestS = 600;
+  const double seconds = static_cast<double>(std::max<uint64_t>(gateways_, 1)) /
+                         std::max(limit.calls_per_s, 1.0 / kLongestS);
+  return std::max<Duration>(
+      Millis(1), std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)));
 }
 
-RunnerLimits::Turn RunnerLimits::LastTurn(const RunnerId& runner, const Limit& limit,
-                                          SteadyTime now) const {
+SteadyTime RunnerLimits::NextTurn(const RunnerId& runner, const Limit& limit,
+                                  SteadyTime now) const {
   const Duration period = TurnPeriod(limit);
   const uint64_t hash = StableHash(self_.value() + "/" + runner.value());
   const Duration phase(static_cast<int64_t>(hash % static_cast<uint64_t>(period.count())));
-  Turn turn;
-  turn.period = (now.time_since_epoch() - phase) / period;
-  turn.due = SteadyTime(phase + period * turn.period);
-  return turn;
+  const SteadyTime after = std::max(limit.last_turn, now - Duration(kPermitLifetime));
+  const Duration since_phase = after.time_since_epoch() - phase;
+  // The first turn later than `after`; the clock may be younger than the phase.
+  const int64_t turns = since_phase < Duration(0) ? 0 : since_phase / period + 1;
+  return SteadyTime(phase + period * turns);
 }
 
 bool RunnerLimits::HasPermit(const Limit& limit, SteadyTime now) {
   return limit.permits > 0 && now < limit.permits_until;
 }
 
-bool RunnerLimits::HasTurn(const RunnerId& runner, const Limit& limit, SteadyTime now) const {
-  if (!Unanswered(limit, now)) return false;
-  const Turn turn = LastTurn(runner, limit, now);
-  return turn.period > limit.used_period && now - turn.due < Duration(kPermitLifetime);
-}
-
 Millis RunnerLimits::PermitWait(const RunnerId& runner, SteadyTime now) const {
   const auto found = limits_.find(runner);
   if (found == limits_.end() || found->second.calls_per_s == 0) return Millis(0);
   const Limit& limit = found->second;
-  if (HasPermit(limit, now) || HasTurn(runner, limit, now)) return Millis(0);
+  if (HasPermit(limit, now)) return Millis(0);
   if (Unanswered(limit, now)) {
-    const Duration period = TurnPeriod(limit);
-    const Duration next = LastTurn(runner, limit, now).due + period - now;
-    return std::max(kAskTime, std::chrono::duration_cast<Millis>(
-                                  next + period * static_cast<int64_t>(limit.wanted)));
+    const Duration until_turn = NextTurn(runner, limit, now) - now;
+    if (until_turn <= Duration(0)) return Millis(0);
+    const Duration before = TurnPeriod(limit) * static_cast<int64_t>(limit.wanted);
+    return std::max(kAskTime, std::chrono::duration_cast<Millis>(until_turn + before));
   }
   // Calls of this gateway that came before this one get the next permits.
   const Millis before = TimePerCall(limit.calls_per_s) * static_cast<int64_t>(limit.wanted);
@@ -135,7 +133,7 @@
   if (HasPermit(limit, now)) {
     --limit.permits;
   } else if (limit.calls_per_s > 0) {
-    limit.used_period = LastTurn(runner, limit, now).period;
+    limit.last_turn = NextTurn(runner, limit, now);
   }
 }
 
@@ -148,6 +146,7 @@
   std::vector<PermitWish> wishes;
   for (auto& [runner, limit] : limits_) {
     // While the leader does not respond, gateways ask whether it is back, also without calls.
+    if (limit.calls_per_s == 0) limit.unanswered_since.reset();
     if (limit.wanted == 0 && !limit.unanswered_since) continue;
     const Millis pause = limit.wanted > 0 ? kAskPause : kResponseTime;
     if (now - limit.asked_at >= Duration(pause)) {
--- a/servers/gateway/runner_limits.h
+++ b/servers/gateway/runner_limits.h
@@ -115,24 +115,17 @@
     SteadyTime asked_at{};
     /// First request without a response.
     std::optional<SteadyTime> unanswered_since;
-    /// Last period whose call of the equal share was sent.
-    int64_t used_period = -1;
-  };
-  /// Period of the equal share, and when this gateway's call in it is due.
-  struct Turn {
-    int64_t period = 0;
-    SteadyTime due{};
+    /// Last turn of the equal share that was used.
+    SteadyTime last_turn{};
   };
 
   Limit* Find(const RunnerRun& run);
   static bool HasPermit(const Limit& limit, SteadyTime now);
   /// Whether the leader does not respond to requests for permits.
   static bool Unanswered(const Limit& limit, SteadyTime now);
-  /// The last turn of the equal share that is due, or the next one.
-  Turn LastTurn(const RunnerId& runner, const Limit& limit, SteadyTime now) const;
+  /// This gateway's first turn of the equal share that it has not used and that has not passed.
+  SteadyTime NextTurn(const RunnerId& runner, const Limit& limit, SteadyTime now) const;
   Duration TurnPeriod(const Limit& limit) const;
-  /// Whether a call may be sent in the present turn of the equal share.
-  bool HasTurn(const RunnerId& runner, const Limit& limit, SteadyTime now) const;
   void Change(const RunnerId& runner, Limit* limit, double calls_per_s);
 
   InstanceId self_;
--- a/tests/gateway_limit_fleet_test.cc
+++ b/tests/gateway_limit_fleet_test.cc
@@ -150,6 +150,8 @@
            {"a leader that is frozen for a short time", 6, 1, 10, Seconds(10), Seconds(13), 0,
             false, 0.8, 0.5},
            {"no leader", 6, 2, 10, Seconds(0), kNever, 0, false, 0.4},
+           {"no leader, a limit far above the demand", 6, 3'000, 45, Seconds(0), kNever, 0, false,
+            0.014},
            {"half of the gateways are cut off", 6, 2, 10, kNever, kNever, 0.5, false, 0.9},
            {"gateways restart", 6, 2, 10, kNever, kNever, 0, true, 0.8},
            {"100 gateways restart, a lost leader", 100, 3, 30, Seconds(8), Seconds(12), 0.2, true,
