Do not expect answers on callers' connections that went silent while idle

The check excused the silence for three seconds after its end only.

Change: the check knows since when the caller's connection has been idle, and excuses only calls on connections that went silent since.

--- a/tests/soak/call_ledger.h
+++ b/tests/soak/call_ledger.h
@@ -31,6 +31,9 @@
   bool deadly = false;
   /// Index of the gateway that the caller is connected to.
   size_t gateway = 0;
+  /// When the caller's connection to the gateway was last used before; its kept connection is at
+  /// least as old.
+  SteadyTime idle_since;
   SteadyTime sent_at;
 };
 
--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -72,6 +72,8 @@
   }
   call.gateway = *gateway_;
   call.sent_at = fleet_->loop()->Now();
+  const auto answered = answered_at_.find(*gateway_);
+  call.idle_since = answered == answered_at_.end() ? call.sent_at : answered->second;
   return call;
 }
 
@@ -152,6 +154,7 @@
   exchange_.reset();
   result_.end = end;
   result_.at = fleet_->loop()->Now();
+  if (end == CallEnd::kAnswered) answered_at_[call_.gateway] = result_.at;
   fleet_->ledger().OnResult(call_.id, result_);
   checker_->OnResult(call_, result_);
   // Like the platform's callers, it retries at a newly picked gateway, over a new connection.
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -46,6 +46,8 @@
   size_t number_;
   gateway::HttpClient client_;
   std::optional<size_t> gateway_;
+  /// When each gateway's last answer arrived.
+  std::map<size_t, SteadyTime> answered_at_;
   std::optional<gateway::ExchangeId> exchange_;
   SentCall call_;
   CallResult result_;
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -379,6 +379,11 @@
   return disturbances_.Undisturbed(scopes, from - SoakBounds::kStable, to, false);
 }
 
+bool SoakFleet::SilencedSince(size_t gateway, SteadyTime since) const {
+  const auto& silenced_at = gateways_[gateway].silenced_at;
+  return silenced_at && *silenced_at >= since;
+}
+
 bool SoakFleet::IsExecuting(const RequestId& id) const {
   return std::any_of(runners_.begin(), runners_.end(), [&](const Runner& runner) {
     return runner.server != nullptr && runner.server->IsExecuting(id);
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -109,6 +109,9 @@
   /// True when nothing that a call depends on had an unplanned disturbance from the stable window
   /// before `from` until `to`. The store counts only if `needs_store`.
   bool AllUndisturbed(size_t gateway, SteadyTime from, SteadyTime to, bool needs_store) const;
+  /// True when the callers' connections to the gateway that were open at some time from `since` on
+  /// went silent for good. What is sent on them never arrives.
+  bool SilencedSince(size_t gateway, SteadyTime since) const;
   /// True when a runner is executing the call.
   bool IsExecuting(const RequestId& id) const;
   /// When the store acknowledged that the runner is draining; empty when it is not.
@@ -175,6 +178,8 @@
     std::unique_ptr<FaultProxy> store;
     bool ready = false;
     bool paused = false;
+    /// When the callers' open connections last went silent.
+    std::optional<SteadyTime> silenced_at;
     /// True once the gateway has been ready in this lifetime.
     bool was_ready = false;
     /// The process was sent a signal to end, by a stop or a kill.
--- a/tests/soak/soak_fleet_faults.cc
+++ b/tests/soak/soak_fleet_faults.cc
@@ -84,6 +84,7 @@
   switch (end) {
     case LinkEnd::kCallers:
       proxy = gateways_[index].callers.get();
+      if (fault == LinkFault::kSilenceOpen) gateways_[index].silenced_at = loop_->Now();
       name += " to callers";
       break;
     case LinkEnd::kStore:
