--- a/Makefile
+++ b/Makefile
@@ -55,12 +55,14 @@
 	@SHALLOT_SOAK_S=$(DURATION_S) SHALLOT_SOAK_SEED=$(SEED) $(BUILD)/shallot_tests \
 		--source-file='*/tests/fault_random_test.cc' --test-case=soak
 
-# Random faults on gateway processes with SEEDS new seeds from SEED on, FAULT_S seconds each.
+# Random faults on gateway processes with SEEDS new seeds from SEED on, FAULT_S seconds each, beside
+# INCIDENT: none, deadly-calls or limited-runners.
 SEEDS ?= 10
+INCIDENT ?= none
 FAULT_S ?= 15
 soak-processes: build
 	@$(BUILD)/process_soak --gateway $(BUILD)/shallot_gateway --seed $(SEED) --seeds $(SEEDS) \
-		--fault-s $(FAULT_S) --folder $(BUILD)/soak
+		--fault-s $(FAULT_S) --incident $(INCIDENT) --folder $(BUILD)/soak
 
 # Trade-off between cold-start waits and idle accelerator hours for a range of cold weights, as CSV
 # and PNG.
