Use one crashing runner in the tests of calls and of loads

Checks and bounds are unchanged; the runner crashes on a call or on an order that has the deadly text.

--- a/tests/gateway_request_crash_test.cc
+++ b/tests/gateway_request_crash_test.cc
@@ -17,14 +17,16 @@
 
 constexpr const char* kOneEvent = "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
 /// The platform's rule: at most three calls reach runners later than this after the fifth crash.
+/// Loads are held to the same.
 constexpr Millis kReaction{3'000};
 constexpr size_t kCrashesBefore = 5;
 constexpr size_t kMaxLateArrivals = 3;
 /// How long callers go on.
 constexpr Millis kCallTime{5'500};
 
-/// Two runners that hold m1 and crash when they begin to answer a call that has the text `deadly`
-/// in its head. A crashed runner restarts at once under its id, with a later start time.
+/// Two runners that hold m1 and crash when they begin to answer a call, or to carry out an order,
+/// that has the text `deadly` in its head. A crashed runner restarts at once under its id, with a
+/// later start time.
 class CrashingRunners {
  public:
   CrashingRunners(GatewayFixture* fixture, std::string deadly)
@@ -36,7 +38,11 @@
     }
   }
 
-  /// Number of deadly calls that reached runners too long after the fifth crash.
+  size_t Crashes() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return arrivals_.size();
+  }
+  /// Number of deadly calls or orders that reached runners too long after the fifth crash.
   size_t LateArrivals() {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (arrivals_.size() < kCrashesBefore) return 0;
@@ -62,16 +68,19 @@
                          std::to_string(body.size()) + "\r\n\r\n" + body);
         continue;
       }
-      if (request.find("POST /s/") == std::string::npos) return;
+      const bool order = request.find("/v1/order") != std::string::npos;
+      if (!order && request.find("POST /s/") == std::string::npos) return;
       if (request.find(deadly_) != std::string::npos) {
         {
           const std::lock_guard<std::mutex> lock(mutex_);
           arrivals_.push_back(clock_.SteadyNow());
         }
+        if (order) connection->Send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
         ++born_[index];
         Register(index);
         return;
       }
+      if (order) return;
       connection->Send(AnswerHead(request, kChunkedSealed) + kOneEvent);
     }
   }
@@ -115,6 +124,25 @@
   }
 }
 
+// Guards against a model that crashes one runner after the other while they load it.
+TEST_CASE("gateway daemon: a model that crashes the runners that load it is no longer loaded") {
+  /// Each load is tried again a second after it failed.
+  constexpr Millis kLoadTime{12'000};
+  GatewayFixture fixture;
+  fixture.ConfigureModels(
+      {{"\"load-s\":30", "\"load-s\":1"}, {"\"loads-per-s\":2", "\"loads-per-s\":20"}});
+  CrashingRunners runners(&fixture, "/v1/order");
+  REQUIRE(fixture.AwaitReady());
+  const SystemClock clock;
+  const SteadyTime end = clock.SteadyNow() + kLoadTime;
+  while (clock.SteadyNow() < end) {
+    CHECK(fixture.Call("/s/1", "m1").status == 200);
+    CHECK(fixture.Call("/s/1", "m2").status == 503);
+  }
+  CHECK(runners.Crashes() >= 2);
+  CHECK(runners.LateArrivals() <= kMaxLateArrivals);
+}
+
 /// A runner that holds m1 and closes the connection of a call without an answer if told to.
 class DroppingRunner {
  public:
