Let strong gateways notice a lost leader before weak ones claim

Cause: a weak instance claims 400 ms after the leader's record has gone. The pause between two watch calls grows with the fleet, to 900 ms at 103 gateways, so the strong gateways may learn of it later than that. Their watches run in step, because the same changes end them. Class: a delay that has to cover another component's delay, and does not grow with it.

Change: gateways register their share of a core; while a strong one is registered, a weak instance waits for the watch pause, too, and lets a record of its own end instead of claiming it again. Fleets of weak instances only claim as before.

Evidence: the test failed with the former rule (two checks, case 'weak beside stronger gateways').

--- a/drivers/gateway/fleet_follower.cc
+++ b/drivers/gateway/fleet_follower.cc
@@ -26,6 +26,7 @@
 
 void FleetFollower::OnSnapshot(const std::vector<StoreItem>& items, StoreRevision revision) {
   context_->gateways.clear();
+  context_->strong_gateways.clear();
   context_->leader.reset();
   const std::string runners = context_->protocol->RunnersPrefix();
   std::set<RunnerId> present;
@@ -111,6 +112,7 @@
     if (!leader_key) {
       const InstanceId gone(item.key.substr(protocol.GatewaysPrefix().size()));
       context_->gateways.erase(gone);
+      context_->strong_gateways.erase(gone);
       LogInfo("gateways", fmt::format("event=gateway-left gateway={} revision={}", gone.value(),
                                       item.revision.value()));
     }
@@ -130,6 +132,11 @@
   LogInfo("gateways", fmt::format("event=gateway-joined gateway={} address={} revision={}",
                                   gateway.value(), ValueOf(record).address, item.revision.value()));
   context_->gateways[gateway] = ValueOf(record).address;
+  if (LeaderElection::IsWeak(ValueOf(record).cpu_share)) {
+    context_->strong_gateways.erase(gateway);
+  } else {
+    context_->strong_gateways.insert(gateway);
+  }
 }
 
 }  // namespace shallot::gateway
--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -82,6 +82,8 @@
   std::map<BackendName, RetryShare> retry_shares;
   /// Peer addresses of all registered gateways, by instance.
   std::map<InstanceId, std::string> gateways;
+  /// Those of them that are not weak, see LeaderElection.
+  std::set<InstanceId> strong_gateways;
   std::optional<LeaderRecord> leader;
 
   /// Number of gateways that share the retry slack. Until the list is known, more are assumed than
--- a/drivers/gateway/peer_channel.h
+++ b/drivers/gateway/peer_channel.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/result.h"
+#include "drivers/gateway/gateway_settings.h"
 #include "servers/gateway/crash_quarantine.h"
 #include "servers/gateway/demand_aggregator.h"
 #include "servers/gateway/fleet_view.h"
@@ -77,7 +78,7 @@
 };
 
 /// Encodes the value of a gateway's key, or of the leader's key, in the platform store.
-std::string EncodeGatewayRecord(const InstanceId& gateway, const std::string& address);
+std::string EncodeGatewayRecord(const GatewaySettings& settings);
 Result<LeaderRecord> DecodeGatewayRecord(const std::string& value, StoreRevision revision);
 
 }  // namespace shallot::gateway
--- a/drivers/gateway/peer_codec.cc
+++ b/drivers/gateway/peer_codec.cc
@@ -270,10 +270,11 @@
                "run the same version on all gateways"};
 }
 
-std::string EncodeGatewayRecord(const InstanceId& gateway, const std::string& address) {
+std::string EncodeGatewayRecord(const GatewaySettings& settings) {
   gateway_wire::GatewayRecord wire;
-  wire.set_gateway(gateway.value());
-  wire.set_address(address);
+  wire.set_gateway(settings.instance.value());
+  wire.set_address(settings.peer_address);
+  wire.set_cpu_share(settings.cpu_share);
   return wire.SerializeAsString();
 }
 
@@ -283,7 +284,7 @@
     return Error{ErrorKind::kInvalidArgument, "cannot decode a gateway record of the store",
                  "remove the key; gateways write it again"};
   }
-  return LeaderRecord{InstanceId(wire.gateway()), wire.address(), revision};
+  return LeaderRecord{InstanceId(wire.gateway()), wire.address(), revision, wire.cpu_share()};
 }
 
 }  // namespace shallot::gateway
--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -7,6 +7,7 @@
 #include "core/log.h"
 #include "core/random.h"
 #include "drivers/gateway/lease_renewal.h"
+#include "drivers/gateway/prefix_follower.h"
 
 namespace shallot::gateway {
 namespace {
@@ -44,7 +45,7 @@
                 LeaderElection::Term(context->settings.orders_fenced, context->settings.order_lease,
                                      context->settings.min_lease),
                 context->settings.orders_fenced, EntropySeed(),
-                LeaderElection::ClaimDelay(context->settings.cpu_share)),
+                LeaderElection::IsWeak(context->settings.cpu_share)),
       planner_(&context->settings.policy, &context->view, &tracker_) {}
 
 void PlacementDriver::Start() { Tick(); }
@@ -142,6 +143,7 @@
 
 void PlacementDriver::OnLeaderRecord(const std::optional<LeaderRecord>& record,
                                      StoreRevision revision) {
+  NoteStrongerGateways();
   election_.OnRecord(record, revision, context_->clock->BootNow());
 }
 
@@ -163,7 +165,16 @@
   context_->loop.After(kTickInterval, [this] { Tick(); });
 }
 
+void PlacementDriver::NoteStrongerGateways() {
+  std::optional<Millis> notice_lag;
+  if (!context_->strong_gateways.empty()) {
+    notice_lag = PrefixFollower::WatchPause(context_->gateways.size());
+  }
+  election_.SetStrongerGateways(notice_lag);
+}
+
 void PlacementDriver::RunElection() {
+  NoteStrongerGateways();
   switch (election_.Next(context_->clock->BootNow())) {
     case LeaderElection::Action::kNone:
       return;
@@ -206,7 +217,7 @@
   const GatewaySettings& settings = context_->settings;
   const bool reclaims = election_.ReclaimsOwnRecord();
   const ConditionalWrite write{context_->protocol->LeaderKey(),
-                               EncodeGatewayRecord(settings.instance, settings.peer_address),
+                               EncodeGatewayRecord(settings),
                                election_.ClaimCondition(), election_.lease()};
   context_->calls.Start(
       settings.store_address, context_->protocol->WriteRequest(write), kStoreCallTimeout,
--- a/drivers/gateway/placement_driver.h
+++ b/drivers/gateway/placement_driver.h
@@ -48,6 +48,7 @@
  private:
   void Tick();
   void RunElection();
+  void NoteStrongerGateways();
   void CreateLease();
   void Claim();
   void Renew();
--- a/drivers/gateway/prefix_follower.cc
+++ b/drivers/gateway/prefix_follower.cc
@@ -77,9 +77,7 @@
   const StoreBatch& batch = ValueOf(changes);
   for (const StoreItem& item : batch.items) listener_->OnChange(item);
   if (batch.revision > revision_) revision_ = batch.revision;
-  const Millis pause =
-      std::clamp(kWatchPause * followers_ / kFollowersAtFullRate, kWatchPause, kMaxWatchPause);
-  loop_->After(pause, [this] { Watch(); });
+  loop_->After(WatchPause(followers_), [this] { Watch(); });
 }
 
 void PrefixFollower::Retry(const Error& error, bool read_again) {
--- a/drivers/gateway/prefix_follower.h
+++ b/drivers/gateway/prefix_follower.h
@@ -1,6 +1,7 @@
 #ifndef DRIVERS_GATEWAY_PREFIX_FOLLOWER_H_
 #define DRIVERS_GATEWAY_PREFIX_FOLLOWER_H_
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <vector>
@@ -49,6 +50,11 @@
   static constexpr Millis kMaxWatchPause{900};
   /// Number of followers up to which the pause is kWatchPause.
   static constexpr int64_t kFollowersAtFullRate = 32;
+  /// Pause between two watch calls when this many processes follow the store.
+  static Millis WatchPause(size_t followers) {
+    return std::clamp(kWatchPause * static_cast<int64_t>(followers) / kFollowersAtFullRate,
+                      kWatchPause, kMaxWatchPause);
+  }
   /// Pause after a failed call.
   static constexpr Millis kRetryPause{250};
 
@@ -57,7 +63,7 @@
 
   void Start() { Read(""); }
   /// Number of processes that follow the store.
-  void SetFollowers(size_t followers) { followers_ = static_cast<int64_t>(followers); }
+  void SetFollowers(size_t followers) { followers_ = followers; }
 
  private:
   void Read(const std::string& after);
@@ -82,7 +88,7 @@
   bool first_page_ = true;
   bool failing_ = false;
   size_t failures_ = 0;
-  int64_t followers_ = 1;
+  size_t followers_ = 1;
 };
 
 }  // namespace shallot::gateway
--- a/drivers/gateway/presence_driver.cc
+++ b/drivers/gateway/presence_driver.cc
@@ -59,7 +59,7 @@
 
 void PresenceDriver::Register() {
   const GatewaySettings& settings = context_->settings;
-  const ConditionalWrite write{key_, EncodeGatewayRecord(settings.instance, settings.peer_address),
+  const ConditionalWrite write{key_, EncodeGatewayRecord(settings),
                                presence_.Condition(), presence_.lease()};
   context_->calls.Start(
       settings.store_address, context_->protocol->WriteRequest(write), kStoreCallTimeout,
--- a/servers/gateway/leader_election.cc
+++ b/servers/gateway/leader_election.cc
@@ -5,11 +5,11 @@
 namespace shallot::gateway {
 
 LeaderElection::LeaderElection(InstanceId self, Millis term, bool orders_fenced,
-                               uint64_t jitter_seed, Millis claim_delay)
+                               uint64_t jitter_seed, bool weak)
     : self_(std::move(self)),
       term_(term),
       jitter_(StableHash(self_.value(), jitter_seed) % static_cast<uint64_t>(kRetryPause.count())),
-      claim_delay_(claim_delay),
+      weak_(weak),
       orders_fenced_(orders_fenced) {}
 
 bool LeaderElection::Leads(BootTime now) const {
@@ -22,9 +22,16 @@
 }
 
 bool LeaderElection::MayClaim() const {
+  if (!record_known_) return false;
+  if (!record_) return true;
   // A record of this instance is left over from before a restart or an outage: one instance is one
-  // holder.
-  return record_known_ && (!record_ || record_->holder == self_);
+  // holder. A weak one lets it end, so that a stronger gateway takes over.
+  return record_->holder == self_ && !(weak_ && stronger_notice_lag_);
+}
+
+Millis LeaderElection::ClaimDelay() const {
+  if (!weak_) return Millis(0);
+  return kWeakClaimDelay + stronger_notice_lag_.value_or(Millis(0));
 }
 
 StoreRevision LeaderElection::ClaimCondition() const {
@@ -48,7 +55,7 @@
                               BootTime now) {
   // A record that predates this gateway's claim says nothing about that claim.
   if (leading_ && revision < fence_) return;
-  if (!record && (record_ || !record_known_)) next_try_ = std::max(next_try_, now + claim_delay_);
+  if (!record && (record_ || !record_known_)) next_try_ = std::max(next_try_, now + ClaimDelay());
   record_ = record;
   record_known_ = true;
   const bool own = record && record->holder == self_ && record->revision == fence_;
--- a/servers/gateway/leader_election.h
+++ b/servers/gateway/leader_election.h
@@ -25,6 +25,8 @@
   /// "IP:port" where the leader accepts demand reports.
   std::string address;
   StoreRevision revision;
+  /// Share of a core that the instance has; 0 if unknown.
+  double cpu_share = 0;
 
   bool operator==(const LeaderRecord&) const = default;
 };
@@ -71,17 +73,22 @@
     kRenew,        ///< Then OnRenewed.
   };
 
-  /// An instance with a smaller share of a core lets others claim first.
+  /// Instances with a smaller share of a core are weak: a large fleet's placement keeps such a
+  /// leader from renewing its lease in time. They let others claim first.
   static constexpr double kWeakCpuShare = 0.15;
+  /// Time from the end of another leader to a weak instance's claim, in which stronger gateways
+  /// create a lease and claim. The time until they notice is added.
   static constexpr Millis kWeakClaimDelay{400};
-  static Millis ClaimDelay(double cpu_share) {
-    return cpu_share < kWeakCpuShare ? kWeakClaimDelay : Millis(0);
-  }
+  static bool IsWeak(double cpu_share) { return cpu_share < kWeakCpuShare; }
 
   /// `term`: lease duration, see Term(). `orders_fenced`: runners reject orders with an outdated
-  /// fencing number. `claim_delay`: time from the end of another leader to this gateway's claim.
+  /// fencing number. `weak`: see IsWeak().
   LeaderElection(InstanceId self, Millis term, bool orders_fenced, uint64_t jitter_seed,
-                 Millis claim_delay = Millis(0));
+                 bool weak = false);
+
+  /// `notice_lag`: the longest time after which a gateway that is not weak notices that there is no
+  /// leader; absent if no such gateway is known.
+  void SetStrongerGateways(std::optional<Millis> notice_lag) { stronger_notice_lag_ = notice_lag; }
 
   /// Returns the next action; at most one is in progress at a time.
   Action Next(BootTime now);
@@ -115,13 +122,15 @@
 
  private:
   bool MayClaim() const;
+  Millis ClaimDelay() const;
   bool WithinOutageGrace(BootTime now) const;
   void StepDown(BootTime now);
 
   InstanceId self_;
   Millis term_;
   uint64_t jitter_;
-  Millis claim_delay_;
+  bool weak_;
+  std::optional<Millis> stronger_notice_lag_;
   std::optional<LeaderRecord> record_;
   bool record_known_ = false;
   LeaseId lease_;
--- a/tests/gateway_leader_election_test.cc
+++ b/tests/gateway_leader_election_test.cc
@@ -211,6 +211,41 @@
   CHECK(election.Next(kStart + LeaderElection::kRetryPause * 2) == Action::kCreateLease);
 }
 
+struct WeakCase {
+  const char* name;
+  bool weak;
+  std::optional<Millis> stronger_notice_lag;
+  /// Time until a claim after the leader's record has gone.
+  Millis expected_delay;
+  /// Whether a record that an earlier run of the gateway left may be claimed.
+  bool reclaims;
+};
+
+// Guards against a leader on a weak instance that cannot renew its lease in time, because stronger
+// gateways learned later than it that there was no leader, and that claims its record again and
+// again.
+TEST_CASE("gateway: a weak instance claims after the stronger gateways can have claimed") {
+  constexpr Millis kLag{900};
+  constexpr Millis kDelay = LeaderElection::kWeakClaimDelay;
+  for (const WeakCase& test :
+       {WeakCase{"not weak", false, kLag, Millis(0), true},
+        WeakCase{"weak, no stronger gateway", true, std::nullopt, kDelay, true},
+        WeakCase{"weak beside stronger gateways", true, kLag, kLag + kDelay, false}}) {
+    CAPTURE(std::string(test.name));
+    LeaderElection election(InstanceId("a"), kTerm, true, 1, test.weak);
+    election.SetStrongerGateways(test.stronger_notice_lag);
+    election.OnRecord(Record("a", 4), StoreRevision(4), kStart);
+    CHECK((election.Next(kStart) == Action::kCreateLease) == test.reclaims);
+    if (test.reclaims) election.OnLease(std::nullopt, kTerm, kStart, kStart);
+    const BootTime gone = kStart + kTerm;
+    election.OnRecord(std::nullopt, StoreRevision(6), gone);
+    if (test.expected_delay > Millis(0)) {
+      CHECK(election.Next(gone + test.expected_delay - Millis(1)) == Action::kNone);
+    }
+    CHECK(election.Next(gone + test.expected_delay) == Action::kCreateLease);
+  }
+}
+
 /// Leaves the renewals of an elected leader without a response for `outage`.
 void RunOutage(LeaderElection* election, Millis outage) {
   for (Millis passed{0}; passed < outage; passed += Millis(100)) {
--- a/tests/gateway_peer_codec_test.cc
+++ b/tests/gateway_peer_codec_test.cc
@@ -89,10 +89,14 @@
 }
 
 TEST_CASE("gateway: gateway records are encoded and decoded") {
-  const auto record = DecodeGatewayRecord(EncodeGatewayRecord(InstanceId("front-1"), "10.0.0.1:7"),
-                                          StoreRevision(9));
+  GatewaySettings settings;
+  settings.instance = InstanceId("front-1");
+  settings.peer_address = "10.0.0.1:7";
+  settings.cpu_share = 0.25;
+  const auto record = DecodeGatewayRecord(EncodeGatewayRecord(settings), StoreRevision(9));
   REQUIRE(IsOk(record));
-  CHECK(ValueOf(record) == LeaderRecord{InstanceId("front-1"), "10.0.0.1:7", StoreRevision(9)});
+  CHECK(ValueOf(record) ==
+        LeaderRecord{InstanceId("front-1"), "10.0.0.1:7", StoreRevision(9), 0.25});
   CHECK_FALSE(IsOk(DecodeGatewayRecord("", StoreRevision(9))));
 }
 
