Move the crash quarantine to where routers can use it

Own fleets need the same decision for the same class of fault. The quarantine and the encoding of its findings leave the gateway's folders; what turns a platform call into traits stays there (call_traits).

--- a/core/ids.h
+++ b/core/ids.h
@@ -56,6 +56,9 @@
 using RequestId = StrongId<struct RequestIdTag>;
 using IdempotencyKey = StrongId<struct IdempotencyKeyTag>;
 using StoreKey = StrongId<struct StoreKeyTag>;
+/// Something that calls have in common and that may crash the runner which begins to answer them,
+/// such as a part of their prompts, an adapter or a model. The text is "KIND:NAME".
+using CallTrait = StrongId<struct CallTraitTag>;
 /// Author of a configuration change.
 using OperatorName = StrongId<struct OperatorNameTag>;
 
--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -6,6 +6,7 @@
 
 #include "core/hashing.h"
 #include "core/log.h"
+#include "servers/gateway/call_traits.h"
 
 namespace shallot::gateway {
 namespace {
--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -15,7 +15,7 @@
 #include "drivers/gateway/http_client.h"
 #include "drivers/gateway/peer_channel.h"
 #include "drivers/gateway/platform_protocol.h"
-#include "servers/gateway/crash_quarantine.h"
+#include "servers/crash_quarantine.h"
 #include "servers/gateway/demand_aggregator.h"
 #include "servers/gateway/fleet_routes.h"
 #include "servers/gateway/fleet_view.h"
--- a/drivers/gateway/peer_codec.cc
+++ b/drivers/gateway/peer_codec.cc
@@ -2,6 +2,7 @@
 
 #include <cmath>
 
+#include "drivers/crash_codec.h"
 #include "drivers/wire/gateway.pb.h"
 
 namespace shallot::gateway {
@@ -107,40 +108,6 @@
   return notice;
 }
 
-template <class Repeated, class Traits>
-void EncodeTraits(const Traits& traits, Repeated* wire) {
-  for (const CallTrait& trait : traits) *wire->Add() = trait.value();
-}
-
-template <class Repeated>
-TraitSet DecodeTraits(const Repeated& wire) {
-  TraitSet traits;
-  for (const std::string& trait : wire) traits.insert(CallTrait(trait));
-  return traits;
-}
-
-void EncodeCrash(const CrashReport& report, gateway_wire::CrashReport* wire) {
-  wire->set_runner(report.crash.runner.value());
-  wire->set_born(report.crash.born.value());
-  wire->set_domain(report.domain.value());
-  for (const auto& call : report.calls) EncodeTraits(call, wire->add_calls()->mutable_traits());
-  EncodeTraits(report.served_before, wire->mutable_served_before());
-  EncodeTraits(report.served_after, wire->mutable_served_after());
-}
-
-CrashReport DecodeCrash(const gateway_wire::CrashReport& wire) {
-  CrashReport report;
-  report.crash = {RunnerId(wire.runner()), RunnerStartTime(wire.born())};
-  report.domain = FailureDomain(wire.domain());
-  for (const gateway_wire::CrashedCall& call : wire.calls()) {
-    std::vector<CallTrait>& traits = report.calls.emplace_back();
-    for (const std::string& trait : call.traits()) traits.emplace_back(trait);
-  }
-  report.served_before = DecodeTraits(wire.served_before());
-  report.served_after = DecodeTraits(wire.served_after());
-  return report;
-}
-
 void EncodeLimit(const RunnerRun& run, double calls_per_s, gateway_wire::RunnerLimit* wire) {
   wire->set_runner(run.runner.value());
   wire->set_born(run.born.value());
@@ -197,13 +164,7 @@
 
 void EncodeReport(const FindingsReport& report, gateway_wire::Findings* wire) {
   wire->set_gateway(report.gateway.value());
-  for (const CrashReport& crash : report.crashes.crashes) EncodeCrash(crash, wire->add_crashes());
-  for (const QuarantinedTraits& quarantined : report.crashes.quarantined) {
-    gateway_wire::QuarantinedTraits* out = wire->add_quarantined();
-    EncodeTraits(quarantined.traits, out->mutable_traits());
-    out->set_relapses(quarantined.relapses);
-    out->set_remaining_ms(quarantined.remaining.count());
-  }
+  EncodeCrashFindings(report.crashes, wire->mutable_crashes());
   for (const LimitFinding& limit : report.limits) {
     EncodeLimit(limit.run, limit.calls_per_s, wire->add_limits());
   }
@@ -212,14 +173,7 @@
 FindingsReport DecodeReport(const gateway_wire::Findings& wire) {
   FindingsReport report;
   report.gateway = InstanceId(wire.gateway());
-  for (const gateway_wire::CrashReport& crash : wire.crashes()) {
-    report.crashes.crashes.push_back(DecodeCrash(crash));
-  }
-  for (const gateway_wire::QuarantinedTraits& quarantined : wire.quarantined()) {
-    report.crashes.quarantined.push_back({DecodeTraits(quarantined.traits()),
-                                          quarantined.relapses(),
-                                          Millis(quarantined.remaining_ms())});
-  }
+  report.crashes = DecodeCrashFindings(wire.crashes());
   for (const gateway_wire::RunnerLimit& limit : wire.limits()) {
     report.limits.push_back(DecodeLimit(limit));
   }
--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -8,6 +8,7 @@
 #include "core/random.h"
 #include "drivers/gateway/lease_renewal.h"
 #include "drivers/gateway/prefix_follower.h"
+#include "servers/gateway/call_traits.h"
 
 namespace shallot::gateway {
 namespace {
@@ -216,8 +217,7 @@
 void PlacementDriver::Claim() {
   const GatewaySettings& settings = context_->settings;
   const bool reclaims = election_.ReclaimsOwnRecord();
-  const ConditionalWrite write{context_->protocol->LeaderKey(),
-                               EncodeGatewayRecord(settings),
+  const ConditionalWrite write{context_->protocol->LeaderKey(), EncodeGatewayRecord(settings),
                                election_.ClaimCondition(), election_.lease()};
   context_->calls.Start(
       settings.store_address, context_->protocol->WriteRequest(write), kStoreCallTimeout,
--- a/drivers/gateway/presence_driver.cc
+++ b/drivers/gateway/presence_driver.cc
@@ -59,8 +59,8 @@
 
 void PresenceDriver::Register() {
   const GatewaySettings& settings = context_->settings;
-  const ConditionalWrite write{key_, EncodeGatewayRecord(settings),
-                               presence_.Condition(), presence_.lease()};
+  const ConditionalWrite write{key_, EncodeGatewayRecord(settings), presence_.Condition(),
+                               presence_.lease()};
   context_->calls.Start(
       settings.store_address, context_->protocol->WriteRequest(write), kStoreCallTimeout,
       [this](const Result<HttpMessage>& answer) {
--- a/servers/gateway/crash_quarantine.cc
+++ b/servers/crash_quarantine.cc
@@ -1,8 +1,8 @@
-#include "servers/gateway/crash_quarantine.h"
+#include "servers/crash_quarantine.h"
 
 #include <algorithm>
 
-namespace shallot::gateway {
+namespace shallot {
 namespace {
 
 /// Suspicion that one crash adds for a trait.
@@ -16,11 +16,6 @@
 /// From here on, undecided calls are held.
 constexpr int kUndecidedScore = 6;
 
-CallTrait MakeTrait(std::string text) {
-  if (text.size() > CrashQuarantine::kMaxTraitBytes) text.resize(CrashQuarantine::kMaxTraitBytes);
-  return CallTrait(std::move(text));
-}
-
 bool HasAll(const std::vector<CallTrait>& traits, const TraitSet& wanted) {
   return std::all_of(wanted.begin(), wanted.end(), [&](const CallTrait& trait) {
     return std::find(traits.begin(), traits.end(), trait) != traits.end();
@@ -34,25 +29,9 @@
 
 }  // namespace
 
-std::vector<CallTrait> TraitsOf(const BackendName& backend, const CallRequest& call) {
-  std::vector<CallTrait> traits;
-  // Two places are kept for the adapter and the model.
-  constexpr size_t kMaxParts = CrashQuarantine::kMaxTraitsPerCall - 2;
-  for (size_t index = call.prompt.size(); index > 1 && traits.size() < kMaxParts; --index) {
-    traits.push_back(MakeTrait("part:" + call.prompt[index - 2].id));
-  }
-  const std::vector<CallTrait> entry = TraitsOfEntry(backend, call.model, call.adapter);
-  traits.insert(traits.end(), entry.begin(), entry.end());
-  return traits;
-}
-
-std::vector<CallTrait> TraitsOfEntry(const BackendName& backend, const ModelName& model,
-                                     const AdapterName& adapter) {
-  std::vector<CallTrait> traits;
-  const std::string path = backend.value() + "/" + model.value();
-  if (!adapter.empty()) traits.push_back(MakeTrait("adapter:" + path + "/" + adapter.value()));
-  if (!model.empty()) traits.push_back(MakeTrait("model:" + path));
-  return traits;
+CallTrait MakeTrait(std::string text) {
+  if (text.size() > CrashQuarantine::kMaxTraitBytes) text.resize(CrashQuarantine::kMaxTraitBytes);
+  return CallTrait(std::move(text));
 }
 
 std::string DescribeTraits(const TraitSet& traits) {
@@ -486,13 +465,21 @@
 }
 
 std::vector<QuarantinedTraits> CrashQuarantine::Quarantined(SteadyTime now) const {
+  return Active(now, false);
+}
+
+std::vector<QuarantinedTraits> CrashQuarantine::Proven(SteadyTime now) const {
+  return Active(now, true);
+}
+
+std::vector<QuarantinedTraits> CrashQuarantine::Active(SteadyTime now, bool proven_only) const {
   std::vector<QuarantinedTraits> active;
   for (const auto& [traits, quarantine] : quarantines_) {
-    if (now >= quarantine.until) continue;
+    if (now >= quarantine.until || (proven_only && !quarantine.proven)) continue;
     active.push_back(
         {traits, quarantine.relapses, std::chrono::duration_cast<Millis>(quarantine.until - now)});
   }
   return active;
 }
 
-}  // namespace shallot::gateway
+}  // namespace shallot
--- a/servers/gateway/crash_quarantine.h
+++ b/servers/crash_quarantine.h
@@ -1,5 +1,5 @@
-#ifndef SERVERS_GATEWAY_CRASH_QUARANTINE_H_
-#define SERVERS_GATEWAY_CRASH_QUARANTINE_H_
+#ifndef SERVERS_CRASH_QUARANTINE_H_
+#define SERVERS_CRASH_QUARANTINE_H_
 
 #include <cstdint>
 #include <map>
@@ -12,25 +12,16 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
-#include "servers/gateway/call_request.h"
-#include "servers/gateway/fleet_view.h"
+#include "servers/runner_run.h"
 
-namespace shallot::gateway {
+namespace shallot {
 
-/// Something that calls have in common and that may crash the runner which begins to answer them: a
-/// prompt part, an adapter or a model. The text is "part:ID", "adapter:BACKEND/MODEL/NAME" or
-/// "model:BACKEND/MODEL".
-using CallTrait = StrongId<struct CallTraitTag>;
 using TraitSet = std::set<CallTrait>;
 
-/// The traits of a call, the most specific first: the prompt parts from the last one to the first,
-/// the adapter, the model. Without the prompt's last part, which belongs to this call alone.
-std::vector<CallTrait> TraitsOf(const BackendName& backend, const CallRequest& call);
-/// The traits of all calls for an entry, and of its load: the adapter, if it is one, and the model.
-std::vector<CallTrait> TraitsOfEntry(const BackendName& backend, const ModelName& model,
-                                     const AdapterName& adapter);
+/// The trait with this text, cut to CrashQuarantine::kMaxTraitBytes.
+CallTrait MakeTrait(std::string text);
 
-/// What one gateway knows of a crash.
+/// What one process knows of a crash.
 struct CrashReport {
   RunnerRun crash;
   FailureDomain domain;
@@ -52,6 +43,8 @@
   /// How often a runner crashed again after a quarantine had ended; each doubles the next one.
   uint64_t relapses = 0;
   Millis remaining{0};
+
+  bool operator==(const QuarantinedTraits&) const = default;
 };
 
 /// A quarantine that has begun or ended, for logs.
@@ -72,6 +65,7 @@
   std::vector<QuarantinedTraits> quarantined;
 
   bool empty() const { return crashes.empty() && quarantined.empty(); }
+  bool operator==(const CrashFindings&) const = default;
 };
 
 /// Finds out what the calls have in common that crash one runner after the other, and refuses these
@@ -149,6 +143,8 @@
   /// Makes Own() count as changed, after the published findings were lost.
   void MarkChanged() { changed_ = true; }
   std::vector<QuarantinedTraits> Quarantined(SteadyTime now) const;
+  /// Those of Quarantined() that are no hold of undecided calls.
+  std::vector<QuarantinedTraits> Proven(SteadyTime now) const;
   /// The quarantines that began or ended since the last call of this function.
   std::vector<QuarantineChange> TakeQuarantineChanges() { return std::exchange(changes_, {}); }
   /// Whether some gateway has reported this crash.
@@ -212,6 +208,7 @@
   void Begin(const TraitSet& traits, uint64_t relapses, SteadyTime now);
   void HoldUndecided(const std::vector<TraitSet>& undecided, int score, SteadyTime now);
   void Expire(SteadyTime now);
+  std::vector<QuarantinedTraits> Active(SteadyTime now, bool proven_only) const;
   void EvaluateLater(SteadyTime now);
   void Evaluate(SteadyTime now);
   /// Ends quarantines that are refuted, or whose crashes are all explained by one of `causes`.
@@ -231,6 +228,6 @@
   bool changed_ = false;
 };
 
-}  // namespace shallot::gateway
+}  // namespace shallot
 
-#endif  // SERVERS_GATEWAY_CRASH_QUARANTINE_H_
+#endif  // SERVERS_CRASH_QUARANTINE_H_
--- /dev/null
+++ b/servers/gateway/call_traits.cc
@@ -0,0 +1,26 @@
+#include "servers/gateway/call_traits.h"
+
+namespace shallot::gateway {
+
+std::vector<CallTrait> TraitsOf(const BackendName& backend, const CallRequest& call) {
+  std::vector<CallTrait> traits;
+  // Two places are kept for the adapter and the model.
+  constexpr size_t kMaxParts = CrashQuarantine::kMaxTraitsPerCall - 2;
+  for (size_t index = call.prompt.size(); index > 1 && traits.size() < kMaxParts; --index) {
+    traits.push_back(MakeTrait("part:" + call.prompt[index - 2].id));
+  }
+  const std::vector<CallTrait> entry = TraitsOfEntry(backend, call.model, call.adapter);
+  traits.insert(traits.end(), entry.begin(), entry.end());
+  return traits;
+}
+
+std::vector<CallTrait> TraitsOfEntry(const BackendName& backend, const ModelName& model,
+                                     const AdapterName& adapter) {
+  std::vector<CallTrait> traits;
+  const std::string path = backend.value() + "/" + model.value();
+  if (!adapter.empty()) traits.push_back(MakeTrait("adapter:" + path + "/" + adapter.value()));
+  if (!model.empty()) traits.push_back(MakeTrait("model:" + path));
+  return traits;
+}
+
+}  // namespace shallot::gateway
--- /dev/null
+++ b/servers/gateway/call_traits.h
@@ -0,0 +1,21 @@
+#ifndef SERVERS_GATEWAY_CALL_TRAITS_H_
+#define SERVERS_GATEWAY_CALL_TRAITS_H_
+
+#include <vector>
+
+#include "servers/crash_quarantine.h"
+#include "servers/gateway/call_request.h"
+
+namespace shallot::gateway {
+
+/// The traits of a call, the most specific first: the prompt parts from the last one to the first,
+/// the adapter, the model, as "part:ID", "adapter:BACKEND/MODEL/NAME" and "model:BACKEND/MODEL".
+/// Without the prompt's last part, which belongs to this call alone.
+std::vector<CallTrait> TraitsOf(const BackendName& backend, const CallRequest& call);
+/// The traits of all calls for an entry, and of its load: the adapter, if it is one, and the model.
+std::vector<CallTrait> TraitsOfEntry(const BackendName& backend, const ModelName& model,
+                                     const AdapterName& adapter);
+
+}  // namespace shallot::gateway
+
+#endif  // SERVERS_GATEWAY_CALL_TRAITS_H_
--- a/servers/gateway/fleet_view.h
+++ b/servers/gateway/fleet_view.h
@@ -11,18 +11,10 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "servers/gateway/fleet_routes.h"
+#include "servers/runner_run.h"
 
 namespace shallot::gateway {
 
-/// Unix time in milliseconds of a runner's start; distinguishes runs with the same id.
-using RunnerStartTime = StrongNumber<struct RunnerStartTimeTag>;
-/// One run of a runner, from its start to its end.
-struct RunnerRun {
-  RunnerId runner;
-  RunnerStartTime born;
-  auto operator<=>(const RunnerRun&) const = default;  // NOLINT(modernize-use-nullptr)
-};
-
 /// Number of orders that a runner has accepted since its start.
 using OrderSequence = StrongNumber<struct OrderSequenceTag>;
 
--- a/servers/gateway/load_planner.cc
+++ b/servers/gateway/load_planner.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "servers/gateway/call_traits.h"
+
 namespace shallot::gateway {
 namespace {
 
--- a/servers/gateway/load_planner.h
+++ b/servers/gateway/load_planner.h
@@ -11,7 +11,7 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
-#include "servers/gateway/crash_quarantine.h"
+#include "servers/crash_quarantine.h"
 #include "servers/gateway/demand_aggregator.h"
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/gateway_policy.h"
--- a/tests/gateway_crash_fleet_test.cc
+++ b/tests/gateway_crash_fleet_test.cc
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "core/random.h"
-#include "servers/gateway/crash_quarantine.h"
+#include "servers/crash_quarantine.h"
 
 namespace shallot::gateway {
 namespace {
--- a/tests/gateway_crash_quarantine_test.cc
+++ b/tests/gateway_crash_quarantine_test.cc
@@ -1,4 +1,4 @@
-#include "servers/gateway/crash_quarantine.h"
+#include "servers/crash_quarantine.h"
 
 #include <doctest/doctest.h>
 
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "drivers/gateway/peer_codec.h"
+#include "servers/gateway/call_traits.h"
 
 namespace shallot::gateway {
 namespace {
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -151,7 +151,7 @@
   CHECK(entry.address == "10.128.0.9:8080");
   CHECK(entry.slots == 64);
   CHECK_FALSE(entry.draining);
-  CHECK(entry.born == gateway::RunnerStartTime(1787342823205));
+  CHECK(entry.born == RunnerStartTime(1787342823205));
   CHECK(entry.heartbeat == gateway::HeartbeatSequence(4));
   CHECK(entry.holdings.Holds(gateway::ModelName("daka510000"), gateway::AdapterName("a3")));
   CHECK(entry.holdings.on_disk.size() == 2);
