Refuse calls that crash one engine after the other in own fleets

What callers saw: in a fleet of routers and agents, calls with one message, or for one adapter, crashed each engine that began to answer them.

Each router treated each call on its own, and sent a lost one to another runner.

Change: an agent tells crashes of its engine from connections that merely ended (the engine refuses connections, or lost what it held) and reports the traits of the calls and loads that it was lost with (EngineCrashes). Routers pass an agent's notice on once, repeat what they refuse to a router that connects, and draw the conclusions of CrashQuarantine (CrashNotices). Traits of a call: its body, the messages of a chat before the last one, the entry and its base model. Refused calls are not-run with the reason crashes-runners; shallotctl status, a log line and two counters show it. Bounds: those of CrashQuarantine, 256 agents, one message an agent and connection for each change, repeated every 2 s for a minute.

Ruled out: a verdict by the agent alone (the call goes to the next agent); sharing what routers have seen answered (a message of each router to each other; agents tell it for their own engine).

--- a/drivers/caller_protocol.cc
+++ b/drivers/caller_protocol.cc
@@ -1,10 +1,14 @@
 #include "drivers/caller_protocol.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <string_view>
 
+#include "core/hashing.h"
+
 namespace shallot {
 namespace {
 
@@ -65,6 +69,23 @@
   return OkStatus();
 }
 
+CallTrait HashTrait(const char* kind, const std::string& text) {
+  return MakeTrait(fmt::format("{}:{:016x}", kind, StableHash(text)));
+}
+
+/// The whole body, and the messages of a chat before the last one, from the last to the first.
+std::vector<CallTrait> ReadTraits(const std::string& body, const Json& json) {
+  std::vector<CallTrait> traits{HashTrait("body", body)};
+  const auto messages = json.find("messages");
+  if (messages == json.end() || !messages->is_array()) return traits;
+  // Places are kept for the entry and its base model.
+  constexpr size_t kMaxTraits = CrashQuarantine::kMaxTraitsPerCall - 2;
+  for (size_t index = messages->size(); index > 1 && traits.size() < kMaxTraits; --index) {
+    traits.push_back(HashTrait("message", Dump((*messages)[index - 2])));
+  }
+  return traits;
+}
+
 Status ReadModelBody(CallerRequest* request) {
   const Json json = Json::parse(request->body, nullptr, false);
   if (!json.is_object()) return Invalid("the body is not a JSON object", "send a JSON object");
@@ -74,6 +95,7 @@
                    "name a model or adapter; GET /v1/models lists them");
   }
   request->entry = EntryId(model->get<std::string>());
+  request->traits = ReadTraits(request->body, json);
   const auto stream = json.find("stream");
   if (stream == json.end() || stream->is_null()) return OkStatus();
   if (!stream->is_boolean()) return Invalid("\"stream\" is not a boolean", "use true or false");
@@ -108,6 +130,8 @@
       return "use a name that GET /v1/models lists";
     case Reason::kKeyReused:
       return "use a new Idempotency-Key for a new request";
+    case Reason::kCrashesRunners:
+      return "change the request, or tell the operator of the model";
     case Reason::kDeadline:
       return "allow more time in X-Shallot-Deadline-Ms or try again later";
     default:
--- a/drivers/proto_codec.cc
+++ b/drivers/proto_codec.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "drivers/crash_codec.h"
 #include "drivers/wire/shallot.pb.h"
 
 namespace shallot {
@@ -61,6 +62,7 @@
   to->set_content_type(call.content_type);
   to->set_body(call.body);
   to->set_slot_generation(call.slot_generation.value());
+  for (const CallTrait& trait : call.traits) to->add_traits(trait.value());
 }
 
 void Fill(const CallCancel& from, wire::Envelope* envelope) {
@@ -170,6 +172,15 @@
   to->set_grace_ms(from.grace.count());
 }
 
+void Fill(const CrashNotice& from, wire::Envelope* envelope) {
+  wire::CrashNotice* to = envelope->mutable_crash_notice();
+  to->set_reporter(from.reporter.value());
+  to->set_from_router(from.from_router);
+  to->set_incarnation(from.incarnation.value());
+  to->set_sequence(from.sequence);
+  EncodeCrashFindings(from.findings, to->mutable_findings());
+}
+
 // Decoding.
 
 /// Converts a wire number to an enumeration whose last value is `last`; returns false if it is out
@@ -257,6 +268,7 @@
   call.content_type = std::move(*from.mutable_content_type());
   call.body = std::move(*from.mutable_body());
   call.slot_generation = Generation(from.slot_generation());
+  for (const std::string& trait : from.traits()) call.traits.emplace_back(trait);
   return Message(std::move(to));
 }
 
@@ -278,7 +290,7 @@
 Result<Message> Read(wire::CallOutcome& from) {
   CallOutcome to;
   if (!ReadEnum(from.kind(), OutcomeKind::kUnknown, &to.outcome.kind)) return OutOfRange("kind");
-  if (!ReadEnum(from.reason(), Reason::kInvalidRequest, &to.outcome.reason)) {
+  if (!ReadEnum(from.reason(), Reason::kCrashesRunners, &to.outcome.reason)) {
     return OutOfRange("reason");
   }
   to.call = CallId(std::move(*from.mutable_call()));
@@ -357,6 +369,12 @@
   return Message(DrainOrder{std::move(*from.mutable_reason()), grace});
 }
 
+Result<Message> Read(wire::CrashNotice& from) {
+  return Message(CrashNotice{InstanceId(std::move(*from.mutable_reporter())), from.from_router(),
+                             Incarnation(from.incarnation()), from.sequence(),
+                             DecodeCrashFindings(from.findings())});
+}
+
 Error Malformed(const std::string& problem) {
   return Error{ErrorKind::kInvalidArgument, "peer message " + problem,
                "check that only routers and agents of one version use this port"};
@@ -396,6 +414,8 @@
       return Read(*from.mutable_load_permit_return());
     case wire::Envelope::kDrainOrder:
       return Read(*from.mutable_drain_order());
+    case wire::Envelope::kCrashNotice:
+      return Read(*from.mutable_crash_notice());
     case wire::Envelope::BODY_NOT_SET:
       break;
   }
--- a/main/ctl/fleet_commands.cc
+++ b/main/ctl/fleet_commands.cc
@@ -39,6 +39,10 @@
                            address, status.value("config_revision", 0),
                            status.value("calls_in_progress", status.value("running", 0)));
   for (const json& runner : status.value("runners", empty_array)) PrintRunner(runner);
+  for (const json& row : status.value("quarantined", empty_array)) {
+    std::cout << fmt::format("  refusing calls with {} for {} ms\n", row.value("traits", ""),
+                             row.value("remaining_ms", 0));
+  }
   for (const auto& [reason, count] : status.value("refusals", json::object()).items()) {
     std::cout << fmt::format("  refused {}: {}\n", reason, count.dump());
   }
--- a/servers/agent_core.cc
+++ b/servers/agent_core.cc
@@ -12,7 +12,11 @@
   AgentCore::State* state;
   ConnectionId connection;
 
-  void operator()(const Hello& hello) const { state->peers.OnHello(connection, hello); }
+  void operator()(const Hello& hello) const {
+    state->peers.OnHello(connection, hello);
+    const std::optional<CrashNotice> notice = state->MakeCrashNotice();
+    if (notice) state->peers.Send(connection, *notice);
+  }
   void operator()(const Heartbeat& beat) const { state->peers.OnHeartbeat(connection, beat); }
   void operator()(const CallStart& start) const { state->OnCallStart(connection, start.call); }
   void operator()(const CallCancel& cancel) const { state->OnCallCancel(connection, cancel); }
@@ -29,6 +33,7 @@
   void operator()(const SlotReleased&) const {}
   void operator()(const LoadPermitRequest&) const {}
   void operator()(const LoadPermitReturn&) const {}
+  void operator()(const CrashNotice&) const {}
 };
 
 }  // namespace
--- a/servers/agent_execution.cc
+++ b/servers/agent_execution.cc
@@ -92,6 +92,15 @@
                                const std::string& content_type) {
   call->http_status = http_status;
   call->content_type = content_type;
+  crashes.OnAnswerBegun(call->call.traits, Now());
+}
+
+void AgentCore::State::OnCallLost(const AgentCall& call) {
+  const bool begun = call.http_status != 0 || call.answer.size() > 0;
+  if (begun || call.call.traits.empty() || call.cancel_sent) return;
+  crashes.OnLost(call.call.traits, call.started_at, Now());
+  // Tells whether the engine has crashed.
+  loads.FetchInventory();
 }
 
 void AgentCore::State::OnData(const CallPtr& call, const std::string& payload) {
@@ -114,6 +123,7 @@
     // A restarted engine refuses calls for entries that it no longer holds.
     loads.FetchInventory();
   }
+  if (end == ExecutionEnd::kUnknown) OnCallLost(*call);
   const Outcome outcome = OutcomeOf(*call, end, message);
   if (call->call.repeatable) {
     Finish(call, outcome);
--- a/servers/agent_state.cc
+++ b/servers/agent_state.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/log.h"
+#include "servers/entry_traits.h"
 
 namespace shallot {
 namespace {
@@ -31,6 +32,8 @@
              [this](ConnectionId connection) { OnConnectionLost(connection); }}),
       loads({options.runner, options.incarnation, options.fencing, options.static_share_interval},
             env.clock, env.engine, this, env.metrics, env.invariants),
+      crashes(options.id, {options.runner, RunnerStartTime(options.incarnation.value())},
+              options.failure_domain),
       answer_budget(std::make_shared<AnswerBudget>(options.answer_buffer_bytes)),
       self(std::make_shared<State*>(this)) {}
 
@@ -154,6 +157,40 @@
   Dispatch();
 }
 
+void AgentCore::State::OnLoadLost(const EntryId& entry, SteadyTime started) {
+  const CatalogEntry* known = config.current()->FindEntry(entry);
+  if (known != nullptr) crashes.OnLost(TraitsOfEntry(*known), started, Now());
+}
+
+void AgentCore::State::OnInventory(bool crashed) {
+  // An engine that is stopped as planned has not crashed.
+  if (!draining) crashes.OnInventory(crashed, Now());
+}
+
+std::optional<CrashNotice> AgentCore::State::MakeCrashNotice() const {
+  CrashNotice notice{options.id, false, options.incarnation, crash_notice, crashes.Findings(Now())};
+  if (notice.findings.empty()) return std::nullopt;
+  return notice;
+}
+
+void AgentCore::State::ReportCrashes() {
+  // Repeated, because a router may have missed it.
+  constexpr Millis kRepeatInterval{2'000};
+  crashes.OnTick(Now());
+  const bool changed = crashes.TakeChanged();
+  if (!changed && Now() < next_crash_notice) return;
+  next_crash_notice = Now() + kRepeatInterval;
+  if (changed) ++crash_notice;
+  const std::optional<CrashNotice> notice = MakeCrashNotice();
+  if (!notice) return;
+  if (changed) {
+    Count("shallot_agent_crash_notices_total").Add();
+    LogWarning("crashes", "telling routers of " + std::to_string(notice->findings.crashes.size()) +
+                              " crashes of the engine");
+  }
+  peers.Broadcast(*notice);
+}
+
 void AgentCore::State::AdvanceLoads() {
   const SteadyTime now = Now();
   std::erase_if(retry_loads, [now](const auto& item) { return now >= item.second; });
@@ -175,6 +212,7 @@
   ExpireQueued();
   CheckQueueComplete();
   AdvanceLoads();
+  ReportCrashes();
   ConfirmReleases();
   Dispatch();
   SendAllPending();
--- a/servers/agent_state.h
+++ b/servers/agent_state.h
@@ -13,6 +13,7 @@
 #include "servers/agent_core.h"
 #include "servers/agent_peers.h"
 #include "servers/config_replica.h"
+#include "servers/engine_crashes.h"
 #include "servers/granted_slots.h"
 #include "servers/load_scheduler.h"
 
@@ -46,6 +47,8 @@
   void OnLoadRefused(const EntryId& entry, Reason reason, Millis retry_after) override;
   void OnLoadMeasured(const EntryId& entry, Millis load_time) override;
   void OnLoaded(const EntryId& entry) override;
+  void OnLoadLost(const EntryId& entry, SteadyTime started) override;
+  void OnInventory(bool crashed) override;
   void AdvanceLoads();
 
   // agent_admission.cc: admission of calls to the queue, and refusal of queued calls.
@@ -79,6 +82,11 @@
   void OnExecutionEnd(const CallPtr& call, ExecutionEnd end, const std::string& message);
   Outcome OutcomeOf(const AgentCall& call, ExecutionEnd end, const std::string& message) const;
   void RecordServiceTime(const AgentCall& call);
+  /// Notes a call that may have crashed the engine.
+  void OnCallLost(const AgentCall& call);
+  /// The engine's crashes, for routers; absent if there are none.
+  std::optional<CrashNotice> MakeCrashNotice() const;
+  void ReportCrashes();
   void Finish(const CallPtr& call, const Outcome& outcome);
   void SendPending(AgentCall& call);
   void SendAllPending();
@@ -127,6 +135,10 @@
   GrantedSlots slots;
   AgentPeers peers;
   LoadScheduler loads;
+  EngineCrashes crashes;
+  /// Number of the last crash notice, and when it is sent again.
+  uint64_t crash_notice = 0;
+  SteadyTime next_crash_notice;
   CallQueue queue;
   std::shared_ptr<AnswerBudget> answer_budget;
   KeepAlivePolicy* keep_alive = nullptr;
--- a/servers/call.cc
+++ b/servers/call.cc
@@ -8,12 +8,12 @@
 constexpr std::array<const char*, kCallClassCount> kClassNames = {
     "premium", "status", "interactive", "manuscript", "batch"};
 constexpr std::array<const char*, 4> kOutcomeNames = {"completed", "not-run", "failed", "unknown"};
-constexpr std::array<const char*, 19> kReasonNames = {
+constexpr std::array<const char*, 20> kReasonNames = {
     "none",          "queue-full",    "deadline",          "no-memory",
     "load-failed",   "draining",      "not-granted",       "unknown-entry",
     "no-runner",     "retry-budget",  "store-unavailable", "key-reused",
     "in-progress",   "claimant-lost", "connection-lost",   "cancelled",
-    "backend-error", "overload",      "invalid-request"};
+    "backend-error", "overload",      "invalid-request",   "crashes-runners"};
 
 }  // namespace
 
--- a/servers/call.h
+++ b/servers/call.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "core/clock.h"
 #include "core/ids.h"
@@ -50,6 +51,7 @@
   kBackendError,
   kOverload,
   kInvalidRequest,
+  kCrashesRunners,  ///< Calls with the same traits have crashed runners.
 };
 
 const char* ReasonName(Reason reason);
@@ -94,6 +96,8 @@
   std::string body;
   /// Generation of the runner's slot as known to the router.
   Generation slot_generation;
+  /// What a model call has in common with others, see CrashQuarantine.
+  std::vector<CallTrait> traits = {};
 
   bool operator==(const Call&) const = default;
 };
--- a/servers/call_dispatcher.h
+++ b/servers/call_dispatcher.h
@@ -16,6 +16,7 @@
 #include "core/ids.h"
 #include "core/random.h"
 #include "servers/admission.h"
+#include "servers/crash_quarantine.h"
 #include "servers/replica_picker.h"
 #include "servers/retry_budget.h"
 #include "servers/router_core.h"
@@ -94,7 +95,8 @@
     uint64_t seed = 1;
   };
 
-  CallDispatcher(Options options, RouterEnvironment environment, RunnerDirectory* directory);
+  CallDispatcher(Options options, RouterEnvironment environment, RunnerDirectory* directory,
+                 CrashQuarantine* quarantine);
 
   CallId Submit(const CallerRequest& request, std::shared_ptr<CallerSink> sink);
   void CancelByCaller(const CallId& id);
@@ -119,6 +121,7 @@
   /// The slot of an entry on a runner, or null.
   const Slot* FindSlot(const EntryId& entry, const RunnerId& runner) const;
   double retry_tokens() const { return budget_.tokens(); }
+  const CrashQuarantine& quarantine() const { return *quarantine_; }
 
  private:
   using CallPtr = std::shared_ptr<ActiveCall>;
@@ -137,6 +140,8 @@
   bool KeyOutlivesClaim(const CallerRequest& request, const ActiveCall& active) const;
   Outcome ResolveClass(const CallerRequest& request, ActiveCall* active) const;
   Outcome Admit(const CallPtr& active);
+  /// Refuses calls that have what crashes runners.
+  Outcome CheckQuarantine(const ActiveCall& active) const;
   void Refuse(const CallPtr& active, const Outcome& outcome);
 
   // Placement.
@@ -185,6 +190,7 @@
   Options options_;
   RouterEnvironment environment_;
   RunnerDirectory* directory_;
+  CrashQuarantine* quarantine_;
   Random random_;
   Admission admission_;
   RetryBudget budget_{0.1};
--- a/servers/call_outcomes.cc
+++ b/servers/call_outcomes.cc
@@ -36,6 +36,7 @@
     case Reason::kClaimantLost:
     case Reason::kStoreUnavailable:
     case Reason::kUnknownEntry:
+    case Reason::kCrashesRunners:
       return true;
     default:
       return false;
--- a/servers/call_placement.cc
+++ b/servers/call_placement.cc
@@ -212,6 +212,11 @@
   environment_.invariants->Check(Invariant::kNoNewWorkWhileLeaving,
                                  !view->record.leaving && !view->draining,
                                  "call " + active->call.id.value() + " goes to a leaving runner");
+  const Outcome quarantined = CheckQuarantine(*active);
+  if (quarantined.kind == OutcomeKind::kNotRun) {
+    End(active, quarantined);
+    return;
+  }
   const SteadyTime now = Now();
   active->call.remaining = std::chrono::floor<Millis>(active->deadline - now);
   const Slot* slot = FindSlot(active->call.entry, active->runner);
--- a/servers/call_progress.cc
+++ b/servers/call_progress.cc
@@ -200,6 +200,7 @@
     return;
   }
   RecordDurations(*active, true, false);
+  if (!active->first_frame_seen) quarantine_->OnAnswerBegun(active->call.traits, Now());
   active->first_frame_seen = true;
   if (frame.offset == 0 && frame.http_status != 0) {
     active->answer_status = frame.http_status;
--- a/servers/call_submit.cc
+++ b/servers/call_submit.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "servers/call_dispatcher.h"
+#include "servers/entry_traits.h"
 
 namespace shallot {
 namespace {
@@ -37,10 +38,11 @@
 }  // namespace
 
 CallDispatcher::CallDispatcher(Options options, RouterEnvironment environment,
-                               RunnerDirectory* directory)
+                               RunnerDirectory* directory, CrashQuarantine* quarantine)
     : options_(std::move(options)),
       environment_(environment),
       directory_(directory),
+      quarantine_(quarantine),
       random_(options_.seed),
       admission_(options_.max_calls),
       last_tick_(environment_.clock->SteadyNow()) {
@@ -141,6 +143,9 @@
   active->call.entry = entry->id;
   active->kind = entry->kind;
   active->prefix_key = PrefixHints::KeyOf(request.body);
+  active->call.traits = request.traits;
+  const std::vector<CallTrait> entry_traits = TraitsOfEntry(*entry);
+  active->call.traits.insert(active->call.traits.end(), entry_traits.begin(), entry_traits.end());
   environment_.control->OnDemand(entry->id, !IsLoadedAnywhere(*active));
   return Accepted();
 }
@@ -181,7 +186,18 @@
   return Accepted();
 }
 
+Outcome CallDispatcher::CheckQuarantine(const ActiveCall& active) const {
+  const auto match = quarantine_->Match(active.call.traits, Now());
+  if (!match) return Accepted();
+  return NotRun(Reason::kCrashesRunners,
+                "calls with " + DescribeTraits(match->traits) +
+                    " have crashed runners; change the request, or tell the operator of the model",
+                match->remaining);
+}
+
 Outcome CallDispatcher::Admit(const CallPtr& active) {
+  const Outcome quarantined = CheckQuarantine(*active);
+  if (IsRejection(quarantined)) return quarantined;
   const AdmissionDecision in_flight = admission_.CheckInFlight(active->call.call_class);
   if (!in_flight.admitted) {
     return NotRun(in_flight.reason, "too many calls are in progress; retry later",
--- a/servers/load_scheduler.cc
+++ b/servers/load_scheduler.cc
@@ -334,6 +334,7 @@
   }
   LogWarning("load", id.value() + ": " + FormatError(ErrorOf(status)));
   if (IsOutcomeUnknown(status)) {
+    host_->OnLoadLost(id, entry.phase_since);
     SetPhase(entry, Phase::kUnsettled);
     // Counts as a failure unless the inventory shows the entry as loaded.
     entry.retry_at = clock_->SteadyNow() + Backoff(++entry.failures);
--- a/servers/load_scheduler.h
+++ b/servers/load_scheduler.h
@@ -37,6 +37,11 @@
   virtual void OnLoadMeasured(const EntryId& entry, Millis load_time) = 0;
   /// The entry is loaded and can serve calls.
   virtual void OnLoaded(const EntryId& entry) = 0;
+  /// The outcome of a load that began at `started` is not known.
+  virtual void OnLoadLost(const EntryId& entry, SteadyTime started) = 0;
+  /// The engine was asked for its inventory. `crashed`: it did not accept the connection, or it no
+  /// longer holds an entry that it held.
+  virtual void OnInventory(bool crashed) = 0;
 };
 
 /// An entry that queued calls are waiting for.
@@ -171,9 +176,11 @@
   // load_scheduler_inventory.cc
   void OnInventory(uint64_t request, uint64_t change_at_request,
                    const Result<EngineInventory>& result);
-  void ApplyInventory(uint64_t change_at_request, const EngineInventory& inventory);
+  /// Returns true if the engine no longer holds an entry that was loaded.
+  bool ApplyInventory(uint64_t change_at_request, const EngineInventory& inventory);
   void ApplyItem(Entry& entry, const InventoryItem& item);
-  void ApplyAbsence(Entry& entry);
+  /// Returns true if the entry was loaded.
+  bool ApplyAbsence(Entry& entry);
   void CountIdleTime();
   void UpdateGauges();
 
--- a/servers/load_scheduler_inventory.cc
+++ b/servers/load_scheduler_inventory.cc
@@ -41,13 +41,15 @@
   if (!serving_) {
     LogWarning("load", "inventory: " + FormatError(ErrorOf(result)));
     next_inventory_ = clock_->SteadyNow() + kInventoryRetry;
+    host_->OnInventory(ErrorOf(result).kind == ErrorKind::kUnavailable);
     return;
   }
-  ApplyInventory(change_at_request, ValueOf(result));
+  const bool entries_lost = ApplyInventory(change_at_request, ValueOf(result));
   inventory_known_ = true;
+  host_->OnInventory(entries_lost);
 }
 
-void LoadScheduler::ApplyInventory(uint64_t change_at_request, const EngineInventory& inventory) {
+bool LoadScheduler::ApplyInventory(uint64_t change_at_request, const EngineInventory& inventory) {
   ledger_.SetCapacity(inventory.memory_capacity);
   concurrency_ = inventory.concurrency;
   cached_in_memory_.clear();
@@ -63,11 +65,14 @@
     if (entry.last_change <= change_at_request) ApplyItem(entry, item);
   }
   bool unsettled = false;
+  bool entries_lost = false;
   for (auto& [id, entry] : entries_) {
-    if (!held.contains(id) && entry.last_change <= change_at_request) ApplyAbsence(entry);
+    const bool absent = !held.contains(id) && entry.last_change <= change_at_request;
+    if (absent && ApplyAbsence(entry)) entries_lost = true;
     unsettled = unsettled || entry.phase == Phase::kUnsettled;
   }
   if (unsettled) next_inventory_ = std::min(next_inventory_, clock_->SteadyNow() + kInventoryRetry);
+  return entries_lost;
 }
 
 void LoadScheduler::ApplyItem(Entry& entry, const InventoryItem& item) {
@@ -92,11 +97,13 @@
   host_->OnLoaded(item.entry);
 }
 
-void LoadScheduler::ApplyAbsence(Entry& entry) {
-  if (entry.phase == Phase::kUnsettled || entry.phase == Phase::kLoaded) {
+bool LoadScheduler::ApplyAbsence(Entry& entry) {
+  const bool was_loaded = entry.phase == Phase::kLoaded;
+  if (entry.phase == Phase::kUnsettled || was_loaded) {
     // The engine lost the entry, or an order with an unknown outcome left it unloaded.
     OnUnloaded(entry);
   }
+  return was_loaded;
 }
 
 std::vector<EntryId> LoadScheduler::Loaded() const {
--- a/servers/messages.h
+++ b/servers/messages.h
@@ -8,6 +8,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "servers/call.h"
+#include "servers/crash_quarantine.h"
 #include "servers/slot.h"
 
 namespace shallot {
@@ -180,10 +181,23 @@
   bool operator==(const DrainOrder&) const = default;
 };
 
+/// What a process knows of calls that crash engines. Agents tell of their engine's crashes; routers
+/// tell a router that has just connected which calls they refuse.
+struct CrashNotice {
+  InstanceId reporter;
+  bool from_router = false;
+  /// An agent's incarnation, and a number that rises with each of its notices.
+  Incarnation incarnation;
+  uint64_t sequence = 0;
+  CrashFindings findings;
+  bool operator==(const CrashNotice&) const = default;
+};
+
 /// Any message between processes of the system.
-using Message = std::variant<Hello, Heartbeat, CallStart, CallCancel, CallResume, CallFrame,
-                             CallOutcome, CallAck, SlotGrant, SlotReleased, ConfigPull, ConfigPush,
-                             LoadPermitRequest, LoadPermit, LoadPermitReturn, DrainOrder>;
+using Message =
+    std::variant<Hello, Heartbeat, CallStart, CallCancel, CallResume, CallFrame, CallOutcome,
+                 CallAck, SlotGrant, SlotReleased, ConfigPull, ConfigPush, LoadPermitRequest,
+                 LoadPermit, LoadPermitReturn, DrainOrder, CrashNotice>;
 
 }  // namespace shallot
 
--- a/servers/router_core.cc
+++ b/servers/router_core.cc
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "servers/call_dispatcher.h"
+#include "servers/crash_notices.h"
 #include "servers/router_status.h"
 #include "servers/runner_directory.h"
 
@@ -19,11 +20,12 @@
                    .region = options.region,
                    .seed = options.seed},
                   environment.clock, environment.link, this),
+        crashes(options.id, environment.metrics),
         calls({.id = options.id,
                .incarnation = options.incarnation,
                .max_calls = options.max_calls,
                .seed = options.seed},
-              environment, &directory) {}
+              environment, &directory, &crashes.quarantine()) {}
 
   void OnRunnerConnected(const RunnerId& runner, Incarnation incarnation) override {
     environment.control->OnRunnerUp(runner, incarnation);
@@ -46,14 +48,32 @@
       calls.OnOutcome(runner, *outcome);
       return;
     }
+    if (const auto* notice = std::get_if<CrashNotice>(&message)) {
+      OnCrashNotice(*notice);
+      return;
+    }
     environment.control->OnRunnerMessage(runner, message);
   }
   void OnPeerHeartbeat(const InstanceId& router, const Heartbeat& heartbeat) override {
     environment.control->OnRouterHeartbeat(router, heartbeat);
   }
   void OnPeerMessage(const InstanceId& router, const Message& message) override {
+    if (const auto* notice = std::get_if<CrashNotice>(&message)) {
+      OnCrashNotice(*notice);
+      return;
+    }
     environment.control->OnRouterMessage(router, message);
   }
+  void OnPeerConnected(const InstanceId& router) override {
+    for (const CrashNotice& notice : crashes.ForNewRouter(environment.clock->SteadyNow())) {
+      directory.SendToRouter(router, notice);
+    }
+  }
+  void OnCrashNotice(const CrashNotice& notice) {
+    if (crashes.OnNotice(notice, environment.clock->SteadyNow())) {
+      directory.SendToConnectedRouters(notice);
+    }
+  }
   void PublishOwnState() {
     directory.SetOwnState(environment.control->config_revision(), draining, calls.in_progress(),
                           calls.waiting());
@@ -62,6 +82,7 @@
   RouterOptions options;
   RouterEnvironment environment;
   RunnerDirectory directory;
+  CrashNotices crashes;
   CallDispatcher calls;
   bool draining = false;
 };
@@ -90,6 +111,7 @@
 void RouterCore::OnTick() {
   state_->PublishOwnState();
   state_->directory.OnTick();
+  state_->crashes.OnTick(state_->environment.clock->SteadyNow());
   state_->calls.OnTick();
 }
 
--- a/servers/router_core.h
+++ b/servers/router_core.h
@@ -58,6 +58,8 @@
   std::string path;
   std::string content_type;
   std::string body;
+  /// What the body has in common with those of other calls.
+  std::vector<CallTrait> traits;
 };
 
 struct RouterEnvironment {
--- a/servers/router_status.cc
+++ b/servers/router_status.cc
@@ -74,6 +74,12 @@
   for (const RunnerId& id : directory.runners()) {
     json["runners"].push_back(RunnerJson(id, directory, calls, now));
   }
+  json["quarantined"] = Json::array();
+  for (const QuarantinedTraits& entry : calls.quarantine().Quarantined(now)) {
+    json["quarantined"].push_back({{"traits", DescribeTraits(entry.traits)},
+                                   {"remaining_ms", entry.remaining.count()},
+                                   {"relapses", entry.relapses}});
+  }
   json["refusals"] = Json::object();
   for (const auto& [reason, count] : calls.refusals()) json["refusals"][reason] = count;
   json["placements"] = Json::object();
--- a/servers/runner_directory.cc
+++ b/servers/runner_directory.cc
@@ -1,6 +1,7 @@
 #include "servers/runner_directory.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "core/hashing.h"
@@ -187,6 +188,15 @@
   return false;
 }
 
+void RunnerDirectory::SendToConnectedRouters(const Message& message) {
+  std::set<InstanceId> connected;
+  for (const auto& [id, entry] : routers_) {
+    if (entry.connection.hello_received) connected.insert(id);
+  }
+  for (const auto& [connection, incoming] : incoming_) connected.insert(incoming.router);
+  for (const InstanceId& router : connected) SendToRouter(router, message);
+}
+
 void RunnerDirectory::EnsureConnected(const RunnerId& runner) {
   const auto it = runners_.find(runner);
   if (it == runners_.end()) return;
--- a/servers/runner_directory.h
+++ b/servers/runner_directory.h
@@ -37,6 +37,8 @@
   virtual void OnRunnerMessage(const RunnerId& runner, const Message& message) = 0;
   virtual void OnPeerHeartbeat(const InstanceId& router, const Heartbeat& heartbeat) = 0;
   virtual void OnPeerMessage(const InstanceId& router, const Message& message) = 0;
+  /// Another router's Hello arrived.
+  virtual void OnPeerConnected(const InstanceId& router) = 0;
 };
 
 /// State of one runner as known to this router.
@@ -108,6 +110,8 @@
   /// not up or the transport refused the message.
   bool SendToRunner(const RunnerId& runner, const Message& message);
   bool SendToRouter(const InstanceId& router, const Message& message);
+  /// Sends once to each router with which there is a connection.
+  void SendToConnectedRouters(const Message& message);
   /// Opens a connection if there is none and the backoff permits it. Restarts the idle timeout.
   void EnsureConnected(const RunnerId& runner);
   /// Null when the runner is not listed.
--- a/servers/runner_directory_events.cc
+++ b/servers/runner_directory_events.cc
@@ -97,6 +97,7 @@
   if (const auto* hello = std::get_if<Hello>(&message)) {
     connection.hello_received = hello->role == PeerRole::kRouter;
     connection.backoff = kMinBackoff;
+    if (connection.hello_received) listener_->OnPeerConnected(id);
     return;
   }
   if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
@@ -115,6 +116,7 @@
     incoming.last_received = now;
     incoming.next_heartbeat = now + kHeartbeatInterval;
     link_->Send(connection, OwnHello());
+    listener_->OnPeerConnected(hello->sender);
     return;
   }
   const auto it = incoming_.find(connection);
--- a/tests/caller_protocol_test.cc
+++ b/tests/caller_protocol_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,37 @@
   return request;
 }
 
+struct TraitCase {
+  const char* name;
+  const char* body;
+  /// Number of traits, and of those that it shares with the first case.
+  size_t traits;
+  size_t shared;
+};
+
+// Guards against calls whose common part is not recognized when they crash engines.
+TEST_CASE("the traits of a chat are its body and the messages before the last one") {
+  std::vector<CallTrait> first;
+  for (const TraitCase& test :
+       {TraitCase{"first", R"({"model":"m","messages":["a","b","c"]})", 3, 3},
+        TraitCase{"repeated", R"({"model":"m","messages":["a","b","c"]})", 3, 3},
+        TraitCase{"other last message", R"({"model":"m","messages":["a","b","d"]})", 3, 2},
+        TraitCase{"other first message", R"({"model":"m","messages":["x","b","c"]})", 3, 1},
+        TraitCase{"one message", R"({"model":"m","messages":["a"]})", 1, 0},
+        TraitCase{"long chat", R"({"model":"m","messages":["a","b",1,2,3,4,5,6,7]})", 6, 0},
+        TraitCase{"no chat", R"({"model":"m","prompt":"a"})", 1, 0}}) {
+    CAPTURE(test.name);
+    const Result<CallerRequest> parsed = ParseCallerRequest(ModelRequest(test.body));
+    REQUIRE(IsOk(parsed));
+    const std::vector<CallTrait>& traits = ValueOf(parsed).traits;
+    if (first.empty()) first = traits;
+    CHECK(traits.size() == test.traits);
+    CHECK(static_cast<size_t>(std::count_if(traits.begin(), traits.end(), [&](const auto& trait) {
+            return std::find(first.begin(), first.end(), trait) != first.end();
+          })) == test.shared);
+  }
+}
+
 struct BadRequestCase {
   const char* name;
   CallerHttpRequest request;
--- a/tests/composed_backend.h
+++ b/tests/composed_backend.h
@@ -22,6 +22,7 @@
   static constexpr Millis kModelLoad{300};
   static constexpr Millis kAdapterLoad{40};
   static constexpr Millis kUnloadTime{60};
+  static constexpr Millis kRestartTime{300};
   /// Transit time of an order that outlives the agent that sent it.
   static constexpr Millis kLateBy{1000};
 
@@ -49,6 +50,9 @@
 
   /// Advances orders and calls to `now`. `paused`: the agent is paused and gets no callbacks.
   void Step(SteadyTime now, bool paused) {
+    if (engine.down && !crashes.empty() && now >= crashes.back() + kRestartTime) {
+      engine.down = false;
+    }
     AcceptOrders();
     RunLateOrders(now);
     if (!paused) StepOrder(now);
@@ -104,6 +108,11 @@
   int overcommits = 0;
   /// Entries that a late order of an earlier agent loaded, with the time of the load.
   std::map<EntryId, SteadyTime> late_loaded;
+  /// Calls whose body has this text crash the engine when it would begin to answer them; if empty,
+  /// none does.
+  std::string deadly_text;
+  /// When calls or loads crashed the engine. It is back, empty, after `kRestartTime`.
+  std::vector<SteadyTime> crashes;
   /// All attempts that were started, with their answers.
   std::map<std::pair<CallId, Attempt>, std::string> started;
 
@@ -176,6 +185,11 @@
     if (running == calls().running.end()) return;
     Progress& progress = progress_[id];
     if (now < progress.next) return;
+    const std::string& body = running->second.call.body;
+    if (!deadly_text.empty() && body.find(deadly_text) != std::string::npos) {
+      Crash(now);
+      return;
+    }
     progress.next = now + kChunkTime;
     if (progress.chunk == 0) running->second.sink->OnBegin(200, "text/plain");
     if (progress.chunk < kChunks) {
@@ -185,6 +199,18 @@
     calls().End(id, ExecutionEnd::kCompleted);
   }
 
+  void Crash(SteadyTime now) {
+    crashes.push_back(now);
+    engine.down = true;
+    engine.held.clear();
+    while (!engine.orders.empty()) {
+      engine.CompleteOrder(Error{ErrorKind::kUnknownOutcome, "connection lost", ""}, false);
+    }
+    first_order_due_ = {};
+    calls().EndAll();
+    progress_.clear();
+  }
+
   FencingNumber highest_fencing_;
   SteadyTime first_order_due_;
   std::deque<std::pair<SteadyTime, EngineOrder>> late_orders_;
--- a/tests/composed_fixture.h
+++ b/tests/composed_fixture.h
@@ -63,6 +63,7 @@
   std::shared_ptr<SubmittedCall> SubmitModel(size_t router, const std::string& entry,
                                              bool stream = false);
   std::shared_ptr<SubmittedCall> SubmitOrder(size_t router, const std::string& key);
+  std::shared_ptr<SubmittedCall> Submit(size_t router, const CallerRequest& request);
   /// Adds an exception to the configuration, as a change by a further operator. `base`: revision
   /// that it is made against; 0 for the newest.
   std::shared_ptr<SubmittedChange> Change(ConfigRevision base = ConfigRevision(0));
@@ -144,7 +145,6 @@
   void Configure();
   void ListRecords();
   ProcessContext Context();
-  std::shared_ptr<SubmittedCall> Submit(size_t router, const CallerRequest& request);
   template <class T>
   void Tick(std::vector<Member<T>>* members);
   void StepBackends();
--- a/tests/proto_codec_test.cc
+++ b/tests/proto_codec_test.cc
@@ -29,6 +29,7 @@
   call.content_type = "application/json";
   call.body = std::string("\0binary\xff", 8);
   call.slot_generation = Generation(9);
+  call.traits = {CallTrait("body:1"), CallTrait("entry:\xff")};
   return call;
 }
 
@@ -89,6 +90,16 @@
       LoadPermit{15, RunnerId("r"), Millis(16)},
       LoadPermitReturn{17, RunnerId("r"), Incarnation(5)},
       DrainOrder{"maintenance", Millis(18)},
+      CrashNotice{InstanceId("a1"),
+                  true,
+                  Incarnation(18),
+                  19,
+                  {{{{RunnerId("r"), RunnerStartTime(20)},
+                     FailureDomain("regina"),
+                     {{CallTrait("body:1"), CallTrait("entry:\xff")}},
+                     {CallTrait("entry:e")},
+                     {CallTrait("body:2")}}},
+                   {{{CallTrait("body:1")}, 1, Millis(21)}}}},
   };
 }
 
