--- a/tests/gateway_peer_codec_test.cc
+++ b/tests/gateway_peer_codec_test.cc
@@ -88,6 +88,20 @@
   CHECK_FALSE(IsOk(DecodePeerMessage("")));
 }
 
+// Guards against a caller whose model name is no UTF-8 text, which made the leader reject all
+// reports of that gateway's demand.
+TEST_CASE("gateway: demand for any name that a caller can send is encoded and decoded") {
+  DemandReport report;
+  report.gateway = InstanceId("front-1");
+  report.entries.push_back({.backend = BackendName("e"),
+                            .model = ModelName("m\xff"),
+                            .adapter = AdapterName("a\xfe")});
+  const auto decoded = DecodePeerMessage(EncodePeerMessage(report));
+  REQUIRE(IsOk(decoded));
+  CHECK(std::get<DemandReport>(ValueOf(decoded)).entries[0].model == ModelName("m\xff"));
+  CHECK(std::get<DemandReport>(ValueOf(decoded)).entries[0].adapter == AdapterName("a\xfe"));
+}
+
 TEST_CASE("gateway: gateway records are encoded and decoded") {
   GatewaySettings settings;
   settings.instance = InstanceId("front-1");
