--- a/servers/call_submit.cc
+++ b/servers/call_submit.cc
@@ -196,7 +196,7 @@
 }
 
 Outcome CallDispatcher::Admit(const CallPtr& active) {
-  const Outcome quarantined = CheckQuarantine(*active);
+  Outcome quarantined = CheckQuarantine(*active);
   if (IsRejection(quarantined)) return quarantined;
   const AdmissionDecision in_flight = admission_.CheckInFlight(active->call.call_class);
   if (!in_flight.admitted) {
