--- a/servers/runner_run.h
+++ b/servers/runner_run.h
@@ -7,8 +7,8 @@
 
 namespace shallot {
 
-/// Start of a runner; distinguishes runs with the same id and increases with each of them. Unix
-/// time in milliseconds where the runner tells it.
+/// Distinguishes the runs of a runner with the same id. The Unix time of its start in milliseconds
+/// where the runner tells it.
 using RunnerStartTime = StrongNumber<struct RunnerStartTimeTag>;
 
 /// One run of a runner, from its start to its end.
