--- a/servers/crash_quarantine.h
+++ b/servers/crash_quarantine.h
@@ -59,7 +59,7 @@
 /// The traits as one text, separated by commas, for logs.
 std::string DescribeTraits(const TraitSet& traits);
 
-/// One gateway's knowledge that the others need. Replaces what it told before.
+/// What one process knows and the others need. Replaces what it told before.
 struct CrashFindings {
   std::vector<CrashReport> crashes;
   std::vector<QuarantinedTraits> quarantined;
@@ -84,6 +84,7 @@
 /// the time.
 ///
 /// All gateways combine their findings and draw the same conclusions; none decides for the others.
+/// In own fleets, agents report the crashes of their engines and routers draw the conclusions.
 /// In a large fleet each sees few calls, so a gateway that learns of a crash tells which suspected
 /// traits it has seen answered. A trait that used to be answered is quarantined only after a delay
 /// in which every gateway that sees it answered again can tell so.
