--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -29,11 +29,11 @@
 constexpr int kReadyPort = 8141;
 constexpr int kPeerPort = 7380;
 constexpr int kStorePort = 8142;
+constexpr int kStoreProxyPort = 8143;
 constexpr int kRunnerPort = 8145;
 // First value of the last address byte for each kind of component.
 constexpr size_t kGatewayHosts = 1;
 constexpr size_t kStoreHost = 60;
-constexpr size_t kStoreProxyHosts = 61;
 constexpr size_t kRunnerHosts = 100;
 constexpr size_t kRunnerProxyHosts = 170;
 
@@ -140,8 +140,7 @@
     gateway.callers =
         std::make_unique<FaultProxy>(loop_, fmt::format("{}:{}", gateway.ip, kCallerPort));
     gateway.store = std::make_unique<FaultProxy>(loop_, store);
-    const std::string store_proxy =
-        fmt::format("{}{}:{}", address_base_, kStoreProxyHosts + index, kStorePort);
+    const std::string store_proxy = fmt::format("{}:{}", gateway.ip, kStoreProxyPort);
     // The callers' proxy listens on another port of the gateway's own address.
     for (const Status& opened :
          {gateway.callers->Open(fmt::format("{}:{}", gateway.ip, kCallerPort + 1)),
@@ -184,9 +183,7 @@
        {{"front", fmt::format("{}:{}", ip, kCallerPort)},
         {"ready", fmt::format("{}:{}", ip, kReadyPort)}}},
       {"port-range", {kPeerPort, kPeerPort + 15}},
-      {"platform",
-       {{"address", fmt::format("{}{}:{}", address_base_, kStoreProxyHosts + gateway, kStorePort)},
-        {"ttl-min-ms", 1'000}}},
+      {"platform", {{"address", fmt::format("{}:{}", ip, kStoreProxyPort)}, {"ttl-min-ms", 1'000}}},
       {"bounds",
        {{"lease-ms", 3'000},
         {"require-fencing", true},
