--- a/servers/call_placement.cc
+++ b/servers/call_placement.cc
@@ -212,6 +212,7 @@
   environment_.invariants->Check(Invariant::kNoNewWorkWhileLeaving,
                                  !view->record.leaving && !view->draining,
                                  "call " + active->call.id.value() + " goes to a leaving runner");
+  // The quarantine may have begun while the call waited, or because of its own first attempt.
   const Outcome quarantined = CheckQuarantine(*active);
   if (quarantined.kind == OutcomeKind::kNotRun) {
     End(active, quarantined);
--- a/servers/crash_notices.h
+++ b/servers/crash_notices.h
@@ -18,8 +18,8 @@
 /// it. Load pattern: few routers are connected to the agent of a crashed engine, and calls that
 /// crash engines arrive at all routers.
 ///
-/// A router passes each agent's notice on once, to the routers that it is connected with. A router
-/// that connects later gets the newest notice of each agent and the quarantines in force, so that a
+/// A router forwards each agent's notice once to the routers that it is connected to. A router that
+/// connects later gets the newest notice of each agent and the quarantines in force, so that a
 /// restarted router refuses the same calls. Each router draws its own conclusions. Not thread-safe.
 class CrashNotices {
  public:
@@ -30,7 +30,7 @@
 
   CrashNotices(InstanceId self, MetricsRegistry* metrics);
 
-  /// Processes a notice. Returns true if it is an agent's and new here, to be passed on.
+  /// Processes a notice. Returns true if it is an agent's and new here, to be forwarded.
   bool OnNotice(const CrashNotice& notice, SteadyTime now);
   /// The notices for a router that has just connected.
   std::vector<CrashNotice> ForNewRouter(SteadyTime now) const;
--- a/servers/engine_crashes.h
+++ b/servers/engine_crashes.h
@@ -11,9 +11,9 @@
 
 namespace shallot {
 
-/// Tells crashes of an agent's engine from connections that merely ended, and collects what the
-/// calls and loads that it was lost with have in common. Load pattern: one call crashes the engine
-/// while others wait for their answers there. Not thread-safe.
+/// Tells crashes of an agent's engine from connections that merely ended, and collects the traits of
+/// the calls and loads that were lost with it. Load pattern: one call crashes the engine while
+/// others wait for their answers there. Not thread-safe.
 class EngineCrashes {
  public:
   /// Losses that turn out to be no crash within this time are forgotten.
