Show that a model whose load crashes engines is no longer loaded in own fleets

Without the report of lost loads (LoadScheduler::OnLoadDone, trial) the new case fails; with it at most three engines crash later than three seconds after the fifth crash. Formats a comment, too.

--- a/servers/engine_crashes.h
+++ b/servers/engine_crashes.h
@@ -11,8 +11,8 @@
 
 namespace shallot {
 
-/// Tells crashes of an agent's engine from connections that merely ended, and collects the traits of
-/// the calls and loads that were lost with it. Load pattern: one call crashes the engine while
+/// Tells crashes of an agent's engine from connections that merely ended, and collects the traits
+/// of the calls and loads that were lost with it. Load pattern: one call crashes the engine while
 /// others wait for their answers there. Not thread-safe.
 class EngineCrashes {
  public:
--- a/tests/composed_backend.h
+++ b/tests/composed_backend.h
@@ -111,6 +111,8 @@
   /// Calls whose body has this text crash the engine when it would begin to answer them; if empty,
   /// none does.
   std::string deadly_text;
+  /// Loads of this entry crash the engine.
+  EntryId deadly_entry;
   /// When calls or loads crashed the engine. It is back, empty, after `kRestartTime`.
   std::vector<SteadyTime> crashes;
   /// All attempts that were started, with their answers.
@@ -150,7 +152,9 @@
     if (now < first_order_due_) return;
     first_order_due_ = {};
     const agent_test::FakeEngine::Order& front = engine.orders.front();
-    if (front.load && !engine.held.contains(front.order.entry)) {
+    if (front.load && front.order.entry == deadly_entry) {
+      Crash(now);
+    } else if (front.load && !engine.held.contains(front.order.entry)) {
       engine.CompleteOrder(Error{ErrorKind::kResourceExhausted, "no memory", ""}, false);
     } else {
       engine.CompleteOrder();
--- a/tests/engine_crash_fleet_test.cc
+++ b/tests/engine_crash_fleet_test.cc
@@ -16,12 +16,14 @@
 constexpr int kMaxLateStarts = 3;
 constexpr const char* kDeadly = "deadly";
 
-/// A fleet whose engines crash when they begin to answer calls with the text kDeadly.
+/// A fleet whose engines crash when they begin to answer calls with the text kDeadly, or when they
+/// load m3.
 class CrashFleet {
  public:
   CrashFleet() {
     for (size_t engine = 0; engine < ComposedFleet::kService; ++engine) {
       fleet_.backend(engine).deadly_text = kDeadly;
+      fleet_.backend(engine).deadly_entry = EntryId("m3");
     }
   }
 
@@ -68,15 +70,16 @@
   bool restarts_routers;
 };
 
-// Guards against calls with one message, or for one adapter, that crash one engine after the other,
-// also when the routers that have learned of it restart.
+// Guards against calls with one message, or for one adapter or model, that crash one engine after
+// the other, also when the routers that have learned of it restart.
 TEST_CASE("own fleet: calls that crash engines stop reaching engines") {
   const CallTrait shared("message:shared");
   for (const DeadlyCase& test :
        {DeadlyCase{"one message", "m1", {CallTrait("message:deadly"), shared}, false},
         DeadlyCase{
             "one message, routers restart", "m1", {CallTrait("message:deadly"), shared}, true},
-        DeadlyCase{"one adapter", "a1", {}, false}}) {
+        DeadlyCase{"one adapter", "a1", {}, false},
+        DeadlyCase{"one model's load", "m3", {}, false}}) {
     CAPTURE(std::string(test.name));
     CrashFleet crash;
     constexpr int kSteps = 1'500;
