--- a/tests/gateway_crash_quarantine_test.cc
+++ b/tests/gateway_crash_quarantine_test.cc
@@ -57,7 +57,8 @@
   }
   /// Passes the findings on as the store and the peers do.
   void SendTo(QuarantineFixture* other, const std::string& name = "front-1") const {
-    const auto report = DecodeFindings(EncodeFindings({InstanceId(name), quarantine_.Own(now_)}));
+    const auto report =
+        DecodeFindings(EncodeFindings({InstanceId(name), quarantine_.Own(now_), {}}));
     REQUIRE(IsOk(report));
     other->quarantine_.Merge(ValueOf(report).gateway, ValueOf(report).crashes, other->now_);
     other->Advance(CrashQuarantine::kSettleDirect);
@@ -313,7 +314,7 @@
   }
   CHECK(fixture.quarantine_.crashes() <= CrashQuarantine::kMaxCrashes);
   const std::string record =
-      EncodeFindings({InstanceId("front-1"), fixture.quarantine_.Own(fixture.now_)});
+      EncodeFindings({InstanceId("front-1"), fixture.quarantine_.Own(fixture.now_), {}});
   CHECK(record.size() < 131'072);
 }
 
