Log the store's era, configurations that are not newer, and show both

What callers saw: 404 on added routes after a restore of the store; the logs did not show the restore, and a configuration that is read and refused left no line, so the three hypotheses could not be told apart.

Change: all calls to the store go through StoreCalls, which reads the header Store-Era and logs each change (event=store-era, metric store_era). A configuration older than the one in force is logged (config-not-newer). GET /store and 'shallotctl store' show era, configuration version, leader and fencing number of each gateway, so that a gateway that differs stands out. No decision changes.

--- a/drivers/gateway/admin_handler.cc
+++ b/drivers/gateway/admin_handler.cc
@@ -25,6 +25,8 @@
     connection->Answer(TextAnswer(200, "OK", "application/json", Quarantine()));
   } else if (path == "/limits") {
     connection->Answer(TextAnswer(200, "OK", "application/json", Limits()));
+  } else if (path == "/store") {
+    connection->Answer(TextAnswer(200, "OK", "application/json", Store()));
   } else {
     connection->Answer(TextAnswer(404, "Not Found", "text/plain", ""));
   }
@@ -72,4 +74,13 @@
   return Dump({{"gateway", context_->settings.instance.value()}, {"limited", limited}});
 }
 
+std::string AdminHandler::Store() const {
+  const std::optional<StoreEra> era = context_->store.era();
+  const Json state = {{"era", era ? era->value() : 0},
+                      {"config_version", context_->routes ? context_->routes->version.value() : 0},
+                      {"leader", context_->leader ? context_->leader->holder.value() : ""},
+                      {"fence", context_->leader ? context_->leader->revision.value() : 0}};
+  return Dump({{"gateway", context_->settings.instance.value()}, {"state", Json::array({state})}});
+}
+
 }  // namespace shallot::gateway
--- a/drivers/gateway/admin_handler.h
+++ b/drivers/gateway/admin_handler.h
@@ -18,8 +18,8 @@
 };
 
 /// Answers operators: `GET /metrics` with all metrics as text; as JSON, `GET /quarantine` with the
-/// calls that the gateway refuses because such calls crash runners, and `GET /limits` with the
-/// runners that limit their calls.
+/// calls that the gateway refuses because such calls crash runners, `GET /limits` with the runners
+/// that limit their calls, and `GET /store` with what the gateway has read from the store.
 class AdminHandler final : public CallerHandler {
  public:
   AdminHandler(GatewayContext* context, std::function<DaemonFigures()> figures)
@@ -32,6 +32,7 @@
   std::string Metrics();
   std::string Quarantine() const;
   std::string Limits() const;
+  std::string Store() const;
 
   GatewayContext* context_;
   std::function<DaemonFigures()> figures_;
--- a/drivers/gateway/findings_driver.cc
+++ b/drivers/gateway/findings_driver.cc
@@ -93,9 +93,8 @@
   SendToPeers(report);
   writing_ = true;
   const std::string value = EncodeFindings(report);
-  context_->calls.Start(context_->settings.store_address,
-                        context_->protocol->LeaseRequest(Lifetime(report.crashes)),
-                        kStoreCallTimeout, [this, value](const Result<HttpMessage>& answer) {
+  context_->store.Start(context_->protocol->LeaseRequest(Lifetime(report.crashes)),
+                        StoreCalls::kTimeout, [this, value](const Result<HttpMessage>& answer) {
                           if (!IsOk(answer)) {
                             Fail(ErrorOf(answer).message);
                             return;
@@ -121,8 +120,7 @@
 
 void FindingsDriver::Write(const std::string& value, LeaseId lease) {
   const ConditionalWrite write{key_, value, revision_, lease};
-  context_->calls.Start(context_->settings.store_address, context_->protocol->WriteRequest(write),
-                        kStoreCallTimeout,
+  context_->store.Start(context_->protocol->WriteRequest(write), StoreCalls::kTimeout,
                         [this](const Result<HttpMessage>& answer) { OnWritten(answer); });
 }
 
--- a/drivers/gateway/fleet_follower.cc
+++ b/drivers/gateway/fleet_follower.cc
@@ -8,8 +8,7 @@
 FleetFollower::FleetFollower(GatewayContext* context, std::function<void()> on_change)
     : context_(context),
       on_change_(std::move(on_change)),
-      follower_(&context->loop, &context->calls, context->protocol, context->settings.store_address,
-                "", this) {}
+      follower_(&context->loop, &context->store, context->protocol, "", this) {}
 
 void FleetFollower::OnItem(const StoreItem& item) {
   const PlatformProtocol& protocol = *context_->protocol;
@@ -69,7 +68,14 @@
     return;
   }
   const FleetRoutes& received = ValueOf(decoded);
-  if (context_->routes && received.version <= context_->routes->version) return;
+  if (context_->routes && received.version <= context_->routes->version) {
+    if (received.version < context_->routes->version) {
+      LogWarning("config", fmt::format("event=config-not-newer version={} revision={} in_force={}",
+                                       received.version.value(), item.revision.value(),
+                                       context_->routes->version.value()));
+    }
+    return;
+  }
   LogInfo("config",
           fmt::format("event=config-applied version={} revision={} routes={}",
                       received.version.value(), item.revision.value(), received.routes.size()));
--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -15,6 +15,7 @@
 #include "drivers/gateway/http_client.h"
 #include "drivers/gateway/peer_channel.h"
 #include "drivers/gateway/platform_protocol.h"
+#include "drivers/gateway/store_calls.h"
 #include "servers/crash_quarantine.h"
 #include "servers/gateway/demand_aggregator.h"
 #include "servers/gateway/fleet_routes.h"
@@ -57,6 +58,7 @@
               [platform](const HttpHead& head) {
                 return !platform->DecodeAnswer(head).call.empty();
               }),
+        store(&calls, platform, settings.store_address, registry),
         limits(settings.instance),
         picker(&settings.policy, &view, settings.domain, &limits),
         quarantine(settings.instance) {}
@@ -69,6 +71,7 @@
   EventLoop loop;
   HttpClient client;
   BufferedCalls calls;
+  StoreCalls store;
   PeerChannel peers;
   /// Newest configuration; null until the first one has been read.
   std::shared_ptr<const FleetRoutes> routes;
--- a/drivers/gateway/lease_renewal.h
+++ b/drivers/gateway/lease_renewal.h
@@ -8,9 +8,6 @@
 
 namespace shallot::gateway {
 
-/// Timeout of lease and key calls to the store, which usually take 4 ms.
-inline constexpr Millis kStoreCallTimeout{700};
-
 /// Derives the state of the lease from the answer to its renewal.
 LeaseRenewal RenewalOutcome(const PlatformProtocol& protocol, const Result<HttpMessage>& answer);
 
--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -66,8 +66,8 @@
   // gateway leads until the store has ended the lease: while the store is unavailable there can be
   // no successor. Elsewhere it must give no order after the lease has ended.
   if (!context_->settings.orders_fenced) election_.Stop();
-  context_->calls.Start(context_->settings.store_address,
-                        context_->protocol->EndLeaseRequest(election_.lease()), kStoreCallTimeout,
+  context_->store.Start(context_->protocol->EndLeaseRequest(election_.lease()),
+                        StoreCalls::kTimeout,
                         [this](const Result<HttpMessage>& answer) { OnReleased(answer); });
 }
 
@@ -196,8 +196,8 @@
   const GatewaySettings& settings = context_->settings;
   const Millis term =
       LeaderElection::Term(settings.orders_fenced, settings.order_lease, settings.min_lease);
-  context_->calls.Start(settings.store_address, context_->protocol->LeaseRequest(term),
-                        kStoreCallTimeout, [this, sent](const Result<HttpMessage>& answer) {
+  context_->store.Start(context_->protocol->LeaseRequest(term), StoreCalls::kTimeout,
+                        [this, sent](const Result<HttpMessage>& answer) {
                           const BootTime now = context_->clock->BootNow();
                           if (!IsOk(answer)) {
                             election_.OnLease(std::nullopt, Millis(0), sent, now);
@@ -219,8 +219,8 @@
   const bool reclaims = election_.ReclaimsOwnRecord();
   const ConditionalWrite write{context_->protocol->LeaderKey(), EncodeGatewayRecord(settings),
                                election_.ClaimCondition(), election_.lease()};
-  context_->calls.Start(
-      settings.store_address, context_->protocol->WriteRequest(write), kStoreCallTimeout,
+  context_->store.Start(
+      context_->protocol->WriteRequest(write), StoreCalls::kTimeout,
       [this, reclaims](const Result<HttpMessage>& answer) {
         const BootTime now = context_->clock->BootNow();
         if (!IsOk(answer)) {
@@ -252,8 +252,7 @@
 
 void PlacementDriver::Renew() {
   const BootTime sent = context_->clock->BootNow();
-  context_->calls.Start(context_->settings.store_address,
-                        context_->protocol->RenewRequest(election_.lease()), kStoreCallTimeout,
+  context_->store.Start(context_->protocol->RenewRequest(election_.lease()), StoreCalls::kTimeout,
                         [this, sent](const Result<HttpMessage>& answer) {
                           election_.OnRenewed(RenewalOutcome(*context_->protocol, answer), sent,
                                               context_->clock->BootNow());
--- a/drivers/gateway/platform_protocol.h
+++ b/drivers/gateway/platform_protocol.h
@@ -104,6 +104,8 @@
   virtual OrderAnswer DecodeOrderAnswer(int status) const = 0;
 
   // Store.
+  /// The era that an answer of the store names; absent if it names none.
+  virtual std::optional<StoreEra> DecodeStoreEra(const HttpHead& answer) const = 0;
   virtual std::string RoutesKey() const = 0;
   virtual std::string RunnersPrefix() const = 0;
   virtual std::string LeaderKey() const = 0;
--- a/drivers/gateway/prefix_follower.cc
+++ b/drivers/gateway/prefix_follower.cc
@@ -6,13 +6,11 @@
 
 namespace shallot::gateway {
 
-PrefixFollower::PrefixFollower(EventLoop* loop, BufferedCalls* calls,
-                               const PlatformProtocol* protocol, std::string store_address,
+PrefixFollower::PrefixFollower(EventLoop* loop, StoreCalls* store, const PlatformProtocol* protocol,
                                std::string prefix, PrefixListener* listener)
     : loop_(loop),
-      calls_(calls),
+      store_(store),
       protocol_(protocol),
-      address_(std::move(store_address)),
       prefix_(std::move(prefix)),
       listener_(listener) {}
 
@@ -22,7 +20,7 @@
     first_page_ = true;
   }
   const Millis limit = failing_ ? TimeoutAfterFailure() : kReadTimeout;
-  calls_->Start(address_, protocol_->RangeRequest(prefix_, after), limit,
+  store_->Start(protocol_->RangeRequest(prefix_, after), limit,
                 [this](const Result<HttpMessage>& answer) { OnPage(answer); });
 }
 
@@ -56,7 +54,7 @@
 void PrefixFollower::Watch() {
   const Millis wait = failing_ ? kWaitAfterFailure : kWait;
   const Millis limit = failing_ ? kWaitAfterFailure + TimeoutAfterFailure() : kWait + kAnswerMargin;
-  calls_->Start(address_, protocol_->WatchRequest(prefix_, revision_, wait), limit,
+  store_->Start(protocol_->WatchRequest(prefix_, revision_, wait), limit,
                 [this](const Result<HttpMessage>& answer) { OnChanges(answer); });
 }
 
--- a/drivers/gateway/prefix_follower.h
+++ b/drivers/gateway/prefix_follower.h
@@ -6,8 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "drivers/gateway/buffered_call.h"
+#include "drivers/gateway/event_loop.h"
 #include "drivers/gateway/platform_protocol.h"
+#include "drivers/gateway/store_calls.h"
 
 namespace shallot::gateway {
 
@@ -58,8 +59,8 @@
   /// Pause after a failed call.
   static constexpr Millis kRetryPause{250};
 
-  PrefixFollower(EventLoop* loop, BufferedCalls* calls, const PlatformProtocol* protocol,
-                 std::string store_address, std::string prefix, PrefixListener* listener);
+  PrefixFollower(EventLoop* loop, StoreCalls* store, const PlatformProtocol* protocol,
+                 std::string prefix, PrefixListener* listener);
 
   void Start() { Read(""); }
   /// Number of processes that follow the store.
@@ -76,9 +77,8 @@
   }
 
   EventLoop* loop_;
-  BufferedCalls* calls_;
+  StoreCalls* store_;
   const PlatformProtocol* protocol_;
-  std::string address_;
   std::string prefix_;
   PrefixListener* listener_;
   std::vector<StoreItem> snapshot_items_;
--- a/drivers/gateway/presence_driver.cc
+++ b/drivers/gateway/presence_driver.cc
@@ -41,8 +41,7 @@
 }
 
 void PresenceDriver::CreateLease() {
-  context_->calls.Start(context_->settings.store_address,
-                        context_->protocol->LeaseRequest(Presence::kTerm), kStoreCallTimeout,
+  context_->store.Start(context_->protocol->LeaseRequest(Presence::kTerm), StoreCalls::kTimeout,
                         [this](const Result<HttpMessage>& answer) {
                           std::optional<LeaseId> lease;
                           if (IsOk(answer)) {
@@ -61,8 +60,8 @@
   const GatewaySettings& settings = context_->settings;
   const ConditionalWrite write{key_, EncodeGatewayRecord(settings), presence_.Condition(),
                                presence_.lease()};
-  context_->calls.Start(
-      settings.store_address, context_->protocol->WriteRequest(write), kStoreCallTimeout,
+  context_->store.Start(
+      context_->protocol->WriteRequest(write), StoreCalls::kTimeout,
       [this](const Result<HttpMessage>& answer) {
         const BootTime now = context_->clock->BootNow();
         if (!IsOk(answer)) {
@@ -88,8 +87,7 @@
 }
 
 void PresenceDriver::Renew() {
-  context_->calls.Start(context_->settings.store_address,
-                        context_->protocol->RenewRequest(presence_.lease()), kStoreCallTimeout,
+  context_->store.Start(context_->protocol->RenewRequest(presence_.lease()), StoreCalls::kTimeout,
                         [this](const Result<HttpMessage>& answer) {
                           const LeaseRenewal renewal = RenewalOutcome(*context_->protocol, answer);
                           LogOutcomeChange(renewal == LeaseRenewal::kDone, "renewal");
--- a/main/ctl/gateway_commands.cc
+++ b/main/ctl/gateway_commands.cc
@@ -84,4 +84,15 @@
                   });
 }
 
+int RunStore(const CtlOptions& options) {
+  return ShowRows(
+      options,
+      {"/store", "state", {"era", "config_version", "leader", "fence"}, "nothing is known"},
+      [](const json& row) {
+        return fmt::format("era {}  config {}  leader {} (fence {})", row.value("era", 0),
+                           row.value("config_version", 0), row.value("leader", ""),
+                           row.value("fence", uint64_t{0}));
+      });
+}
+
 }  // namespace shallot::ctl
--- a/servers/gateway/leader_election.h
+++ b/servers/gateway/leader_election.h
@@ -8,13 +8,10 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "servers/gateway/store_position.h"
 
 namespace shallot::gateway {
 
-using LeaseId = StrongNumber<struct LeaseIdTag>;
-/// Position in the platform store's history; increases with each change.
-using StoreRevision = StrongNumber<struct StoreRevisionTag>;
-
 /// Outcome of a lease renewal. kLost: the lease has ended. kUnknown: no response, or an
 /// inconclusive one.
 enum class LeaseRenewal { kDone, kLost, kUnknown };
