Read the store again when it was restored from a copy

What callers saw: some gateways refused routes that had been added seconds before with 404, or sent calls to the former backend, until the next change (CONFIG).

Cause: a gateway follows the store from the last revision that it has seen. A restored store goes back and gives the revisions out again. A gateway that was cut off, frozen or between two watches while the store passed that revision gets its watch answered as if nothing had happened, and never reads the changes in between.

Ruled out: a configuration that is read and refused (config-not-newer appears in no log), an older one that is taken.

Change: StoreHistory decides, without I/O, what an answer is worth by the eras in which its call was sent and answered. StoreCalls asks it for every answer, tells its listeners of a restore first, and ends the calls that were in progress with an error. The follower reads everything from the start.

--- a/drivers/gateway/prefix_follower.cc
+++ b/drivers/gateway/prefix_follower.cc
@@ -14,14 +14,22 @@
       prefix_(std::move(prefix)),
       listener_(listener) {}
 
+void PrefixFollower::Start() {
+  store_->AddListener(this);
+  Read("");
+}
+
+void PrefixFollower::OnStoreRestored() { Read(""); }
+
 void PrefixFollower::Read(const std::string& after) {
   if (after.empty()) {
+    ++round_;
     snapshot_items_.clear();
     first_page_ = true;
   }
   const Millis limit = failing_ ? TimeoutAfterFailure() : kReadTimeout;
   store_->Start(protocol_->RangeRequest(prefix_, after), limit,
-                [this](const Result<HttpMessage>& answer) { OnPage(answer); });
+                InThisRound([this](const Result<HttpMessage>& answer) { OnPage(answer); }));
 }
 
 void PrefixFollower::OnPage(const Result<HttpMessage>& answer) {
@@ -55,7 +63,7 @@
   const Millis wait = failing_ ? kWaitAfterFailure : kWait;
   const Millis limit = failing_ ? kWaitAfterFailure + TimeoutAfterFailure() : kWait + kAnswerMargin;
   store_->Start(protocol_->WatchRequest(prefix_, revision_, wait), limit,
-                [this](const Result<HttpMessage>& answer) { OnChanges(answer); });
+                InThisRound([this](const Result<HttpMessage>& answer) { OnChanges(answer); }));
 }
 
 void PrefixFollower::OnChanges(const Result<HttpMessage>& answer) {
@@ -75,7 +83,7 @@
   const StoreBatch& batch = ValueOf(changes);
   for (const StoreItem& item : batch.items) listener_->OnChange(item);
   if (batch.revision > revision_) revision_ = batch.revision;
-  loop_->After(WatchPause(followers_), [this] { Watch(); });
+  loop_->After(WatchPause(followers_), InThisRound([this] { Watch(); }));
 }
 
 void PrefixFollower::Retry(const Error& error, bool read_again) {
@@ -83,13 +91,13 @@
   failing_ = true;
   ++failures_;
   listener_->OnStoreFailure();
-  loop_->After(kRetryPause, [this, read_again] {
-    if (read_again) {
-      Read("");
-    } else {
-      Watch();
-    }
-  });
+  loop_->After(kRetryPause, InThisRound([this, read_again] {
+                 if (read_again) {
+                   Read("");
+                 } else {
+                   Watch();
+                 }
+               }));
 }
 
 }  // namespace shallot::gateway
--- a/drivers/gateway/prefix_follower.h
+++ b/drivers/gateway/prefix_follower.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -27,8 +28,10 @@
 };
 
 /// Watches a key prefix of the store: reads all pages, then polls for changes with long-running
-/// watch calls. Reads everything again when the store no longer has the history.
-class PrefixFollower {
+/// watch calls. Reads everything again when the store no longer has the history or was restored:
+/// a restored store may have passed the revision up to which changes were delivered, and answers a
+/// watch from there as if nothing had happened.
+class PrefixFollower final : public StoreRestoreListener {
  public:
   /// Longest time that the store delays the answer to a watch call when nothing changes. A call
   /// that the store dropped at the end of an outage, or whose connection is dead, fails after this
@@ -62,11 +65,19 @@
   PrefixFollower(EventLoop* loop, StoreCalls* store, const PlatformProtocol* protocol,
                  std::string prefix, PrefixListener* listener);
 
-  void Start() { Read(""); }
+  void Start();
+  void OnStoreRestored() override;
   /// Number of processes that follow the store.
   void SetFollowers(size_t followers) { followers_ = followers; }
 
  private:
+  /// `step`, unless the store has been read from the start meanwhile.
+  template <class Step>
+  auto InThisRound(Step step) {
+    return [this, round = round_, step](const auto&... arguments) {
+      if (round == round_) step(arguments...);
+    };
+  }
   void Read(const std::string& after);
   void OnPage(const Result<HttpMessage>& answer);
   void Watch();
@@ -86,6 +97,9 @@
   /// snapshot, so the watch starts at the revision of the first page.
   StoreRevision revision_;
   bool first_page_ = true;
+  /// Counts how often the store was read from the start; calls and timers of earlier rounds are
+  /// ignored.
+  uint64_t round_ = 0;
   bool failing_ = false;
   size_t failures_ = 0;
   size_t followers_ = 1;
--- a/drivers/gateway/store_calls.cc
+++ b/drivers/gateway/store_calls.cc
@@ -14,21 +14,37 @@
 
 void StoreCalls::Start(const HttpMessage& request, Millis timeout, BufferedCalls::Done done) {
   calls_->Start(address_, request, timeout,
-                [this, done = std::move(done)](const Result<HttpMessage>& answer) {
-                  if (IsOk(answer)) {
-                    const auto era = protocol_->DecodeStoreEra(ValueOf(answer).head);
-                    if (era) OnEra(*era);
+                [this, sent_in = era(), done = std::move(done)](const Result<HttpMessage>& answer) {
+                  if (!IsOk(answer) || Check(sent_in, ValueOf(answer).head)) {
+                    done(answer);
+                    return;
                   }
-                  done(answer);
+                  done(Error{ErrorKind::kUnknownOutcome,
+                             "the store was restored from a copy while the call was in progress",
+                             "read the store again"});
                 });
 }
 
-void StoreCalls::OnEra(StoreEra era) {
-  if (era_ == era) return;
-  LogInfo("store", fmt::format("event=store-era era={} before={}", era.value(),
-                               era_ ? std::to_string(era_->value()) : "unknown"));
-  era_ = era;
-  metrics_->GetGauge("store_era").Set(static_cast<int64_t>(era.value()));
+bool StoreCalls::Check(std::optional<StoreEra> sent_in, const HttpHead& answer) {
+  const std::optional<StoreEra> before = era();
+  const std::optional<StoreEra> answered_in = protocol_->DecodeStoreEra(answer);
+  const StoreHistory::Verdict verdict = history_.OnAnswer(sent_in, answered_in);
+  if (era() != before) {
+    metrics_->GetGauge("store_era").Set(static_cast<int64_t>(era()->value()));
+    LogInfo("store", fmt::format("event=store-era era={} before={}", era()->value(),
+                                 before ? std::to_string(before->value()) : "unknown"));
+  }
+  if (verdict == StoreHistory::Verdict::kOutdated) {
+    LogInfo("store",
+            fmt::format("event=outdated-answer era={} sent_in={} answered_in={}", era()->value(),
+                        sent_in ? sent_in->value() : 0, answered_in ? answered_in->value() : 0));
+  }
+  if (verdict == StoreHistory::Verdict::kRestored) {
+    LogWarning("store", fmt::format("event=store-restored era={}", era()->value()));
+    metrics_->GetCounter("store_restores_total").Add();
+    for (StoreRestoreListener* listener : listeners_) listener->OnStoreRestored();
+  }
+  return verdict == StoreHistory::Verdict::kCurrent;
 }
 
 }  // namespace shallot::gateway
--- a/drivers/gateway/store_calls.h
+++ b/drivers/gateway/store_calls.h
@@ -3,13 +3,24 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/metrics.h"
 #include "drivers/gateway/buffered_call.h"
 #include "drivers/gateway/platform_protocol.h"
+#include "servers/gateway/store_history.h"
 
 namespace shallot::gateway {
 
+/// Is told when the platform has restored its store from a copy.
+class StoreRestoreListener {
+ public:
+  virtual ~StoreRestoreListener() = default;
+  /// Revisions and leases of the time before are void. Called before the callbacks of the calls
+  /// that were in progress, which then end with an error.
+  virtual void OnStoreRestored() = 0;
+};
+
 /// Calls to the platform's store. Used on the event loop's thread only.
 class StoreCalls {
  public:
@@ -19,19 +30,24 @@
   StoreCalls(BufferedCalls* calls, const PlatformProtocol* protocol, std::string address,
              MetricsRegistry* metrics);
 
-  /// As BufferedCalls::Start(), to the store.
+  /// As BufferedCalls::Start(), to the store. A call that was in progress while the store was
+  /// restored ends with kUnknownOutcome.
   void Start(const HttpMessage& request, Millis timeout, BufferedCalls::Done done);
-  /// The era of the newest answer; absent if no answer has named one.
-  std::optional<StoreEra> era() const { return era_; }
+  /// `listener` must live as long as this object.
+  void AddListener(StoreRestoreListener* listener) { listeners_.push_back(listener); }
+  /// The present era; absent if no answer has named one.
+  std::optional<StoreEra> era() const { return history_.era(); }
 
  private:
-  void OnEra(StoreEra era);
+  /// Returns whether the answer may be used.
+  bool Check(std::optional<StoreEra> sent_in, const HttpHead& answer);
 
   BufferedCalls* calls_;
   const PlatformProtocol* protocol_;
   std::string address_;
   MetricsRegistry* metrics_;
-  std::optional<StoreEra> era_;
+  StoreHistory history_;
+  std::vector<StoreRestoreListener*> listeners_;
 };
 
 }  // namespace shallot::gateway
--- a/tests/gateway_fake_platform.cc
+++ b/tests/gateway_fake_platform.cc
@@ -10,8 +10,8 @@
 
 using Json = nlohmann::json;
 
-/// Interval at which writes of other threads are applied to the store.
-constexpr Millis kApplyInterval{2};
+/// Interval at which actions of other threads are run.
+constexpr Millis kQueueInterval{2};
 constexpr uint64_t kBorn = 1'700'000'000'000;
 constexpr uint64_t kStoreSeed = 1;
 
@@ -32,35 +32,23 @@
   if (!IsOk(store_.Open(store_address_)) || !IsOk(runner_.Open(runner_address_))) {
     throw std::runtime_error("the fake platform cannot listen");
   }
-  loop_.After(Duration(0), [this] { ApplyPuts(); });
+  loop_.After(Duration(0), [this] { RunQueued(); });
   thread_ = std::thread([this] { loop_.Run(); });
 }
 
-void FakePlatform::ApplyPuts() {
-  std::vector<std::pair<std::string, std::optional<std::string>>> puts;
+void FakePlatform::Queue(std::function<void()> action) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  queued_.push_back(std::move(action));
+}
+
+void FakePlatform::RunQueued() {
+  std::vector<std::function<void()>> queued;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    puts.swap(puts_);
+    queued.swap(queued_);
   }
-  for (const auto& [key, value] : puts) {
-    if (key.empty()) {
-      Json entry = Holdings();
-      entry.update({{"service", "engine"},
-                    {"address", runner_address_},
-                    {"zone", "north"},
-                    {"version", "v1"},
-                    {"slots", 8},
-                    {"state", "ready"},
-                    {"seq", ++heartbeat_},
-                    {"born", kBorn}});
-      store_.Put("servers/i-1", entry.dump());
-    } else if (value) {
-      store_.Put(key, *value);
-    } else {
-      store_.Remove(key);
-    }
-  }
-  loop_.After(kApplyInterval, [this] { ApplyPuts(); });
+  for (const auto& action : queued) action();
+  loop_.After(kQueueInterval, [this] { RunQueued(); });
 }
 
 FakePlatform::~FakePlatform() {
@@ -69,16 +57,38 @@
 }
 
 void FakePlatform::Put(const std::string& key, const std::string& value) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  puts_.emplace_back(key, value);
+  Queue([this, key, value] { store_.Put(key, value); });
 }
 
 void FakePlatform::Remove(const std::string& key) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  puts_.emplace_back(key, std::nullopt);
+  Queue([this, key] { store_.Remove(key); });
 }
 
-void FakePlatform::PutRunner() { Put("", ""); }
+void FakePlatform::CopyStore() {
+  Queue([this] { copy_ = store_.TakeCopy(); });
+}
+
+void FakePlatform::RestoreStore(const std::vector<std::pair<std::string, std::string>>& writes) {
+  Queue([this, writes] {
+    store_.Restore(copy_);
+    for (const auto& [key, value] : writes) store_.Put(key, value);
+  });
+}
+
+void FakePlatform::PutRunner() {
+  Queue([this] {
+    Json entry = Holdings();
+    entry.update({{"service", "engine"},
+                  {"address", runner_address_},
+                  {"zone", "north"},
+                  {"version", "v1"},
+                  {"slots", 8},
+                  {"state", "ready"},
+                  {"seq", ++heartbeat_},
+                  {"born", kBorn}});
+    store_.Put("servers/i-1", entry.dump());
+  });
+}
 
 Json FakePlatform::Holdings() const {
   Json models = Json::array();
--- a/tests/gateway_fake_platform.h
+++ b/tests/gateway_fake_platform.h
@@ -2,13 +2,14 @@
 #define TESTS_GATEWAY_FAKE_PLATFORM_H_
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "drivers/gateway/caller_connection.h"
@@ -31,6 +32,11 @@
   void Put(const std::string& key, const std::string& value);
   /// Removes a key, asynchronously. May be called from any thread.
   void Remove(const std::string& key);
+  /// Takes a copy of the store, asynchronously.
+  void CopyStore();
+  /// Restores the store from the copy and makes these writes before it serves a request,
+  /// asynchronously.
+  void RestoreStore(const std::vector<std::pair<std::string, std::string>>& writes);
   /// Writes the runner's entry with the models that it holds, asynchronously. May be called from
   /// any thread.
   void PutRunner();
@@ -45,8 +51,9 @@
   void OnCallerGone(CallerConnection* connection) override;
 
  private:
-  /// Makes the changes that Put(), PutRunner() and Remove() have queued.
-  void ApplyPuts();
+  /// Queues an action for the loop's thread.
+  void Queue(std::function<void()> action);
+  void RunQueued();
   void Answer(CallerConnection* connection, int status, const nlohmann::json& body);
   void HandleOrder(CallerConnection* connection, const std::string& body);
   void HandleCall(CallerConnection* connection, const HttpMessage& request);
@@ -55,6 +62,7 @@
   SystemClock clock_;
   EventLoop loop_;
   StandinStore store_;
+  StandinStore::Copy copy_;
   CallerListener runner_;
   std::string store_address_;
   std::string runner_address_;
@@ -66,8 +74,7 @@
   std::atomic<uint64_t> calls_{0};
   std::atomic<uint64_t> calls_abandoned_{0};
   std::mutex mutex_;
-  /// Keys and their new values; without a value, the key is removed.
-  std::vector<std::pair<std::string, std::optional<std::string>>> puts_;
+  std::vector<std::function<void()>> queued_;
   std::thread thread_;
 };
 
--- a/tests/standin_store.cc
+++ b/tests/standin_store.cc
@@ -71,6 +71,10 @@
   history_.clear();
   history_from_ = revision_;
   watches_muted_ = false;
+  AbortWatchers();
+}
+
+void StandinStore::AbortWatchers() {
   for (const Watcher& watcher : watchers_) {
     loop_->Cancel(watcher.timer);
     watcher.connection->Abort();
@@ -78,6 +82,23 @@
   watchers_.clear();
 }
 
+StandinStore::Copy StandinStore::TakeCopy() const {
+  return {items_, leases_, history_, history_from_, revision_, last_lease_};
+}
+
+void StandinStore::Restore(const Copy& copy) {
+  items_ = copy.items;
+  leases_ = copy.leases;
+  for (auto& [id, lease] : leases_) lease.ends_at = loop_->Now() + lease.term;
+  history_ = copy.history;
+  history_from_ = copy.history_from;
+  revision_ = copy.revision;
+  last_lease_ = copy.last_lease;
+  ++era_;
+  watches_muted_ = false;
+  AbortWatchers();
+}
+
 void StandinStore::ExpireLeases() {
   const SteadyTime now = loop_->Now();
   std::vector<uint64_t> ended;
@@ -163,6 +184,7 @@
   answer.head.status = reply.status;
   answer.head.reason = "Answer";
   answer.head.Set("Content-Type", "application/json");
+  answer.head.Set("Store-Era", std::to_string(era_));
   answer.body = reply.body.dump();
   connection->Answer(answer);
 }
@@ -194,7 +216,7 @@
 
 void StandinStore::Watch(CallerConnection* connection, const std::string& prefix, uint64_t after,
                          Millis wait) {
-  if (after < history_from_) {
+  if (after < history_from_ || after > revision_) {
     Send(connection, {410, Json::object()});
     return;
   }
--- a/tests/standin_store.h
+++ b/tests/standin_store.h
@@ -51,6 +51,14 @@
   void DropHistory();
   uint64_t revision() const { return revision_; }
 
+  /// What a copy of the store holds.
+  struct Copy;
+  Copy TakeCopy() const;
+  /// Returns to the state of a copy, leases included, in a new era, and aborts all watches. A watch
+  /// from a revision that the store does not have is answered with 410.
+  void Restore(const Copy& copy);
+  uint64_t era() const { return era_; }
+
   void OnRequest(CallerConnection* connection, HttpMessage request) override;
   void OnCallerGone(CallerConnection* connection) override;
 
@@ -93,6 +101,8 @@
   void AnswerWatchers();
   nlohmann::json Events(const std::string& prefix, uint64_t after) const;
 
+  void AbortWatchers();
+
   EventLoop* loop_;
   CallerListener listener_;
   Random random_;
@@ -102,6 +112,7 @@
   std::vector<Change> history_;
   uint64_t history_from_ = 0;
   uint64_t revision_ = 1;
+  uint64_t era_ = 1;
   uint64_t last_lease_ = 0;
   bool watches_muted_ = false;
   std::vector<Watcher> watchers_;
@@ -111,6 +122,15 @@
   uint64_t last_delayed_ = 0;
 };
 
+struct StandinStore::Copy {
+  std::map<std::string, Item> items;
+  std::map<uint64_t, Lease> leases;
+  std::vector<Change> history;
+  uint64_t history_from = 0;
+  uint64_t revision = 1;
+  uint64_t last_lease = 0;
+};
+
 }  // namespace shallot::gateway
 
 #endif  // TESTS_STANDIN_STORE_H_
