Order positions in the store by era before revision

A revision alone does not order what was read before and after a restore. Records, keys, pages and changes now carry their era beside their revision (StorePosition), and every 'older than' compares both.

--- a/drivers/gateway/admin_handler.cc
+++ b/drivers/gateway/admin_handler.cc
@@ -76,10 +76,11 @@
 
 std::string AdminHandler::Store() const {
   const std::optional<StoreEra> era = context_->store.era();
-  const Json state = {{"era", era ? era->value() : 0},
-                      {"config_version", context_->routes ? context_->routes->version.value() : 0},
-                      {"leader", context_->leader ? context_->leader->holder.value() : ""},
-                      {"fence", context_->leader ? context_->leader->revision.value() : 0}};
+  const Json state = {
+      {"era", era ? era->value() : 0},
+      {"config_version", context_->routes ? context_->routes->version.value() : 0},
+      {"leader", context_->leader ? context_->leader->holder.value() : ""},
+      {"fence", context_->leader ? context_->leader->position.revision.value() : 0}};
   return Dump({{"gateway", context_->settings.instance.value()}, {"state", Json::array({state})}});
 }
 
--- a/drivers/gateway/findings_driver.cc
+++ b/drivers/gateway/findings_driver.cc
@@ -33,8 +33,9 @@
 
 void FindingsDriver::OnItem(const StoreItem& item) {
   if (item.key == key_) {
-    if (item.revision < revision_) return;
-    revision_ = item.deleted ? StoreRevision(0) : item.revision;
+    if (item.position < position_) return;
+    position_ = item.position;
+    if (item.deleted) position_.revision = StoreRevision(0);
     // The key ended before its lease, for example in an outage of the store.
     if (item.deleted && !writing_) context_->quarantine.MarkChanged();
   }
@@ -51,8 +52,8 @@
 void FindingsDriver::OnSnapshot(const std::vector<StoreItem>& items) {
   const bool present = std::any_of(items.begin(), items.end(),
                                    [&](const StoreItem& item) { return item.key == key_; });
-  if (!present && revision_ != StoreRevision(0)) {
-    revision_ = StoreRevision(0);
+  if (!present && position_.revision != StoreRevision(0)) {
+    position_.revision = StoreRevision(0);
     context_->quarantine.MarkChanged();
   }
 }
@@ -119,7 +120,7 @@
 }
 
 void FindingsDriver::Write(const std::string& value, LeaseId lease) {
-  const ConditionalWrite write{key_, value, revision_, lease};
+  const ConditionalWrite write{key_, value, position_.revision, lease};
   context_->store.Start(context_->protocol->WriteRequest(write), StoreCalls::kTimeout,
                         [this](const Result<HttpMessage>& answer) { OnWritten(answer); });
 }
@@ -129,16 +130,17 @@
     Fail(ErrorOf(answer).message);
     return;
   }
-  const auto revision = context_->protocol->DecodeWrite(ValueOf(answer));
-  if (!IsOk(revision)) {
+  const auto position = context_->protocol->DecodeWrite(ValueOf(answer));
+  if (!IsOk(position)) {
     // After a conflict, the watch brings the key's present revision before the next attempt.
-    Fail(ErrorOf(revision).message);
+    Fail(ErrorOf(position).message);
     return;
   }
   writing_ = false;
   failing_ = false;
-  revision_ = std::max(revision_, ValueOf(revision));
-  LogInfo("crashes", fmt::format("event=findings-published revision={}", revision_.value()));
+  position_ = std::max(position_, ValueOf(position));
+  LogInfo("crashes",
+          fmt::format("event=findings-published revision={}", position_.revision.value()));
 }
 
 void FindingsDriver::Fail(const std::string& reason) {
--- a/drivers/gateway/findings_driver.h
+++ b/drivers/gateway/findings_driver.h
@@ -46,8 +46,8 @@
   GatewayContext* context_;
   std::string key_;
   Random random_;
-  /// Revision of the own key as last read or written; 0 if it does not exist.
-  StoreRevision revision_;
+  /// Position of the own key as last read or written; its revision is 0 if it does not exist.
+  StorePosition position_;
   bool due_ = false;
   bool writing_ = false;
   bool failing_ = false;
--- a/drivers/gateway/fleet_follower.cc
+++ b/drivers/gateway/fleet_follower.cc
@@ -23,21 +23,21 @@
   }
 }
 
-void FleetFollower::OnSnapshot(const std::vector<StoreItem>& items, StoreRevision revision) {
+void FleetFollower::OnSnapshot(const std::vector<StoreItem>& items, StorePosition as_of) {
   context_->gateways.clear();
   context_->strong_gateways.clear();
   context_->leader.reset();
   const std::string runners = context_->protocol->RunnersPrefix();
   std::set<RunnerId> present;
-  std::optional<StoreRevision> key_revision;
+  std::optional<StorePosition> key_position;
   for (const StoreItem& item : items) {
-    if (item.key == listener_key_) key_revision = item.revision;
+    if (item.key == listener_key_) key_position = item.position;
     if (item.key.starts_with(runners)) present.insert(RunnerId(item.key.substr(runners.size())));
     OnItem(item);
   }
   context_->view.Reconcile(present, context_->loop.Now());
-  if (leader_listener_) leader_listener_(context_->leader, revision);
-  if (key_listener_) key_listener_(key_revision, revision);
+  if (leader_listener_) leader_listener_(context_->leader, as_of);
+  if (key_listener_) key_listener_(key_position, as_of);
   if (item_listener_ != nullptr) item_listener_->OnSnapshot(items);
   on_change_();
 }
@@ -45,10 +45,10 @@
 void FleetFollower::OnChange(const StoreItem& item) {
   OnItem(item);
   if (item.key == context_->protocol->LeaderKey() && leader_listener_) {
-    leader_listener_(context_->leader, item.revision);
+    leader_listener_(context_->leader, item.position);
   }
   if (item.key == listener_key_ && key_listener_) {
-    key_listener_(item.deleted ? std::nullopt : std::optional(item.revision), item.revision);
+    key_listener_(item.deleted ? std::nullopt : std::optional(item.position), item.position);
   }
   on_change_();
 }
@@ -71,14 +71,14 @@
   if (context_->routes && received.version <= context_->routes->version) {
     if (received.version < context_->routes->version) {
       LogWarning("config", fmt::format("event=config-not-newer version={} revision={} in_force={}",
-                                       received.version.value(), item.revision.value(),
+                                       received.version.value(), item.position.revision.value(),
                                        context_->routes->version.value()));
     }
     return;
   }
-  LogInfo("config",
-          fmt::format("event=config-applied version={} revision={} routes={}",
-                      received.version.value(), item.revision.value(), received.routes.size()));
+  LogInfo("config", fmt::format("event=config-applied version={} revision={} routes={}",
+                                received.version.value(), item.position.revision.value(),
+                                received.routes.size()));
   context_->routes = std::make_shared<const FleetRoutes>(received);
   on_change_();
 }
@@ -87,7 +87,7 @@
   const RunnerId id(item.key.substr(context_->protocol->RunnersPrefix().size()));
   if (item.deleted) {
     LogInfo("runners", fmt::format("event=runner-removed runner={} revision={}", id.value(),
-                                   item.revision.value()));
+                                   item.position.revision.value()));
     context_->view.Remove(id, context_->loop.Now());
     return;
   }
@@ -106,7 +106,7 @@
                                    ValueOf(entry).draining ? "runner-draining" : "runner-ready",
                                    id.value(), ValueOf(entry).backend.value(),
                                    ValueOf(entry).address, ValueOf(entry).domain.value(),
-                                   ValueOf(entry).born.value(), item.revision.value()));
+                                   ValueOf(entry).born.value(), item.position.revision.value()));
   }
 }
 
@@ -120,11 +120,11 @@
       context_->gateways.erase(gone);
       context_->strong_gateways.erase(gone);
       LogInfo("gateways", fmt::format("event=gateway-left gateway={} revision={}", gone.value(),
-                                      item.revision.value()));
+                                      item.position.revision.value()));
     }
     return;
   }
-  const auto record = DecodeGatewayRecord(item.value, item.revision);
+  const auto record = DecodeGatewayRecord(item.value, item.position);
   if (!IsOk(record)) {
     LogWarning("gateways",
                "ignoring the record of key " + item.key + ": " + FormatError(ErrorOf(record)));
@@ -135,8 +135,9 @@
     return;
   }
   const InstanceId& gateway = ValueOf(record).holder;
-  LogInfo("gateways", fmt::format("event=gateway-joined gateway={} address={} revision={}",
-                                  gateway.value(), ValueOf(record).address, item.revision.value()));
+  LogInfo("gateways",
+          fmt::format("event=gateway-joined gateway={} address={} revision={}", gateway.value(),
+                      ValueOf(record).address, item.position.revision.value()));
   context_->gateways[gateway] = ValueOf(record).address;
   if (LeaderElection::IsWeak(ValueOf(record).cpu_share)) {
     context_->strong_gateways.erase(gateway);
--- a/drivers/gateway/fleet_follower.h
+++ b/drivers/gateway/fleet_follower.h
@@ -33,13 +33,13 @@
   /// True once the configuration and the runners have been read.
   bool ready() const { return context_->routes != nullptr && context_->view.ready(); }
 
-  void OnSnapshot(const std::vector<StoreItem>& items, StoreRevision revision) override;
+  void OnSnapshot(const std::vector<StoreItem>& items, StorePosition as_of) override;
   void OnChange(const StoreItem& item) override;
   void OnStoreFailure() override;
   void OnStoreSuccess() override;
 
-  using LeaderListener = std::function<void(const std::optional<LeaderRecord>&, StoreRevision)>;
-  /// Sets the callback for the leader's record. It is called with the record and the store revision
+  using LeaderListener = std::function<void(const std::optional<LeaderRecord>&, StorePosition)>;
+  /// Sets the callback for the leader's record. It is called with the record and the store position
   /// at which it was valid, after each snapshot and each change of the record.
   void SetLeaderListener(LeaderListener listener) { leader_listener_ = std::move(listener); }
 
@@ -51,8 +51,8 @@
   }
 
   using KeyListener =
-      std::function<void(const std::optional<StoreRevision>& key, StoreRevision as_of)>;
-  /// Sets the callback for the revision of one key (empty when the key is absent). It is called
+      std::function<void(const std::optional<StorePosition>& key, StorePosition as_of)>;
+  /// Sets the callback for the position of one key (empty when the key is absent). It is called
   /// after each snapshot and each change of the key.
   void SetKeyListener(std::string key, KeyListener listener) {
     listener_key_ = std::move(key);
@@ -68,7 +68,7 @@
   GatewayContext* context_;
   std::function<void()> on_change_;
   LeaderListener leader_listener_;
-  /// The one key whose revision `key_listener_` receives.
+  /// The one key whose position `key_listener_` receives.
   std::string listener_key_;
   KeyListener key_listener_;
   std::string item_prefix_;
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -92,11 +92,11 @@
   context_->crash_observer = crash_monitor_.get();
   follower_->SetItemListener(findings_->Prefix(), findings_.get());
   follower_->SetLeaderListener(
-      [this](const std::optional<LeaderRecord>& record, StoreRevision revision) {
-        placement_->OnLeaderRecord(record, revision);
+      [this](const std::optional<LeaderRecord>& record, StorePosition as_of) {
+        placement_->OnLeaderRecord(record, as_of);
       });
   follower_->SetKeyListener(presence_->key(),
-                            [this](const std::optional<StoreRevision>& key, StoreRevision as_of) {
+                            [this](const std::optional<StorePosition>& key, StorePosition as_of) {
                               presence_->OnKey(key, as_of);
                             });
 }
@@ -244,7 +244,7 @@
   placement_->OnNoticeFence(notice.fence);
   // A former leader that was suspended may send a report that it read before its successor gave
   // orders.
-  if (context_->leader && notice.fence.value() < context_->leader->revision.value()) {
+  if (context_->leader && notice.fence.value() < context_->leader->position.revision.value()) {
     LogInfo("peer", "event=notice-outdated runner=" + notice.runner.value());
     return;
   }
--- a/drivers/gateway/peer_channel.h
+++ b/drivers/gateway/peer_channel.h
@@ -79,7 +79,7 @@
 
 /// Encodes the value of a gateway's key, or of the leader's key, in the platform store.
 std::string EncodeGatewayRecord(const GatewaySettings& settings);
-Result<LeaderRecord> DecodeGatewayRecord(const std::string& value, StoreRevision revision);
+Result<LeaderRecord> DecodeGatewayRecord(const std::string& value, StorePosition position);
 
 }  // namespace shallot::gateway
 
--- a/drivers/gateway/peer_codec.cc
+++ b/drivers/gateway/peer_codec.cc
@@ -232,13 +232,13 @@
   return wire.SerializeAsString();
 }
 
-Result<LeaderRecord> DecodeGatewayRecord(const std::string& value, StoreRevision revision) {
+Result<LeaderRecord> DecodeGatewayRecord(const std::string& value, StorePosition position) {
   gateway_wire::GatewayRecord wire;
   if (!wire.ParseFromString(value) || wire.gateway().empty()) {
     return Error{ErrorKind::kInvalidArgument, "cannot decode a gateway record of the store",
                  "remove the key; gateways write it again"};
   }
-  return LeaderRecord{InstanceId(wire.gateway()), wire.address(), revision, wire.cpu_share()};
+  return LeaderRecord{InstanceId(wire.gateway()), wire.address(), position, wire.cpu_share()};
 }
 
 }  // namespace shallot::gateway
--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -143,9 +143,9 @@
 }
 
 void PlacementDriver::OnLeaderRecord(const std::optional<LeaderRecord>& record,
-                                     StoreRevision revision) {
+                                     StorePosition as_of) {
   NoteStrongerGateways();
-  election_.OnRecord(record, revision, context_->clock->BootNow());
+  election_.OnRecord(record, as_of, context_->clock->BootNow());
 }
 
 void PlacementDriver::Tick() {
@@ -228,15 +228,15 @@
           election_.OnClaim(std::nullopt, false, now);
           return;
         }
-        const auto revision = context_->protocol->DecodeWrite(ValueOf(answer));
-        if (!IsOk(revision)) {
-          LogInfo("placement", "event=claim-failed reason=\"" + ErrorOf(revision).message + "\"");
-          election_.OnClaim(std::nullopt, ErrorOf(revision).kind == ErrorKind::kConflict, now);
+        const auto position = context_->protocol->DecodeWrite(ValueOf(answer));
+        if (!IsOk(position)) {
+          LogInfo("placement", "event=claim-failed reason=\"" + ErrorOf(position).message + "\"");
+          election_.OnClaim(std::nullopt, ErrorOf(position).kind == ErrorKind::kConflict, now);
           return;
         }
-        election_.OnClaim(ValueOf(revision), false, now);
+        election_.OnClaim(ValueOf(position), false, now);
         LogInfo("placement",
-                fmt::format("event=leadership-gained fence={}", ValueOf(revision).value()));
+                fmt::format("event=leadership-gained fence={}", election_.fence().value()));
         // The orders of two holders must be this far apart where runners do not tell them apart. A
         // leader that returns to its own record keeps the time that it had.
         if (context_->settings.orders_fenced) {
--- a/drivers/gateway/placement_driver.h
+++ b/drivers/gateway/placement_driver.h
@@ -33,7 +33,7 @@
   /// Releases the leadership before a planned stop.
   void Stop();
   void OnDemand(const DemandReport& report);
-  void OnLeaderRecord(const std::optional<LeaderRecord>& record, StoreRevision revision);
+  void OnLeaderRecord(const std::optional<LeaderRecord>& record, StorePosition as_of);
   bool Leads() const;
   /// Addresses of the gateways that report demand to this leader.
   std::map<InstanceId, std::string> Reporters() const {
--- a/drivers/gateway/platform_protocol.h
+++ b/drivers/gateway/platform_protocol.h
@@ -15,6 +15,7 @@
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/leader_election.h"
 #include "servers/gateway/order_tracker.h"
+#include "servers/gateway/store_position.h"
 
 namespace shallot::gateway {
 
@@ -53,15 +54,15 @@
 struct StoreItem {
   std::string key;
   std::string value;
-  StoreRevision revision;
+  StorePosition position;
   bool deleted = false;
 };
 
-/// A page of items or a list of changes, with the store revision up to which they are complete.
+/// A page of items or a list of changes, with the position up to which they are complete.
 struct StoreBatch {
   std::vector<StoreItem> items;
   bool truncated = false;
-  StoreRevision revision;
+  StorePosition position;
 };
 
 struct GrantedLease {
@@ -122,7 +123,7 @@
   virtual HttpMessage EndLeaseRequest(LeaseId lease) const = 0;
   virtual Result<StoreBatch> DecodeRange(const HttpMessage& answer) const = 0;
   virtual Result<StoreBatch> DecodeWatch(const HttpMessage& answer) const = 0;
-  virtual Result<StoreRevision> DecodeWrite(const HttpMessage& answer) const = 0;
+  virtual Result<StorePosition> DecodeWrite(const HttpMessage& answer) const = 0;
   virtual Result<GrantedLease> DecodeLease(const HttpMessage& answer) const = 0;
   virtual Status DecodeRenewal(const HttpMessage& answer) const = 0;
 
--- a/drivers/gateway/prefix_follower.cc
+++ b/drivers/gateway/prefix_follower.cc
@@ -43,7 +43,7 @@
     return;
   }
   const StoreBatch& batch = ValueOf(page);
-  if (first_page_) revision_ = batch.revision;
+  if (first_page_) position_ = batch.position;
   first_page_ = false;
   snapshot_items_.insert(snapshot_items_.end(), batch.items.begin(), batch.items.end());
   if (batch.truncated && !batch.items.empty()) {
@@ -54,7 +54,7 @@
   failing_ = false;
   failures_ = 0;
   listener_->OnStoreSuccess();
-  listener_->OnSnapshot(snapshot_items_, revision_);
+  listener_->OnSnapshot(snapshot_items_, position_);
   snapshot_items_.clear();
   Watch();
 }
@@ -62,7 +62,7 @@
 void PrefixFollower::Watch() {
   const Millis wait = failing_ ? kWaitAfterFailure : kWait;
   const Millis limit = failing_ ? kWaitAfterFailure + TimeoutAfterFailure() : kWait + kAnswerMargin;
-  store_->Start(protocol_->WatchRequest(prefix_, revision_, wait), limit,
+  store_->Start(protocol_->WatchRequest(prefix_, position_.revision, wait), limit,
                 InThisRound([this](const Result<HttpMessage>& answer) { OnChanges(answer); }));
 }
 
@@ -82,7 +82,7 @@
   listener_->OnStoreSuccess();
   const StoreBatch& batch = ValueOf(changes);
   for (const StoreItem& item : batch.items) listener_->OnChange(item);
-  if (batch.revision > revision_) revision_ = batch.revision;
+  position_ = std::max(position_, batch.position);
   loop_->After(WatchPause(followers_), InThisRound([this] { Watch(); }));
 }
 
--- a/drivers/gateway/prefix_follower.h
+++ b/drivers/gateway/prefix_follower.h
@@ -17,9 +17,9 @@
 class PrefixListener {
  public:
   virtual ~PrefixListener() = default;
-  /// All items were read; items that are not listed no longer exist. `revision` is that of the
-  /// first page.
-  virtual void OnSnapshot(const std::vector<StoreItem>& items, StoreRevision revision) = 0;
+  /// All items were read; items that are not listed no longer exist. `as_of` is the
+  /// position of the first page.
+  virtual void OnSnapshot(const std::vector<StoreItem>& items, StorePosition as_of) = 0;
   virtual void OnChange(const StoreItem& item) = 0;
   /// A call to the store failed or its answer could not be used.
   virtual void OnStoreFailure() = 0;
@@ -93,9 +93,9 @@
   std::string prefix_;
   PrefixListener* listener_;
   std::vector<StoreItem> snapshot_items_;
-  /// Changes up to this revision have been delivered. The pages of a read do not form a consistent
-  /// snapshot, so the watch starts at the revision of the first page.
-  StoreRevision revision_;
+  /// Changes up to this position have been delivered. The pages of a read do not form a consistent
+  /// snapshot, so the watch starts at the position of the first page.
+  StorePosition position_;
   bool first_page_ = true;
   /// Counts how often the store was read from the start; calls and timers of earlier rounds are
   /// ignored.
--- a/drivers/gateway/presence_driver.cc
+++ b/drivers/gateway/presence_driver.cc
@@ -11,11 +11,12 @@
     : context_(context),
       key_(context->protocol->GatewaysPrefix() + context->settings.instance.value()) {}
 
-void PresenceDriver::OnKey(const std::optional<StoreRevision>& key, StoreRevision as_of) {
+void PresenceDriver::OnKey(const std::optional<StorePosition>& key, StorePosition as_of) {
   const bool registered = presence_.registered();
   presence_.OnKey(key, as_of, context_->clock->BootNow());
   if (registered && !presence_.registered()) {
-    LogWarning("gateways", fmt::format("event=own-key-removed revision={}", as_of.value()));
+    LogWarning("gateways",
+               fmt::format("event=own-key-removed revision={}", as_of.revision.value()));
   }
 }
 
@@ -60,30 +61,30 @@
   const GatewaySettings& settings = context_->settings;
   const ConditionalWrite write{key_, EncodeGatewayRecord(settings), presence_.Condition(),
                                presence_.lease()};
-  context_->store.Start(
-      context_->protocol->WriteRequest(write), StoreCalls::kTimeout,
-      [this](const Result<HttpMessage>& answer) {
-        const BootTime now = context_->clock->BootNow();
-        if (!IsOk(answer)) {
-          LogOutcomeChange(false, "registration");
-          presence_.OnRegistered(std::nullopt, now);
-          return;
-        }
-        const auto revision = context_->protocol->DecodeWrite(ValueOf(answer));
-        if (!IsOk(revision)) {
-          LogInfo("gateways",
-                  "event=registration-failed reason=\"" + ErrorOf(revision).message + "\"");
-          // The lease has expired and cannot be used again.
-          if (ErrorOf(revision).kind == ErrorKind::kNotFound) {
-            presence_.OnRenewed(LeaseRenewal::kLost, now);
-          } else {
-            presence_.OnRegistered(std::nullopt, now);
-          }
-          return;
-        }
-        presence_.OnRegistered(ValueOf(revision), now);
-        LogInfo("gateways", fmt::format("event=registered revision={}", ValueOf(revision).value()));
-      });
+  context_->store.Start(context_->protocol->WriteRequest(write), StoreCalls::kTimeout,
+                        [this](const Result<HttpMessage>& answer) {
+                          const BootTime now = context_->clock->BootNow();
+                          if (!IsOk(answer)) {
+                            LogOutcomeChange(false, "registration");
+                            presence_.OnRegistered(std::nullopt, now);
+                            return;
+                          }
+                          const auto position = context_->protocol->DecodeWrite(ValueOf(answer));
+                          if (!IsOk(position)) {
+                            LogInfo("gateways", "event=registration-failed reason=\"" +
+                                                    ErrorOf(position).message + "\"");
+                            // The lease has expired and cannot be used again.
+                            if (ErrorOf(position).kind == ErrorKind::kNotFound) {
+                              presence_.OnRenewed(LeaseRenewal::kLost, now);
+                            } else {
+                              presence_.OnRegistered(std::nullopt, now);
+                            }
+                            return;
+                          }
+                          presence_.OnRegistered(ValueOf(position), now);
+                          LogInfo("gateways", fmt::format("event=registered revision={}",
+                                                          ValueOf(position).revision.value()));
+                        });
 }
 
 void PresenceDriver::Renew() {
--- a/drivers/gateway/presence_driver.h
+++ b/drivers/gateway/presence_driver.h
@@ -20,7 +20,7 @@
   void Start() { Tick(); }
   /// Key of this gateway in the store.
   const std::string& key() const { return key_; }
-  void OnKey(const std::optional<StoreRevision>& key, StoreRevision as_of);
+  void OnKey(const std::optional<StorePosition>& key, StorePosition as_of);
 
  private:
   void Tick();
--- a/servers/gateway/leader_election.cc
+++ b/servers/gateway/leader_election.cc
@@ -35,7 +35,7 @@
 }
 
 StoreRevision LeaderElection::ClaimCondition() const {
-  return record_ ? record_->revision : StoreRevision(0);
+  return record_ ? record_->position.revision : StoreRevision(0);
 }
 
 LeaderElection::Action LeaderElection::Next(BootTime now) {
@@ -51,14 +51,14 @@
   return lease_ == LeaseId() ? Action::kCreateLease : Action::kClaim;
 }
 
-void LeaderElection::OnRecord(const std::optional<LeaderRecord>& record, StoreRevision revision,
+void LeaderElection::OnRecord(const std::optional<LeaderRecord>& record, StorePosition as_of,
                               BootTime now) {
   // A record that predates this gateway's claim says nothing about that claim.
-  if (leading_ && revision < fence_) return;
+  if (leading_ && as_of < claimed_at_) return;
   if (!record && (record_ || !record_known_)) next_try_ = std::max(next_try_, now + ClaimDelay());
   record_ = record;
   record_known_ = true;
-  const bool own = record && record->holder == self_ && record->revision == fence_;
+  const bool own = record && record->holder == self_ && record->position == claimed_at_;
   if (leading_ && !own) StepDown(now);
 }
 
@@ -74,10 +74,10 @@
   term_ = term;
 }
 
-void LeaderElection::OnClaim(const std::optional<StoreRevision>& revision, bool conflict,
+void LeaderElection::OnClaim(const std::optional<StorePosition>& position, bool conflict,
                              BootTime now) {
   action_pending_ = false;
-  if (!revision) {
+  if (!position) {
     // The record is gone or another gateway's: the watch tells which.
     if (conflict && record_ && record_->holder == self_) record_known_ = false;
     // The lease of a claim with an unknown outcome is left to expire.
@@ -85,11 +85,11 @@
     next_try_ = now + kRetryPause + Millis(jitter_);
     return;
   }
-  fence_ = *revision;
+  claimed_at_ = *position;
   leading_ = true;
   lease_end_ = lease_sent_ + term_;
   next_renewal_ = lease_sent_ + term_ / kRenewalsPerTerm;
-  record_ = LeaderRecord{self_, "", fence_};
+  record_ = LeaderRecord{self_, "", claimed_at_};
 }
 
 void LeaderElection::OnRenewed(LeaseRenewal renewal, BootTime sent, BootTime now) {
--- a/servers/gateway/leader_election.h
+++ b/servers/gateway/leader_election.h
@@ -21,7 +21,7 @@
   InstanceId holder;
   /// "IP:port" where the leader accepts demand reports.
   std::string address;
-  StoreRevision revision;
+  StorePosition position;
   /// Share of a core that the instance has; 0 if unknown.
   double cpu_share = 0;
 
@@ -89,12 +89,12 @@
 
   /// Returns the next action; at most one is in progress at a time.
   Action Next(BootTime now);
-  /// The record in the store at `revision`; absent if there was no leader.
-  void OnRecord(const std::optional<LeaderRecord>& record, StoreRevision revision, BootTime now);
+  /// The record in the store as of `as_of`; absent if there was no leader.
+  void OnRecord(const std::optional<LeaderRecord>& record, StorePosition as_of, BootTime now);
   void OnLease(const std::optional<LeaseId>& lease, Millis term, BootTime sent, BootTime now);
-  /// `revision`: that of the write; absent if it failed or its outcome is unknown. `conflict`: the
+  /// `position`: that of the write; absent if it failed or its outcome is unknown. `conflict`: the
   /// store rejected the write because the record is not the expected one.
-  void OnClaim(const std::optional<StoreRevision>& revision, bool conflict, BootTime now);
+  void OnClaim(const std::optional<StorePosition>& position, bool conflict, BootTime now);
   void OnRenewed(LeaseRenewal renewal, BootTime sent, BootTime now);
   /// A runner has rejected an order because of a higher fencing number.
   void OnFenced(BootTime now);
@@ -105,7 +105,7 @@
 
   /// Whether this gateway may send orders. Check immediately before each order.
   bool Leads(BootTime now) const;
-  FencingNumber fence() const { return FencingNumber(fence_.value()); }
+  FencingNumber fence() const { return FencingNumber(claimed_at_.revision.value()); }
   LeaseId lease() const { return lease_; }
   /// Revision that the record must have for a claim to succeed; 0 if it must be absent.
   StoreRevision ClaimCondition() const;
@@ -114,7 +114,7 @@
   /// gateway can have led since. A record of its own that it has not led under, for example after a
   /// restart or a claim without an answer, may have replaced another gateway's a moment ago.
   bool ReclaimsOwnRecord() const {
-    return record_ && record_->holder == self_ && record_->revision == fence_;
+    return record_ && record_->holder == self_ && record_->position == claimed_at_;
   }
 
  private:
@@ -133,7 +133,8 @@
   LeaseId lease_;
   BootTime lease_sent_{};
   BootTime lease_end_{};
-  StoreRevision fence_;
+  /// Where this gateway's last successful claim was written.
+  StorePosition claimed_at_;
   BootTime next_try_{};
   BootTime next_renewal_{};
   bool orders_fenced_;
--- a/servers/gateway/presence.cc
+++ b/servers/gateway/presence.cc
@@ -19,15 +19,15 @@
   next_action_at_ = now;
 }
 
-void Presence::OnRegistered(const std::optional<StoreRevision>& revision, BootTime now) {
+void Presence::OnRegistered(const std::optional<StorePosition>& position, BootTime now) {
   action_pending_ = false;
-  if (!revision) {
+  if (!position) {
     // The condition names an old revision or the response was lost; OnKey() resolves both cases.
     next_action_at_ = now + kRetryPause;
     return;
   }
   registered_ = true;
-  key_revision_ = *revision;
+  key_position_ = *position;
   next_action_at_ = now + kTerm / kRenewalsPerTerm;
 }
 
@@ -42,10 +42,10 @@
   next_action_at_ = now + (renewal == LeaseRenewal::kDone ? kTerm / kRenewalsPerTerm : kRetryPause);
 }
 
-void Presence::OnKey(const std::optional<StoreRevision>& key, StoreRevision as_of, BootTime now) {
+void Presence::OnKey(const std::optional<StorePosition>& key, StorePosition as_of, BootTime now) {
   // A state that predates this gateway's write says nothing about that write.
-  if (as_of < key_revision_) return;
-  key_revision_ = key.value_or(StoreRevision(0));
+  if (as_of < key_position_) return;
+  key_position_ = key.value_or(StorePosition{as_of.era, StoreRevision(0)});
   if (key || !registered_) return;
   // The key is gone although its lease was renewed; a new lease rules out the old one as the cause.
   registered_ = false;
--- a/servers/gateway/presence.h
+++ b/servers/gateway/presence.h
@@ -30,22 +30,22 @@
   /// Returns the next action; at most one is in progress at a time.
   Action Next(BootTime now);
   /// Revision that the key must have for the write to succeed; 0 if it must not exist.
-  StoreRevision Condition() const { return key_revision_; }
+  StoreRevision Condition() const { return key_position_.revision; }
   LeaseId lease() const { return lease_; }
   bool registered() const { return registered_; }
 
   void OnLease(const std::optional<LeaseId>& lease, BootTime now);
-  /// `revision`: that of the write; absent if it failed or its outcome is unknown.
-  void OnRegistered(const std::optional<StoreRevision>& revision, BootTime now);
+  /// `position`: that of the write; absent if it failed or its outcome is unknown.
+  void OnRegistered(const std::optional<StorePosition>& position, BootTime now);
   void OnRenewed(LeaseRenewal renewal, BootTime now);
-  /// The state of this gateway's key as of a store revision; `key`: its revision, absent if it does
-  /// not exist.
-  void OnKey(const std::optional<StoreRevision>& key, StoreRevision as_of, BootTime now);
+  /// The state of this gateway's key as of `as_of`; `key`: its position, absent if it does not
+  /// exist.
+  void OnKey(const std::optional<StorePosition>& key, StorePosition as_of, BootTime now);
 
  private:
   LeaseId lease_;
-  /// Revision of the key as last read or written; 0 if absent.
-  StoreRevision key_revision_;
+  /// Position of the key as last read or written; its revision is 0 if the key is absent.
+  StorePosition key_position_;
   bool registered_ = false;
   bool action_pending_ = false;
   BootTime next_action_at_{};
--- a/servers/gateway/store_position.h
+++ b/servers/gateway/store_position.h
@@ -1,6 +1,8 @@
 #ifndef SERVERS_GATEWAY_STORE_POSITION_H_
 #define SERVERS_GATEWAY_STORE_POSITION_H_
 
+#include <compare>
+
 #include "core/ids.h"
 
 namespace shallot::gateway {
@@ -12,6 +14,15 @@
 /// newest changes, and gives out their revisions and leases again.
 using StoreEra = StrongNumber<struct StoreEraTag>;
 
+/// A point in the store's history, comparable across restores. The era is 0 if the store names
+/// none.
+struct StorePosition {
+  StoreEra era;
+  StoreRevision revision;
+
+  auto operator<=>(const StorePosition&) const = default;  // NOLINT(modernize-use-nullptr)
+};
+
 }  // namespace shallot::gateway
 
 #endif  // SERVERS_GATEWAY_STORE_POSITION_H_
--- a/tests/gateway_leader_election_test.cc
+++ b/tests/gateway_leader_election_test.cc
@@ -14,19 +14,23 @@
 constexpr BootTime kStart{std::chrono::seconds(1000)};
 constexpr Millis kTerm{3'000};
 
+StorePosition At(uint64_t revision, uint64_t era = 1) {
+  return {StoreEra(era), StoreRevision(revision)};
+}
+
 LeaderRecord Record(const std::string& holder, uint64_t revision) {
-  return {InstanceId(holder), "10.0.0.1:1", StoreRevision(revision)};
+  return {InstanceId(holder), "10.0.0.1:1", At(revision)};
 }
 
 /// An election that "a" has won at kStart with fencing number 7.
 LeaderElection Elected(bool orders_fenced = false) {
   LeaderElection election(InstanceId("a"), kTerm, orders_fenced, 1);
-  election.OnRecord(std::nullopt, StoreRevision(5), kStart);
+  election.OnRecord(std::nullopt, At(5), kStart);
   CHECK(election.Next(kStart) == Action::kCreateLease);
   election.OnLease(LeaseId(1), kTerm, kStart, kStart);
   CHECK(election.Next(kStart) == Action::kClaim);
   CHECK(election.ClaimCondition() == StoreRevision(0));
-  election.OnClaim(StoreRevision(7), false, kStart);
+  election.OnClaim(At(7), false, kStart);
   return election;
 }
 
@@ -122,7 +126,7 @@
                                  RecordCase{"another holder", Record("b", 9), 9, false}}) {
     CAPTURE(std::string(test.name));
     LeaderElection election = Elected();
-    election.OnRecord(test.record, StoreRevision(test.revision), kStart);
+    election.OnRecord(test.record, At(test.revision), kStart);
     CHECK(election.Leads(kStart) == test.expected_leads);
   }
 }
@@ -131,9 +135,9 @@
 // holder's record.
 TEST_CASE("gateway: only an absent or own record may be claimed") {
   LeaderElection election(InstanceId("a"), kTerm, false, 1);
-  election.OnRecord(Record("b", 4), StoreRevision(4), kStart);
+  election.OnRecord(Record("b", 4), At(4), kStart);
   CHECK(election.Next(kStart) == Action::kNone);
-  election.OnRecord(Record("a", 5), StoreRevision(5), kStart);
+  election.OnRecord(Record("a", 5), At(5), kStart);
   CHECK(election.Next(kStart) == Action::kCreateLease);
   election.OnLease(LeaseId(2), kTerm, kStart, kStart);
   CHECK(election.Next(kStart) == Action::kClaim);
@@ -158,7 +162,7 @@
     LeaderElection election = Elected();
     BootTime now = kStart + kTerm;
     REQUIRE(election.Next(now) == Action::kNone);
-    election.OnRecord(test.record, test.record->revision, now);
+    election.OnRecord(test.record, test.record->position, now);
     now += LeaderElection::kRetryPause * 2;
     if (test.conflict) {
       REQUIRE(election.Next(now) == Action::kCreateLease);
@@ -174,7 +178,7 @@
     REQUIRE(election.Next(now) == Action::kClaim);
     CHECK(election.ReclaimsOwnRecord());
     CHECK(election.ClaimCondition() == StoreRevision(7));
-    election.OnClaim(StoreRevision(11), false, now);
+    election.OnClaim(At(11), false, now);
     CHECK(election.Leads(now));
     CHECK(election.fence() == FencingNumber(11));
   }
@@ -185,12 +189,12 @@
 // now.
 TEST_CASE("gateway: a record from a claim without an answer does not count as led under") {
   LeaderElection election(InstanceId("a"), kTerm, false, 1);
-  election.OnRecord(std::nullopt, StoreRevision(1), kStart);
+  election.OnRecord(std::nullopt, At(1), kStart);
   REQUIRE(election.Next(kStart) == Action::kCreateLease);
   election.OnLease(LeaseId(1), kTerm, kStart, kStart);
   REQUIRE(election.Next(kStart) == Action::kClaim);
   election.OnClaim(std::nullopt, false, kStart);
-  election.OnRecord(Record("a", 9), StoreRevision(9), kStart);
+  election.OnRecord(Record("a", 9), At(9), kStart);
   const BootTime later = kStart + LeaderElection::kRetryPause * 2;
   REQUIRE(election.Next(later) == Action::kCreateLease);
   election.OnLease(LeaseId(2), kTerm, later, later);
@@ -201,7 +205,7 @@
 // Guards against a claim under the lease of an earlier claim that failed.
 TEST_CASE("gateway: a failed claim starts over after a pause") {
   LeaderElection election(InstanceId("a"), kTerm, false, 1);
-  election.OnRecord(std::nullopt, StoreRevision(1), kStart);
+  election.OnRecord(std::nullopt, At(1), kStart);
   REQUIRE(election.Next(kStart) == Action::kCreateLease);
   election.OnLease(LeaseId(1), kTerm, kStart, kStart);
   REQUIRE(election.Next(kStart) == Action::kClaim);
@@ -234,11 +238,11 @@
     CAPTURE(std::string(test.name));
     LeaderElection election(InstanceId("a"), kTerm, true, 1, test.weak);
     election.SetStrongerGateways(test.stronger_notice_lag);
-    election.OnRecord(Record("a", 4), StoreRevision(4), kStart);
+    election.OnRecord(Record("a", 4), At(4), kStart);
     CHECK((election.Next(kStart) == Action::kCreateLease) == test.reclaims);
     if (test.reclaims) election.OnLease(std::nullopt, kTerm, kStart, kStart);
     const BootTime gone = kStart + kTerm;
-    election.OnRecord(std::nullopt, StoreRevision(6), gone);
+    election.OnRecord(std::nullopt, At(6), gone);
     if (test.expected_delay > Millis(0)) {
       CHECK(election.Next(gone + test.expected_delay - Millis(1)) == Action::kNone);
     }
--- a/tests/gateway_peer_codec_test.cc
+++ b/tests/gateway_peer_codec_test.cc
@@ -107,11 +107,11 @@
   settings.instance = InstanceId("front-1");
   settings.peer_address = "10.0.0.1:7";
   settings.cpu_share = 0.25;
-  const auto record = DecodeGatewayRecord(EncodeGatewayRecord(settings), StoreRevision(9));
+  constexpr StorePosition kPosition{StoreEra(2), StoreRevision(9)};
+  const auto record = DecodeGatewayRecord(EncodeGatewayRecord(settings), kPosition);
   REQUIRE(IsOk(record));
-  CHECK(ValueOf(record) ==
-        LeaderRecord{InstanceId("front-1"), "10.0.0.1:7", StoreRevision(9), 0.25});
-  CHECK_FALSE(IsOk(DecodeGatewayRecord("", StoreRevision(9))));
+  CHECK(ValueOf(record) == LeaderRecord{InstanceId("front-1"), "10.0.0.1:7", kPosition, 0.25});
+  CHECK_FALSE(IsOk(DecodeGatewayRecord("", kPosition)));
 }
 
 // Guards against counting the demand of a gateway that no longer reports, and against counting
--- a/tests/gateway_presence_test.cc
+++ b/tests/gateway_presence_test.cc
@@ -9,6 +9,11 @@
 namespace {
 
 constexpr BootTime kStart{std::chrono::seconds(1000)};
+
+StorePosition At(uint64_t revision, uint64_t era = 1) {
+  return {StoreEra(era), StoreRevision(revision)};
+}
+
 using Action = Presence::Action;
 
 /// A gateway that has registered its key at revision 20 with lease 1.
@@ -17,7 +22,7 @@
   REQUIRE(presence.Next(kStart) == Action::kCreateLease);
   presence.OnLease(LeaseId(1), kStart);
   REQUIRE(presence.Next(kStart) == Action::kRegister);
-  presence.OnRegistered(StoreRevision(20), kStart);
+  presence.OnRegistered(At(20), kStart);
   return presence;
 }
 
@@ -25,15 +30,15 @@
 // the leader's notices did not reach it for up to 13 s after all gateways had lost power.
 TEST_CASE("gateway: a restarted gateway takes over the key of its previous run") {
   Presence presence;
-  presence.OnKey(StoreRevision(7), StoreRevision(9), kStart);
+  presence.OnKey(At(7), At(9), kStart);
   REQUIRE(presence.Next(kStart) == Action::kCreateLease);
   presence.OnLease(LeaseId(1), kStart);
   REQUIRE(presence.Next(kStart) == Action::kRegister);
   CHECK(presence.Condition() == StoreRevision(7));
-  presence.OnRegistered(StoreRevision(20), kStart);
+  presence.OnRegistered(At(20), kStart);
   CHECK(presence.registered());
   // The end of the previous run's lease does not concern the new key.
-  presence.OnKey(std::nullopt, StoreRevision(19), kStart);
+  presence.OnKey(std::nullopt, At(19), kStart);
   CHECK(presence.registered());
 }
 
@@ -46,7 +51,7 @@
   CHECK(presence.Condition() == StoreRevision(0));
   presence.OnRegistered(std::nullopt, kStart);
   CHECK(presence.Next(kStart) == Action::kNone);
-  presence.OnKey(StoreRevision(7), StoreRevision(9), kStart);
+  presence.OnKey(At(7), At(9), kStart);
   CHECK(presence.Next(kStart + Presence::kRetryPause) == Action::kRegister);
   CHECK(presence.Condition() == StoreRevision(7));
 }
@@ -54,7 +59,7 @@
 // Guards against a gateway that renews the lease of a key that the platform has removed.
 TEST_CASE("gateway: a key that is gone is written again with a new lease") {
   Presence presence = Registered();
-  presence.OnKey(std::nullopt, StoreRevision(30), kStart);
+  presence.OnKey(std::nullopt, At(30), kStart);
   CHECK_FALSE(presence.registered());
   CHECK(presence.Next(kStart) == Action::kCreateLease);
 }
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -275,7 +275,7 @@
   REQUIRE(ValueOf(changes).items.size() == 2);
   CHECK(ValueOf(changes).items[0].value == "node-1");
   CHECK(ValueOf(changes).items[1].deleted);
-  CHECK(ValueOf(changes).revision == gateway::StoreRevision(413));
+  CHECK(ValueOf(changes).position.revision == gateway::StoreRevision(413));
 
   const auto page =
       codec.DecodeRange(Answer(200, R"({"items":[],"truncated":true,"store-revision":530})"));
@@ -283,6 +283,38 @@
   CHECK(ValueOf(page).truncated);
 }
 
+struct EraCase {
+  const char* name;
+  const char* field;
+  std::optional<uint64_t> era;
+};
+
+// Guards against a malformed era that counts as a restore, and against positions without their era.
+TEST_CASE("platform: the era of the store is decoded") {
+  const std::vector<EraCase> cases = {
+      {"absent", nullptr, std::nullopt},
+      {"number", "7", 7},
+      {"empty", "", std::nullopt},
+      {"text", "seven", std::nullopt},
+      {"negative", "-1", std::nullopt},
+      {"fraction", "1.5", std::nullopt},
+      {"followed by text", "7x", std::nullopt},
+      {"too large", "99999999999999999999", std::nullopt},
+  };
+  const PlatformCodec codec;
+  for (const EraCase& test : cases) {
+    CAPTURE(std::string(test.name));
+    HttpMessage answer = Answer(200, R"({"revision":9})");
+    if (test.field != nullptr) answer.head.Set("Store-Era", test.field);
+    const auto era = codec.DecodeStoreEra(answer.head);
+    CHECK(era.has_value() == test.era.has_value());
+    if (era && test.era) CHECK(era->value() == *test.era);
+    const auto written = codec.DecodeWrite(answer);
+    REQUIRE(IsOk(written));
+    CHECK(ValueOf(written).era.value() == test.era.value_or(0));
+  }
+}
+
 // Guards against taking an error of the store for a valid answer, and missing history for an
 // absence of changes.
 TEST_CASE("platform: errors of the store are typed errors") {
