Keep fencing numbers increasing across restores of the store

What callers and runners saw: two leaders gave orders with one fencing number (ONE: 'two holders with fence 77'), and after a restore the new leader's orders were rejected as outdated until its revision had passed that of the former one: a leadership lost and claimed again every half second.

Cause: the fencing number was the store's revision of the claim. A restored store gives revisions out again.

Change: the number is made of era and revision of the claim. Notices of leaders are compared in the same way.

The table test failed with the former rule in three rows (revision given out again, restored store far behind, several restores) and passes now.

--- a/drivers/gateway/admin_handler.cc
+++ b/drivers/gateway/admin_handler.cc
@@ -80,7 +80,7 @@
       {"era", era ? era->value() : 0},
       {"config_version", context_->routes ? context_->routes->version.value() : 0},
       {"leader", context_->leader ? context_->leader->holder.value() : ""},
-      {"fence", context_->leader ? context_->leader->position.revision.value() : 0}};
+      {"fence", context_->leader ? FenceOf(context_->leader->position).value() : 0}};
   return Dump({{"gateway", context_->settings.instance.value()}, {"state", Json::array({state})}});
 }
 
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -244,7 +244,7 @@
   placement_->OnNoticeFence(notice.fence);
   // A former leader that was suspended may send a report that it read before its successor gave
   // orders.
-  if (context_->leader && notice.fence.value() < context_->leader->position.revision.value()) {
+  if (context_->leader && notice.fence < FenceOf(context_->leader->position)) {
     LogInfo("peer", "event=notice-outdated runner=" + notice.runner.value());
     return;
   }
--- a/servers/gateway/leader_election.h
+++ b/servers/gateway/leader_election.h
@@ -30,7 +30,8 @@
 
 /// Elects the one gateway that sends placement orders. The leader holds a lease on one key of the
 /// platform store, written under the condition that no other gateway has written it. The fencing
-/// number is the store revision of that write, so it increases with each holder. Not thread-safe.
+/// number is made of the store era and revision of that write, so it increases with each holder.
+/// Not thread-safe.
 ///
 /// Where runners reject orders with an outdated fencing number, a leader whose renewals get no
 /// response continues past its lease: during a store outage no other gateway can take over, and
@@ -105,7 +106,7 @@
 
   /// Whether this gateway may send orders. Check immediately before each order.
   bool Leads(BootTime now) const;
-  FencingNumber fence() const { return FencingNumber(claimed_at_.revision.value()); }
+  FencingNumber fence() const { return FenceOf(claimed_at_); }
   LeaseId lease() const { return lease_; }
   /// Revision that the record must have for a claim to succeed; 0 if it must be absent.
   StoreRevision ClaimCondition() const;
--- a/servers/gateway/store_position.h
+++ b/servers/gateway/store_position.h
@@ -2,6 +2,7 @@
 #define SERVERS_GATEWAY_STORE_POSITION_H_
 
 #include <compare>
+#include <cstdint>
 
 #include "core/ids.h"
 
@@ -23,6 +24,16 @@
   auto operator<=>(const StorePosition&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
+/// Revisions of one era that fencing numbers tell apart. Numbers of the first 8,191 eras are exact
+/// also where JSON numbers are read as doubles.
+inline constexpr uint64_t kRevisionsPerEra = uint64_t{1} << 40;
+
+/// The fencing number of a leader whose claim was written at this position. It increases with each
+/// claim, also across restores of the store.
+constexpr FencingNumber FenceOf(const StorePosition& position) {
+  return FencingNumber(position.era.value() * kRevisionsPerEra + position.revision.value());
+}
+
 }  // namespace shallot::gateway
 
 #endif  // SERVERS_GATEWAY_STORE_POSITION_H_
--- a/tests/gateway_leader_election_test.cc
+++ b/tests/gateway_leader_election_test.cc
@@ -66,7 +66,7 @@
   CHECK_MESSAGE(election.Next(kStart) == Action::kNone, "the record is not known yet");
   election = Elected();
   CHECK(election.Leads(kStart));
-  CHECK(election.fence() == FencingNumber(7));
+  CHECK(election.fence() == FenceOf(At(7)));
 }
 
 // Guards against two concurrent holders: a leader that is suspended or disconnected must stop
@@ -180,7 +180,7 @@
     CHECK(election.ClaimCondition() == StoreRevision(7));
     election.OnClaim(At(11), false, now);
     CHECK(election.Leads(now));
-    CHECK(election.fence() == FencingNumber(11));
+    CHECK(election.fence() == FenceOf(At(11)));
   }
 }
 
@@ -282,9 +282,9 @@
   LeaderElection election = Elected(true);
   RunOutage(&election, Millis(5'000));
   const BootTime now = kStart + Millis(5'000);
-  election.OnLeaderNotice(FencingNumber(6), now);
+  election.OnLeaderNotice(FenceOf(At(6)), now);
   CHECK(election.Leads(now));
-  election.OnLeaderNotice(FencingNumber(8), now);
+  election.OnLeaderNotice(FenceOf(At(8)), now);
   CHECK_FALSE(election.Leads(now));
 }
 
@@ -300,5 +300,28 @@
   CHECK(stopped.Next(kStart + kTerm * 2) == Action::kNone);
 }
 
+struct FenceCase {
+  const char* name;
+  StorePosition earlier;
+  StorePosition later;
+};
+
+// Guards against two leaders whose orders bear the same fencing number, because a restored store
+// has given out the revision of a claim again, and against runners that reject the orders of a
+// leader elected after a restore as outdated.
+TEST_CASE("gateway: fencing numbers increase across restores of the store") {
+  const std::vector<FenceCase> cases = {
+      {"same era", At(7, 1), At(8, 1)},
+      {"the revision is given out again", At(70, 1), At(70, 2)},
+      {"the restored store is far behind", At(1'000'000'000, 1), At(2, 2)},
+      {"several restores", At(70, 2), At(3, 9)},
+      {"the store begins to name eras", At(70, 0), At(71, 1)},
+  };
+  for (const FenceCase& test : cases) {
+    CAPTURE(std::string(test.name));
+    CHECK(FenceOf(test.earlier) < FenceOf(test.later));
+  }
+}
+
 }  // namespace
 }  // namespace shallot::gateway
