Claim and register anew when the store was restored

Who is hit: in fleets whose runners do not check fencing numbers, orders of two leaders that are too close; everywhere, gateways that are unknown to the others, and up to a second without orders after a restore.

Cause: a lease number is valid within one era. A restored store may not have the lease, or may have granted its number to another gateway, which a renewal or the end of the lease at a planned stop would then hit. A leader went on until its record was read, and then paused as after a failed claim.

Change: on a restore, a leader steps down at once, leases are dropped, and claim and registration wait for the state that the store now has. A record of another era is never taken as the one under which a gateway has led, so a leader of unfenced runners waits its full term.

Both table tests failed with the former rules put in place (10 and 2 checks) and pass now.

--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -49,7 +49,12 @@
                 LeaderElection::IsWeak(context->settings.cpu_share)),
       planner_(&context->settings.policy, &context->view, &tracker_) {}
 
-void PlacementDriver::Start() { Tick(); }
+void PlacementDriver::Start() {
+  context_->store.AddListener(this);
+  Tick();
+}
+
+void PlacementDriver::OnStoreRestored() { election_.OnStoreRestored(context_->clock->BootNow()); }
 
 void PlacementDriver::Stop() {
   if (stopping_) return;
--- a/drivers/gateway/placement_driver.h
+++ b/drivers/gateway/placement_driver.h
@@ -17,7 +17,7 @@
 /// Performs the I/O of the placement leader's election and, while this gateway leads, of the
 /// planner's orders: calls the store and the runners and passes their answers to LeaderElection,
 /// OrderTracker and LoadPlanner.
-class PlacementDriver {
+class PlacementDriver final : public StoreRestoreListener {
  public:
   /// Runners answer orders within a few milliseconds; a lost answer delays a cold start by this
   /// much.
@@ -33,6 +33,7 @@
   /// Releases the leadership before a planned stop.
   void Stop();
   void OnDemand(const DemandReport& report);
+  void OnStoreRestored() override;
   void OnLeaderRecord(const std::optional<LeaderRecord>& record, StorePosition as_of);
   bool Leads() const;
   /// Addresses of the gateways that report demand to this leader.
--- a/drivers/gateway/presence_driver.cc
+++ b/drivers/gateway/presence_driver.cc
@@ -11,6 +11,13 @@
     : context_(context),
       key_(context->protocol->GatewaysPrefix() + context->settings.instance.value()) {}
 
+void PresenceDriver::Start() {
+  context_->store.AddListener(this);
+  Tick();
+}
+
+void PresenceDriver::OnStoreRestored() { presence_.OnStoreRestored(context_->clock->BootNow()); }
+
 void PresenceDriver::OnKey(const std::optional<StorePosition>& key, StorePosition as_of) {
   const bool registered = presence_.registered();
   presence_.OnKey(key, as_of, context_->clock->BootNow());
--- a/drivers/gateway/presence_driver.h
+++ b/drivers/gateway/presence_driver.h
@@ -11,13 +11,14 @@
 
 /// Performs the store calls that Presence decides on, which keep this gateway registered under its
 /// own key.
-class PresenceDriver {
+class PresenceDriver final : public StoreRestoreListener {
  public:
   static constexpr Millis kTickInterval{100};
 
   explicit PresenceDriver(GatewayContext* context);
 
-  void Start() { Tick(); }
+  void Start();
+  void OnStoreRestored() override;
   /// Key of this gateway in the store.
   const std::string& key() const { return key_; }
   void OnKey(const std::optional<StorePosition>& key, StorePosition as_of);
--- a/servers/gateway/leader_election.cc
+++ b/servers/gateway/leader_election.cc
@@ -109,6 +109,14 @@
   next_renewal_ = now + kRetryPause / 2;
 }
 
+void LeaderElection::OnStoreRestored(BootTime now) {
+  if (leading_) StepDown(now);
+  lease_ = LeaseId();
+  record_.reset();
+  record_known_ = false;
+  next_try_ = now;
+}
+
 void LeaderElection::OnLeaderNotice(FencingNumber fence, BootTime now) {
   if (leading_ && fence > this->fence()) StepDown(now);
 }
--- a/servers/gateway/leader_election.h
+++ b/servers/gateway/leader_election.h
@@ -97,6 +97,8 @@
   /// store rejected the write because the record is not the expected one.
   void OnClaim(const std::optional<StorePosition>& position, bool conflict, BootTime now);
   void OnRenewed(LeaseRenewal renewal, BootTime sent, BootTime now);
+  /// The store was restored from a copy: the lease may be gone, or another gateway's.
+  void OnStoreRestored(BootTime now);
   /// A runner has rejected an order because of a higher fencing number.
   void OnFenced(BootTime now);
   /// A notice from a leader with this fencing number was received.
--- a/servers/gateway/presence.cc
+++ b/servers/gateway/presence.cc
@@ -4,6 +4,7 @@
 
 Presence::Action Presence::Next(BootTime now) {
   if (action_pending_ || now < next_action_at_) return Action::kNone;
+  if (key_unknown_ && lease_ != LeaseId()) return Action::kNone;
   action_pending_ = true;
   if (lease_ == LeaseId()) return Action::kCreateLease;
   return registered_ ? Action::kRenew : Action::kRegister;
@@ -45,6 +46,7 @@
 void Presence::OnKey(const std::optional<StorePosition>& key, StorePosition as_of, BootTime now) {
   // A state that predates this gateway's write says nothing about that write.
   if (as_of < key_position_) return;
+  key_unknown_ = false;
   key_position_ = key.value_or(StorePosition{as_of.era, StoreRevision(0)});
   if (key || !registered_) return;
   // The key is gone although its lease was renewed; a new lease rules out the old one as the cause.
@@ -53,4 +55,11 @@
   next_action_at_ = now;
 }
 
+void Presence::OnStoreRestored(BootTime now) {
+  lease_ = LeaseId();
+  registered_ = false;
+  key_unknown_ = true;
+  next_action_at_ = now;
+}
+
 }  // namespace shallot::gateway
--- a/servers/gateway/presence.h
+++ b/servers/gateway/presence.h
@@ -41,12 +41,16 @@
   /// The state of this gateway's key as of `as_of`; `key`: its position, absent if it does not
   /// exist.
   void OnKey(const std::optional<StorePosition>& key, StorePosition as_of, BootTime now);
+  /// The store was restored from a copy: the lease may be gone, or another gateway's.
+  void OnStoreRestored(BootTime now);
 
  private:
   LeaseId lease_;
   /// Position of the key as last read or written; its revision is 0 if the key is absent.
   StorePosition key_position_;
   bool registered_ = false;
+  /// The store was restored and the key has not been read since.
+  bool key_unknown_ = false;
   bool action_pending_ = false;
   BootTime next_action_at_{};
 };
--- a/tests/gateway_leader_election_test.cc
+++ b/tests/gateway_leader_election_test.cc
@@ -323,5 +323,40 @@
   }
 }
 
+struct RestoredRecordCase {
+  const char* name;
+  std::optional<LeaderRecord> record;
+  bool expected_claim;
+};
+
+LeaderRecord RecordInEra(const std::string& holder, uint64_t revision, uint64_t era) {
+  LeaderRecord record = Record(holder, revision);
+  record.position = At(revision, era);
+  return record;
+}
+
+// Guards against a leader that goes on under a lease which a restored store does not have, or has
+// granted to another gateway, and against orders of two holders that are too close where runners do
+// not check fencing numbers: in the time that the copy lacks, another gateway may have led.
+TEST_CASE("gateway: a leader of a store that is restored claims anew") {
+  for (const bool fenced : {true, false}) {
+    for (const RestoredRecordCase& test :
+         {RestoredRecordCase{"no record", std::nullopt, true},
+          RestoredRecordCase{"own record", RecordInEra("a", 7, 2), true},
+          RestoredRecordCase{"record of a former leader", RecordInEra("b", 5, 2), false}}) {
+      CAPTURE(fenced);
+      CAPTURE(std::string(test.name));
+      LeaderElection election = Elected(fenced);
+      const BootTime now = kStart + Millis(10);
+      election.OnStoreRestored(now);
+      CHECK_FALSE(election.Leads(now));
+      CHECK(election.Next(now) == Action::kNone);
+      election.OnRecord(test.record, At(9, 2), now);
+      CHECK((election.Next(now) == Action::kCreateLease) == test.expected_claim);
+      CHECK_FALSE(election.ReclaimsOwnRecord());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace shallot::gateway
--- a/tests/gateway_presence_test.cc
+++ b/tests/gateway_presence_test.cc
@@ -90,5 +90,31 @@
   }
 }
 
+struct RestoredKeyCase {
+  const char* name;
+  std::optional<StorePosition> key;
+  StoreRevision condition;
+};
+
+// Guards against a gateway that renews a lease which a restored store has granted to another one,
+// while its own key is gone or ends with the lease of the copy.
+TEST_CASE("gateway: a gateway registers anew when the store was restored") {
+  for (const RestoredKeyCase& test :
+       {RestoredKeyCase{"key not in the copy", std::nullopt, StoreRevision(0)},
+        RestoredKeyCase{"key in the copy", At(20, 2), StoreRevision(20)},
+        RestoredKeyCase{"key of an earlier run in the copy", At(4, 2), StoreRevision(4)}}) {
+    CAPTURE(std::string(test.name));
+    Presence presence = Registered();
+    presence.OnStoreRestored(kStart);
+    CHECK_FALSE(presence.registered());
+    REQUIRE(presence.Next(kStart) == Action::kCreateLease);
+    presence.OnLease(LeaseId(1), kStart);
+    CHECK_MESSAGE(presence.Next(kStart) == Action::kNone, "the condition is not known yet");
+    presence.OnKey(test.key, At(22, 2), kStart);
+    CHECK(presence.Next(kStart) == Action::kRegister);
+    CHECK(presence.Condition() == test.condition);
+  }
+}
+
 }  // namespace
 }  // namespace shallot::gateway
