Publish findings again after a restore, and ignore those that are not new

Who is hit: after a restore, a gateway that starts did not know of the newest crashes and limits, so it sent calls that crash runners or too many calls to a limited one; quarantines and limits that had ended came back from the copy, and each read of the whole store prolonged the quarantines in it.

Cause: a gateway wrote its findings again only if its key was gone. If the copy held an older value of the key, that value stayed. Findings had no order, so an older value was merged like a newer one.

Change: on a restore each gateway publishes its findings again, at a random time in large fleets. Findings carry the run of the gateway and a number; FindingsOrder takes each publication once and none that is older.

--- a/drivers/gateway/findings_driver.cc
+++ b/drivers/gateway/findings_driver.cc
@@ -25,7 +25,27 @@
 FindingsDriver::FindingsDriver(GatewayContext* context)
     : context_(context),
       key_(context->protocol->FindingsPrefix() + context->settings.instance.value()),
-      random_(EntropySeed()) {}
+      random_(EntropySeed()),
+      number_{EntropySeed(), 0} {}
+
+void FindingsDriver::Start() {
+  context_->store.AddListener(this);
+  Tick();
+}
+
+void FindingsDriver::OnStoreRestored() {
+  position_ = StorePosition();
+  replace_ = true;
+  PublishSoon();
+}
+
+void FindingsDriver::PublishSoon() {
+  if (due_) return;
+  due_ = true;
+  const Millis spread = ScaledPause(kPublishPause) - kPublishPause;
+  const Millis delay(static_cast<int64_t>(random_.Unit() * static_cast<double>(spread.count())));
+  next_ = std::max(next_, context_->loop.Now() + Duration(delay));
+}
 
 Millis FindingsDriver::ScaledPause(Millis pause) const {
   return pause * (1 + context_->gateways.size() / kGatewaysAtFullRate);
@@ -36,6 +56,7 @@
     if (item.position < position_) return;
     position_ = item.position;
     if (item.deleted) position_.revision = StoreRevision(0);
+    if (!item.deleted && replace_) PublishSoon();
     // The key ended before its lease, for example in an outage of the store.
     if (item.deleted && !writing_) context_->quarantine.MarkChanged();
   }
@@ -59,6 +80,7 @@
 }
 
 void FindingsDriver::OnReport(const FindingsReport& report) {
+  if (!order_.TakeIfNew(report.gateway, report.number)) return;
   context_->quarantine.Merge(report.gateway, report.crashes, context_->loop.Now());
   if (report.gateway != context_->settings.instance) {
     context_->limits.Merge(report.limits, context_->loop.Now());
@@ -73,24 +95,24 @@
   context_->quarantine.Update(now);
   const bool quarantine_changed = context_->quarantine.TakeChanged();
   const bool limits_changed = context_->limits.TakeChanged();
-  if ((quarantine_changed || limits_changed) && !due_) {
-    due_ = true;
-    const Millis spread = ScaledPause(kPublishPause) - kPublishPause;
-    const Millis delay(static_cast<int64_t>(random_.Unit() * static_cast<double>(spread.count())));
-    next_ = std::max(next_, now + Duration(delay));
-  }
+  if (quarantine_changed || limits_changed) PublishSoon();
   if (due_ && !writing_ && now >= next_) {
     due_ = false;
     next_ = now + Duration(ScaledPause(kPublishPause));
-    const FindingsReport report{context_->settings.instance, context_->quarantine.Own(now),
-                                context_->limits.Own(now)};
+    const FindingsReport report{context_->settings.instance,
+                                context_->quarantine.Own(now),
+                                context_->limits.Own(now),
+                                {number_.run, number_.number + 1}};
+    const bool outdated = replace_ && position_.revision != StoreRevision(0);
     // Findings that have expired leave the store with their lease.
-    if (!report.crashes.empty() || !report.limits.empty()) Publish(report);
+    if (!report.crashes.empty() || !report.limits.empty() || outdated) Publish(report);
   }
   context_->loop.After(kTickInterval, [this] { Tick(); });
 }
 
 void FindingsDriver::Publish(const FindingsReport& report) {
+  ++number_.number;
+  (void)order_.TakeIfNew(report.gateway, report.number);
   SendToPeers(report);
   writing_ = true;
   const std::string value = EncodeFindings(report);
@@ -138,6 +160,7 @@
   }
   writing_ = false;
   failing_ = false;
+  replace_ = false;
   position_ = std::max(position_, ValueOf(position));
   LogInfo("crashes",
           fmt::format("event=findings-published revision={}", position_.revision.value()));
--- a/drivers/gateway/findings_driver.h
+++ b/drivers/gateway/findings_driver.h
@@ -13,7 +13,7 @@
 /// Shares this gateway's findings with all gateways: writes them to its own key in the store, where
 /// they outlast the process, and in small fleets also sends them to the others, which works while
 /// the store is away. Receives the findings of the others in both ways.
-class FindingsDriver final : public StoreItemListener {
+class FindingsDriver final : public StoreItemListener, public StoreRestoreListener {
  public:
   static constexpr Millis kTickInterval{20};
   /// Minimum time between two publications, and the pause after a failed one. Each grows with the
@@ -26,9 +26,10 @@
 
   explicit FindingsDriver(GatewayContext* context);
 
-  void Start() { Tick(); }
+  void Start();
   /// Prefix of the keys with the findings of all gateways.
   std::string Prefix() const { return context_->protocol->FindingsPrefix(); }
+  void OnStoreRestored() override;
   void OnItem(const StoreItem& item) override;
   void OnSnapshot(const std::vector<StoreItem>& items) override;
   /// Another gateway sent its findings.
@@ -42,13 +43,20 @@
   void OnWritten(const Result<HttpMessage>& answer);
   void Fail(const std::string& reason);
   Millis ScaledPause(Millis pause) const;
+  /// Publishes at a random time within the pause, so that not all gateways write at once.
+  void PublishSoon();
 
   GatewayContext* context_;
   std::string key_;
   Random random_;
   /// Position of the own key as last read or written; its revision is 0 if it does not exist.
   StorePosition position_;
+  /// The last publication of this gateway, and what arrived from all.
+  FindingsNumber number_;
+  FindingsOrder order_;
   bool due_ = false;
+  /// The store may have older findings of this gateway, which even empty ones must replace.
+  bool replace_ = false;
   bool writing_ = false;
   bool failing_ = false;
   SteadyTime next_{};
--- a/drivers/gateway/peer_channel.h
+++ b/drivers/gateway/peer_channel.h
@@ -13,6 +13,7 @@
 #include "drivers/gateway/gateway_settings.h"
 #include "servers/crash_quarantine.h"
 #include "servers/gateway/demand_aggregator.h"
+#include "servers/gateway/findings_order.h"
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/leader_election.h"
 #include "servers/gateway/runner_limits.h"
@@ -32,6 +33,7 @@
   InstanceId gateway;
   CrashFindings crashes;
   std::vector<LimitFinding> limits;
+  FindingsNumber number = {};
 };
 
 /// A gateway's request for permits, sent to the placement leader.
--- a/drivers/gateway/peer_codec.cc
+++ b/drivers/gateway/peer_codec.cc
@@ -168,6 +168,8 @@
   for (const LimitFinding& limit : report.limits) {
     EncodeLimit(limit.run, limit.calls_per_s, wire->add_limits());
   }
+  wire->set_run(report.number.run);
+  wire->set_number(report.number.number);
 }
 
 FindingsReport DecodeReport(const gateway_wire::Findings& wire) {
@@ -177,6 +179,7 @@
   for (const gateway_wire::RunnerLimit& limit : wire.limits()) {
     report.limits.push_back(DecodeLimit(limit));
   }
+  report.number = {wire.run(), wire.number()};
   return report;
 }
 
--- a/tests/gateway_fake_platform.cc
+++ b/tests/gateway_fake_platform.cc
@@ -3,6 +3,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <future>
 #include <stdexcept>
 
 namespace shallot::gateway {
@@ -64,6 +65,12 @@
   Queue([this, key] { store_.Remove(key); });
 }
 
+std::optional<std::string> FakePlatform::StoreValue(const std::string& key) {
+  std::promise<std::optional<std::string>> value;
+  Queue([&] { value.set_value(store_.Value(key)); });
+  return value.get_future().get();
+}
+
 void FakePlatform::CopyStore() {
   Queue([this] { copy_ = store_.TakeCopy(); });
 }
--- a/tests/gateway_fake_platform.h
+++ b/tests/gateway_fake_platform.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -32,6 +33,8 @@
   void Put(const std::string& key, const std::string& value);
   /// Removes a key, asynchronously. May be called from any thread.
   void Remove(const std::string& key);
+  /// The value of a key in the store, if it exists; waits for the loop's thread.
+  std::optional<std::string> StoreValue(const std::string& key);
   /// Takes a copy of the store, asynchronously.
   void CopyStore();
   /// Restores the store from the copy and makes these writes before it serves a request,
--- a/tests/gateway_store_restore_test.cc
+++ b/tests/gateway_store_restore_test.cc
@@ -1,8 +1,12 @@
+#include <atomic>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "drivers/gateway/peer_codec.h"
 #include "tests/gateway_daemon_fixture.h"
+#include "tests/raw_server.h"
 
 namespace shallot::gateway {
 namespace {
@@ -61,5 +65,53 @@
   }
 }
 
+struct FindingsCase {
+  const char* name;
+  bool copy_has_older_findings;
+};
+
+// Guards against findings that a restored store has lost: a gateway that starts then sends a
+// limited runner too many calls, or calls that crash runners.
+TEST_CASE("gateway daemon: findings are published again after a restore of the store") {
+  for (const FindingsCase& test :
+       {FindingsCase{"not in the copy", false}, FindingsCase{"older ones in the copy", true}}) {
+    CAPTURE(std::string(test.name));
+    GatewayFixture fixture;
+    std::atomic<int> limit = 5;
+    RawServer runner([&](RawConnection* connection, int /*number*/) {
+      const std::string request = connection->ReadHead();
+      if (request.find("POST /p/") == std::string::npos) return;
+      connection->Send(
+          AnswerHead(request, "Server-Seal: s\r\nServer-Limit: " + std::to_string(limit) +
+                                  "\r\nContent-Length: 0\r\nConnection: close\r\n"));
+    });
+    fixture.platform_.Put("op/config", kConfig);
+    fixture.AddRunner(runner.address());
+    REQUIRE(fixture.AwaitReady());
+    const std::string key = fixture.codec_.FindingsPrefix() + fixture.settings_.instance.value();
+    const auto published = [&](double calls_per_s) {
+      const std::optional<std::string> value = fixture.platform_.StoreValue(key);
+      if (!value) return false;
+      const auto findings = DecodeFindings(*value);
+      return IsOk(findings) && ValueOf(findings).limits.size() == 1 &&
+             ValueOf(findings).limits[0].calls_per_s == calls_per_s;
+    };
+    const auto publish = [&](int calls_per_s) {
+      limit = calls_per_s;
+      return fixture.Await([&] {
+        (void)fixture.Call("/p/x");
+        return published(calls_per_s);
+      });
+    };
+    if (!test.copy_has_older_findings) fixture.platform_.CopyStore();
+    REQUIRE(publish(5));
+    if (test.copy_has_older_findings) fixture.platform_.CopyStore();
+    REQUIRE(publish(6));
+    fixture.platform_.RestoreStore({});
+    REQUIRE_FALSE(published(6));
+    CHECK(fixture.Await([&] { return published(6); }));
+  }
+}
+
 }  // namespace
 }  // namespace shallot::gateway
--- a/tests/standin_store.cc
+++ b/tests/standin_store.cc
@@ -61,6 +61,11 @@
   if (items_.erase(key) > 0) Record(key, std::nullopt);
 }
 
+std::optional<std::string> StandinStore::Value(const std::string& key) const {
+  const auto found = items_.find(key);
+  return found == items_.end() ? std::nullopt : std::optional(found->second.value);
+}
+
 void StandinStore::Record(const std::string& key, std::optional<std::string> value) {
   history_.push_back({++revision_, key, std::move(value)});
   // Changes made in one iteration of the event loop go into one answer.
--- a/tests/standin_store.h
+++ b/tests/standin_store.h
@@ -44,6 +44,8 @@
   uint64_t Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   bool Has(const std::string& key) const { return items_.contains(key); }
+  /// The item's value; absent if there is no such item.
+  std::optional<std::string> Value(const std::string& key) const;
   /// Watches report no changes until DropHistory().
   void MuteWatches() { watches_muted_ = true; }
   /// Aborts all watches and ends MuteWatches(). From now on, a watch from before the current
