Ignore entries of departed runners that a restored store brings back

Who is hit: after a restore, calls went to runners that had left (entries of the copy, 'ready'), until the list caught up; and live runners that are newer than the copy were dropped until they had written again.

Cause: a runner that had left the list was forgotten, so an older entry of the same run counted as a new runner; and an entry that is missing from a restored store counted as a departure.

Change: FleetView remembers departed runners with their last heartbeat. After a restore, an entry is taken only if it is newer than that; entries that are missing get the grace period of an outage. In the same era a runner that returns is taken as before.

The table test failed in four rows with the former rules (three entries of the copy, one live runner) and passes now.

--- a/drivers/gateway/fleet_follower.cc
+++ b/drivers/gateway/fleet_follower.cc
@@ -10,6 +10,13 @@
       on_change_(std::move(on_change)),
       follower_(&context->loop, &context->store, context->protocol, "", this) {}
 
+void FleetFollower::Start() {
+  context_->store.AddListener(this);
+  follower_.Start();
+}
+
+void FleetFollower::OnStoreRestored() { context_->view.OnStoreRestored(context_->loop.Now()); }
+
 void FleetFollower::OnItem(const StoreItem& item) {
   const PlatformProtocol& protocol = *context_->protocol;
   if (item.key == protocol.RoutesKey()) {
@@ -99,6 +106,12 @@
   const RunnerState* before = context_->view.Find(id);
   const bool was_draining = before != nullptr && before->entry.draining;
   const bool new_or_restarted = context_->view.Apply(ValueOf(entry), context_->loop.Now());
+  if (context_->view.Find(id) == nullptr) {
+    LogInfo("runners", fmt::format("event=runner-entry-outdated runner={} heartbeat={} revision={}",
+                                   id.value(), ValueOf(entry).heartbeat.value(),
+                                   item.position.revision.value()));
+    return;
+  }
   if (new_or_restarted) context_->picker.Forget(id);
   if (new_or_restarted || ValueOf(entry).draining != was_draining) {
     LogInfo("runners", fmt::format("event={} runner={} backend={} address={} domain={} born={} "
--- a/drivers/gateway/fleet_follower.h
+++ b/drivers/gateway/fleet_follower.h
@@ -24,12 +24,12 @@
 /// Keeps the configuration, the runners and the other gateways of a GatewayContext in sync with the
 /// store. A single watch serves all three, because the platform charges for each pending watch
 /// call.
-class FleetFollower final : public PrefixListener {
+class FleetFollower final : public PrefixListener, public StoreRestoreListener {
  public:
   /// `on_change` is called after each change of the runners or the configuration.
   FleetFollower(GatewayContext* context, std::function<void()> on_change);
 
-  void Start() { follower_.Start(); }
+  void Start();
   /// True once the configuration and the runners have been read.
   bool ready() const { return context_->routes != nullptr && context_->view.ready(); }
 
@@ -37,6 +37,7 @@
   void OnChange(const StoreItem& item) override;
   void OnStoreFailure() override;
   void OnStoreSuccess() override;
+  void OnStoreRestored() override;
 
   using LeaderListener = std::function<void(const std::optional<LeaderRecord>&, StorePosition)>;
   /// Sets the callback for the leader's record. It is called with the record and the store position
--- a/servers/gateway/fleet_view.cc
+++ b/servers/gateway/fleet_view.cc
@@ -23,7 +23,9 @@
 
 bool FleetView::Apply(const RunnerEntry& entry, SteadyTime now) {
   const auto found = runners_.find(entry.id);
+  if (found == runners_.end() && LeftSince(entry)) return false;
   if (found == runners_.end() || found->second.entry.born < entry.born) {
+    departed_.erase(entry.id);
     RunnerState fresh;
     fresh.entry = entry;
     runners_[entry.id] = fresh;
@@ -115,7 +117,7 @@
   const auto found = runners_.find(id);
   if (found == runners_.end()) return;
   if (!InOutageOrGrace(now)) {
-    runners_.erase(found);
+    Forget(id, now);
     return;
   }
   if (!found->second.missing_since) found->second.missing_since = now;
@@ -141,6 +143,33 @@
   store_recovered_at_ = now;
 }
 
+void FleetView::OnStoreRestored(SteadyTime now) {
+  ++restores_;
+  store_unavailable_ = false;
+  store_recovered_at_ = now;
+}
+
+void FleetView::Forget(const RunnerId& id, SteadyTime now) {
+  const auto found = runners_.find(id);
+  if (found == runners_.end()) return;
+  std::erase_if(departed_, [now](const auto& departed) {
+    return now - departed.second.at >= Duration(kDepartedMemory);
+  });
+  if (departed_.size() < kMaxDeparted) {
+    const RunnerEntry& entry = found->second.entry;
+    departed_[id] = {entry.born, entry.heartbeat, restores_, now};
+  }
+  runners_.erase(found);
+}
+
+bool FleetView::LeftSince(const RunnerEntry& entry) const {
+  const auto found = departed_.find(entry.id);
+  if (found == departed_.end() || found->second.restores == restores_) return false;
+  const Departed& departed = found->second;
+  if (entry.born != departed.born) return entry.born < departed.born;
+  return entry.heartbeat <= departed.heartbeat;
+}
+
 std::vector<RunnerId> FleetView::AdoptUnconfirmed(SteadyTime now) {
   std::vector<RunnerId> adopted;
   for (auto& [id, runner] : runners_) {
@@ -155,14 +184,10 @@
 std::vector<RunnerId> FleetView::DropExpired(SteadyTime now) {
   std::vector<RunnerId> dropped;
   if (InOutageOrGrace(now)) return dropped;
-  for (auto runner = runners_.begin(); runner != runners_.end();) {
-    if (!runner->second.missing_since) {
-      ++runner;
-      continue;
-    }
-    dropped.push_back(runner->first);
-    runner = runners_.erase(runner);
+  for (const auto& [id, runner] : runners_) {
+    if (runner.missing_since) dropped.push_back(id);
   }
+  for (const RunnerId& id : dropped) Forget(id, now);
   return dropped;
 }
 
--- a/servers/gateway/fleet_view.h
+++ b/servers/gateway/fleet_view.h
@@ -101,7 +101,13 @@
   /// intervals of the gateways.
   static constexpr Millis kConfirmAfter{500};
 
-  /// Adds or updates a runner. Returns true if it is new or has restarted.
+  /// Runners that have left are remembered for this long, because a copy of the store may be that
+  /// old.
+  static constexpr Seconds kDepartedMemory{600};
+  static constexpr size_t kMaxDeparted = 4'096;
+
+  /// Adds or updates a runner. Returns true if it is new or has restarted. Entries that a restored
+  /// store has of runners that left before are ignored.
   bool Apply(const RunnerEntry& entry, SteadyTime now);
   /// Applies a report about orders from the runner itself or from the placement leader.
   void ApplyReport(const RunnerId& id, const RunnerReport& report, SteadyTime now);
@@ -121,6 +127,9 @@
   void OnStoreFailure(SteadyTime now);
   /// The store responded to a call again.
   void OnStoreResponse(SteadyTime now);
+  /// The store was restored from a copy. Entries that it lacks now may be newer than the copy, and
+  /// entries of runners that are gone may be back until the runners have written again.
+  void OnStoreRestored(SteadyTime now);
   /// Adopts holdings from heartbeats that arrived soon after a report and that no newer report has
   /// replaced. Returns the runners whose holdings changed.
   std::vector<RunnerId> AdoptUnconfirmed(SteadyTime now);
@@ -143,12 +152,26 @@
   bool ready() const { return list_read_; }
 
  private:
+  /// A runner that has left the list.
+  struct Departed {
+    RunnerStartTime born;
+    HeartbeatSequence heartbeat;
+    /// Number of restores of the store before it left.
+    uint64_t restores = 0;
+    SteadyTime at;
+  };
+
   bool InOutageOrGrace(SteadyTime now) const;
+  void Forget(const RunnerId& id, SteadyTime now);
+  /// Whether the entry is one that a restore has brought back after the runner had left.
+  bool LeftSince(const RunnerEntry& entry) const;
 
   std::map<RunnerId, RunnerState> runners_;
   bool list_read_ = false;
   bool store_unavailable_ = false;
   std::optional<SteadyTime> store_recovered_at_;
+  uint64_t restores_ = 0;
+  std::map<RunnerId, Departed> departed_;
 };
 
 }  // namespace shallot::gateway
--- a/tests/gateway_fleet_view_test.cc
+++ b/tests/gateway_fleet_view_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -147,6 +149,48 @@
   CHECK(view.Find(RunnerId("a")) != nullptr);
 }
 
+struct RestoreCase {
+  const char* name;
+  bool removed_before;
+  bool restored;
+  /// The entry that the store has next; absent if it has none.
+  std::optional<RunnerEntry> entry;
+  int64_t checked_after_ms;
+  bool expected_known;
+};
+
+// Guards against calls to a runner that had left when the store was restored from a copy in which
+// it is ready, and against dropping live runners that the copy does not have yet.
+TEST_CASE("gateway: runners after a restore of the store") {
+  const int64_t grace = FleetView::kExpiryGrace.count();
+  const std::vector<RestoreCase> cases = {
+      {"left, older entry in the copy", true, true, Entry("a", 2, 4, {}), 0, false},
+      {"left, its last entry in the copy", true, true, Entry("a", 2, 5, {}), 0, false},
+      {"left, an earlier run in the copy", true, true, Entry("a", 1, 9, {}), 0, false},
+      {"lapsed, writes again", true, true, Entry("a", 2, 6, {}), 0, true},
+      {"left, another run begins", true, true, Entry("a", 3, 1, {}), 0, true},
+      {"lapsed and back without a restore", true, false, Entry("a", 2, 5, {}), 0, true},
+      {"not in the copy", false, true, std::nullopt, grace - 1, true},
+      {"not in the copy and not written again", false, true, std::nullopt, grace, false},
+      {"missing without a restore", false, false, std::nullopt, 0, false},
+  };
+  for (const RestoreCase& test : cases) {
+    CAPTURE(std::string(test.name));
+    FleetView view;
+    view.Apply(Entry("a", 2, 5, {}), kStart);
+    if (test.removed_before) view.Remove(RunnerId("a"), kStart);
+    if (test.restored) view.OnStoreRestored(kStart);
+    std::set<RunnerId> present;
+    if (test.entry) {
+      view.Apply(*test.entry, kStart);
+      present.insert(RunnerId("a"));
+    }
+    view.Reconcile(present, kStart);
+    view.DropExpired(kStart + Millis(test.checked_after_ms));
+    CHECK((view.Find(RunnerId("a")) != nullptr) == test.expected_known);
+  }
+}
+
 // Guards against a shorter prefix that takes precedence over a longer one, and against a match
 // within a path segment.
 TEST_CASE("gateway: the longest prefix of the host selects the route") {
