--- a/Makefile
+++ b/Makefile
@@ -56,7 +56,7 @@
 		--source-file='*/tests/fault_random_test.cc' --test-case=soak
 
 # Random faults on gateway processes with SEEDS new seeds from SEED on, FAULT_S seconds each, beside
-# INCIDENT: none, deadly-calls or limited-runners.
+# INCIDENT: none, deadly-calls, limited-runners or restored-store.
 SEEDS ?= 10
 INCIDENT ?= none
 FAULT_S ?= 15
--- a/tests/soak/process_soak_main.cc
+++ b/tests/soak/process_soak_main.cc
@@ -43,7 +43,8 @@
 
 const std::map<std::string, Incident> kIncidents = {{"none", Incident::kNone},
                                                     {"deadly-calls", Incident::kDeadlyCalls},
-                                                    {"limited-runners", Incident::kLimitedRunners}};
+                                                    {"limited-runners", Incident::kLimitedRunners},
+                                                    {"restored-store", Incident::kRestoredStore}};
 
 /// Seeds that failed before, with the cause. CI runs them again.
 struct RegressionSeed {
@@ -205,7 +206,8 @@
           (std::filesystem::temp_directory_path() / "shallot-soak").string()))(
       "keep", "keep the logs of seeds that pass")(
       "incident",
-      "none, deadly-calls (calls crash their runners) or limited-runners (runners name limits)",
+      "none, deadly-calls (calls crash their runners), limited-runners (runners name limits) or "
+      "restored-store (the store returns from copies that are seconds old)",
       cxxopts::value<std::string>()->default_value("none"))(
       "stall-logs", "let the gateways log to pipes that nobody reads")(
       "regressions", "run the seeds that failed once instead")("help", "print this help");
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -2,6 +2,7 @@
 #define TESTS_SOAK_SOAK_FLEET_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -45,6 +46,8 @@
   kDeadlyCalls,
   /// An engine and a runner of a plain service limit their calls.
   kLimitedRunners,
+  /// The store is restored again and again from copies that are seconds old.
+  kRestoredStore,
 };
 
 struct SoakOptions {
@@ -139,6 +142,10 @@
   void InjectStoreFaults(const gateway::StoreFaults& faults, const std::string& name, Millis time,
                          bool entries_expire);
   void DropHistory();
+  /// Begins to take copies of the store.
+  void CopyStore();
+  /// Restores the store from one of its copies; the operator and the runners write again later.
+  void RestoreStore();
   // Faults on runners.
   void InjectRunnerFaults(size_t runner, const RunnerFaults& faults, const std::string& name,
                           Millis time);
@@ -207,6 +214,8 @@
   void OnDeadlyCall(const std::string& runner);
   void EndRunner(size_t runner);
   void PutConfig();
+  /// The operator and the runners write what a restored store may lack, and remove what has gone.
+  void WriteStoreAgain();
   std::string ConfigText() const;
   /// Begins a disturbance, ends it after `time` and then calls `end`, unless ClearFaults() was
   /// called in between.
@@ -230,6 +239,7 @@
   uint64_t last_runner_ = 0;
   double deadly_share_ = 0;
   std::vector<SteadyTime> deadly_crashes_;
+  std::deque<gateway::StandinStore::Copy> copies_;
   bool store_unavailable_ = false;
   bool entries_expire_ = false;
   bool stopping_ = false;
--- a/tests/soak/soak_fleet_faults.cc
+++ b/tests/soak/soak_fleet_faults.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <set>
+#include <string>
 
 #include "tests/soak/soak_fleet.h"
 
@@ -13,6 +15,13 @@
 constexpr Millis kGraceSlack{300};
 /// Watches are sent no changes for this long before the history is dropped.
 constexpr Millis kMutedBeforeDrop{1'000};
+/// The store is copied at this interval, and restored from one of the last copies.
+constexpr Millis kCopyInterval{500};
+constexpr size_t kMaxCopies = 20;
+/// The store is down for up to this long before it is restored, and the operator and the runners
+/// write again up to this long after it.
+constexpr uint64_t kLongestDownMs = 1'000;
+constexpr uint64_t kLongestRewriteMs = 800;
 /// Time until a runner that a deadly call crashed is back.
 constexpr Millis kDeadlyDown{1'500};
 
@@ -126,6 +135,52 @@
   AddTimedDisturbance(Scope::Store(), kMutedBeforeDrop, false, [this] { store_.DropHistory(); });
 }
 
+void SoakFleet::CopyStore() {
+  copies_.push_back(store_.TakeCopy());
+  if (copies_.size() > kMaxCopies) copies_.pop_front();
+  loop_->After(kCopyInterval, [this] { CopyStore(); });
+}
+
+void SoakFleet::RestoreStore() {
+  if (copies_.empty()) return;
+  const Millis down(random_.Below(kLongestDownMs));
+  const Millis rewritten(random_.Below(kLongestRewriteMs));
+  gateway::StoreFaults silent;
+  silent.silent = true;
+  store_.SetFaults(silent);
+  store_unavailable_ = true;
+  const size_t disturbance = disturbances_.Begin(Scope::Store(), loop_->Now(), false);
+  loop_->After(down, [this, disturbance, rewritten, round = round_] {
+    if (round == round_) {
+      const size_t index = random_.Below(copies_.size());
+      LogEvent(fmt::format("store restored from copy {} of {}, written again after {} ms",
+                           index + 1, copies_.size(), rewritten.count()));
+      store_.SetFaults({});
+      store_.Restore(copies_[index]);
+    }
+    loop_->After(rewritten, [this, disturbance, round] {
+      disturbances_.End(disturbance, loop_->Now());
+      if (round == round_) WriteStoreAgain();
+    });
+  });
+}
+
+void SoakFleet::WriteStoreAgain() {
+  store_unavailable_ = false;
+  PutConfig();
+  std::set<std::string> listed;
+  for (Runner& runner : runners_) {
+    if (runner.server == nullptr) continue;
+    listed.insert("servers/" + runner.spec.id);
+    runner.last_heartbeat = loop_->Now();
+    runner.listed = true;
+    runner.server->Heartbeat();
+  }
+  for (const std::string& key : store_.Keys("servers/")) {
+    if (!listed.contains(key)) store_.Remove(key);
+  }
+}
+
 void SoakFleet::InjectRunnerFaults(size_t index, const RunnerFaults& faults,
                                    const std::string& name, Millis time) {
   if (runners_[index].server == nullptr) return;
@@ -255,6 +310,7 @@
   const SteadyTime now = loop_->Now();
   store_.SetFaults({});
   store_.DropHistory();
+  if (!copies_.empty()) WriteStoreAgain();
   store_unavailable_ = false;
   for (size_t index = 0; index < gateways_.size(); ++index) {
     Gateway& gateway = gateways_[index];
--- a/tests/soak/soak_schedule.cc
+++ b/tests/soak/soak_schedule.cc
@@ -22,6 +22,13 @@
 /// Pause before an incident begins, and the share of the streams that are deadly calls.
 constexpr Millis kIncidentDelay{5'000};
 constexpr double kDeadlyShare = 0.15;
+/// Pauses between two restores of the store.
+constexpr uint64_t kShortestRestoreGapMs = 7'000;
+constexpr uint64_t kRestoreGapSpreadMs = 4'000;
+/// A gateway does not hear of the store for this long around a restore.
+constexpr Millis kUnawareTime{3'500};
+/// Pause between a change of the configuration and the restore that loses it.
+constexpr Millis kChangePause{600};
 /// A fraction of the calls that a runner gets in a calm run.
 constexpr double kLimitCallsPerS = 3;
 constexpr std::array<LinkFault, 7> kLinkFaults = {
@@ -66,7 +73,12 @@
 
 void SoakSchedule::ScheduleIncident() {
   if (fleet_->options().incident == Incident::kNone) return;
+  if (fleet_->options().incident == Incident::kRestoredStore) fleet_->CopyStore();
   fleet_->loop()->After(kIncidentDelay, [this] {
+    if (fleet_->options().incident == Incident::kRestoredStore) {
+      RestoreAgain();
+      return;
+    }
     if (fleet_->options().incident == Incident::kLimitedRunners) {
       fleet_->LimitRunners(kLimitCallsPerS);
       return;
@@ -76,6 +88,28 @@
   });
 }
 
+void SoakSchedule::RestoreAgain() {
+  if (stopped_) return;
+  // A gateway that hears nothing meanwhile, and changes on both sides of the restore.
+  const size_t gateway = RandomGateway();
+  if (fleet_->random().Below(2) == 0) {
+    fleet_->PauseGateway(gateway, kUnawareTime);
+  } else {
+    fleet_->InjectLinkFault(LinkEnd::kStore, gateway, LinkFault::kDark, kUnawareTime);
+  }
+  fleet_->ChangeConfig();
+  fleet_->loop()->After(kChangePause, [this] {
+    if (!stopped_) fleet_->RestoreStore();
+  });
+  for (const Millis pause : {kUnawareTime - kChangePause, kUnawareTime}) {
+    fleet_->loop()->After(pause, [this] {
+      if (!stopped_) fleet_->ChangeConfig();
+    });
+  }
+  const uint64_t gap = kShortestRestoreGapMs + fleet_->random().Below(kRestoreGapSpreadMs);
+  fleet_->loop()->After(Millis(gap), [this] { RestoreAgain(); });
+}
+
 void SoakSchedule::ScheduleNext() {
   const auto gap =
       static_cast<int64_t>(fleet_->random().Exponential(static_cast<double>(mean_gap_.count())));
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -32,6 +32,7 @@
   void ScheduleNext();
   /// Begins the incident of the run's options. It lasts until the run's end.
   void ScheduleIncident();
+  void RestoreAgain();
   Millis RandomDuration();
   size_t RandomGateway();
   size_t RandomRunner();
--- a/tests/standin_store.cc
+++ b/tests/standin_store.cc
@@ -61,6 +61,14 @@
   if (items_.erase(key) > 0) Record(key, std::nullopt);
 }
 
+std::vector<std::string> StandinStore::Keys(const std::string& prefix) const {
+  std::vector<std::string> keys;
+  for (const auto& [key, item] : items_) {
+    if (key.starts_with(prefix)) keys.push_back(key);
+  }
+  return keys;
+}
+
 std::optional<std::string> StandinStore::Value(const std::string& key) const {
   const auto found = items_.find(key);
   return found == items_.end() ? std::nullopt : std::optional(found->second.value);
--- a/tests/standin_store.h
+++ b/tests/standin_store.h
@@ -44,6 +44,7 @@
   uint64_t Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   bool Has(const std::string& key) const { return items_.contains(key); }
+  std::vector<std::string> Keys(const std::string& prefix) const;
   /// The item's value; absent if there is no such item.
   std::optional<std::string> Value(const std::string& key) const;
   /// Watches report no changes until DropHistory().
