Cut a begun stream off when it continues at a runner that answers an error

Cause: a stream that broke off goes on at another runner. An answer there with a status of 2xx other than 200, 3xx or 4xx was no failure and no stream, so it was forwarded as a new answer into the stream that the caller was reading.

Change: once the caller has the head of a stream, an answer that is no stream is a failure of the attempt; the stream goes on elsewhere or is cut off.

--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -78,6 +78,10 @@
     return HeadVerdict::kAccept;
   }
   streaming_ = !answer_failure_ && route_->kind == CallKind::kStream && head.status == 200;
+  // The caller has the head of a stream, which only events can continue.
+  if (answer_begun_ && !streaming_ && !answer_failure_) {
+    answer_failure_ = AttemptFailure::kServerError;
+  }
   return HeadVerdict::kAccept;
 }
 
--- a/tests/gateway_daemon_fixture.h
+++ b/tests/gateway_daemon_fixture.h
@@ -5,9 +5,11 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/StreamCopier.h>
 #include <doctest/doctest.h>
 
+#include <array>
 #include <memory>
 #include <string>
 #include <utility>
@@ -87,6 +89,30 @@
     return Send(settings_.caller_address, "POST", path, "body", model, prompt);
   }
 
+  /// As Call(), but returns the bytes that arrive until the gateway closes the connection, or until
+  /// `kQuietTime` without any.
+  std::string CallRaw(const std::string& path, const std::string& model) {
+    constexpr int kQuietTime = 1'000'000;  // Microseconds.
+    Poco::Net::StreamSocket caller{Poco::Net::SocketAddress(settings_.caller_address)};
+    const std::string request =
+        "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: raw-" +
+        std::to_string(++calls_) + "\r\nDeadline-Ms: 10000\r\nModel-Name: " + model +
+        "\r\nContent-Length: 0\r\n\r\n";
+    caller.sendBytes(request.data(), static_cast<int>(request.size()));
+    std::string received;
+    std::array<char, 4'096> buffer{};
+    while (caller.poll(Poco::Timespan(kQuietTime), Poco::Net::Socket::SELECT_READ)) {
+      try {
+        const int bytes = caller.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        if (bytes <= 0) break;
+        received.append(buffer.data(), static_cast<size_t>(bytes));
+      } catch (const Poco::Exception&) {
+        break;  // The gateway has reset the connection.
+      }
+    }
+    return received;
+  }
+
   int Readiness() {
     return Send(settings_.readiness_address, "GET", codec_.ReadinessPath()).status;
   }
--- a/tests/gateway_daemon_test.cc
+++ b/tests/gateway_daemon_test.cc
@@ -207,6 +207,56 @@
   }
 }
 
+struct ErrorMidStreamCase {
+  const char* name;
+  const char* status;
+  const char* fields;
+};
+
+// Guards against the text of an error in the middle of a caller's stream, or a stream that looks
+// complete after one, when the runner at which a broken stream continues answers with an error.
+TEST_CASE(
+    "gateway daemon: a stream is cut off when it continues at a runner that answers an error") {
+  const std::vector<ErrorMidStreamCase> cases = {
+      {"client error", "404 Not Found", "Server-Seal: s\r\n"},
+      {"client error without a seal", "400 Bad Request", ""},
+      {"redirect", "302 Found", "Server-Seal: s\r\nLocation: /x\r\n"},
+      {"server error", "500 Internal Server Error", "Server-Seal: s\r\n"},
+      {"other success", "201 Created", "Server-Seal: s\r\n"},
+      {"not executed", "503 Service Unavailable", "Not-Executed: 1\r\n"},
+  };
+  for (const ErrorMidStreamCase& test : cases) {
+    CAPTURE(std::string(test.name));
+    GatewayFixture fixture;
+    std::atomic<int> resumed = 0;
+    const auto serve = [&](RawConnection* connection, int /*number*/) {
+      const std::string request = connection->ReadHead();
+      if (request.find("POST /s/") == std::string::npos) return;
+      if (request.find("Last-Event-Id:") == std::string::npos) {
+        connection->Send(AnswerHead(request, kChunkedSealed) + kFirstEvent);
+        return;
+      }
+      ++resumed;
+      std::string head = AnswerHead(request, std::string(test.fields) + "Content-Length: 9\r\n");
+      head.replace(head.find("200 OK"), 6, test.status);
+      connection->Send(head + "the error");
+    };
+    RawServer first(serve);
+    RawServer second(serve);
+    fixture.ConfigureResumable();
+    fixture.AddRunner(first.address(), "a-0");
+    fixture.AddRunner(second.address(), "a-1");
+    REQUIRE(fixture.AwaitReady());
+    const bool played = fixture.Await([&] {
+      const std::string received = fixture.CallRaw("/s/1", "m1");
+      CHECK(received.find("the error") == std::string::npos);
+      CHECK_MESSAGE(received.find("0\r\n\r\n") == std::string::npos, "it must not look complete");
+      return resumed > 0;
+    });
+    CHECK(played);
+  }
+}
+
 // Guards against a slow but sound stream that is cancelled although no retry is left with which it
 // could continue elsewhere.
 TEST_CASE("gateway daemon: a slow stream is not cut when it cannot continue elsewhere") {
