--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -172,11 +172,53 @@
     entry[field] = value;
     CHECK(KindOf(codec.DecodeRunner(RunnerId("i-1"), entry.dump())) == "invalid-argument");
   }
+  for (const char* address : {"10.0.0.1:65536", "10.0.0.1:99999999999999999999", "10.0.0.1:0",
+                              "10.0.0.1:-1", "256.0.0.1:80", "10.0.0:80", "10.0.0.1:80:80"}) {
+    CAPTURE(std::string(address));
+    nlohmann::json entry = good;
+    entry["address"] = address;
+    CHECK(KindOf(codec.DecodeRunner(RunnerId("i-1"), entry.dump())) == "invalid-argument");
+  }
   for (const char* bytes : {"", "[]", "\xff\xfe", "{\"service\":"}) {
     CHECK(KindOf(codec.DecodeRunner(RunnerId("i-1"), bytes)) == "invalid-argument");
   }
 }
 
+struct OddEntryCase {
+  const char* name;
+  const char* field;
+  std::string value;
+};
+
+// Guards against a process that ends, or a duration that is undefined, because of one odd entry
+// that another writer left among those of the runners.
+TEST_CASE("platform: numbers out of range and deep nesting in a runner entry do no harm") {
+  constexpr size_t kDepth = 400'000;
+  const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::vector<OddEntryCase> cases = {
+      {"number beyond a double", "slots", "1e999"},
+      {"number beyond 64 bits", "slots", "99999999999999999999999"},
+      {"huge duration", "remaining-ms", "1e300"},
+      {"negative duration", "remaining-ms", "-1e300"},
+      {"huge heartbeat", "seq", "18446744073709551616"},
+      {"nested list of models", "models", nested},
+      {"nested unknown field", "x", nested},
+      {"nested state", "state", nested},
+  };
+  const PlatformCodec codec;
+  for (const OddEntryCase& test : cases) {
+    CAPTURE(std::string(test.name));
+    nlohmann::json entry = nlohmann::json::parse(kEntry);
+    entry.erase(test.field);
+    std::string text = entry.dump();
+    text.insert(1, "\"" + std::string(test.field) + "\":" + test.value + ",");
+    const auto decoded = codec.DecodeRunner(RunnerId("i-1"), text);
+    if (!IsOk(decoded)) continue;
+    CHECK(ValueOf(decoded).remaining.value_or(Millis(0)) >= Millis(0));
+    CHECK(ValueOf(decoded).remaining.value_or(Millis(0)) <= std::chrono::hours(24 * 366));
+  }
+}
+
 constexpr const char* kConfig =
     R"({"version":7,"routes":[
 {"name":"r1","hostname":"Ficu95.example","path-prefix":"/pufi791/","kind":"stream","timeout-ms":15000,
