Do not take a refusal that arrives again as proof that a call has not run

What callers saw: nothing yet here; other operators reported calls answered 'not run, try again' that ran, and calls that ran twice, beside a runner that writes an earlier refusal once more on a kept connection.

The earlier refusal, written again, then looked like the answer: the call was sent once more while it ran. A refusal without an id was taken as one of the present call in any case.

Change: a repeat at a runner that has refused the call uses a connection of its own, and a refusal counts only if it names the call, as the platform states of all answers of runners. The soak's runners now name the call in their refusals, as the platform's do.

The daemon test failed before in both rows (the call ran more than once; 503 instead of 502 without an id) and passes now.

--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -57,7 +57,8 @@
                               context_->loop.Now());
   }
   answer_.head = head;
-  if (metadata.not_executed) {
+  // A refusal that does not name the call may be an earlier one that arrives again.
+  if (metadata.not_executed && !metadata.call.empty()) {
     if (head.status != 421) {
       answer_failure_ = AttemptFailure::kNotExecuted;
     } else if (metadata.runner == runner_.runner || metadata.runner.empty()) {
@@ -234,6 +235,7 @@
   RecordFailure(failure, detail);
   if (ProvesNotRun(failure)) {
     rejected_until_[runner_.runner] = context_->loop.Now() + kRejectionPause;
+    if (failure != AttemptFailure::kNotConnected) refused_by_.insert(runner_.runner);
   } else {
     ++runs_;
   }
--- a/tests/gateway_daemon_test.cc
+++ b/tests/gateway_daemon_test.cc
@@ -257,6 +257,54 @@
   }
 }
 
+struct RepeatedRefusalCase {
+  const char* name;
+  bool with_id;
+  int status;
+};
+
+// Guards against a call that is answered "not run", or runs at a second runner, because a faulty
+// runner writes its earlier refusal of the call once more on the connection on which it runs it
+// now.
+TEST_CASE(
+    "gateway daemon: a refusal that is written twice does not prove that the call has not run") {
+  for (const RepeatedRefusalCase& test : {RepeatedRefusalCase{"with the call's id", true, 200},
+                                          RepeatedRefusalCase{"without an id", false, 502}}) {
+    CAPTURE(std::string(test.name));
+    GatewayFixture fixture;
+    std::atomic<int> runs = 0;
+    std::atomic<int> refused = 0;
+    RawServer runner([&](RawConnection* connection, int /*number*/) {
+      for (std::string refusal;;) {
+        const std::string request = connection->ReadHead();
+        if (request.find("POST /p/") == std::string::npos) return;
+        if (refused == 0) {
+          ++refused;
+          refusal = AnswerHead(request, "Not-Executed: 1\r\nContent-Length: 0\r\n");
+          refusal.replace(refusal.find("200 OK"), 6, "503 Busy");
+          connection->Send(refusal);
+          continue;
+        }
+        ++runs;
+        if (!test.with_id)
+          refusal = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        connection->Send(refusal + AnswerHead(request, "Server-Seal: s\r\nContent-Length: 2\r\n") +
+                         "ok");
+      }
+    });
+    std::string config = kConfig;
+    const std::string kind = "\"kind\":\"idempotent\"";
+    config.replace(config.find(kind), kind.size(), "\"kind\":\"non_idempotent\"");
+    fixture.platform_.Put("op/config", config);
+    fixture.AddRunner(runner.address());
+    REQUIRE(fixture.AwaitReady());
+    const Reply reply = fixture.Call("/p/x");
+    CHECK(reply.status == test.status);
+    CHECK(refused == 1);
+    CHECK(runs == 1);
+  }
+}
+
 // Guards against a slow but sound stream that is cancelled although no retry is left with which it
 // could continue elsewhere.
 TEST_CASE("gateway daemon: a slow stream is not cut when it cannot continue elsewhere") {
--- a/tests/soak/standin_runner.cc
+++ b/tests/soak/standin_runner.cc
@@ -75,10 +75,12 @@
   Heartbeat();
 }
 
-void StandinRunner::Reject(CallerConnection* connection, int status) {
+void StandinRunner::Reject(CallerConnection* connection, const HttpMessage& request, int status) {
   HttpMessage answer;
   answer.head.status = status;
   answer.head.reason = "Not Run";
+  const std::string id = Field(request, "Attempt-Id");
+  if (!id.empty()) answer.head.Set("Attempt-Id", id);
   answer.head.Set("Not-Executed", "1");
   answer.head.Set("Instance-Id", spec_.id);
   connection->Answer(answer);
@@ -88,7 +90,7 @@
   if (faults_.silent) return;
   const std::string expected = Field(request, "Expect-Instance");
   if (!expected.empty() && expected != spec_.id) {
-    Reject(connection, 421);
+    Reject(connection, request, 421);
     return;
   }
   if (request.head.target == "/v1/order") {
@@ -185,11 +187,11 @@
   context_->ledger->OnArrival(RequestId(Field(request, "Attempt-Id")), RunnerId(spec_.id),
                               BackendName(spec_.backend), context_->loop->Now());
   if (spec_.is_engine && !models_.contains(model)) {
-    Reject(connection, 421);
+    Reject(connection, request, 421);
     return;
   }
   if (context_->random->Unit() < faults_.rejections) {
-    Reject(connection, 503);
+    Reject(connection, request, 503);
     return;
   }
   Work work;
--- a/tests/soak/standin_runner.h
+++ b/tests/soak/standin_runner.h
@@ -113,7 +113,8 @@
   void HandleCall(gateway::CallerConnection* connection, gateway::HttpMessage request);
   void FinishPlain(gateway::CallerConnection* connection);
   void SendNextEvent(gateway::CallerConnection* connection);
-  void Reject(gateway::CallerConnection* connection, int status);
+  void Reject(gateway::CallerConnection* connection, const gateway::HttpMessage& request,
+              int status);
   /// Returns a response head with the id of the call's attempt and the runner's seal.
   gateway::HttpHead SealedHead(const RequestId& id, int status) const;
   nlohmann::json Inventory() const;
