Send no calls to runners that say they are leaving or closed

Who is hit: calls to a runner that is emptied and taken away, while the store is away or its list lags, are cut off with it; calls to a runner that turned one away and named a time are turned away again and use up retries.

Cause: gateways did not read Server-Leaving and the Retry-After of a runner's 503. They learned of a leaving runner from the store's list only.

Change: the platform's codec decodes both. A run that is leaving counts as draining from its first answer on (also one to an order or a report request), until the runner has restarted, whatever the list, a report or a copy of the store says; gateways report it to the leader. A 503 with Retry-After closes the runner for that time (60 s at most, 1 s if it cannot be read): calls wait for the first runner that opens if that is in time for them, and are refused at once with that time otherwise. Waiting calls then follow with gaps. AssessWillingness decides from the list, health, closing and limits; the picker asks only it.

--- a/drivers/gateway/admin_handler.cc
+++ b/drivers/gateway/admin_handler.cc
@@ -25,6 +25,8 @@
     connection->Answer(TextAnswer(200, "OK", "application/json", Quarantine()));
   } else if (path == "/limits") {
     connection->Answer(TextAnswer(200, "OK", "application/json", Limits()));
+  } else if (path == "/runners") {
+    connection->Answer(TextAnswer(200, "OK", "application/json", Runners()));
   } else if (path == "/store") {
     connection->Answer(TextAnswer(200, "OK", "application/json", Store()));
   } else {
@@ -45,6 +47,7 @@
   set("runner_connections_opened", context_->client.connections_opened());
   set("traits_quarantined", context_->quarantine.Quarantined(context_->loop.Now()).size());
   set("runners_limited", context_->limits.Limited().size());
+  set("runners_leaving", context_->view.Leaving().size());
   set("log_lines_dropped", DroppedLogLines());
   set("config_version", context_->routes ? context_->routes->version.value() : 0);
   return metrics.Render();
@@ -74,6 +77,20 @@
   return Dump({{"gateway", context_->settings.instance.value()}, {"limited", limited}});
 }
 
+std::string AdminHandler::Runners() {
+  const SteadyTime now = context_->loop.Now();
+  Json unwilling = Json::array();
+  for (const auto& [id, runner] : context_->view.runners()) {
+    const Willingness willingness =
+        AssessWillingness(runner, context_->picker.health(id), &context_->limits, now);
+    if (willingness.state == Willingness::State::kWilling) continue;
+    unwilling.push_back({{"runner", id.value()},
+                         {"state", WillingnessName(willingness.state)},
+                         {"wait_ms", willingness.wait.count()}});
+  }
+  return Dump({{"gateway", context_->settings.instance.value()}, {"unwilling", unwilling}});
+}
+
 std::string AdminHandler::Store() const {
   const std::optional<StoreEra> era = context_->store.era();
   const Json state = {
--- a/drivers/gateway/admin_handler.h
+++ b/drivers/gateway/admin_handler.h
@@ -19,7 +19,8 @@
 
 /// Answers operators: `GET /metrics` with all metrics as text; as JSON, `GET /quarantine` with the
 /// calls that the gateway refuses because such calls crash runners, `GET /limits` with the runners
-/// that limit their calls, and `GET /store` with what the gateway has read from the store.
+/// that limit their calls, `GET /runners` with the runners that take no calls now, and `GET /store`
+/// with what the gateway has read from the store.
 class AdminHandler final : public CallerHandler {
  public:
   AdminHandler(GatewayContext* context, std::function<DaemonFigures()> figures)
@@ -32,6 +33,7 @@
   std::string Metrics();
   std::string Quarantine() const;
   std::string Limits() const;
+  std::string Runners();
   std::string Store() const;
 
   GatewayContext* context_;
--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -151,41 +151,47 @@
     return;
   }
   if (RefuseIfTooLate(*picked)) return;
-  if (picked->permit_wait > Millis(0)) {
-    WaitForPermit(*picked);
+  if (picked->willingness.wait > Millis(0)) {
+    WaitForRunner(*picked);
     return;
   }
   waiting_ = false;
   Send(*picked);
 }
 
-void CallSession::WaitForPermit(const PickedRunner& picked) {
-  context_->limits.Want(picked.runner);
+void CallSession::WaitForRunner(const PickedRunner& picked) {
+  const bool limited = picked.willingness.state == Willingness::State::kLimited;
+  if (limited) context_->limits.Want(picked.runner);
   if (waiting_) return;
   waiting_ = true;
   waiting_since_ = context_->loop.Now();
-  context_->metrics->GetCounter("calls_waited_for_permit_total").Add();
+  context_->metrics
+      ->GetCounter(limited ? "calls_waited_for_permit_total" : "calls_waited_for_opening_total")
+      .Add();
   LogInfo("call",
-          fmt::format("event=wait-for-permit runner={} model={} adapter={} predicted_ms={} "
-                      "left_ms={}",
-                      picked.runner.value(), call_.model.value(), call_.adapter.value(),
-                      picked.permit_wait.count(), TimeLeft().count()),
+          fmt::format("event={} runner={} model={} adapter={} predicted_ms={} left_ms={}",
+                      limited ? "wait-for-permit" : "wait-for-opening", picked.runner.value(),
+                      call_.model.value(), call_.adapter.value(), picked.willingness.wait.count(),
+                      TimeLeft().count()),
           call_.id.value());
 }
 
 bool CallSession::RefuseIfTooLate(const PickedRunner& picked) {
   // An answer that has begun is continued even if the caller may leave before the next event.
-  const bool limited = picked.permit_wait > Millis(0);
-  if ((engine_ == nullptr && !limited) || answer_begun_) return false;
+  const bool must_wait = picked.willingness.wait > Millis(0);
+  if ((engine_ == nullptr && !must_wait) || answer_begun_) return false;
   const Millis left = PatienceLeft();
-  const Millis predicted = picked.predicted + picked.permit_wait;
+  const Millis predicted = picked.predicted + picked.willingness.wait;
   const RefusalDecision decision = DecideRefusal(predicted, left, call_.id);
   if (!decision.refuse) return false;
-  if (limited) {
+  if (must_wait) {
+    const bool limited = picked.willingness.state == Willingness::State::kLimited;
     const std::string runners = engine_ == nullptr ? "the runners of backend " + backend_.value()
                                                    : "the runners of model " + call_.model.value();
-    Refuse(fmt::format("{} limit their calls (next permit: {} ms, caller waits: {} ms)", runners,
-                       picked.permit_wait.count(), left.count()),
+    Refuse(fmt::format("{} {} ms, caller waits: {} ms)",
+                       runners + (limited ? " limit their calls (next permit:"
+                                          : " take no calls for some time (next opening:"),
+                       picked.willingness.wait.count(), left.count()),
            decision.retry_after);
     return true;
   }
@@ -273,6 +279,9 @@
 
   context_->limits.OnSent(picked.runner, sent_at_);
   RunnerHealth& health = context_->picker.health(picked.runner);
+  if (health.OnSent(sent_at_)) {
+    LogInfo("runners", "event=runner-opened runner=" + picked.runner.value());
+  }
   health.breaker.OnAttempt(sent_at_);
   ++health.in_flight;
   sent_tokens_ = std::max(
@@ -336,7 +345,8 @@
   const auto other = context_->picker.Pick(MakeQuery(&excluded), context_->loop.Now(), &problem);
   // Without another runner to try, or without a retry left, cancelling the attempt would only lose
   // its progress: the runner may be slow but alive.
-  if (!other || other->permit_wait > Millis(0) || tried_.contains(other->runner) || !TakeRetry()) {
+  if (!other || other->willingness.wait > Millis(0) || tried_.contains(other->runner) ||
+      !TakeRetry()) {
     ArmSilenceTimer(SilenceLimit(runner_));
     return;
   }
--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -79,7 +79,7 @@
   bool RefuseIfQuarantined();
   RunnerPicker::Query MakeQuery(const std::set<RunnerId>* excluded) const;
   /// Waits for a permit of a limited runner.
-  void WaitForPermit(const PickedRunner& picked);
+  void WaitForRunner(const PickedRunner& picked);
   /// Refuses the call if its first event would come after the caller has given up.
   bool RefuseIfTooLate(const PickedRunner& picked);
   void WaitOrRefuse(PickError problem);
@@ -98,6 +98,8 @@
   void RecordFailure(AttemptFailure failure, const std::string& detail);
   void ContinueAfterFailure(AttemptFailure failure);
   /// Draws on the retry limit, unless a retry has already been granted for this attempt.
+  /// When to come back after a refusal although runners are known: when the first of them opens.
+  Millis RetryAfterRefusal();
   bool TakeRetry();
   /// Records how long the runner took to the first event, or how long it took without one.
   void RecordFirstEvent(bool arrived);
--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -4,6 +4,7 @@
 
 #include "core/log.h"
 #include "drivers/gateway/call_session.h"
+#include "drivers/gateway/runner_answers.h"
 
 // The part of CallSession that handles runners' answers and the end of attempts.
 namespace shallot::gateway {
@@ -53,6 +54,7 @@
     health.reported_at = context_->loop.Now();
   }
   if (!metadata.call.empty()) {
+    NoteWillingness(context_, {runner_.runner, runner_born_}, metadata);
     context_->limits.OnAnswer({runner_.runner, runner_born_}, metadata.calls_per_s, sent_at_,
                               context_->loop.Now());
   }
@@ -242,6 +244,14 @@
   ContinueAfterFailure(failure);
 }
 
+Millis CallSession::RetryAfterRefusal() {
+  PickError problem = PickError::kNone;
+  const auto next = context_->picker.Pick(MakeQuery(nullptr), context_->loop.Now(), &problem);
+  if (!next || next->willingness.wait == Millis(0)) return kShortRetryAfter;
+  const Millis wait = next->willingness.wait;
+  return std::max(kShortRetryAfter, DecideRefusal(wait, Millis(0), call_.id).retry_after);
+}
+
 bool CallSession::TakeRetry() {
   if (!retry_granted_) {
     retry_granted_ =
@@ -276,7 +286,7 @@
       Dispatch();
       return;
     case NextStep::kRefuse:
-      Refuse("no runner took the call", kShortRetryAfter);
+      Refuse("no runner took the call", RetryAfterRefusal());
       return;
     case NextStep::kPassOn:
       ForwardAnswer(answer_);
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -308,6 +308,7 @@
     reported_waiting_.insert(found->first);
   }
   report.unreachable = context_->picker.Unreachable(now);
+  report.leaving = context_->view.Leaving();
   if (!report.changes_only) last_complete_report_ = now;
   reported_to_ = receiver;
   if (own) {
--- a/drivers/gateway/peer_codec.cc
+++ b/drivers/gateway/peer_codec.cc
@@ -30,6 +30,11 @@
     }
   }
   for (const RunnerId& runner : report.unreachable) wire->add_unreachable(runner.value());
+  for (const RunnerRun& run : report.leaving) {
+    gateway_wire::RunnerRun* out = wire->add_leaving();
+    out->set_runner(run.runner.value());
+    out->set_born(run.born.value());
+  }
 }
 
 DemandReport DecodeDemand(const gateway_wire::DemandReport& wire) {
@@ -54,6 +59,9 @@
     report.entries.push_back(std::move(demand));
   }
   for (const std::string& runner : wire.unreachable()) report.unreachable.insert(RunnerId(runner));
+  for (const gateway_wire::RunnerRun& run : wire.leaving()) {
+    report.leaving.push_back({RunnerId(run.runner()), RunnerStartTime(run.born())});
+  }
   return report;
 }
 
--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -8,6 +8,7 @@
 #include "core/random.h"
 #include "drivers/gateway/lease_renewal.h"
 #include "drivers/gateway/prefix_follower.h"
+#include "drivers/gateway/runner_answers.h"
 #include "servers/gateway/call_traits.h"
 
 namespace shallot::gateway {
@@ -95,6 +96,7 @@
 void PlacementDriver::OnDemand(const DemandReport& report) {
   const SteadyTime now = context_->loop.Now();
   demand_aggregator_.Apply(report, now);
+  for (const RunnerRun& run : report.leaving) NoteLeaving(context_, run, "peer");
   if (!Leads()) return;
   AnswerWaitingCalls(report);
   // Calls that wait for a model which a runner already holds mean that a gateway missed the notice.
@@ -344,6 +346,7 @@
     return;
   }
   context_->picker.health(runner).OnReachable();
+  NoteOwnAnswer(runner, ValueOf(answer).head);
   const auto decoded = context_->protocol->DecodeReport(ValueOf(answer));
   if (!IsOk(decoded)) {
     LogWarning("placement",
@@ -367,6 +370,12 @@
   if (Leads()) on_notice_(RunnerNotice{runner, report, election_.fence()});
 }
 
+void PlacementDriver::NoteOwnAnswer(const RunnerId& runner, const HttpHead& head) {
+  const RunnerState* state = context_->view.Find(runner);
+  if (state == nullptr || !context_->protocol->DecodeAnswer(head).leaving) return;
+  NoteLeaving(context_, {runner, state->entry.born}, "answer");
+}
+
 void PlacementDriver::RunPlanner() {
   if (context_->routes == nullptr || context_->clock->BootNow() < orders_allowed_from_) return;
   const SteadyTime now = context_->loop.Now();
@@ -421,6 +430,7 @@
 void PlacementDriver::OnOrderAnswer(const Order& order, const Result<HttpMessage>& answer) {
   OrderAnswer verdict = OrderAnswer::kNone;
   if (IsOk(answer)) {
+    NoteOwnAnswer(order.runner, ValueOf(answer).head);
     verdict = context_->protocol->DecodeOrderAnswer(ValueOf(answer).head.status);
   } else if (ErrorOf(answer).kind == ErrorKind::kUnavailable) {
     verdict = OrderAnswer::kRejected;
--- a/drivers/gateway/placement_driver.h
+++ b/drivers/gateway/placement_driver.h
@@ -67,6 +67,8 @@
   void ReportLostLoads();
   void AssumeComplete(const Order& order);
   void PollReport(const RunnerId& runner);
+  /// Records a leaving runner's answer to an order or a report request.
+  void NoteOwnAnswer(const RunnerId& runner, const HttpHead& head);
   void OnReport(const RunnerId& runner, const Result<HttpMessage>& answer);
 
   GatewayContext* context_;
--- a/drivers/gateway/platform_protocol.h
+++ b/drivers/gateway/platform_protocol.h
@@ -35,6 +35,14 @@
     uint64_t slots = 0;
   };
   std::optional<Load> load;
+  /// The runner is leaving: it takes no new calls.
+  bool leaving = false;
+  struct Closed {
+    /// Absent if the field could not be read.
+    std::optional<Millis> time;
+  };
+  /// The runner turned the call away and takes none for some time.
+  std::optional<Closed> closed;
   /// Calls a second that the runner takes from all gateways together, if it names a limit.
   std::optional<double> calls_per_s;
 };
--- /dev/null
+++ b/drivers/gateway/runner_answers.h
@@ -0,0 +1,16 @@
+#ifndef DRIVERS_GATEWAY_RUNNER_ANSWERS_H_
+#define DRIVERS_GATEWAY_RUNNER_ANSWERS_H_
+
+#include "drivers/gateway/gateway_context.h"
+
+namespace shallot::gateway {
+
+/// Records and logs what an answer tells of the willingness of the run that gave it.
+void NoteWillingness(GatewayContext* context, const RunnerRun& run, const AnswerMetadata& answer);
+
+/// The run is leaving, by its own answer or by another gateway's report (`source`).
+void NoteLeaving(GatewayContext* context, const RunnerRun& run, const char* source);
+
+}  // namespace shallot::gateway
+
+#endif  // DRIVERS_GATEWAY_RUNNER_ANSWERS_H_
--- a/main/ctl/commands.h
+++ b/main/ctl/commands.h
@@ -16,6 +16,8 @@
 int RunExplain(const CtlOptions& options);
 int RunQuarantine(const CtlOptions& options);
 int RunLimits(const CtlOptions& options);
+/// Runners that take no calls now, and why.
+int RunRunners(const CtlOptions& options);
 /// What gateways have read from the store: its era, the configuration and the leader.
 int RunStore(const CtlOptions& options);
 
--- a/main/ctl/gateway_commands.cc
+++ b/main/ctl/gateway_commands.cc
@@ -84,6 +84,14 @@
                   });
 }
 
+int RunRunners(const CtlOptions& options) {
+  return ShowRows(options, {"/runners", "unwilling", {"runner", "state"}, "all runners take calls"},
+                  [](const json& row) {
+                    return fmt::format("{:<24} {:<12} {:>6} ms at most", row.value("runner", ""),
+                                       row.value("state", ""), row.value("wait_ms", 0));
+                  });
+}
+
 int RunStore(const CtlOptions& options) {
   return ShowRows(
       options,
--- a/main/shallotctl_main.cc
+++ b/main/shallotctl_main.cc
@@ -28,6 +28,8 @@
   quarantine                       calls that gateways refuse because such calls crash runners;
                                    --router names the gateways' metrics addresses
   limits                           runners that limit their calls; --router as for quarantine
+  runners                          runners that take no calls now: leaving, closed, limited or
+                                   unavailable; --router as for quarantine
   store                            what gateways have read from the platform's store: its era,
                                    configuration and leader; --router as for quarantine
   keys [ROUTER...]                 generate the keys of a fleet: section [keys] for the agents and
@@ -81,6 +83,7 @@
   if (command == "explain") return shallot::ctl::RunExplain(options);
   if (command == "quarantine") return shallot::ctl::RunQuarantine(options);
   if (command == "limits") return shallot::ctl::RunLimits(options);
+  if (command == "runners") return shallot::ctl::RunRunners(options);
   if (command == "store") return shallot::ctl::RunStore(options);
   if (command == "keys") return shallot::ctl::RunKeys(options);
   if (command.empty()) return shallot::ctl::UsageError("a command is missing");
--- a/servers/gateway/demand_aggregator.h
+++ b/servers/gateway/demand_aggregator.h
@@ -11,6 +11,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "servers/gateway/fleet_routes.h"
+#include "servers/runner_run.h"
 
 namespace shallot::gateway {
 
@@ -42,6 +43,8 @@
   bool changes_only = false;
   /// Runners that the gateway cannot reach.
   std::set<RunnerId> unreachable;
+  /// Runs that have told the gateway that they are leaving.
+  std::vector<RunnerRun> leaving;
 };
 
 /// Tracks a gateway's own calls per entry. The rates are exponential averages that decay with the
--- a/servers/gateway/fleet_view.cc
+++ b/servers/gateway/fleet_view.cc
@@ -1,5 +1,7 @@
 #include "servers/gateway/fleet_view.h"
 
+#include <utility>
+
 namespace shallot::gateway {
 
 bool Holdings::Holds(const ModelName& model, const AdapterName& adapter) const {
@@ -25,9 +27,14 @@
   const auto found = runners_.find(entry.id);
   if (found == runners_.end() && LeftSince(entry)) return false;
   if (found == runners_.end() || found->second.entry.born < entry.born) {
-    departed_.erase(entry.id);
     RunnerState fresh;
     fresh.entry = entry;
+    const auto departed = departed_.find(entry.id);
+    if (departed != departed_.end() && departed->second.born == entry.born) {
+      fresh.leaving = departed->second.leaving;
+      fresh.entry.draining = entry.draining || fresh.leaving;
+    }
+    departed_.erase(entry.id);
     runners_[entry.id] = fresh;
     return true;
   }
@@ -157,7 +164,7 @@
   });
   if (departed_.size() < kMaxDeparted) {
     const RunnerEntry& entry = found->second.entry;
-    departed_[id] = {entry.born, entry.heartbeat, restores_, now};
+    departed_[id] = {entry.born, entry.heartbeat, found->second.leaving, restores_, now};
   }
   runners_.erase(found);
 }
@@ -191,6 +198,21 @@
   return dropped;
 }
 
+bool FleetView::MarkLeaving(const RunnerRun& run) {
+  const auto found = runners_.find(run.runner);
+  if (found == runners_.end() || found->second.entry.born != run.born) return false;
+  found->second.entry.draining = true;
+  return !std::exchange(found->second.leaving, true);
+}
+
+std::vector<RunnerRun> FleetView::Leaving() const {
+  std::vector<RunnerRun> leaving;
+  for (const auto& [id, runner] : runners_) {
+    if (runner.leaving) leaving.push_back({id, runner.entry.born});
+  }
+  return leaving;
+}
+
 void FleetView::MarkReplaced(const RunnerId& id) {
   const auto found = runners_.find(id);
   if (found != runners_.end()) found->second.entry.draining = true;
--- a/servers/gateway/fleet_view.h
+++ b/servers/gateway/fleet_view.h
@@ -74,6 +74,8 @@
   /// The holdings are those of the last report, no order was in progress then, and no heartbeat has
   /// contradicted it since.
   bool holdings_confirmed = false;
+  /// The run has said in an answer that it is leaving.
+  bool leaving = false;
   /// Since when the entry is missing from the list, if a store outage may be the cause.
   std::optional<SteadyTime> missing_since;
 
@@ -135,6 +137,11 @@
   std::vector<RunnerId> AdoptUnconfirmed(SteadyTime now);
   /// Drops missing runners whose grace period has passed; returns their ids.
   std::vector<RunnerId> DropExpired(SteadyTime now);
+  /// The run has said that it is leaving, in an answer to some gateway. It stays unusable until the
+  /// runner has restarted, whatever its entry says. Returns true if that was not known.
+  bool MarkLeaving(const RunnerRun& run);
+  /// The runs for which MarkLeaving() was called.
+  std::vector<RunnerRun> Leaving() const;
   /// Another runner responds at this runner's address, so this one is gone.
   void MarkReplaced(const RunnerId& id);
   /// A runner responded that it does not hold the entry; removes it until newer data arrives.
@@ -156,6 +163,7 @@
   struct Departed {
     RunnerStartTime born;
     HeartbeatSequence heartbeat;
+    bool leaving = false;
     /// Number of restores of the store before it left.
     uint64_t restores = 0;
     SteadyTime at;
--- a/servers/gateway/runner_health.cc
+++ b/servers/gateway/runner_health.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <utility>
 
 namespace shallot::gateway {
 namespace {
@@ -32,6 +33,21 @@
   return 1.0 + (slowness.value - 1.0) * WeightAfter(now - slowness.at, kSlownessHalfLife);
 }
 
+void RunnerHealth::Close(Millis time, SteadyTime now) {
+  next_call_ = std::max(next_call_, now + Duration(std::min(time, kLongestClosed)));
+  paced_until_ = next_call_ + Duration(kReopenTime);
+  closed_ = true;
+}
+
+Millis RunnerHealth::ClosedFor(SteadyTime now) const {
+  return now >= next_call_ ? Millis(0) : std::chrono::ceil<Millis>(next_call_ - now);
+}
+
+bool RunnerHealth::OnSent(SteadyTime now) {
+  if (now < paced_until_) next_call_ = std::max(next_call_, now + Duration(kReopenGap));
+  return std::exchange(closed_, false);
+}
+
 bool RunnerHealth::ReportFresh(SteadyTime now) const {
   return reported_at && now - *reported_at < Duration(kMaxReportedLoadAge);
 }
@@ -58,6 +74,9 @@
 }
 
 void RunnerHealth::ForgetObservations() {
+  next_call_ = SteadyTime::min();
+  paced_until_ = SteadyTime::min();
+  closed_ = false;
   RunnerHealth fresh;
   fresh.in_flight = in_flight;
   fresh.pending_tokens_ = pending_tokens_;
--- a/servers/gateway/runner_health.h
+++ b/servers/gateway/runner_health.h
@@ -33,6 +33,14 @@
   /// Half-life of the observed slowness, so that a runner that no calls are sent to because it was
   /// slow is tried again.
   static constexpr Millis kSlownessHalfLife{3'000};
+  /// Longest time for which a runner can close itself, and the time if it cannot be read.
+  static constexpr Millis kLongestClosed{60'000};
+  static constexpr Millis kUnreadableClosed{1'000};
+  /// For this long after a runner was closed, waiting calls are sent to it one after the other with
+  /// this gap, so that they do not fill it at once.
+  static constexpr Millis kReopenTime{500};
+  static constexpr Millis kReopenGap{20};
+
   /// Number of urgency levels; 0 is the most urgent.
   static constexpr size_t kUrgencyLevels = 10;
 
@@ -52,6 +60,12 @@
   void OnReachable() { unreachable_until_ = SteadyTime::min(); }
   /// Whether calls may be sent now.
   bool Available(SteadyTime now) const { return now >= unreachable_until_ && breaker.Allows(now); }
+  /// The runner asked for no calls for `time`.
+  void Close(Millis time, SteadyTime now);
+  /// Time until a call may be sent to a runner that was closed; 0 if now.
+  Millis ClosedFor(SteadyTime now) const;
+  /// A call is sent. Returns true if it is the first one after the runner was closed.
+  bool OnSent(SteadyTime now);
   /// A call was sent whose prompt has `tokens` that the runner has to process.
   void AddPending(uint64_t urgency, double tokens);
   /// The first event of such a call arrived, or the call ended.
@@ -96,6 +110,10 @@
   std::array<SmoothedFactor, kUrgencyLevels> slowness_{};
   std::map<std::string, Rejection> rejections_;
   SteadyTime unreachable_until_ = SteadyTime::min();
+  /// Earliest time of the next call, and until when calls follow at kReopenGap.
+  SteadyTime next_call_ = SteadyTime::min();
+  SteadyTime paced_until_ = SteadyTime::min();
+  bool closed_ = false;
   double failure_rate_ = 0;
   SteadyTime failure_rate_at_{};
 };
--- a/servers/gateway/runner_picker.cc
+++ b/servers/gateway/runner_picker.cc
@@ -17,8 +17,12 @@
 
 }  // namespace
 
-bool RunnerPicker::Full(const RunnerState& runner, const RunnerHealth& health) const {
-  return health.in_flight >= runner.entry.slots;
+bool RunnerPicker::Pausing(const Query& query, const RunnerState& runner,
+                           const RunnerHealth& health, SteadyTime now) {
+  const bool paused = query.engine != nullptr && health.ModelPaused(query.call->model.value(), now);
+  const bool excluded = query.excluded != nullptr && query.excluded->contains(runner.entry.id);
+  const bool full = health.in_flight >= runner.entry.slots;
+  return paused || excluded || full;
 }
 
 double RunnerPicker::Score(const Query& query, const RunnerState& runner,
@@ -47,8 +51,7 @@
   first_event_ms *= picked->slowness;
   picked->predicted = Millis(static_cast<int64_t>(first_event_ms));
   double score = first_event_ms;
-  if (limits_ != nullptr) picked->permit_wait = limits_->PermitWait(runner.entry.id, now);
-  score += static_cast<double>(picked->permit_wait.count());
+  score += static_cast<double>(picked->willingness.wait.count());
   score +=
       health.FailureRate(now) * kFailureCost * static_cast<double>(query.target_latency.count());
   if (runner.entry.domain != own_domain_) {
@@ -65,28 +68,26 @@
   double best_score = 0;
   *problem = PickError::kNoRunner;
   for (const auto& [id, runner] : view_->runners()) {
-    if (runner.entry.backend != query.backend || !runner.Usable()) continue;
+    if (runner.entry.backend != query.backend) continue;
+    const RunnerHealth& health = health_[id];
+    PickedRunner candidate;
+    candidate.runner = id;
+    candidate.willingness = AssessWillingness(runner, health, limits_, now);
+    if (candidate.willingness.state == Willingness::State::kLeaving) continue;
     if (*problem == PickError::kNoRunner) *problem = PickError::kModelNotLoaded;
     if (query.engine != nullptr &&
         !runner.entry.holdings.Holds(query.call->model, query.call->adapter)) {
       continue;
     }
-    const RunnerHealth& health = health_[id];
     // Placement loads the model elsewhere: a call that waits for that can succeed, one that is sent
     // to an unreachable runner cannot.
     if (query.engine != nullptr && !health.Available(now)) continue;
-    const bool paused =
-        query.engine != nullptr && health.ModelPaused(query.call->model.value(), now);
-    if (paused || (query.excluded != nullptr && query.excluded->contains(id))) {
+    // The time at which a closed runner opens is known, so a call can wait for it.
+    const bool closed = candidate.willingness.state == Willingness::State::kClosed;
+    if (!closed && Pausing(query, runner, health, now)) {
       if (!best) *problem = PickError::kAllBusy;
       continue;
     }
-    if (Full(runner, health)) {
-      if (!best) *problem = PickError::kAllBusy;
-      continue;
-    }
-    PickedRunner candidate;
-    candidate.runner = id;
     const double score = Score(query, runner, health, now, &candidate);
     if (best && score >= best_score) continue;
     best = candidate;
--- a/servers/gateway/runner_picker.h
+++ b/servers/gateway/runner_picker.h
@@ -13,6 +13,7 @@
 #include "servers/gateway/prefix_index.h"
 #include "servers/gateway/runner_health.h"
 #include "servers/gateway/runner_limits.h"
+#include "servers/gateway/runner_willingness.h"
 
 namespace shallot::gateway {
 
@@ -24,8 +25,8 @@
   /// Factor for the runner's observed slowness that `predicted` contains.
   double slowness = 1.0;
   uint64_t kept_tokens = 0;
-  /// Predicted wait for a permit of a limited runner; 0 if the call may be sent now.
-  Millis permit_wait{0};
+  /// `wait` is 0 if the call may be sent now.
+  Willingness willingness;
 };
 
 /// Why no runner was selected.
@@ -66,7 +67,9 @@
   std::set<RunnerId> Unreachable(SteadyTime now) const;
 
  private:
-  bool Full(const RunnerState& runner, const RunnerHealth& health) const;
+  /// Whether the runner takes no call now, but probably soon.
+  static bool Pausing(const Query& query, const RunnerState& runner, const RunnerHealth& health,
+                      SteadyTime now);
   double Score(const Query& query, const RunnerState& runner, const RunnerHealth& health,
                SteadyTime now, PickedRunner* picked) const;
 
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -126,6 +126,52 @@
   CHECK(metadata.runner == RunnerId("i-02d9e6b4"));
 }
 
+struct TurnedAwayCase {
+  const char* name;
+  int status;
+  const char* retry_after;
+  bool closed;
+  std::optional<int64_t> time_ms;
+};
+
+// Guards against a time for which a runner wants no calls that is misread, or read from an answer
+// that does not turn the call away.
+TEST_CASE("platform: leaving and closed runners are decoded from their answers") {
+  const std::vector<TurnedAwayCase> cases = {
+      {"absent", 503, nullptr, false, std::nullopt},
+      {"whole seconds", 503, "2", true, 2'000},
+      {"decimal", 503, "0.25", true, 250},
+      {"rounded up", 503, "0.0001", true, 1},
+      {"zero", 503, "0", true, 0},
+      {"negative", 503, "-1", true, std::nullopt},
+      {"not a number", 503, "nan", true, std::nullopt},
+      {"text", 503, "soon", true, std::nullopt},
+      {"empty", 503, "", true, std::nullopt},
+      {"date", 503, "Sat, 05 Dec 2026 09:00:00 GMT", true, std::nullopt},
+      {"absurd", 503, "1e300", true, Millis(std::chrono::hours(24 * 366)).count()},
+      {"another status", 429, "2", false, std::nullopt},
+  };
+  const PlatformCodec codec;
+  for (const TurnedAwayCase& test : cases) {
+    CAPTURE(std::string(test.name));
+    HttpHead head;
+    head.status = test.status;
+    if (test.retry_after != nullptr) head.Set("Retry-After", test.retry_after);
+    const gateway::AnswerMetadata metadata = codec.DecodeAnswer(head);
+    CHECK_FALSE(metadata.leaving);
+    REQUIRE(metadata.closed.has_value() == test.closed);
+    if (!test.closed) continue;
+    CHECK(metadata.closed->time.has_value() == test.time_ms.has_value());
+    if (test.time_ms && metadata.closed->time) {
+      CHECK(metadata.closed->time->count() == *test.time_ms);
+    }
+    head.Set("Server-Leaving", "1");
+    CHECK(codec.DecodeAnswer(head).leaving);
+    head.Set("Server-Leaving", "0");
+    CHECK_FALSE(codec.DecodeAnswer(head).leaving);
+  }
+}
+
 TEST_CASE("platform: the gateway's error answers have the call id and Retry-After") {
   const PlatformCodec codec;
   const HttpMessage answer = codec.ErrorAnswer(503, RequestId("9c"), "no runner", Millis(1'250));
