Play runners that leave or close themselves in the soak

The process soak has an incident 'unwilling-runners': every 5 to 9 s a runner turns away 30% of its calls for 2 s with a Retry-After of 0.7 to 2 s, every second time another one drains, every third time the store is silent meanwhile. Runners that drain say so in all their answers. Checked for each gateway from what its callers' calls were answered: no call that was sent more than 2 s after the first such answer reaches the runner, and at most two do from half a second after a closing to its end.

--- a/Makefile
+++ b/Makefile
@@ -56,7 +56,8 @@
 		--source-file='*/tests/fault_random_test.cc' --test-case=soak
 
 # Random faults on gateway processes with SEEDS new seeds from SEED on, FAULT_S seconds each, beside
-# INCIDENT: none, deadly-calls, limited-runners or restored-store.
+# INCIDENT: none, deadly-calls, limited-runners, restored-store or
+# unwilling-runners.
 SEEDS ?= 10
 INCIDENT ?= none
 FAULT_S ?= 15
--- a/tests/soak/call_ledger.cc
+++ b/tests/soak/call_ledger.cc
@@ -124,6 +124,11 @@
   if (arrival_listener_) arrival_listener_(found->second.call, runner, at);
 }
 
+void CallLedger::OnTold(const RequestId& id, const RunnerId& runner, const Told& told) {
+  const auto found = calls_.find(id);
+  if (found != calls_.end() && told_listener_) told_listener_(found->second.call, runner, told);
+}
+
 void CallLedger::CheckRepeats(double ratio, double slack, Millis window) {
   for (const auto& [backend, arrivals] : arrivals_) {
     size_t first = 0;
--- a/tests/soak/call_ledger.h
+++ b/tests/soak/call_ledger.h
@@ -89,6 +89,14 @@
   using ArrivalListener = std::function<void(const SentCall&, const RunnerId&, SteadyTime)>;
   /// The listener is called for each arrival of a call that a caller sent.
   void SetArrivalListener(ArrivalListener listener) { arrival_listener_ = std::move(listener); }
+  /// A runner has said in its answer to a call that it is leaving, or until when it is closed.
+  struct Told {
+    bool leaving = false;
+    std::optional<SteadyTime> closed_until;
+  };
+  void OnTold(const RequestId& id, const RunnerId& runner, const Told& told);
+  using ToldListener = std::function<void(const SentCall&, const RunnerId&, const Told&)>;
+  void SetToldListener(ToldListener listener) { told_listener_ = std::move(listener); }
   /// A runner answered a call with this status.
   void OnRunnerAnswer(const RequestId& id, int status);
   void OnResult(const RequestId& id, const CallResult& result);
@@ -134,6 +142,7 @@
   std::map<BackendName, std::vector<Arrival>> arrivals_;
   std::function<void(const SentCall&, const CallRun&)> run_listener_;
   ArrivalListener arrival_listener_;
+  ToldListener told_listener_;
   std::vector<std::string> violations_;
   uint64_t ended_ = 0;
   uint64_t completed_ = 0;
--- a/tests/soak/incident_checker.cc
+++ b/tests/soak/incident_checker.cc
@@ -19,11 +19,19 @@
 constexpr Seconds kLimitWindow{4};
 constexpr Millis kInformedFor{500};
 
+/// Calls that are on their way when a runner closes itself, and those that may reach it later.
+constexpr Millis kClosedSlack{500};
+constexpr uint64_t kClosedArrivals = 2;
+
 }  // namespace
 
 IncidentChecker::IncidentChecker(SoakFleet* fleet) : fleet_(fleet) {
   fleet_->ledger().SetArrivalListener([this](const SentCall& call, const RunnerId& runner,
                                              SteadyTime at) { OnArrival(call, runner, at); });
+  fleet_->ledger().SetToldListener(
+      [this](const SentCall& call, const RunnerId& runner, const CallLedger::Told& told) {
+        OnTold(call, runner, told);
+      });
 }
 
 SteadyTime IncidentChecker::CrashesKnownFrom() const {
@@ -35,6 +43,41 @@
 void IncidentChecker::OnArrival(const SentCall& call, const RunnerId& runner, SteadyTime at) {
   CheckDeadly(call, at);
   CheckLimit(call, runner, at);
+  CheckTold(call, runner, at);
+}
+
+void IncidentChecker::OnTold(const SentCall& call, const RunnerId& runner,
+                             const CallLedger::Told& told) {
+  const SteadyTime now = fleet_->loop()->Now();
+  ToldGateway& gateway = told_[{runner, call.gateway}];
+  if (told.leaving && !gateway.leaving_since) gateway.leaving_since = now;
+  if (!told.closed_until) return;
+  if (now >= gateway.closed_until) {
+    gateway.closed_at = now;
+    gateway.arrivals = 0;
+  }
+  gateway.closed_until = std::max(gateway.closed_until, *told.closed_until);
+}
+
+void IncidentChecker::CheckTold(const SentCall& call, const RunnerId& runner, SteadyTime at) {
+  const auto found = told_.find({runner, call.gateway});
+  if (found == told_.end()) return;
+  ToldGateway& told = found->second;
+  const bool leaving = told.leaving_since && fleet_->DrainingSince(runner).has_value() &&
+                       call.sent_at > *told.leaving_since + SoakBounds::kDrain;
+  if (leaving && fleet_->AllUndisturbed(call.gateway, *told.leaving_since, at, false)) {
+    fleet_->ledger().AddViolation(
+        fmt::format("call {} reached runner {}, which had told gateway {} "
+                    "that it is leaving",
+                    call.id.value(), runner.value(), call.gateway));
+  }
+  if (at < told.closed_at + kClosedSlack || at >= told.closed_until) return;
+  if (!fleet_->AllUndisturbed(call.gateway, told.closed_at, at, false)) return;
+  if (++told.arrivals != kClosedArrivals + 1) return;
+  fleet_->ledger().AddViolation(
+      fmt::format("gateway {} sent {} calls to runner {}, which had closed "
+                  "itself",
+                  call.gateway, told.arrivals, runner.value()));
 }
 
 void IncidentChecker::CheckLimit(const SentCall& call, const RunnerId& runner, SteadyTime at) {
--- a/tests/soak/incident_checker.h
+++ b/tests/soak/incident_checker.h
@@ -4,13 +4,15 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
+#include <utility>
 
 #include "tests/soak/soak_fleet.h"
 
 namespace shallot::soak {
 
-/// Checks the guarantees around incidents that runners suffer: calls that crash them, and more
-/// calls than the limits that they name.
+/// Checks the guarantees around incidents that runners suffer: calls that crash them, more calls
+/// than the limits that they name, and calls although they are leaving or closed.
 class IncidentChecker {
  public:
   explicit IncidentChecker(SoakFleet* fleet);
@@ -36,6 +38,16 @@
     bool exceeded = false;
   };
 
+  /// What a runner has told a gateway, and the calls that reached it since.
+  struct ToldGateway {
+    std::optional<SteadyTime> leaving_since;
+    SteadyTime closed_at{};
+    SteadyTime closed_until{};
+    uint64_t arrivals = 0;
+  };
+
+  void OnTold(const SentCall& call, const RunnerId& runner, const CallLedger::Told& told);
+  void CheckTold(const SentCall& call, const RunnerId& runner, SteadyTime at);
   void OnArrival(const SentCall& call, const RunnerId& runner, SteadyTime at);
   void CheckDeadly(const SentCall& call, SteadyTime at);
   void CheckLimit(const SentCall& call, const RunnerId& runner, SteadyTime at);
@@ -46,6 +58,7 @@
   uint64_t late_deadly_calls_ = 0;
   Served before_crashes_;
   Served after_crashes_;
+  std::map<std::pair<RunnerId, size_t>, ToldGateway> told_;
   std::map<RunnerId, LimitedArrivals> limited_;
   /// The limited runner that each call was last sent to.
   std::map<RequestId, RunnerId> sent_to_limited_;
--- a/tests/soak/process_soak_main.cc
+++ b/tests/soak/process_soak_main.cc
@@ -41,10 +41,12 @@
 /// Memory limit of an entry instance in both deployments.
 constexpr uint64_t kMemoryLimitKilobytes = 260 * 1024;
 
-const std::map<std::string, Incident> kIncidents = {{"none", Incident::kNone},
-                                                    {"deadly-calls", Incident::kDeadlyCalls},
-                                                    {"limited-runners", Incident::kLimitedRunners},
-                                                    {"restored-store", Incident::kRestoredStore}};
+const std::map<std::string, Incident> kIncidents = {
+    {"none", Incident::kNone},
+    {"deadly-calls", Incident::kDeadlyCalls},
+    {"limited-runners", Incident::kLimitedRunners},
+    {"restored-store", Incident::kRestoredStore},
+    {"unwilling-runners", Incident::kUnwillingRunners}};
 
 /// Seeds that failed before, with the cause. CI runs them again.
 struct RegressionSeed {
@@ -206,8 +208,9 @@
           (std::filesystem::temp_directory_path() / "shallot-soak").string()))(
       "keep", "keep the logs of seeds that pass")(
       "incident",
-      "none, deadly-calls (calls crash their runners), limited-runners (runners name limits) or "
-      "restored-store (the store returns from copies that are seconds old)",
+      "none, deadly-calls (calls crash their runners), limited-runners (runners name limits), "
+      "restored-store (the store returns from copies that are seconds old) or unwilling-runners "
+      "(runners say that they leave or are closed)",
       cxxopts::value<std::string>()->default_value("none"))(
       "stall-logs", "let the gateways log to pipes that nobody reads")(
       "regressions", "run the seeds that failed once instead")("help", "print this help");
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -48,6 +48,8 @@
   kLimitedRunners,
   /// The store is restored again and again from copies that are seconds old.
   kRestoredStore,
+  /// Runners leave and close themselves one after the other, and say so in their answers.
+  kUnwillingRunners,
 };
 
 struct SoakOptions {
@@ -147,8 +149,9 @@
   /// Restores the store from one of its copies; the operator and the runners write again later.
   void RestoreStore();
   // Faults on runners.
+  /// `planned`: a runner may do so at any time, so the faults excuse nothing.
   void InjectRunnerFaults(size_t runner, const RunnerFaults& faults, const std::string& name,
-                          Millis time);
+                          Millis time, bool planned = false);
   void CrashRunner(size_t runner, Millis down, bool same_id);
   void DrainRunner(size_t runner);
   /// The runner ends for good and a runner of another backend takes over its address.
--- a/tests/soak/soak_fleet_faults.cc
+++ b/tests/soak/soak_fleet_faults.cc
@@ -182,12 +182,12 @@
 }
 
 void SoakFleet::InjectRunnerFaults(size_t index, const RunnerFaults& faults,
-                                   const std::string& name, Millis time) {
+                                   const std::string& name, Millis time, bool planned) {
   if (runners_[index].server == nullptr) return;
   LogEvent(fmt::format("runner {}: {} for {} ms", runners_[index].spec.id, name, time.count()));
   runners_[index].server->SetFaults(faults);
   const std::string id = runners_[index].spec.id;
-  AddTimedDisturbance(Scope::Runners(), time, false, [this, index, id] {
+  AddTimedDisturbance(Scope::Runners(), time, planned, [this, index, id] {
     Runner& runner = runners_[index];
     if (runner.server != nullptr && runner.spec.id == id) runner.server->SetFaults({});
   });
--- a/tests/soak/soak_schedule.cc
+++ b/tests/soak/soak_schedule.cc
@@ -29,6 +29,12 @@
 constexpr Millis kUnawareTime{3'500};
 /// Pause between a change of the configuration and the restore that loses it.
 constexpr Millis kChangePause{600};
+/// Share of its calls that a runner turns away, for how long, and the pauses between two such
+/// runners.
+constexpr double kClosingShare = 0.3;
+constexpr Millis kClosingTime{2'000};
+constexpr uint64_t kShortestUnwillingGapMs = 5'000;
+constexpr uint64_t kUnwillingGapSpreadMs = 4'000;
 /// A fraction of the calls that a runner gets in a calm run.
 constexpr double kLimitCallsPerS = 3;
 constexpr std::array<LinkFault, 7> kLinkFaults = {
@@ -79,6 +85,10 @@
       RestoreAgain();
       return;
     }
+    if (fleet_->options().incident == Incident::kUnwillingRunners) {
+      DisturbRunnersAgain();
+      return;
+    }
     if (fleet_->options().incident == Incident::kLimitedRunners) {
       fleet_->LimitRunners(kLimitCallsPerS);
       return;
@@ -110,6 +120,23 @@
   fleet_->loop()->After(Millis(gap), [this] { RestoreAgain(); });
 }
 
+void SoakSchedule::DisturbRunnersAgain() {
+  if (stopped_) return;
+  Random& random = fleet_->random();
+  RunnerFaults closes;
+  closes.closings = kClosingShare;
+  fleet_->InjectRunnerFaults(RandomRunner(), closes, "turns calls away", kClosingTime, true);
+  if (random.Below(2) == 0) fleet_->DrainRunner(RandomRunner());
+  // The list of runners does not tell of it then.
+  if (random.Below(3) == 0) {
+    StoreFaults silent;
+    silent.silent = true;
+    fleet_->InjectStoreFaults(silent, "silent", kClosingTime, false);
+  }
+  const uint64_t gap = kShortestUnwillingGapMs + random.Below(kUnwillingGapSpreadMs);
+  fleet_->loop()->After(Millis(gap), [this] { DisturbRunnersAgain(); });
+}
+
 void SoakSchedule::ScheduleNext() {
   const auto gap =
       static_cast<int64_t>(fleet_->random().Exponential(static_cast<double>(mean_gap_.count())));
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -33,6 +33,7 @@
   /// Begins the incident of the run's options. It lasts until the run's end.
   void ScheduleIncident();
   void RestoreAgain();
+  void DisturbRunnersAgain();
   Millis RandomDuration();
   size_t RandomGateway();
   size_t RandomRunner();
--- a/tests/soak/standin_runner.cc
+++ b/tests/soak/standin_runner.cc
@@ -15,6 +15,9 @@
 using Json = nlohmann::json;
 
 /// Time of a plain call and pause before each event of a stream. The deployments state 15 to 60 ms.
+/// Range of the time for which a runner closes itself.
+constexpr uint64_t kShortestClosedMs = 700;
+constexpr uint64_t kClosedSpreadMs = 1'300;
 constexpr Millis kWorkTime{20};
 /// Load time of a model from the weight store and from the runner's disk.
 constexpr Millis kStoreLoad{600};
@@ -75,12 +78,20 @@
   Heartbeat();
 }
 
-void StandinRunner::Reject(CallerConnection* connection, const HttpMessage& request, int status) {
+void StandinRunner::Reject(CallerConnection* connection, const HttpMessage& request, int status,
+                           bool closed) {
   HttpMessage answer;
   answer.head.status = status;
   answer.head.reason = "Not Run";
   const std::string id = Field(request, "Attempt-Id");
   if (!id.empty()) answer.head.Set("Attempt-Id", id);
+  if (draining_) TellLeaving(RequestId(id), &answer.head);
+  if (closed) {
+    const Millis time(kShortestClosedMs + context_->random->Below(kClosedSpreadMs));
+    answer.head.Set("Retry-After", fmt::format("{}", static_cast<double>(time.count()) / 1000.0));
+    context_->ledger->OnTold(RequestId(id), RunnerId(spec_.id),
+                             {false, context_->loop->Now() + time});
+  }
   answer.head.Set("Not-Executed", "1");
   answer.head.Set("Instance-Id", spec_.id);
   connection->Answer(answer);
@@ -172,12 +183,18 @@
   return std::chrono::duration_cast<Duration>(kWorkTime * faults_.slow_factor);
 }
 
+void StandinRunner::TellLeaving(const RequestId& id, gateway::HttpHead* head) const {
+  head->Set("Server-Leaving", "1");
+  context_->ledger->OnTold(id, RunnerId(spec_.id), {true, std::nullopt});
+}
+
 gateway::HttpHead StandinRunner::SealedHead(const RequestId& id, int status) const {
   gateway::HttpHead head;
   head.status = status;
   head.reason = "Answer";
   head.Set("Attempt-Id", id.value());
   head.Set("Server-Seal", "seal-" + spec_.id);
+  if (draining_) TellLeaving(id, &head);
   if (limit_) head.Set("Server-Limit", fmt::format("{}", limit_->calls_per_s));
   return head;
 }
@@ -190,6 +207,10 @@
     Reject(connection, request, 421);
     return;
   }
+  if (faults_.closings > 0 && context_->random->Unit() < faults_.closings) {
+    Reject(connection, request, 503, true);
+    return;
+  }
   if (context_->random->Unit() < faults_.rejections) {
     Reject(connection, request, 503);
     return;
--- a/tests/soak/standin_runner.h
+++ b/tests/soak/standin_runner.h
@@ -45,6 +45,7 @@
 struct RunnerFaults {
   double errors = 0;        ///< Answers 500 after running the call.
   double rejections = 0;    ///< Refuses the call without running it.
+  double closings = 0;      ///< Refuses the call and asks for no more calls for a time.
   double lost_answers = 0;  ///< Runs the call and closes the connection unanswered.
   double cut_answers = 0;   ///< Closes the connection in the middle of the answer.
   double slow_factor = 1;   ///< Factor on the time that a call takes.
@@ -114,7 +115,8 @@
   void FinishPlain(gateway::CallerConnection* connection);
   void SendNextEvent(gateway::CallerConnection* connection);
   void Reject(gateway::CallerConnection* connection, const gateway::HttpMessage& request,
-              int status);
+              int status, bool closed = false);
+  void TellLeaving(const RequestId& id, gateway::HttpHead* head) const;
   /// Returns a response head with the id of the call's attempt and the runner's seal.
   gateway::HttpHead SealedHead(const RequestId& id, int status) const;
   nlohmann::json Inventory() const;
