--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -22,6 +23,7 @@
 LIMITS = {"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000,
           "idle-timeout-ms": 15000}
 RESTART_S = 0.5
+LONGEST_S = 110
 
 
 class Record:
@@ -269,28 +271,34 @@
 
 
 def run_case(folder, scenario):
-    """Runs `scenario(record, folder)`; returns the exit code: 1 if the rule was broken."""
+    """Runs `scenario(record, scratch, started)` and ends the process with its exit code: 1 if the
+    rule was broken, 0 if it held, 2 if the case could not run."""
     record = Record(os.path.join(folder, "record.txt"))
     started = []
+    scratch = tempfile.mkdtemp()
+
+    def finish(code):
+        for gateway in started:
+            gateway.kill()
+        record.note("exit", code=code)
+        record.close()
+        logs = os.environ.get("KEEP_LOGS")
+        for gateway in started if logs else []:
+            shutil.move(gateway.log, os.path.join(logs, gateway.name + ".log"))
+        shutil.rmtree(scratch)
+        sys.stdout.flush()
+        # Ends at once: the stand-ins' connections need no orderly end.
+        os._exit(code)
 
     async def bounded():
-        async with asyncio.timeout(110):
-            return await scenario(record, scratch, started)
-
-    code = 2
-    with tempfile.TemporaryDirectory() as scratch:
         try:
-            code = asyncio.run(bounded())
+            async with asyncio.timeout(LONGEST_S):
+                code = await scenario(record, scratch, started)
         except Exception as error:  # The case could not run.
             record.note("failed-to-run", error=repr(error))
             print("the case could not run:", repr(error))
-        finally:
-            for gateway in started:
-                gateway.kill()
-            if os.environ.get("KEEP_LOGS"):
-                for gateway in started:
-                    shutil.move(gateway.log, os.path.join(os.environ["KEEP_LOGS"],
-                                                          gateway.name + ".log"))
-            record.note("exit", code=code)
-            record.close()
-    return code
+            code = 2
+        finish(code)
+
+    signal.signal(signal.SIGTERM, lambda *_: finish(2))
+    asyncio.run(bounded())
