Keep bytes queued while a socket's buffer is full

Slow callers got streams with gaps.

Cause: POCO 1.11 throws when a non-blocking socket's buffer is full (EAGAIN), and TcpConnection::Flush() took each exception for a failed connection: it cleared the queue, and the connection was used again as if all had been sent. Ruled out: the parser and the stand-in.

Change: transient errors keep the queue. A connection is reused only if all has been sent, and reset if it is closed before. Related paths: the idle timeout and a planned stop no longer close connections with queued answers.

--- a/drivers/gateway/caller_connection.cc
+++ b/drivers/gateway/caller_connection.cc
@@ -31,6 +31,11 @@
   const bool reading = parser_.begun() && !parser_.head_done();
   timer_ = listener_->loop()->After(reading ? limits.header_timeout : limits.idle_timeout, [this] {
     timer_ = TimerId();
+    if (tcp_.queued_bytes() > 0) {
+      // The last answer is still being read; a caller that has gone ends the connection itself.
+      ArmTimer();
+      return;
+    }
     // The idle timeout also limits the time between two parts of a request's body.
     LogInfo("caller", "closing the connection: timeout while waiting for data");
     tcp_.Close(false);
--- a/drivers/gateway/caller_connection.h
+++ b/drivers/gateway/caller_connection.h
@@ -27,9 +27,11 @@
   /// Resets the connection, so that a partial answer does not look complete.
   void Abort();
 
-  /// Whether neither a request nor a part of one has arrived that has no answer yet.
+  /// Whether neither a request nor a part of one has arrived that has no answer yet, and all
+  /// answers have been sent.
   bool idle() const {
-    return !busy_ && input_.empty() && !parser_.begun() && !tcp_.has_unread_bytes();
+    return !busy_ && input_.empty() && !parser_.begun() && !tcp_.has_unread_bytes() &&
+           tcp_.queued_bytes() == 0;
   }
   bool open() const { return tcp_.open(); }
   /// Time at which the first byte of the current request was read.
--- a/drivers/gateway/caller_listener.h
+++ b/drivers/gateway/caller_listener.h
@@ -48,7 +48,8 @@
   bool closing() const { return closing_; }
   /// Closes the connections that have no request in progress.
   void CloseIdleConnections();
-  /// Whether a request, or a part of one, has arrived that has no answer yet.
+  /// Whether a request, or a part of one, has arrived that has no answer yet, or an answer has not
+  /// been sent whole.
   bool HasRequests() const;
   size_t connections() const { return connections_.size(); }
   EventLoop* loop() const { return loop_; }
--- a/drivers/gateway/http_client.cc
+++ b/drivers/gateway/http_client.cc
@@ -143,7 +143,8 @@
     if (handler != nullptr) handler->OnFailure(failure, detail);
   }
 
-  void Close() { tcp_.Close(false); }
+  /// A server that still waits for the rest of a request sees a reset, also if it does not read.
+  void Close() { tcp_.Close(!tcp_.all_sent()); }
 
   uint64_t number() const { return number_; }
   const std::string& address() const { return address_; }
@@ -204,7 +205,7 @@
     }
     // An answer that arrived before the whole request was sent, or that is followed by more bytes,
     // leaves the connection in an unknown state.
-    const bool reusable = keep_alive_ && at_end_of_input && tcp_.queued_bytes() == 0;
+    const bool reusable = keep_alive_ && at_end_of_input && tcp_.all_sent();
     ExchangeHandler* handler = TakeHandler();
     client_->Release(this, reusable);
     handler->OnComplete();
--- a/drivers/gateway/tcp_connection.cc
+++ b/drivers/gateway/tcp_connection.cc
@@ -4,9 +4,11 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
+#include <fmt/format.h>
 #include <netinet/tcp.h>
 
 #include <array>
+#include <cerrno>
 
 #include "core/log.h"
 
@@ -22,6 +24,12 @@
   socket->setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(unacknowledged_limit.count()));
 }
 
+/// Whether the operating system could not take or provide bytes now, but may later. Depending on
+/// its version, POCO reports this for a non-blocking socket by an exception or by a negative count.
+bool IsTransient(const Poco::Exception& error) {
+  return error.code() == EAGAIN || error.code() == EWOULDBLOCK || error.code() == EINTR;
+}
+
 }  // namespace
 
 TcpConnection::TcpConnection(EventLoop* loop, TcpHandler* handler,
@@ -86,7 +94,7 @@
 }
 
 void TcpConnection::Send(std::string_view bytes) {
-  if (!socket_) return;
+  if (!socket_ || send_failed_) return;
   output_ += bytes;
   if (connected_) Flush();
 }
@@ -99,9 +107,14 @@
       if (count <= 0) break;
       sent_ += static_cast<size_t>(count);
     }
-  } catch (const Poco::Exception&) {
-    // The next read reports the failure, after delivering what the peer had sent before it.
-    sent_ = output_.size();
+  } catch (const Poco::Exception& error) {
+    if (!IsTransient(error)) {
+      // The next read reports the failure, after delivering what the peer had sent before it.
+      LogInfo("tcp", fmt::format("event=send-failed unsent_bytes={} reason=\"{}\"", queued_bytes(),
+                                 error.displayText()));
+      send_failed_ = true;
+      sent_ = output_.size();
+    }
   }
   const bool pending = sent_ < output_.size();
   if (!pending) {
@@ -139,8 +152,8 @@
   int count = 0;
   try {
     count = socket_->receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
-  } catch (const Poco::Exception&) {
-    CloseAndNotify(true);
+  } catch (const Poco::Exception& error) {
+    if (!IsTransient(error)) CloseAndNotify(true);
     return;
   }
   if (count < 0) return;
--- a/drivers/gateway/tcp_connection.h
+++ b/drivers/gateway/tcp_connection.h
@@ -26,7 +26,8 @@
   virtual void OnDrained() {}
 };
 
-/// Non-blocking TCP connection on an EventLoop, with an output queue.
+/// Non-blocking TCP connection on an EventLoop. Bytes that the operating system does not take yet,
+/// because the peer reads slowly, stay in an output queue and are sent as it reads.
 class TcpConnection final : public SocketHandler {
  public:
   /// Maximum number of bytes per read.
@@ -40,7 +41,11 @@
   ~TcpConnection() override;
 
   void Send(std::string_view bytes);
+  /// Bytes that the operating system has not taken yet.
   size_t queued_bytes() const { return output_.size() - sent_; }
+  /// Whether the operating system has taken all bytes passed to Send(). False for good once a send
+  /// has failed.
+  bool all_sent() const { return !send_failed_ && queued_bytes() == 0; }
   /// Whether the operating system has received bytes that were not read yet.
   bool has_unread_bytes() const;
   bool connected() const { return connected_; }
@@ -64,6 +69,7 @@
   size_t sent_ = 0;
   bool connected_ = false;
   bool failed_ = false;
+  bool send_failed_ = false;
   bool watching_writable_ = false;
 };
 
--- a/tests/raw_server.cc
+++ b/tests/raw_server.cc
@@ -4,7 +4,9 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
+#include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 
 namespace shallot {
@@ -42,6 +44,22 @@
   }
 }
 
+std::string RawConnection::ReadBytes(size_t count) {
+  std::string bytes;
+  std::array<char, 16'384> buffer{};
+  try {
+    while (bytes.size() < count) {
+      const size_t wanted = std::min(buffer.size(), count - bytes.size());
+      const int got = socket_->receiveBytes(buffer.data(), static_cast<int>(wanted));
+      if (got <= 0) break;
+      bytes.append(buffer.data(), static_cast<size_t>(got));
+    }
+  } catch (const Poco::Exception&) {
+    return bytes;
+  }
+  return bytes;
+}
+
 uint64_t RawConnection::SendWithoutEnd(std::string_view bytes, uint64_t limit) {
   uint64_t sent = 0;
   while (sent < limit && Send(bytes)) sent += bytes.size();
@@ -69,12 +87,20 @@
   }
 }
 
-RawServer::RawServer(Script script)
+RawServer::RawServer(Script script, const RawServerOptions& options)
     : script_(std::move(script)),
       listener_(std::make_unique<Poco::Net::ServerSocket>(
           Poco::Net::SocketAddress("127.0.0.1", uint16_t{0}))),
-      address_(listener_->address().toString()),
-      thread_([this] { Serve(); }) {}
+      address_(listener_->address().toString()) {
+  // Accepted sockets inherit both.
+  if (options.receive_buffer_bytes > 0) {
+    listener_->setReceiveBufferSize(options.receive_buffer_bytes);
+  }
+  if (options.segment_bytes > 0) {
+    listener_->setOption(IPPROTO_TCP, TCP_MAXSEG, options.segment_bytes);
+  }
+  thread_ = std::jthread([this] { Serve(); });
+}
 
 RawServer::~RawServer() {
   stopping_ = true;
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -26,6 +26,8 @@
   bool Send(std::string_view bytes);
   /// Reads up to the end of a request's head. Bodies are not expected.
   std::string ReadHead();
+  /// Reads `count` bytes, fewer if the peer closes the connection before.
+  std::string ReadBytes(size_t count);
   /// Sends `bytes` again and again until the peer closes the connection or `limit` bytes are sent.
   /// Returns the number of bytes sent.
   uint64_t SendWithoutEnd(std::string_view bytes, uint64_t limit);
@@ -38,13 +40,20 @@
   Poco::Net::StreamSocket* socket_;
 };
 
+/// Sizes of the sockets that a RawServer accepts; 0 leaves the operating system's. On loopback they
+/// are far larger than on a network.
+struct RawServerOptions {
+  int receive_buffer_bytes = 0;
+  int segment_bytes = 0;
+};
+
 /// TCP server on a free loopback port that runs a script for each connection, on a thread of its
 /// own. Plays servers whose bytes are not valid answers.
 class RawServer {
  public:
   /// `number`: 0 for the first accepted connection.
   using Script = std::function<void(RawConnection* connection, int number)>;
-  explicit RawServer(Script script);
+  explicit RawServer(Script script, const RawServerOptions& options = {});
   ~RawServer();
   RawServer(const RawServer&) = delete;
   RawServer& operator=(const RawServer&) = delete;
