Exit from a planned stop only when no call can arrive

Cause: one thread decided that the drain was complete, another stopped the loop up to 20 ms later, and the loop took calls in between. Ruled out: SIGKILL at the end of the grace period; the exits come seconds before it.

Change: StopSequence decides the course of a stop. The gateway stops accepting, reads the connections that the kernel had accepted, and ends its loop itself once no connection is left. A stop without a complete drain (its limit, a second signal) gives the calls in progress their final answers, and calls that arrive after the final answers of a short grace period are refused.

--- a/drivers/gateway/caller_listener.cc
+++ b/drivers/gateway/caller_listener.cc
@@ -42,20 +42,32 @@
   return OkStatus();
 }
 
+bool CallerListener::AcceptOne() {
+  try {
+    // Polls first, so that accept is not called when no connection is pending.
+    if (!socket_->poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) return false;
+    const Poco::Net::StreamSocket accepted = socket_->acceptConnection();
+    auto connection = std::make_unique<CallerConnection>(this, accepted);
+    if (connection->open()) connections_[connection.get()] = std::move(connection);
+    return true;
+  } catch (const Poco::Exception& error) {
+    LogWarning("caller", name_ + ": cannot accept a connection: " + error.displayText());
+    return false;
+  }
+}
+
 void CallerListener::OnReadable() {
-  for (int count = 0; count < kMaxAcceptsPerIteration; ++count) {
-    try {
-      // Polls first, so that accept is not called when no connection is pending.
-      if (!socket_->poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) return;
-      const Poco::Net::StreamSocket accepted = socket_->acceptConnection();
-      auto connection = std::make_unique<CallerConnection>(this, accepted);
-      if (!connection->open()) continue;
-      connections_[connection.get()] = std::move(connection);
-    } catch (const Poco::Exception& error) {
-      LogWarning("caller", name_ + ": cannot accept a connection: " + error.displayText());
-      return;
-    }
+  for (int count = 0; count < kMaxAcceptsPerIteration && AcceptOne(); ++count) {
+  }
+}
+
+void CallerListener::StopAccepting() {
+  if (!socket_) return;
+  for (int count = 0; count < kBacklog && AcceptOne(); ++count) {
   }
+  loop_->Remove(*socket_);
+  socket_.reset();
+  LogInfo("caller", name_ + ": event=accepting-ended");
 }
 
 void CallerListener::Drop(CallerConnection* connection) {
--- a/drivers/gateway/caller_listener.h
+++ b/drivers/gateway/caller_listener.h
@@ -46,6 +46,9 @@
   /// While set, each answer has "Connection: close" and its connection is closed after it.
   void SetClosing(bool closing) { closing_ = closing; }
   bool closing() const { return closing_; }
+  /// Takes the connections that the kernel has accepted, and then closes the listening socket.
+  void StopAccepting();
+  bool accepting() const { return socket_ != nullptr; }
   /// Closes the connections that have no request in progress.
   void CloseIdleConnections();
   /// Whether a request, or a part of one, has arrived that has no answer yet, or an answer has not
@@ -61,12 +64,16 @@
   void Drop(CallerConnection* connection);
 
  private:
+  /// Accepts one connection. Returns false if none is pending.
+  bool AcceptOne();
+
   /// Limit on connections accepted per loop iteration, so that calls in progress are not delayed.
   static constexpr int kMaxAcceptsPerIteration = 64;
 
   EventLoop* loop_;
   std::string name_;
   CallerHandler* handler_;
+  /// Null before Open() and after StopAccepting().
   std::unique_ptr<Poco::Net::ServerSocket> socket_;
   CallerLimits limits_;
   bool closing_ = false;
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -22,16 +22,8 @@
 constexpr size_t kPeerMessagesPerTick = 64;
 /// Interval at which the settings file is read again, because it may change without a signal.
 constexpr Millis kReloadInterval{5'000};
-/// Minimum time from the stop signal to the end of the drain. The platform stops sending callers
-/// only after two readiness checks, a second apart.
-constexpr Millis kMinDrainTime{2'400};
 /// Part of the platform's grace period that is reserved for closing connections and exiting.
 constexpr Millis kExitReserve{600};
-/// New calls are accepted for this long after the stop signal and refused afterwards: the
-/// platform's check of planned stops counts calls that arrived later and could not be finished.
-constexpr Millis kNewCallWindow{3'000};
-/// Time before the drain limit at which calls still in progress are answered.
-constexpr Millis kFinalAnswerMargin{250};
 /// Interval at which connections to gateways that no longer exist are closed.
 constexpr Millis kPeerCheckInterval{5'000};
 /// Retry-After for calls that reach a stopping gateway. It is short because other gateways are
@@ -136,7 +128,9 @@
   context_->loop.Stop();
   if (!thread_.joinable()) return;
   thread_.join();
-  LogInfo("daemon", "event=stop");
+  const auto unanswered = Sessions();
+  for (const auto& session : unanswered) session->OnProcessExit();
+  LogInfo("daemon", fmt::format("event=stop unanswered={}", unanswered.size()));
 }
 
 void GatewayDaemon::BeginDrain(const std::string& reason) {
@@ -157,7 +151,7 @@
 bool GatewayDaemon::Ready() const { return !draining_ && follower_->ready(); }
 
 void GatewayDaemon::OnRequest(CallerConnection* connection, HttpMessage request) {
-  if (draining_ && context_->loop.Now() - drain_started_at_ > Duration(kNewCallWindow)) {
+  if (draining_ && stop_.RefusesNewCalls(context_->loop.Now(), drain_limit())) {
     RefuseWhileStopping(connection, request);
     return;
   }
@@ -352,20 +346,25 @@
 void GatewayDaemon::TickDrain() {
   if (!draining_) {
     draining_ = true;
-    drain_started_at_ = context_->loop.Now();
+    stop_.Begin(context_->loop.Now());
     callers_->SetClosing(true);
     placement_->Stop();
   }
-  const Duration elapsed = context_->loop.Now() - drain_started_at_;
-  if (elapsed < Duration(kMinDrainTime)) return;
-  if (elapsed > Duration(kNewCallWindow)) {
+  const StopActions actions = stop_.Decide(context_->loop.Now(), drain_limit(),
+                                           {!sessions_.empty() || callers_->HasRequests(),
+                                            callers_->accepting(), callers_->connections() > 0});
+  if (actions.refuse) {
     for (const auto& session : Sessions()) session->OnStopping();
   }
-  if (elapsed > Duration(drain_limit() - kFinalAnswerMargin)) {
+  if (actions.final_answers) {
     for (const auto& session : Sessions()) session->OnProcessExit();
   }
-  callers_->CloseIdleConnections();
-  if (sessions_.empty() && !callers_->HasRequests()) drained_ = true;
+  if (actions.stop_accepting) callers_->StopAccepting();
+  if (actions.close_idle) callers_->CloseIdleConnections();
+  if (!actions.exit) return;
+  // The loop ends with this iteration, so nothing can arrive after the decision.
+  drained_ = true;
+  context_->loop.Stop();
 }
 
 std::vector<std::shared_ptr<CallSession>> GatewayDaemon::Sessions() const {
--- a/drivers/gateway/gateway_daemon.h
+++ b/drivers/gateway/gateway_daemon.h
@@ -20,6 +20,7 @@
 #include "drivers/gateway/permit_driver.h"
 #include "drivers/gateway/placement_driver.h"
 #include "drivers/gateway/presence_driver.h"
+#include "servers/gateway/stop_sequence.h"
 
 namespace shallot::gateway {
 
@@ -92,7 +93,7 @@
   std::atomic<bool> drain_requested_{false};
   std::atomic<bool> drained_{false};
   bool draining_ = false;
-  SteadyTime drain_started_at_{};
+  StopSequence stop_;
   SteadyTime last_complete_report_{};
   InstanceId reported_to_;
   /// Entries that the last report listed with waiting calls.
--- a/tests/gateway_daemon_fixture.h
+++ b/tests/gateway_daemon_fixture.h
@@ -4,6 +4,7 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/StreamCopier.h>
--- a/tests/gateway_daemon_test.cc
+++ b/tests/gateway_daemon_test.cc
@@ -118,6 +118,34 @@
   }
 }
 
+// Guards against a call that a stopping gateway takes and sends to a runner after it has decided to
+// exit (review/4), and against a stop that never ends because connections stay open.
+TEST_CASE("gateway daemon: takes no call once a planned stop has ended") {
+  GatewayFixture fixture;
+  fixture.Configure("engine");
+  REQUIRE(fixture.AwaitReady());
+  Poco::Net::StreamSocket idle{Poco::Net::SocketAddress(fixture.settings_.caller_address)};
+  fixture.daemon_->BeginDrain("test");
+  REQUIRE(fixture.daemon_->WaitUntilDrained(Millis(30'000)));
+  CHECK_THROWS_AS(fixture.Call("/p/1"), Poco::Net::ConnectionRefusedException);
+  CHECK(fixture.platform_.calls() == 0);
+}
+
+// Guards against calls that end without an answer when the process stops before its drain is
+// complete, for example at the end of the platform's grace period.
+TEST_CASE("gateway daemon: answers calls in progress when it is stopped without a drain") {
+  GatewayFixture fixture;
+  fixture.Configure("engine");
+  REQUIRE(fixture.AwaitReady());
+  std::optional<Reply> reply;
+  std::jthread caller([&] { reply = fixture.Call("/p/hang/1"); });
+  REQUIRE(fixture.Await([&] { return fixture.platform_.calls() > 0; }));
+  fixture.daemon_->Stop();
+  caller.join();
+  REQUIRE(reply);
+  CHECK(reply->status == 502);
+}
+
 // Guards against a request that is cut off at a planned stop because only a part of it has arrived
 // when idle connections are closed.
 TEST_CASE("gateway daemon: a request that arrives in parts during a planned stop is answered") {
--- a/tests/gateway_send_queue_test.cc
+++ b/tests/gateway_send_queue_test.cc
@@ -165,7 +165,6 @@
                            Case{"in chunks", true, false}, Case{"in chunks", true, true}}) {
     CAPTURE(std::string(test.name));
     CAPTURE(test.stopped);
-    GatewayFixture fixture;
     const std::string body = NumberedBytes(3'000'000);
     std::atomic<bool> answered = false;
     RawServer runner([&](RawConnection* connection, int /*number*/) {
@@ -180,6 +179,7 @@
       answered = true;
       connection->AwaitClose();
     });
+    GatewayFixture fixture;
     fixture.platform_.Put("op/config", kConfig);
     fixture.AddRunner(runner.address());
     REQUIRE(fixture.AwaitReady());
@@ -194,6 +194,8 @@
       // Longer than the shortest drain, with most of the answer still queued.
       CHECK_FALSE(fixture.daemon_->WaitUntilDrained(Millis(3'000)));
     }
+    // Reads the rest without the delay of a small window.
+    caller.setReceiveBufferSize(1'048'576);
     const std::string received = ReadAll(&caller);
     const bool whole = received.find(body) != std::string::npos;
     CHECK(whole);
