Begin a new run of a runner in one place

Cause: the leader's poll of a pending order revealed the restart before the first entry of the new run. FleetView::ApplyReport() took over its start time but kept the former heartbeat count, so the entries of the new run, which count from 1, were ignored as outdated. Ruled out: the watch (the entries arrive) and the notices between gateways (one gateway alone shows it).

Change: a report that reveals a run replaces the runner's state as an entry does. Related paths in the same place: the count of orders, holdings, remaining time, and what the picker had observed of the former run.

--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -6,6 +6,7 @@
 #include <csignal>
 
 #include "core/log.h"
+#include "drivers/gateway/runner_answers.h"
 #include "servers/gateway/dispatch_order.h"
 
 namespace shallot::gateway {
@@ -201,7 +202,7 @@
 }
 
 void GatewayDaemon::OnNotice(const RunnerNotice& notice) {
-  context_->view.ApplyReport(notice.runner, notice.report, context_->loop.Now());
+  NoteReport(context_.get(), notice.runner, notice.report);
   if (placement_->Leads()) {
     for (const auto& [gateway, address] : placement_->NoticeReceivers(notice)) {
       if (!context_->peers.Send(address, notice)) {
@@ -242,7 +243,7 @@
     LogInfo("peer", "event=notice-outdated runner=" + notice.runner.value());
     return;
   }
-  context_->view.ApplyReport(notice.runner, notice.report, context_->loop.Now());
+  NoteReport(context_.get(), notice.runner, notice.report);
   DispatchWaitingCalls();
 }
 
--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -359,7 +359,7 @@
   if (const auto unload = tracker_.UnloadUnderWay(runner)) {
     report.holdings.models.erase(unload->model);
   }
-  context_->view.ApplyReport(runner, report, now);
+  NoteReport(context_, runner, report);
   if (settled) {
     planner_.OnLoaded(*settled, now);
     LogInfo("placement",
--- a/drivers/gateway/runner_answers.cc
+++ b/drivers/gateway/runner_answers.cc
@@ -13,6 +13,14 @@
   context->metrics->GetCounter("runners_left_total").Add();
 }
 
+void NoteReport(GatewayContext* context, const RunnerId& runner, const RunnerReport& report) {
+  if (!context->view.ApplyReport(runner, report, context->loop.Now())) return;
+  context->picker.Forget(runner);
+  LogInfo("runners", fmt::format("event=runner-restarted runner={} born={} source=report",
+                                 runner.value(), report.born.value()));
+  context->metrics->GetCounter("runners_restarted_total").Add();
+}
+
 void NoteWillingness(GatewayContext* context, const RunnerRun& run, const AnswerMetadata& answer) {
   // An answer of another runner at the same address tells nothing of this one.
   if (!answer.runner.empty() && answer.runner != run.runner) return;
--- a/servers/gateway/fleet_view.cc
+++ b/servers/gateway/fleet_view.cc
@@ -29,6 +29,7 @@
   if (found == runners_.end() || found->second.entry.born < entry.born) {
     RunnerState fresh;
     fresh.entry = entry;
+    fresh.described = true;
     const auto departed = departed_.find(entry.id);
     if (departed != departed_.end() && departed->second.born == entry.born) {
       fresh.leaving = departed->second.leaving;
@@ -57,28 +58,43 @@
   } else {
     known.unconfirmed.reset();
   }
-  // A runner that has started to drain stays unusable until it restarts.
-  const bool draining = known.entry.draining || entry.draining;
+  // A run that has started to drain stays unusable.
+  const bool was_draining = known.leaving || (known.described && known.entry.draining);
+  const bool draining = was_draining || entry.draining;
+  known.described = true;
   known.entry = entry;
   known.entry.holdings = holdings;
   known.entry.draining = draining;
   return false;
 }
 
-void FleetView::ApplyReport(const RunnerId& id, const RunnerReport& report, SteadyTime now) {
+RunnerState FleetView::StateOfNewRun(const RunnerState& before, RunnerStartTime born) {
+  RunnerState fresh;
+  fresh.entry = before.entry;
+  fresh.entry.born = born;
+  fresh.entry.heartbeat = HeartbeatSequence();
+  fresh.entry.remaining.reset();
+  fresh.entry.holdings = Holdings();
+  fresh.missing_since = before.missing_since;
+  return fresh;
+}
+
+bool FleetView::ApplyReport(const RunnerId& id, const RunnerReport& report, SteadyTime now) {
   const auto found = runners_.find(id);
-  if (found == runners_.end()) return;
+  if (found == runners_.end()) return false;
   RunnerState& known = found->second;
-  if (report.born < known.entry.born) return;
+  if (report.born < known.entry.born) return false;
+  const bool restarted = report.born > known.entry.born;
+  if (restarted) known = StateOfNewRun(known, report.born);
   const bool counted_lately = now - known.sequence_raised_at < Duration(kReportLag);
-  if (report.sequence < known.sequence && counted_lately) return;
+  if (report.sequence < known.sequence && counted_lately) return restarted;
   if (report.sequence > known.sequence) known.sequence_raised_at = now;
-  known.entry.born = report.born;
   known.sequence = report.sequence;
   known.entry.holdings = report.holdings;
   known.reported_at = now;
   known.unconfirmed.reset();
   known.holdings_confirmed = !report.order_under_way;
+  return restarted;
 }
 
 std::optional<RunnerReport> FleetView::CurrentReport(const RunnerId& id) const {
--- a/servers/gateway/fleet_view.h
+++ b/servers/gateway/fleet_view.h
@@ -74,6 +74,9 @@
   /// The holdings are those of the last report, no order was in progress then, and no heartbeat has
   /// contradicted it since.
   bool holdings_confirmed = false;
+  /// An entry of the present run has been read. Until then its backend, address and slots are those
+  /// of the run before, and its heartbeats are not counted yet.
+  bool described = false;
   /// The run has said in an answer that it is leaving.
   bool leaving = false;
   /// Since when the entry is missing from the list, if a store outage may be the cause.
@@ -111,8 +114,9 @@
   /// Adds or updates a runner. Returns true if it is new or has restarted. Entries that a restored
   /// store has of runners that left before are ignored.
   bool Apply(const RunnerEntry& entry, SteadyTime now);
-  /// Applies a report about orders from the runner itself or from the placement leader.
-  void ApplyReport(const RunnerId& id, const RunnerReport& report, SteadyTime now);
+  /// Applies a report about orders from the runner itself or from the placement leader. Returns
+  /// true if the runner has restarted.
+  bool ApplyReport(const RunnerId& id, const RunnerReport& report, SteadyTime now);
   /// What is known about the runner, as a report; absent if the runner is unknown.
   std::optional<RunnerReport> CurrentReport(const RunnerId& id) const;
   /// The report to expect from the runner after it has accepted a load or unload of one entry;
@@ -170,6 +174,9 @@
   };
 
   bool InOutageOrGrace(SteadyTime now) const;
+  /// The state at the start of a new run, before its first entry: counts start anew, and nothing is
+  /// held. A run that was leaving stays unusable until the entry of the new one says otherwise.
+  static RunnerState StateOfNewRun(const RunnerState& before, RunnerStartTime born);
   void Forget(const RunnerId& id, SteadyTime now);
   /// Whether the entry is one that a restore has brought back after the runner had left.
   bool LeftSince(const RunnerEntry& entry) const;
--- a/tests/gateway_fleet_view_test.cc
+++ b/tests/gateway_fleet_view_test.cc
@@ -94,6 +94,46 @@
   CHECK_FALSE(Holds(view, "a", "m1"));
 }
 
+// Guards against calls to a runner that is leaving, when its restart was first seen in a report and
+// its heartbeats, which count from anew, were taken for outdated ones (review/3).
+TEST_CASE("gateway: the entries of a run that a report revealed count from its start") {
+  struct Case {
+    const char* name;
+    bool drained_before;
+    std::vector<bool> draining_entries;  // Of the new run, in order.
+    bool expected_usable;
+  };
+  for (const Case& test :
+       std::vector<Case>{{"no entry yet", false, {}, true},
+                         {"ready", false, {false}, true},
+                         {"leaves", false, {false, true}, false},
+                         {"leaves at once", false, {true}, false},
+                         {"was leaving, no entry yet", true, {}, false},
+                         {"was leaving, is back", true, {false}, true},
+                         {"was leaving, leaves again", true, {false, true, false}, false}}) {
+    CAPTURE(std::string(test.name));
+    FleetView view;
+    RunnerEntry before = Entry("a", 1, 90, {"m1"});
+    before.draining = test.drained_before;
+    view.Apply(before, kStart);
+    view.ApplyReport(RunnerId("a"), Report(1, 5, {"m1"}), kStart);
+    CHECK(view.ApplyReport(RunnerId("a"), Report(2, 0, {}), kStart + Millis(100)));
+    CHECK_FALSE(Holds(view, "a", "m1"));
+    CHECK_MESSAGE(view.Find(RunnerId("a"))->sequence == OrderSequence(0),
+                  "the count of orders starts anew, also soon after a higher one");
+    uint64_t heartbeat = 0;
+    for (const bool draining : test.draining_entries) {
+      RunnerEntry entry = Entry("a", 2, ++heartbeat, {});
+      entry.draining = draining;
+      view.Apply(entry, kStart + Millis(200));
+    }
+    CHECK(view.Find(RunnerId("a"))->entry.heartbeat == HeartbeatSequence(heartbeat));
+    CHECK(view.UsableRunners(BackendName("engine")).empty() != test.expected_usable);
+    view.Apply(Entry("a", 1, 91, {"m1"}), kStart + Millis(300));
+    CHECK_FALSE(Holds(view, "a", "m1"));
+  }
+}
+
 // Guards against new calls to a runner that is leaving, also when an old entry says "ready".
 TEST_CASE("gateway: a leaving runner takes no new calls") {
   FleetView view;
--- a/tests/gateway_stop_sequence_test.cc
+++ b/tests/gateway_stop_sequence_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <string>
 #include <vector>
 
 #include "servers/gateway/stop_sequence.h"
@@ -42,7 +43,7 @@
       {"short grace, final answers", 1'800, Millis(2'000), busy, {false, true, false, true}},
   };
   for (const Case& test : cases) {
-    CAPTURE(test.name);
+    CAPTURE(std::string(test.name));
     StopSequence stop;
     stop.Begin(kStopped);
     const StopActions actions =
