Tell failed connections to the store from outages of it

Cause: each watch without an answer counted as an outage of the store, in which entries of live runners expire, so a removal was not believed until 2.5 s after the next answer, and each further cut began that time anew. Ruled out: a late watch; the gateways had already asked for what follows the removal.

Change: StoreContact decides from the ends of all calls to the store. An outage in which an entry may expire lasts longer than a heartbeat interval between two signs of life; a cut of a call that the store held is a sign of life, and a call that was sent before another one was answered failed with its connection only. Further outages extend a missing runner's time by their length. Logs and metrics show interruptions with their length. A connection on which the peer acknowledges nothing is told from one that the peer ended.

--- a/core/result.cc
+++ b/core/result.cc
@@ -14,6 +14,8 @@
       return "unavailable";
     case ErrorKind::kUnknownOutcome:
       return "unknown-outcome";
+    case ErrorKind::kDisconnected:
+      return "disconnected";
     case ErrorKind::kResourceExhausted:
       return "resource-exhausted";
     case ErrorKind::kFenced:
--- a/core/result.h
+++ b/core/result.h
@@ -14,6 +14,7 @@
   kConflict,           ///< Another writer won; reread and decide again.
   kUnavailable,        ///< Nothing was done; a later retry can succeed.
   kUnknownOutcome,     ///< The effect may or may not have taken place.
+  kDisconnected,       ///< As kUnknownOutcome; the peer ended the connection.
   kResourceExhausted,  ///< A limit was reached (memory, queue, ring, budget).
   kFenced,             ///< The order carried an outdated fencing number or version.
   kCancelled,
--- a/drivers/gateway/buffered_call.cc
+++ b/drivers/gateway/buffered_call.cc
@@ -6,6 +6,23 @@
 
 namespace shallot::gateway {
 
+namespace {
+
+ErrorKind KindOf(ExchangeFailure failure) {
+  switch (failure) {
+    case ExchangeFailure::kNotConnected:
+      return ErrorKind::kUnavailable;
+    case ExchangeFailure::kLost:
+      return ErrorKind::kDisconnected;
+    case ExchangeFailure::kUnacknowledged:
+    case ExchangeFailure::kMalformed:
+      return ErrorKind::kUnknownOutcome;
+  }
+  return ErrorKind::kInternal;
+}
+
+}  // namespace
+
 class BufferedCalls::Call final : public ExchangeHandler {
  public:
   Call(BufferedCalls* owner, uint64_t number, Done done)
@@ -24,9 +41,7 @@
   void OnBody(std::string data) override { answer_.body += data; }
   void OnComplete() override { owner_->Finish(number_, std::move(answer_)); }
   void OnFailure(ExchangeFailure failure, const std::string& detail) override {
-    const bool sent = failure != ExchangeFailure::kNotConnected;
-    owner_->Finish(number_, Error{sent ? ErrorKind::kUnknownOutcome : ErrorKind::kUnavailable,
-                                  detail, "try again"});
+    owner_->Finish(number_, Error{KindOf(failure), detail, "try again"});
   }
 
   BufferedCalls* owner_;
--- a/drivers/gateway/buffered_call.h
+++ b/drivers/gateway/buffered_call.h
@@ -18,7 +18,8 @@
 /// orders. Each call ends with exactly one callback, at the latest at its timeout.
 class BufferedCalls {
  public:
-  /// Errors: kUnavailable if nothing was sent, kUnknownOutcome if the call may have taken effect.
+  /// Errors: kUnavailable if nothing was sent, kDisconnected and kUnknownOutcome if the call may
+  /// have taken effect.
   using Done = std::function<void(const Result<HttpMessage>&)>;
   /// Whether an answer with this head belongs to a caller's call. Connections are shared with those
   /// calls, and a runner may send a second copy of an answer late.
@@ -34,6 +35,7 @@
   /// `still_wanted`: see ExchangeOptions.
   void Start(const std::string& address, const HttpMessage& request, Millis timeout, Done done,
              std::function<bool()> still_wanted = {});
+  SteadyTime Now() const { return loop_->Now(); }
 
  private:
   class Call;
--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -180,6 +180,7 @@
       FailAttempt(AttemptFailure::kNotConnected, detail);
       return;
     case ExchangeFailure::kLost:
+    case ExchangeFailure::kUnacknowledged:
       FailAttempt(AttemptFailure::kLostAnswer, detail);
       return;
     case ExchangeFailure::kMalformed:
--- a/drivers/gateway/fleet_follower.cc
+++ b/drivers/gateway/fleet_follower.cc
@@ -60,12 +60,7 @@
   on_change_();
 }
 
-void FleetFollower::OnStoreFailure() { context_->view.OnStoreFailure(context_->loop.Now()); }
-
-void FleetFollower::OnStoreSuccess() {
-  context_->view.OnStoreResponse(context_->loop.Now());
-  follower_.SetFollowers(context_->gateways.size());
-}
+void FleetFollower::OnStoreSuccess() { follower_.SetFollowers(context_->gateways.size()); }
 
 void FleetFollower::OnRoutes(const StoreItem& item) {
   if (item.deleted || item.key != context_->protocol->RoutesKey()) return;
@@ -93,9 +88,11 @@
 void FleetFollower::OnRunner(const StoreItem& item) {
   const RunnerId id(item.key.substr(context_->protocol->RunnersPrefix().size()));
   if (item.deleted) {
-    LogInfo("runners", fmt::format("event=runner-removed runner={} revision={}", id.value(),
-                                   item.position.revision.value()));
     context_->view.Remove(id, context_->loop.Now());
+    const char* event =
+        context_->view.Find(id) == nullptr ? "runner-removed" : "runner-missing-after-outage";
+    LogInfo("runners", fmt::format("event={} runner={} revision={}", event, id.value(),
+                                   item.position.revision.value()));
     return;
   }
   const auto entry = context_->protocol->DecodeRunner(id, item.value);
--- a/drivers/gateway/fleet_follower.h
+++ b/drivers/gateway/fleet_follower.h
@@ -35,7 +35,6 @@
 
   void OnSnapshot(const std::vector<StoreItem>& items, StorePosition as_of) override;
   void OnChange(const StoreItem& item) override;
-  void OnStoreFailure() override;
   void OnStoreSuccess() override;
   void OnStoreRestored() override;
 
--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -58,7 +58,7 @@
               [platform](const HttpHead& head) {
                 return !platform->DecodeAnswer(head).call.empty();
               }),
-        store(&calls, platform, settings.store_address, registry),
+        store(&calls, platform, settings.store_address, &view.contact(), registry),
         limits(settings.instance),
         picker(&settings.policy, &view, settings.domain, &limits),
         quarantine(settings.instance) {}
@@ -71,11 +71,11 @@
   EventLoop loop;
   HttpClient client;
   BufferedCalls calls;
+  FleetView view;
   StoreCalls store;
   PeerChannel peers;
   /// Newest configuration; null until the first one has been read.
   std::shared_ptr<const FleetRoutes> routes;
-  FleetView view;
   RunnerLimits limits;
   RunnerPicker picker;
   DemandMeter meter;
--- a/drivers/gateway/http_client.cc
+++ b/drivers/gateway/http_client.cc
@@ -128,6 +128,10 @@
       handler->OnComplete();
       return;
     }
+    if (tcp_.timed_out()) {
+      Fail(ExchangeFailure::kUnacknowledged, "the server does not acknowledge the request");
+      return;
+    }
     Fail(ExchangeFailure::kLost, reset ? "connection reset" : "connection closed");
   }
 
--- a/drivers/gateway/http_client.h
+++ b/drivers/gateway/http_client.h
@@ -20,9 +20,10 @@
 
 /// How an exchange ended without a complete answer.
 enum class ExchangeFailure {
-  kNotConnected,  ///< No byte of the request was sent.
-  kLost,          ///< The connection ended before the answer was complete.
-  kMalformed,     ///< The received bytes are not a valid HTTP answer.
+  kNotConnected,    ///< No byte of the request was sent.
+  kLost,            ///< The peer ended the connection before the answer was complete.
+  kUnacknowledged,  ///< As kLost, because the peer no longer acknowledges what was sent.
+  kMalformed,       ///< The received bytes are not a valid HTTP answer.
 };
 
 /// Decision of the handler on the head of an answer.
--- a/drivers/gateway/platform_protocol.h
+++ b/drivers/gateway/platform_protocol.h
@@ -115,6 +115,8 @@
   // Store.
   /// The era that an answer of the store names; absent if it names none.
   virtual std::optional<StoreEra> DecodeStoreEra(const HttpHead& answer) const = 0;
+  /// False if the store answered that it does not serve calls now, or not this many.
+  virtual bool StoreServes(const HttpHead& answer) const = 0;
   virtual std::string RoutesKey() const = 0;
   virtual std::string RunnersPrefix() const = 0;
   virtual std::string LeaderKey() const = 0;
--- a/drivers/gateway/prefix_follower.cc
+++ b/drivers/gateway/prefix_follower.cc
@@ -90,7 +90,6 @@
   if (!failing_) LogWarning("store", "cannot follow " + prefix_ + ": " + FormatError(error));
   failing_ = true;
   ++failures_;
-  listener_->OnStoreFailure();
   loop_->After(kRetryPause, InThisRound([this, read_again] {
                  if (read_again) {
                    Read("");
--- a/drivers/gateway/prefix_follower.h
+++ b/drivers/gateway/prefix_follower.h
@@ -21,8 +21,6 @@
   /// position of the first page.
   virtual void OnSnapshot(const std::vector<StoreItem>& items, StorePosition as_of) = 0;
   virtual void OnChange(const StoreItem& item) = 0;
-  /// A call to the store failed or its answer could not be used.
-  virtual void OnStoreFailure() = 0;
   /// A call to the store succeeded.
   virtual void OnStoreSuccess() = 0;
 };
--- a/drivers/gateway/store_calls.cc
+++ b/drivers/gateway/store_calls.cc
@@ -9,12 +9,18 @@
 namespace shallot::gateway {
 
 StoreCalls::StoreCalls(BufferedCalls* calls, const PlatformProtocol* protocol, std::string address,
-                       MetricsRegistry* metrics)
-    : calls_(calls), protocol_(protocol), address_(std::move(address)), metrics_(metrics) {}
+                       StoreContact* contact, MetricsRegistry* metrics)
+    : calls_(calls),
+      protocol_(protocol),
+      address_(std::move(address)),
+      contact_(contact),
+      metrics_(metrics) {}
 
 void StoreCalls::Start(const HttpMessage& request, Millis timeout, BufferedCalls::Done done) {
   calls_->Start(address_, request, timeout,
-                [this, sent_in = era(), done = std::move(done)](const Result<HttpMessage>& answer) {
+                [this, sent_in = era(), sent_at = calls_->Now(),
+                 done = std::move(done)](const Result<HttpMessage>& answer) {
+                  RecordEnd(answer, sent_at);
                   if (!IsOk(answer) || Check(sent_in, ValueOf(answer).head)) {
                     done(answer);
                     return;
@@ -25,6 +31,33 @@
                 });
 }
 
+void StoreCalls::RecordEnd(const Result<HttpMessage>& answer, SteadyTime sent_at) {
+  StoreCallEnd end = StoreCallEnd::kNoAnswer;
+  if (IsOk(answer)) {
+    end = protocol_->StoreServes(ValueOf(answer).head) ? StoreCallEnd::kAnswered
+                                                       : StoreCallEnd::kRefused;
+  } else if (ErrorOf(answer).kind == ErrorKind::kDisconnected) {
+    end = StoreCallEnd::kDisconnected;
+  }
+  const SteadyTime now = calls_->Now();
+  const bool interrupted = contact_->interrupted();
+  contact_->OnCall(end, sent_at, now);
+  if (end != StoreCallEnd::kAnswered) {
+    metrics_
+        ->GetCounter(fmt::format("store_calls_failed_total{{end=\"{}\"}}", StoreCallEndName(end)))
+        .Add();
+  }
+  if (contact_->interrupted() == interrupted) return;
+  metrics_->GetGauge("store_interrupted").Set(interrupted ? 0 : 1);
+  if (!interrupted) {
+    LogWarning("store", fmt::format("event=store-interrupted end={}", StoreCallEndName(end)));
+    return;
+  }
+  LogInfo("store", fmt::format("event=store-contact gap_ms={} entries_may_be_lost={}",
+                               contact_->last_gap().count(),
+                               contact_->EntriesMayBeLost(now) ? "yes" : "no"));
+}
+
 bool StoreCalls::Check(std::optional<StoreEra> sent_in, const HttpHead& answer) {
   const std::optional<StoreEra> before = era();
   const std::optional<StoreEra> answered_in = protocol_->DecodeStoreEra(answer);
--- a/drivers/gateway/store_calls.h
+++ b/drivers/gateway/store_calls.h
@@ -8,6 +8,7 @@
 #include "core/metrics.h"
 #include "drivers/gateway/buffered_call.h"
 #include "drivers/gateway/platform_protocol.h"
+#include "servers/gateway/store_contact.h"
 #include "servers/gateway/store_history.h"
 
 namespace shallot::gateway {
@@ -28,7 +29,7 @@
   static constexpr Millis kTimeout{700};
 
   StoreCalls(BufferedCalls* calls, const PlatformProtocol* protocol, std::string address,
-             MetricsRegistry* metrics);
+             StoreContact* contact, MetricsRegistry* metrics);
 
   /// As BufferedCalls::Start(), to the store. A call that was in progress while the store was
   /// restored ends with kUnknownOutcome.
@@ -39,12 +40,15 @@
   std::optional<StoreEra> era() const { return history_.era(); }
 
  private:
+  /// Tells `contact_` how a call ended, and logs what that changed.
+  void RecordEnd(const Result<HttpMessage>& answer, SteadyTime sent_at);
   /// Returns whether the answer may be used.
   bool Check(std::optional<StoreEra> sent_in, const HttpHead& answer);
 
   BufferedCalls* calls_;
   const PlatformProtocol* protocol_;
   std::string address_;
+  StoreContact* contact_;
   MetricsRegistry* metrics_;
   StoreHistory history_;
   std::vector<StoreRestoreListener*> listeners_;
--- a/drivers/gateway/tcp_connection.cc
+++ b/drivers/gateway/tcp_connection.cc
@@ -153,7 +153,9 @@
   try {
     count = socket_->receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
   } catch (const Poco::Exception& error) {
-    if (!IsTransient(error)) CloseAndNotify(true);
+    if (IsTransient(error)) return;
+    timed_out_ = error.code() == ETIMEDOUT;
+    CloseAndNotify(true);
     return;
   }
   if (count < 0) return;
--- a/drivers/gateway/tcp_connection.h
+++ b/drivers/gateway/tcp_connection.h
@@ -20,7 +20,8 @@
   virtual ~TcpHandler() = default;
   virtual void OnConnected() {}
   virtual void OnData(std::string_view bytes) = 0;
-  /// The peer closed the connection, or it failed (`reset`). No further callback follows.
+  /// The peer closed the connection, or it failed (`reset`; see TcpConnection::timed_out()). No
+  /// further callback follows.
   virtual void OnEnd(bool reset) = 0;
   /// All queued bytes have been passed to the operating system.
   virtual void OnDrained() {}
@@ -50,6 +51,8 @@
   bool has_unread_bytes() const;
   bool connected() const { return connected_; }
   bool open() const { return socket_ != nullptr; }
+  /// Whether the connection failed because the peer did not acknowledge what was sent.
+  bool timed_out() const { return timed_out_; }
   /// True when the constructor could not set the connection up.
   bool failed() const { return failed_; }
   /// Closes immediately; queued bytes are lost. With `abort`, the peer gets a connection reset.
@@ -70,6 +73,7 @@
   bool connected_ = false;
   bool failed_ = false;
   bool send_failed_ = false;
+  bool timed_out_ = false;
   bool watching_writable_ = false;
 };
 
--- a/main/ctl/ctl_options.cc
+++ b/main/ctl/ctl_options.cc
@@ -12,6 +12,7 @@
       return kExitBadSettings;
     case ErrorKind::kUnavailable:
     case ErrorKind::kUnknownOutcome:
+    case ErrorKind::kDisconnected:
       return kExitUnavailable;
     case ErrorKind::kConflict:
     case ErrorKind::kFenced:
--- a/servers/gateway/fleet_view.cc
+++ b/servers/gateway/fleet_view.cc
@@ -76,6 +76,7 @@
   fresh.entry.remaining.reset();
   fresh.entry.holdings = Holdings();
   fresh.missing_since = before.missing_since;
+  fresh.outage_time_before = before.outage_time_before;
   return fresh;
 }
 
@@ -132,18 +133,17 @@
   return report;
 }
 
-bool FleetView::InOutageOrGrace(SteadyTime now) const {
-  return store_unavailable_ || (store_recovered_at_ && now - *store_recovered_at_ < kExpiryGrace);
-}
-
 void FleetView::Remove(const RunnerId& id, SteadyTime now) {
   const auto found = runners_.find(id);
   if (found == runners_.end()) return;
-  if (!InOutageOrGrace(now)) {
+  if (!contact_.EntriesMayBeLost(now)) {
     Forget(id, now);
     return;
   }
-  if (!found->second.missing_since) found->second.missing_since = now;
+  RunnerState& runner = found->second;
+  if (runner.missing_since) return;
+  runner.missing_since = now;
+  runner.outage_time_before = contact_.outage_time();
 }
 
 void FleetView::Reconcile(const std::set<RunnerId>& present, SteadyTime now) {
@@ -155,21 +155,9 @@
   for (const RunnerId& id : missing) Remove(id, now);
 }
 
-void FleetView::OnStoreFailure(SteadyTime /*now*/) {
-  store_unavailable_ = true;
-  store_recovered_at_.reset();
-}
-
-void FleetView::OnStoreResponse(SteadyTime now) {
-  if (!store_unavailable_) return;
-  store_unavailable_ = false;
-  store_recovered_at_ = now;
-}
-
 void FleetView::OnStoreRestored(SteadyTime now) {
   ++restores_;
-  store_unavailable_ = false;
-  store_recovered_at_ = now;
+  contact_.OnRestored(now);
 }
 
 void FleetView::Forget(const RunnerId& id, SteadyTime now) {
@@ -206,9 +194,14 @@
 
 std::vector<RunnerId> FleetView::DropExpired(SteadyTime now) {
   std::vector<RunnerId> dropped;
-  if (InOutageOrGrace(now)) return dropped;
+  if (contact_.interrupted()) return dropped;
   for (const auto& [id, runner] : runners_) {
-    if (runner.missing_since) dropped.push_back(id);
+    if (!runner.missing_since) continue;
+    // Further outages extend the time by their length only.
+    const Duration outages = contact_.outage_time() - runner.outage_time_before;
+    const Duration in_contact = now - *runner.missing_since - outages;
+    const bool had_time = in_contact >= Duration(StoreContact::kReturnTime);
+    if (had_time || !contact_.EntriesMayBeLost(now)) dropped.push_back(id);
   }
   for (const RunnerId& id : dropped) Forget(id, now);
   return dropped;
--- a/servers/gateway/fleet_view.h
+++ b/servers/gateway/fleet_view.h
@@ -11,6 +11,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "servers/gateway/fleet_routes.h"
+#include "servers/gateway/store_contact.h"
 #include "servers/runner_run.h"
 
 namespace shallot::gateway {
@@ -81,6 +82,8 @@
   bool leaving = false;
   /// Since when the entry is missing from the list, if a store outage may be the cause.
   std::optional<SteadyTime> missing_since;
+  /// StoreContact::outage_time() at that time.
+  Duration outage_time_before{0};
 
   bool Usable() const { return !entry.draining; }
 };
@@ -89,10 +92,6 @@
 /// replaces newer data, and keeps runners whose entry expired during a store outage.
 class FleetView {
  public:
-  /// An entry that expired during a store outage counts as gone this long after the store's return.
-  /// The platform states that entries of live runners are back within about 2 s.
-  static constexpr Millis kExpiryGrace{2'500};
-
   /// Maximum lag of heartbeats behind reports. Holdings in a heartbeat that differ from those of a
   /// report younger than this are not adopted immediately. The leader requests another report;
   /// other gateways adopt them if no newer report has arrived by then.
@@ -124,22 +123,20 @@
   std::optional<RunnerReport> ReportAfterOrder(const RunnerId& id, bool load,
                                                const ModelName& model, const AdapterName& adapter,
                                                bool under_way) const;
-  /// The entry was removed from the list. The runner is dropped, or marked as missing during and
-  /// shortly after a store outage.
+  /// The entry was removed from the list. The runner is dropped, or marked as missing if its entry
+  /// may have expired in an outage of the store.
   void Remove(const RunnerId& id, SteadyTime now);
   /// The whole list was read; runners that are not in `present` count as removed.
   void Reconcile(const std::set<RunnerId>& present, SteadyTime now);
-  /// A call to the store failed without a response.
-  void OnStoreFailure(SteadyTime now);
-  /// The store responded to a call again.
-  void OnStoreResponse(SteadyTime now);
+  /// What is known of the store's outages. The calls to the store are recorded there.
+  StoreContact& contact() { return contact_; }
   /// The store was restored from a copy. Entries that it lacks now may be newer than the copy, and
   /// entries of runners that are gone may be back until the runners have written again.
   void OnStoreRestored(SteadyTime now);
   /// Adopts holdings from heartbeats that arrived soon after a report and that no newer report has
   /// replaced. Returns the runners whose holdings changed.
   std::vector<RunnerId> AdoptUnconfirmed(SteadyTime now);
-  /// Drops missing runners whose grace period has passed; returns their ids.
+  /// Drops missing runners that would be back if they were alive; returns their ids.
   std::vector<RunnerId> DropExpired(SteadyTime now);
   /// The run has said that it is leaving, in an answer to some gateway. It stays unusable until the
   /// runner has restarted, whatever its entry says. Returns true if that was not known.
@@ -173,7 +170,6 @@
     SteadyTime at;
   };
 
-  bool InOutageOrGrace(SteadyTime now) const;
   /// The state at the start of a new run, before its first entry: counts start anew, and nothing is
   /// held. A run that was leaving stays unusable until the entry of the new one says otherwise.
   static RunnerState StateOfNewRun(const RunnerState& before, RunnerStartTime born);
@@ -183,8 +179,7 @@
 
   std::map<RunnerId, RunnerState> runners_;
   bool list_read_ = false;
-  bool store_unavailable_ = false;
-  std::optional<SteadyTime> store_recovered_at_;
+  StoreContact contact_;
   uint64_t restores_ = 0;
   std::map<RunnerId, Departed> departed_;
 };
--- a/tests/gateway_fake_platform.cc
+++ b/tests/gateway_fake_platform.cc
@@ -71,6 +71,16 @@
   return value.get_future().get();
 }
 
+void FakePlatform::CutWatchesAndRemove(const std::string& key) {
+  Queue([this, key] {
+    if (!store_.AbortWatchers()) {
+      CutWatchesAndRemove(key);
+      return;
+    }
+    store_.Remove(key);
+  });
+}
+
 void FakePlatform::CopyStore() {
   Queue([this] { copy_ = store_.TakeCopy(); });
 }
--- a/tests/gateway_fake_platform.h
+++ b/tests/gateway_fake_platform.h
@@ -35,6 +35,9 @@
   void Remove(const std::string& key);
   /// The value of a key in the store, if it exists; waits for the loop's thread.
   std::optional<std::string> StoreValue(const std::string& key);
+  /// Ends the connections of all waiting watches, once there are any, and then removes a key;
+  /// asynchronously.
+  void CutWatchesAndRemove(const std::string& key);
   /// Takes a copy of the store, asynchronously.
   void CopyStore();
   /// Restores the store from the copy and makes these writes before it serves a request,
--- a/tests/gateway_fleet_view_test.cc
+++ b/tests/gateway_fleet_view_test.cc
@@ -147,31 +147,60 @@
   CHECK(view.UsableRunners(BackendName("engine")).empty());
 }
 
+/// Calls to the store without an answer from `from_ms` to `to_ms` after kStart; the last call
+/// before and the first one after are answered.
+void PlayOutage(FleetView* view, int64_t from_ms, int64_t to_ms) {
+  view->contact().OnCall(StoreCallEnd::kAnswered, kStart + Millis(from_ms),
+                         kStart + Millis(from_ms));
+  view->contact().OnCall(StoreCallEnd::kNoAnswer, kStart + Millis(from_ms + 1),
+                         kStart + Millis(from_ms + 1));
+  view->contact().OnCall(StoreCallEnd::kAnswered, kStart + Millis(to_ms), kStart + Millis(to_ms));
+}
+
+struct Outage {
+  int64_t from_ms;
+  int64_t to_ms;
+};
+
 struct ExpiryCase {
   const char* name;
-  bool outage;
-  int64_t back_after_ms;  // Negative: the store stays unavailable.
+  /// Before the entry is removed at 0 ms.
+  std::optional<Outage> outage;
+  /// After it.
+  std::vector<Outage> further;
+  bool interrupted;
   int64_t checked_at_ms;
   bool expected_known;
 };
 
 // Guards against losing live runners whose entries expired during a store outage, and against
-// keeping runners that did not come back.
+// keeping runners that did not come back, also when the store fails again and again (review/5).
 TEST_CASE("gateway: entries that expire during a store outage") {
+  const int64_t grace = StoreContact::kReturnTime.count();
   const std::vector<ExpiryCase> cases = {
-      {"removed without an outage", false, -1, 0, false},
-      {"store unavailable", true, -1, 60'000, true},
-      {"store just back", true, 1'000, 2'000, true},
-      {"store back for the grace period", true, 1'000, 1'000 + FleetView::kExpiryGrace.count(),
+      {"removed without an outage", std::nullopt, {}, false, 0, false},
+      {"removed after an outage too short for an expiry", Outage{-1'100, 0}, {}, false, 0, false},
+      {"store just back", Outage{-3'000, 0}, {}, false, grace - 1, true},
+      {"store back for the grace period", Outage{-3'000, 0}, {}, false, grace, false},
+      {"store away again", Outage{-3'000, 0}, {}, true, 60'000, true},
+      {"store away again and just back", Outage{-3'000, 0}, {{100, 4'000}}, false, 4'100, true},
+      {"outages with time to return between them",
+       Outage{-3'000, 0},
+       {{1'000, 2'300}, {3'500, 4'800}},
+       false,
+       5'200,
        false},
   };
   for (const ExpiryCase& test : cases) {
     CAPTURE(std::string(test.name));
     FleetView view;
     view.Apply(Entry("a", 1, 1, {}), kStart);
-    if (test.outage) view.OnStoreFailure(kStart);
+    if (test.outage) PlayOutage(&view, test.outage->from_ms, test.outage->to_ms);
     view.Remove(RunnerId("a"), kStart);
-    if (test.back_after_ms >= 0) view.OnStoreResponse(kStart + Millis(test.back_after_ms));
+    for (const Outage& outage : test.further) PlayOutage(&view, outage.from_ms, outage.to_ms);
+    if (test.interrupted) {
+      view.contact().OnCall(StoreCallEnd::kNoAnswer, kStart + Millis(10), kStart + Millis(20));
+    }
     view.DropExpired(kStart + Millis(test.checked_at_ms));
     CHECK((view.Find(RunnerId("a")) != nullptr) == test.expected_known);
   }
@@ -181,9 +210,8 @@
 TEST_CASE("gateway: an entry that returns after an outage stays") {
   FleetView view;
   view.Apply(Entry("a", 1, 1, {}), kStart);
-  view.OnStoreFailure(kStart);
+  PlayOutage(&view, -3'000, 0);
   view.Remove(RunnerId("a"), kStart);
-  view.OnStoreResponse(kStart + Millis(500));
   view.Apply(Entry("a", 1, 2, {}), kStart + Millis(1'500));
   view.DropExpired(kStart + Millis(60'000));
   CHECK(view.Find(RunnerId("a")) != nullptr);
@@ -202,7 +230,7 @@
 // Guards against calls to a runner that had left when the store was restored from a copy in which
 // it is ready, and against dropping live runners that the copy does not have yet.
 TEST_CASE("gateway: runners after a restore of the store") {
-  const int64_t grace = FleetView::kExpiryGrace.count();
+  const int64_t grace = StoreContact::kReturnTime.count();
   const std::vector<RestoreCase> cases = {
       {"left, older entry in the copy", true, true, Entry("a", 2, 4, {}), 0, false},
       {"left, its last entry in the copy", true, true, Entry("a", 2, 5, {}), 0, false},
--- a/tests/standin_store.cc
+++ b/tests/standin_store.cc
@@ -87,12 +87,14 @@
   AbortWatchers();
 }
 
-void StandinStore::AbortWatchers() {
+bool StandinStore::AbortWatchers() {
+  const bool waiting = !watchers_.empty();
   for (const Watcher& watcher : watchers_) {
     loop_->Cancel(watcher.timer);
     watcher.connection->Abort();
   }
   watchers_.clear();
+  return waiting;
 }
 
 StandinStore::Copy StandinStore::TakeCopy() const {
--- a/tests/standin_store.h
+++ b/tests/standin_store.h
@@ -47,6 +47,8 @@
   std::vector<std::string> Keys(const std::string& prefix) const;
   /// The item's value; absent if there is no such item.
   std::optional<std::string> Value(const std::string& key) const;
+  /// Ends the connections of all waiting watches. Returns whether there were any.
+  bool AbortWatchers();
   /// Watches report no changes until DropHistory().
   void MuteWatches() { watches_muted_ = true; }
   /// Aborts all watches and ends MuteWatches(). From now on, a watch from before the current
@@ -104,8 +106,6 @@
   void AnswerWatchers();
   nlohmann::json Events(const std::string& prefix, uint64_t after) const;
 
-  void AbortWatchers();
-
   EventLoop* loop_;
   CallerListener listener_;
   Random random_;
