Do not complete a call with an answer to another request

Cause: HttpClient completes an answer without a length when its connection ends, and did so also when the handler had skipped that answer as foreign. Ruled out: the runner (its answers are whole) and the parser.

Change: the exchange is lost, so that a call that may be repeated goes to another runner. Orders, reports and store calls use the same path.

After: the test passes.

--- a/drivers/gateway/http_client.cc
+++ b/drivers/gateway/http_client.cc
@@ -123,6 +123,10 @@
     }
     if (!reset && parser_.begun() && parser_.needs_eof() && IsOk(parser_.FeedEof())) {
       if (!DeliverProgress()) return;
+      if (skipping_) {
+        Fail(ExchangeFailure::kLost, "the connection ended with the answer to another request");
+        return;
+      }
       ExchangeHandler* handler = TakeHandler();
       client_->Release(this, false);
       handler->OnComplete();
--- a/tests/gateway_http_client_test.cc
+++ b/tests/gateway_http_client_test.cc
@@ -130,6 +130,34 @@
   }
 }
 
+// Guards against a call that counts as answered because the answer to another request, which the
+// handler skips, ends with its connection (review/2: the caller got "HTTP/1.1 0").
+TEST_CASE("http client: an answer to another request completes nothing") {
+  struct Case {
+    const char* name;
+    const char* answer;
+  };
+  for (const Case& test :
+       {Case{"ends with the connection", "HTTP/1.1 200 OK\r\n\r\nlate"},
+        Case{"ends with the connection, empty", "HTTP/1.1 200 OK\r\n\r\n"},
+        Case{"with a length, then the connection ends", kAnswer},
+        Case{"cut in its head", "HTTP/1.1 200 OK\r\nContent-"},
+        Case{"cut in its body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nla"}}) {
+    CAPTURE(std::string(test.name));
+    RawServer server([&](RawConnection* connection, int /*number*/) {
+      (void)connection->ReadHead();
+      connection->Send(test.answer);
+    });
+    const SystemClock clock;
+    EventLoop loop(&clock);
+    HttpClient client(&loop);
+    RecordingHandler handler(HeadVerdict::kSkip, [&] { loop.Stop(); });
+    (void)client.Start(server.address(), kRequest, {}, &handler);
+    loop.Run();
+    CHECK(handler.result() == "lost");
+  }
+}
+
 // Guards against a request that is sent after the permission for it has ended, because the process
 // was suspended while the connection was being established.
 TEST_CASE("http client: sends nothing on a new connection if the request is no longer wanted") {
