Never send a call twice on connections to one address

Reported without logs: a call that must run once ran twice (TWICE), on two deployments with real processes.

Cause, reproduced with real connections: a call was kept off the used connections of runners that had refused it, by runner id, but connections belong to addresses. When a runner has taken over an address, its refusal of a call for the former runner may arrive again on the connection on which the call is sent to the new one, and it is then sent a third time. That the reported cases were this one is not shown.

Change: a call uses a new connection to each address that it was sent to before.

Before: "a refusal that arrives again at a reused address proves nothing" failed with two runs, three times of three. After: one run.

--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -308,8 +308,8 @@
       call_.id.value());
   ExchangeOptions options;
   options.connect_timeout = context_->settings.policy.connect_timeout;
-  // On a kept connection, a faulty runner's earlier refusal may arrive once more.
-  if (refused_by_.contains(picked.runner)) options.max_idle = Millis(0);
+  // On a kept connection, an earlier answer to this call may arrive once more.
+  if (!sent_to_.insert(runner->entry.address).second) options.max_idle = Millis(0);
   exchange_ = context_->client.Start(
       runner->entry.address, FormatRequest(context_->protocol->EncodeCall(request_, envelope)),
       options, this);
--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -132,8 +132,8 @@
   std::vector<CallTrait> traits_;
   std::set<RunnerId> tried_;
   std::map<RunnerId, SteadyTime> rejected_until_;
-  /// Runners that have refused the call as not run.
-  std::set<RunnerId> refused_by_;
+  /// Addresses that the call was sent to. Runners may share one, and the connections to it.
+  std::set<std::string> sent_to_;
   /// Attempts in which the runner may have run the call.
   uint64_t runs_ = 0;
   uint64_t attempts_ = 0;
--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -238,7 +238,6 @@
   RecordFailure(failure, detail);
   if (ProvesNotRun(failure)) {
     rejected_until_[runner_.runner] = context_->loop.Now() + kRejectionPause;
-    if (failure != AttemptFailure::kNotConnected) refused_by_.insert(runner_.runner);
   } else {
     ++runs_;
   }
