--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -61,6 +61,33 @@
 
 // Guards against forwarding fields of a caller that only the gateway may set, and against a changed
 // method, target, body or call id.
+// Guards against a leader that ends because the name in a call, whose bytes are the caller's
+// choice, reaches an order that JSON can't represent.
+TEST_CASE("platform: names that are not UTF-8 are refused and end no process") {
+  struct Case {
+    const char* name;
+    std::string model;
+    const char* expected;
+  };
+  const PlatformCodec codec;
+  for (const Case& test :
+       std::vector<Case>{{"ASCII", "m1/a1", "ok"},
+                         {"two and three bytes", "m\xc3\xa9/\xe2\x82\xac", "ok"},
+                         {"lone continuation byte", "m1/\x80", "invalid-argument"},
+                         {"lone lead byte", "m1/\xc3", "invalid-argument"},
+                         {"byte that never occurs", "m1/\xff", "invalid-argument"},
+                         {"in the model", "m\xff", "invalid-argument"}}) {
+    CAPTURE(std::string(test.name));
+    HttpMessage request = StreamCall();
+    request.head.Set("Model-Name", test.model);
+    CHECK(KindOf(codec.DecodeCall(request.head)) == test.expected);
+    gateway::Order order;
+    order.model = gateway::ModelName("m1");
+    order.adapter = gateway::AdapterName(test.model);
+    CHECK_NOTHROW(codec.EncodeOrder(order, InstanceId("node-7"), FencingNumber(41)));
+  }
+}
+
 TEST_CASE("platform: a call is forwarded unchanged except for the gateway's own fields") {
   const PlatformCodec codec;
   HttpMessage call = StreamCall();
