Play a network like a real one in the process soak

Change: the incident real-network draws segments of 536 to 1,460 bytes and receive buffers of 4 to 32 KB for each link, sends long bodies, cuts the waiting watches again and again without an excuse, removes leaving runners without a draining entry, and stops more than half of the gateways at once. Callers are sent to all gateways while fewer than half are ready. A failed call that nobody received although nothing was disturbed is a violation.

--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 
 # Random faults on gateway processes with SEEDS new seeds from SEED on, FAULT_S seconds each, beside
 # INCIDENT: none, deadly-calls, limited-runners, restored-store or
-# unwilling-runners.
+# unwilling-runners, real-network.
 SEEDS ?= 10
 INCIDENT ?= none
 FAULT_S ?= 15
--- a/tests/soak/call_checker.cc
+++ b/tests/soak/call_checker.cc
@@ -94,6 +94,7 @@
       return;
     case CallEnd::kAnswered:
       if (!result.sealed) CheckGatewayError(call, result);
+      if (!result.sealed && result.status >= 502) CheckNeverRan(call, result);
       return;
     case CallEnd::kAbandoned:
       return;
@@ -131,6 +132,14 @@
   AddViolation(call, fmt::format("is valid and got {} {}", result.status, result.body));
 }
 
+void CallChecker::CheckNeverRan(const SentCall& call, const CallResult& result) {
+  if (result.status == 503 || fleet_->ledger().Runs(call.id) > 0) return;
+  if (!CountCheck(fleet_->AllUndisturbed(call.gateway, call.sent_at, result.at, true))) return;
+  AddViolation(
+      call, fmt::format("got {} after {} ms, and no runner received the whole of it", result.status,
+                        std::chrono::duration_cast<Millis>(result.at - call.sent_at).count()));
+}
+
 void CallChecker::OnAbandoned(const SentCall& call, SteadyTime at) {
   fleet_->loop()->After(kExecutionAfterDisconnect, [this, call, at] {
     const SteadyTime now = fleet_->loop()->Now();
--- a/tests/soak/call_checker.h
+++ b/tests/soak/call_checker.h
@@ -29,6 +29,8 @@
   void CheckDraining(const SentCall& call, const CallRun& run);
   void CheckConfig(const SentCall& call, const CallRun& run);
   void CheckLostConnection(const SentCall& call, const CallResult& result);
+  /// Checks a failed call that no runner has begun, although nothing was disturbed.
+  void CheckNeverRan(const SentCall& call, const CallResult& result);
   void CheckGatewayError(const SentCall& call, const CallResult& result);
   void AddViolation(const SentCall& call, const std::string& what);
   bool IsPlain(const SentCall& call) const;
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -4,6 +4,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
+#include <netinet/tcp.h>
 
 #include <deque>
 #include <utility>
@@ -147,6 +148,10 @@
   try {
     socket_ = std::make_unique<Poco::Net::ServerSocket>();
     socket_->bind(Poco::Net::SocketAddress(address), true);
+    if (shape_.receive_buffer_bytes > 0) socket_->setReceiveBufferSize(shape_.receive_buffer_bytes);
+    if (shape_.segment_bytes > 0) {
+      socket_->setOption(IPPROTO_TCP, TCP_MAXSEG, shape_.segment_bytes);
+    }
     socket_->listen(kBacklog);
     socket_->setBlocking(false);
     loop_->Add(*socket_, this, false);
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -30,6 +30,13 @@
 
 const char* LinkFaultName(LinkFault fault);
 
+/// Sizes of the sockets that a proxy accepts; 0 leaves the operating system's. Those of loopback
+/// are far larger than on a network, and hide what happens when a peer's window is full.
+struct NetworkShape {
+  int segment_bytes = 0;
+  int receive_buffer_bytes = 0;
+};
+
 /// Loopback TCP proxy in front of one server, on the event loop of the soak.
 class FaultProxy final : public gateway::SocketHandler {
  public:
@@ -37,6 +44,8 @@
   ~FaultProxy() override;
 
   Status Open(const std::string& address);
+  /// For the connections accepted after the next Open().
+  void SetShape(const NetworkShape& shape) { shape_ = shape; }
   /// The server has crashed: resets all connections, and new ones are refused until Open().
   void Close();
   bool open() const { return socket_ != nullptr; }
@@ -54,6 +63,7 @@
   std::string server_address_;
   std::unique_ptr<Poco::Net::ServerSocket> socket_;
   std::map<Link*, std::unique_ptr<Link>> links_;
+  NetworkShape shape_;
   LinkFault fault_ = LinkFault::kNone;
   Millis delay_{0};
 };
--- a/tests/soak/process_soak_main.cc
+++ b/tests/soak/process_soak_main.cc
@@ -46,7 +46,8 @@
     {"deadly-calls", Incident::kDeadlyCalls},
     {"limited-runners", Incident::kLimitedRunners},
     {"restored-store", Incident::kRestoredStore},
-    {"unwilling-runners", Incident::kUnwillingRunners}};
+    {"unwilling-runners", Incident::kUnwillingRunners},
+    {"real-network", Incident::kRealNetwork}};
 
 /// Seeds that failed before, with the cause. CI runs them again.
 struct RegressionSeed {
@@ -54,13 +55,15 @@
   Incident incident;
   const char* cause;
 };
-constexpr std::array<RegressionSeed, 4> kRegressionSeeds = {{
+constexpr std::array<RegressionSeed, 5> kRegressionSeeds = {{
     {321, Incident::kNone,
      "the check knew only the configurations from before a call that its link held up"},
     {344, Incident::kNone, "a stop signal 12 ms after the start came before main() had blocked it"},
     {606, Incident::kNone, "two watches that an outage swallowed made a configuration 5.3 s late"},
     {9002, Incident::kDeadlyCalls,
      "the check did not know that a kept connection had gone silent 8 s before its next call"},
+    {3, Incident::kRealNetwork,
+     "a gateway that started while the soak wrote its settings file read a part of it"},
 }};
 
 /// One run from start to stop. Timers of the loop start its phases.
@@ -209,8 +212,9 @@
       "keep", "keep the logs of seeds that pass")(
       "incident",
       "none, deadly-calls (calls crash their runners), limited-runners (runners name limits), "
-      "restored-store (the store returns from copies that are seconds old) or unwilling-runners "
-      "(runners say that they leave or are closed)",
+      "restored-store (the store returns from copies that are seconds old), unwilling-runners "
+      "(runners say that they leave or are closed) or real-network (sockets as on a network, cut "
+      "watches, unannounced leaves, stops together)",
       cxxopts::value<std::string>()->default_value("none"))(
       "stall-logs", "let the gateways log to pipes that nobody reads")(
       "regressions", "run the seeds that failed once instead")("help", "print this help");
--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -21,6 +21,9 @@
 /// Callers obey Retry-After up to this time.
 constexpr Millis kMaxRetryAfter{1'000};
 constexpr uint64_t kMaxBodyBytes = 3'000;
+/// On a network like a real one, this share of the bodies is long.
+constexpr double kLongBodyProbability = 0.2;
+constexpr uint64_t kMaxLongBodyBytes = 300'000;
 /// Probability that a stream call picks one of the two models that every engine holds at its start;
 /// otherwise it picks any model.
 constexpr double kInitialModelProbability = 0.8;
@@ -61,7 +64,11 @@
   call.timeout = route.timeout;
   call.method = route.kind == CallKind::kIdempotent ? "GET" : "POST";
   call.target = fmt::format("{}{}?n={}", route.prefix, number_, calls_);
-  if (call.method == "POST") call.body = std::string(random.Below(kMaxBodyBytes), 'x');
+  if (call.method == "POST") {
+    const bool may_be_long = fleet_->options().incident == Incident::kRealNetwork;
+    const bool is_long = may_be_long && random.Unit() < kLongBodyProbability;
+    call.body = std::string(random.Below(is_long ? kMaxLongBodyBytes : kMaxBodyBytes), 'x');
+  }
   if (route.kind == CallKind::kStream) {
     const uint64_t model = random.Unit() < kInitialModelProbability
                                ? random.Below(2)
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 
@@ -20,6 +21,11 @@
 /// A tick that is this late counts as a disturbance of the whole machine. A gateway's own work can
 /// take this long, so a smaller delay excuses nothing.
 constexpr Millis kMachineLate{150};
+/// Ranges of the sockets of a network: segments and receive buffers in bytes.
+constexpr uint64_t kSmallestSegment = 536;
+constexpr uint64_t kSegmentSpread = 925;
+constexpr uint64_t kSmallestBuffer = 4'096;
+constexpr uint64_t kBufferSpread = 28'673;
 constexpr Millis kHeartbeat{400};
 /// A runner's entry expires after three missed heartbeats.
 constexpr Millis kEntryExpiry{1'200};
@@ -126,6 +132,7 @@
     runner.spec.public_address =
         fmt::format("{}{}:{}", address_base_, kRunnerProxyHosts + index, kRunnerPort);
     runner.proxy = std::make_unique<FaultProxy>(loop_, runner.spec.listen_address);
+    if (options_.incident == Incident::kRealNetwork) runner.proxy->SetShape(RandomShape());
     if (Status opened = runner.proxy->Open(runner.spec.public_address); !IsOk(opened)) {
       return opened;
     }
@@ -140,6 +147,10 @@
     gateway.callers =
         std::make_unique<FaultProxy>(loop_, fmt::format("{}:{}", gateway.ip, kCallerPort));
     gateway.store = std::make_unique<FaultProxy>(loop_, store);
+    if (options_.incident == Incident::kRealNetwork) {
+      gateway.callers->SetShape(RandomShape());
+      gateway.store->SetShape(RandomShape());
+    }
     const std::string store_proxy = fmt::format("{}:{}", gateway.ip, kStoreProxyPort);
     // The callers' proxy listens on another port of the gateway's own address.
     for (const Status& opened :
@@ -164,12 +175,18 @@
   return fmt::format("{}:{}", gateways_[gateway].ip, kCallerPort + 1);
 }
 
+NetworkShape SoakFleet::RandomShape() {
+  return {static_cast<int>(kSmallestSegment + random_.Below(kSegmentSpread)),
+          static_cast<int>(kSmallestBuffer + random_.Below(kBufferSpread))};
+}
+
 size_t SoakFleet::PickGateway() {
   std::vector<size_t> ready;
   for (size_t index = 0; index < gateways_.size(); ++index) {
     if (gateways_[index].ready) ready.push_back(index);
   }
-  if (ready.empty()) return random_.Below(gateways_.size());
+  // The platform uses all gateways while fewer than half are ready.
+  if (ready.size() * 2 < gateways_.size()) return random_.Below(gateways_.size());
   return ready[random_.Below(ready.size())];
 }
 
@@ -192,7 +209,10 @@
         {"retry-slack", SoakBounds::kRetrySlack},
         {"budget-window-s", SoakBounds::kRetryWindow.count() / 1000},
         {"ceiling-window-s", 5}}}};
-  std::ofstream(fmt::format("{}/gateway-{}.json", options_.folder, gateway)) << settings.dump(2);
+  // A process that starts at this moment must not read a part of the file.
+  const std::string path = fmt::format("{}/gateway-{}.json", options_.folder, gateway);
+  std::ofstream(path + ".new") << settings.dump(2);
+  std::filesystem::rename(path + ".new", path);
 }
 
 void SoakFleet::StartGateway(size_t index) {
@@ -343,6 +363,7 @@
 void SoakFleet::UpdateRunnerEntries() {
   const SteadyTime now = loop_->Now();
   for (Runner& runner : runners_) {
+    if (runner.unlisted) continue;
     const std::string key = "servers/" + runner.spec.id;
     if (runner.server != nullptr && !store_unavailable_ &&
         now - runner.last_heartbeat >= Duration(kHeartbeat)) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -50,6 +50,9 @@
   kRestoredStore,
   /// Runners leave and close themselves one after the other, and say so in their answers.
   kUnwillingRunners,
+  /// Links have the sockets of a network, some requests are long, waiting watches are cut again and
+  /// again, runners leave without a word and gateways stop together.
+  kRealNetwork,
 };
 
 struct SoakOptions {
@@ -144,6 +147,8 @@
   void InjectStoreFaults(const gateway::StoreFaults& faults, const std::string& name, Millis time,
                          bool entries_expire);
   void DropHistory();
+  /// The platform may do so at any time, so it excuses nothing.
+  void CutWatches();
   /// Begins to take copies of the store.
   void CopyStore();
   /// Restores the store from one of its copies; the operator and the runners write again later.
@@ -153,7 +158,8 @@
   void InjectRunnerFaults(size_t runner, const RunnerFaults& faults, const std::string& name,
                           Millis time, bool planned = false);
   void CrashRunner(size_t runner, Millis down, bool same_id);
-  void DrainRunner(size_t runner);
+  /// The runner leaves as planned. If `unannounced`, its entry is removed without a draining one.
+  void DrainRunner(size_t runner, bool unannounced = false);
   /// The runner ends for good and a runner of another backend takes over its address.
   void ReuseAddress(size_t runner);
   void WriteInvalidEntry();
@@ -204,9 +210,12 @@
     std::unique_ptr<FaultProxy> proxy;
     SteadyTime last_heartbeat;
     bool listed = false;
+    /// Its entry was removed for good while it still serves.
+    bool unlisted = false;
   };
   class ReadinessProbe;
 
+  NetworkShape RandomShape();
   void StartGateway(size_t gateway);
   void WriteSettings(size_t gateway) const;
   void Tick();
--- a/tests/soak/soak_fleet_faults.cc
+++ b/tests/soak/soak_fleet_faults.cc
@@ -135,6 +135,11 @@
   AddTimedDisturbance(Scope::Store(), kMutedBeforeDrop, false, [this] { store_.DropHistory(); });
 }
 
+void SoakFleet::CutWatches() {
+  LogEvent("store: waiting watches are cut");
+  (void)store_.AbortWatchers();
+}
+
 void SoakFleet::CopyStore() {
   copies_.push_back(store_.TakeCopy());
   if (copies_.size() > kMaxCopies) copies_.pop_front();
@@ -170,7 +175,7 @@
   PutConfig();
   std::set<std::string> listed;
   for (Runner& runner : runners_) {
-    if (runner.server == nullptr) continue;
+    if (runner.server == nullptr || runner.unlisted) continue;
     listed.insert("servers/" + runner.spec.id);
     runner.last_heartbeat = loop_->Now();
     runner.listed = true;
@@ -193,7 +198,10 @@
   });
 }
 
-void SoakFleet::EndRunner(size_t index) { runners_[index].server.reset(); }
+void SoakFleet::EndRunner(size_t index) {
+  runners_[index].server.reset();
+  runners_[index].unlisted = false;
+}
 
 void SoakFleet::LimitRunners(double calls_per_s) {
   for (const size_t index : {size_t{0}, options_.engines}) {
@@ -241,12 +249,14 @@
   });
 }
 
-void SoakFleet::DrainRunner(size_t index) {
+void SoakFleet::DrainRunner(size_t index, bool unannounced) {
   Runner& runner = runners_[index];
   if (runner.server == nullptr || runner.server->draining()) return;
   if (store_unavailable_) return;
-  LogEvent(fmt::format("runner {} drains", runner.spec.id));
-  runner.server->BeginDraining();
+  LogEvent(fmt::format("runner {} drains{}", runner.spec.id, unannounced ? " unannounced" : ""));
+  runner.server->BeginDraining(!unannounced);
+  runner.unlisted = unannounced;
+  if (unannounced) store_.Remove("servers/" + runner.spec.id);
   runner.last_heartbeat = loop_->Now();
   const Millis time = SoakBounds::kDrain + Millis(500 + random_.Below(4'000));
   const std::string id = runner.spec.id;
--- a/tests/soak/soak_schedule.cc
+++ b/tests/soak/soak_schedule.cc
@@ -35,6 +35,11 @@
 constexpr Millis kClosingTime{2'000};
 constexpr uint64_t kShortestUnwillingGapMs = 5'000;
 constexpr uint64_t kUnwillingGapSpreadMs = 4'000;
+/// Pauses between two cuts of the waiting watches, and between two stops of several gateways.
+constexpr uint64_t kShortestCutGapMs = 700;
+constexpr uint64_t kCutGapSpreadMs = 1'800;
+constexpr uint64_t kShortestStopGapMs = 8'000;
+constexpr uint64_t kStopGapSpreadMs = 4'000;
 /// A fraction of the calls that a runner gets in a calm run.
 constexpr double kLimitCallsPerS = 3;
 constexpr std::array<LinkFault, 7> kLinkFaults = {
@@ -89,6 +94,11 @@
       DisturbRunnersAgain();
       return;
     }
+    if (fleet_->options().incident == Incident::kRealNetwork) {
+      CutWatchesAgain();
+      StopTogetherAgain();
+      return;
+    }
     if (fleet_->options().incident == Incident::kLimitedRunners) {
       fleet_->LimitRunners(kLimitCallsPerS);
       return;
@@ -137,6 +147,25 @@
   fleet_->loop()->After(Millis(gap), [this] { DisturbRunnersAgain(); });
 }
 
+void SoakSchedule::CutWatchesAgain() {
+  if (stopped_) return;
+  Random& random = fleet_->random();
+  fleet_->CutWatches();
+  if (random.Below(4) == 0) fleet_->DrainRunner(RandomRunner(), true);
+  const uint64_t gap = kShortestCutGapMs + random.Below(kCutGapSpreadMs);
+  fleet_->loop()->After(Millis(gap), [this] { CutWatchesAgain(); });
+}
+
+void SoakSchedule::StopTogetherAgain() {
+  if (stopped_) return;
+  const size_t first = RandomGateway();
+  for (size_t index = 0; index <= fleet_->gateways() / 2; ++index) {
+    fleet_->StopGateway((first + index) % fleet_->gateways());
+  }
+  const uint64_t gap = kShortestStopGapMs + fleet_->random().Below(kStopGapSpreadMs);
+  fleet_->loop()->After(Millis(gap), [this] { StopTogetherAgain(); });
+}
+
 void SoakSchedule::ScheduleNext() {
   const auto gap =
       static_cast<int64_t>(fleet_->random().Exponential(static_cast<double>(mean_gap_.count())));
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -34,6 +34,8 @@
   void ScheduleIncident();
   void RestoreAgain();
   void DisturbRunnersAgain();
+  void CutWatchesAgain();
+  void StopTogetherAgain();
   Millis RandomDuration();
   size_t RandomGateway();
   size_t RandomRunner();
--- a/tests/soak/standin_runner.cc
+++ b/tests/soak/standin_runner.cc
@@ -71,11 +71,11 @@
   context_->store->Put("servers/" + spec_.id, entry.dump());
 }
 
-void StandinRunner::BeginDraining() {
+void StandinRunner::BeginDraining(bool announced) {
   if (draining_) return;
   draining_ = true;
   draining_since_ = context_->loop->Now();
-  Heartbeat();
+  if (announced) Heartbeat();
 }
 
 void StandinRunner::Reject(CallerConnection* connection, const HttpMessage& request, int status,
--- a/tests/soak/standin_runner.h
+++ b/tests/soak/standin_runner.h
@@ -82,7 +82,8 @@
   /// Writes the runner's entry to the store. The fleet calls this only while the store is
   /// available.
   void Heartbeat();
-  void BeginDraining();
+  /// Without `announced`, its answers alone say so.
+  void BeginDraining(bool announced = true);
   bool draining() const { return draining_; }
   SteadyTime draining_since() const { return draining_since_; }
   /// Number of calls that the runner is executing.
