--- a/tests/gateway_http_client_test.cc
+++ b/tests/gateway_http_client_test.cc
@@ -4,7 +4,9 @@
 #include <array>
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/crash_trace.h"
@@ -158,6 +160,39 @@
   }
 }
 
+// Guards against an answer that looks whole although its server stopped within its head, its length
+// or its chunks and closed the connection.
+TEST_CASE("http client: an answer cut off at any byte is not complete") {
+  for (const std::string& answer : std::vector<std::string>{
+           kAnswer,
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+           "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\nContent-Length: 1\r\n\r\nx"}) {
+    RawServer server([&](RawConnection* connection, int number) {
+      if (connection->ReadHead().empty()) return;
+      connection->Send(std::string_view(answer).substr(0, static_cast<size_t>(number)));
+    });
+    const SystemClock clock;
+    EventLoop loop(&clock);
+    HttpClient client(&loop);
+    std::vector<std::unique_ptr<RecordingHandler>> handlers;
+    std::function<void()> next = [&] {
+      if (handlers.size() > answer.size()) {
+        loop.Stop();
+        return;
+      }
+      handlers.push_back(std::make_unique<RecordingHandler>(
+          HeadVerdict::kAccept, [&] { loop.After(Duration(0), next); }));
+      (void)client.Start(server.address(), kRequest, {}, handlers.back().get());
+    };
+    loop.After(Duration(0), next);
+    loop.Run();
+    for (size_t sent = 0; sent <= answer.size(); ++sent) {
+      CAPTURE(answer.substr(0, sent));
+      CHECK((handlers[sent]->result() == "complete") == (sent == answer.size()));
+    }
+  }
+}
+
 // Guards against a request that is sent after the permission for it has ended, because the process
 // was suspended while the connection was being established.
 TEST_CASE("http client: sends nothing on a new connection if the request is no longer wanted") {
