--- a/tests/soak/soak_schedule.cc
+++ b/tests/soak/soak_schedule.cc
@@ -12,6 +12,9 @@
 
 /// Mean pauses between faults; each seed draws one.
 constexpr std::array<int64_t, 4> kMeanGapsMs = {400, 800, 1'600, 3'000};
+/// The incident kRealNetwork plays what excuses nothing; fewer faults beside it leave calm to
+/// judge.
+constexpr int64_t kRealNetworkGapFactor = 6;
 /// Shares of the fault kinds that are used; each seed draws one.
 constexpr std::array<double, 3> kKindShares = {0.15, 0.4, 1.0};
 /// Range of a fault's duration.
@@ -54,6 +57,7 @@
   AddRunnerEvents();
   Random& random = fleet->random();
   mean_gap_ = Millis(kMeanGapsMs[random.Below(kMeanGapsMs.size())]);
+  if (fleet->options().incident == Incident::kRealNetwork) mean_gap_ *= kRealNetworkGapFactor;
   const double share = kKindShares[random.Below(kKindShares.size())];
   std::vector<Event> chosen;
   for (const Event& event : events_) {
