Log the configuration that decided each call; count invalid ones

The ways in which a gateway can be behind differ in the version by which a call was refused, and in whether a version was read but could not be used. Neither was visible.

--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -412,8 +412,9 @@
   StopTimers();
   const std::string route = route_ == nullptr ? "" : route_->name.value();
   LogInfo("call",
-          fmt::format("event=end outcome={} status={} route={} elapsed_ms={} attempts={} {}",
-                      outcome, status, route, Elapsed().count(), attempts_.sent(), detail),
+          fmt::format("event=end outcome={} status={} route={} elapsed_ms={} attempts={} config={} {}",
+                      outcome, status, route, Elapsed().count(), attempts_.sent(),
+                      routes_ == nullptr ? 0 : routes_->version.value(), detail),
           call_.id.value());
   context_->metrics
       ->GetCounter(fmt::format("calls_total{{outcome=\"{}\",route=\"{}\"}}", outcome, route))
--- a/drivers/gateway/fleet_follower.cc
+++ b/drivers/gateway/fleet_follower.cc
@@ -66,7 +66,9 @@
   if (item.deleted || item.key != context_->protocol->RoutesKey()) return;
   const auto decoded = context_->protocol->DecodeRoutes(item.value);
   if (!IsOk(decoded)) {
-    LogError("config", "ignoring an invalid configuration: " + FormatError(ErrorOf(decoded)));
+    LogError("config", fmt::format("event=config-invalid revision={} reason=\"{}\"",
+                                   item.position.revision.value(), FormatError(ErrorOf(decoded))));
+    context_->metrics->GetCounter("config_invalid_total").Add();
     return;
   }
   const FleetRoutes& received = ValueOf(decoded);
