--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -411,11 +411,12 @@
   waiting_ = false;
   StopTimers();
   const std::string route = route_ == nullptr ? "" : route_->name.value();
-  LogInfo("call",
-          fmt::format("event=end outcome={} status={} route={} elapsed_ms={} attempts={} config={} {}",
-                      outcome, status, route, Elapsed().count(), attempts_.sent(),
-                      routes_ == nullptr ? 0 : routes_->version.value(), detail),
-          call_.id.value());
+  LogInfo(
+      "call",
+      fmt::format("event=end outcome={} status={} route={} elapsed_ms={} attempts={} config={} {}",
+                  outcome, status, route, Elapsed().count(), attempts_.sent(),
+                  routes_ == nullptr ? 0 : routes_->version.value(), detail),
+      call_.id.value());
   context_->metrics
       ->GetCounter(fmt::format("calls_total{{outcome=\"{}\",route=\"{}\"}}", outcome, route))
       .Add();
--- /dev/null
+++ b/tests/gateway_config_behind_test.cc
@@ -0,0 +1,140 @@
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/gateway_daemon_fixture.h"
+
+namespace shallot::gateway {
+namespace {
+
+/// Bounds that the platform states: a disturbance excuses a gateway for the stable window, and a
+/// store that turns single gateways away stretches the time to apply a configuration by the skew.
+constexpr Millis kStableWindow{3'000};
+constexpr Millis kConfigApply{2'000};
+constexpr Millis kSkew{5'000};
+
+/// kConfig as another version, with one more route to the runner.
+std::string ConfigWithRoute(int version) {
+  std::string config = kConfig;
+  const std::string from = "{\"version\":1,\"routes\":[";
+  const std::string route =
+      R"({"name":"added","hostname":"h.example","path-prefix":"/new/","kind":"idempotent",)"
+      R"("timeout-ms":20000,"target-latency-ms":100,"service":"engine","max-attempts":1},)";
+  config.replace(config.find(from), from.size(),
+                 "{\"version\":" + std::to_string(version) + ",\"routes\":[" + route);
+  return config;
+}
+
+/// A second gateway of a fixture's platform.
+class SecondGateway {
+ public:
+  SecondGateway(const GatewayFixture& first, const std::string& store_address)
+      : settings_(first.settings_) {
+    settings_.instance = InstanceId("front-2");
+    settings_.caller_address = FreeLoopbackAddress();
+    settings_.readiness_address = FreeLoopbackAddress();
+    settings_.peer_address = FreeLoopbackAddress();
+    settings_.metrics_address = FreeLoopbackAddress();
+    settings_.store_address = store_address;
+    daemon_ = std::make_unique<GatewayDaemon>(
+        settings_, &first.codec_, [this] { return Result<GatewaySettings>(settings_); });
+    REQUIRE(IsOk(daemon_->Start()));
+  }
+  ~SecondGateway() { daemon_->Stop(); }
+
+  const GatewaySettings& settings() const { return settings_; }
+
+ private:
+  GatewaySettings settings_;
+  std::unique_ptr<GatewayDaemon> daemon_;
+};
+
+/// Time until the gateway serves the added route.
+Millis TimeUntilServed(GatewayFixture* fixture, const std::string& address) {
+  const SystemClock clock;
+  const SteadyTime since = clock.SteadyNow();
+  CHECK(fixture->Await([&] { return fixture->Send(address, "POST", "/new/x").status == 200; }));
+  return std::chrono::duration_cast<Millis>(clock.SteadyNow() - since);
+}
+
+// Guards against gateways that wait for a configuration on store connections that have gone silent
+// for longer than the platform excuses it.
+TEST_CASE("gateway daemon: a configuration is in force soon after store connections went silent" *
+          doctest::should_fail()) {
+  struct Case {
+    const char* name;
+    /// Time that answers take before, so that calls overlap and several connections are kept.
+    Millis overlap;
+    /// Time from the last change before to the silence.
+    Millis pause;
+  };
+  for (const Case& test : {Case{"between two watches", Millis(0), Millis(30)},
+                           Case{"while a watch waits", Millis(0), Millis(900)},
+                           Case{"with several kept connections", Millis(300), Millis(30)}}) {
+    CAPTURE(std::string(test.name));
+    GatewayFixture fixture;
+    fixture.Configure("engine");
+    REQUIRE(fixture.AwaitReady());
+    if (test.overlap > Millis(0)) {
+      StoreFaults slow;
+      slow.delay = test.overlap;
+      fixture.platform_.SetStoreFaults(slow);
+      std::this_thread::sleep_for(kConfigApply);
+      fixture.platform_.SetStoreFaults({});
+      std::this_thread::sleep_for(test.overlap * 2);
+    }
+    fixture.platform_.Put("other/key", "value");
+    std::this_thread::sleep_for(test.pause);
+    fixture.platform_.SilenceStoreConnections();
+    fixture.platform_.Put("op/config", ConfigWithRoute(2));
+    CHECK(TimeUntilServed(&fixture, fixture.settings_.caller_address) <= kStableWindow);
+  }
+}
+
+// Guards against gateways that never learn of a configuration because the store serves the
+// operators and the other gateways, but not them.
+TEST_CASE("gateway daemon: a gateway that the store turns away takes the others' configuration" *
+          doctest::should_fail()) {
+  struct Case {
+    const char* name;
+    bool busy;
+  };
+  for (const Case& test : {Case{"refused", true}, Case{"unanswered", false}}) {
+    CAPTURE(std::string(test.name));
+    GatewayFixture fixture;
+    fixture.Configure("engine");
+    REQUIRE(fixture.AwaitReady());
+    const SecondGateway second(fixture, fixture.platform_.side_entrance());
+    const std::string& address = second.settings().caller_address;
+    REQUIRE(fixture.Await([&] { return fixture.Send(address, "POST", "/p/x").status == 200; }));
+    StoreFaults faults;
+    faults.busy = test.busy;
+    faults.silent = !test.busy;
+    fixture.platform_.SetSideEntranceFaults(faults);
+    fixture.platform_.Put("op/config", ConfigWithRoute(2));
+    CHECK(TimeUntilServed(&fixture, address) <= kConfigApply + kSkew);
+  }
+}
+
+// Guards against a gateway that starts after a restore of the store and uses the configuration of
+// the copy, although the other gateways have a newer one in force.
+TEST_CASE(
+    "gateway daemon: a gateway that starts on a restored store takes the newer configuration" *
+    doctest::should_fail()) {
+  GatewayFixture fixture;
+  fixture.Configure("engine");
+  REQUIRE(fixture.AwaitReady());
+  const std::string& first = fixture.settings_.caller_address;
+  fixture.platform_.CopyStore();
+  fixture.platform_.Put("op/config", ConfigWithRoute(2));
+  REQUIRE(TimeUntilServed(&fixture, first) <= kConditionTimeout);
+  fixture.platform_.RestoreStore({});
+  const SecondGateway second(fixture, fixture.platform_.store_address());
+  const std::string& address = second.settings().caller_address;
+  REQUIRE(fixture.Await([&] { return fixture.Send(address, "POST", "/p/x").status == 200; }));
+  CHECK(TimeUntilServed(&fixture, address) <= kStableWindow);
+  CHECK(fixture.Send(first, "POST", "/new/x").status == 200);
+}
+
+}  // namespace
+}  // namespace shallot::gateway
--- a/tests/gateway_fake_platform.cc
+++ b/tests/gateway_fake_platform.cc
@@ -28,9 +28,13 @@
     : loop_(&clock_),
       store_(&loop_, kStoreSeed),
       runner_(&loop_, "runner", this),
+      side_entrance_(this),
+      side_listener_(&loop_, "side entrance", &side_entrance_),
       store_address_(FreeLoopbackAddress()),
+      side_entrance_address_(FreeLoopbackAddress()),
       runner_address_(FreeLoopbackAddress()) {
-  if (!IsOk(store_.Open(store_address_)) || !IsOk(runner_.Open(runner_address_))) {
+  if (!IsOk(store_.Open(store_address_)) || !IsOk(runner_.Open(runner_address_)) ||
+      !IsOk(side_listener_.Open(side_entrance_address_))) {
     throw std::runtime_error("the fake platform cannot listen");
   }
   loop_.After(Duration(0), [this] { RunQueued(); });
@@ -92,6 +96,31 @@
   });
 }
 
+void FakePlatform::SetStoreFaults(const StoreFaults& faults) {
+  Queue([this, faults] { store_.SetFaults(faults); });
+}
+
+void FakePlatform::SilenceStoreConnections() {
+  Queue([this] { store_.SilenceConnections(); });
+}
+
+void FakePlatform::SetSideEntranceFaults(const StoreFaults& faults) {
+  Queue([this, faults] { side_entrance_.faults_ = faults; });
+}
+
+void FakePlatform::SideEntrance::OnRequest(CallerConnection* connection, HttpMessage request) {
+  if (faults_.silent) return;
+  if (faults_.busy) {
+    owner_->Answer(connection, 503, Json::object());
+    return;
+  }
+  owner_->store_.OnRequest(connection, std::move(request));
+}
+
+void FakePlatform::SideEntrance::OnCallerGone(CallerConnection* connection) {
+  owner_->store_.OnCallerGone(connection);
+}
+
 void FakePlatform::PutRunner() {
   Queue([this] {
     Json entry = Holdings();
--- a/tests/gateway_fake_platform.h
+++ b/tests/gateway_fake_platform.h
@@ -43,6 +43,15 @@
   /// Restores the store from the copy and makes these writes before it serves a request,
   /// asynchronously.
   void RestoreStore(const std::vector<std::pair<std::string, std::string>>& writes);
+  /// Sets the faults of the store, asynchronously.
+  void SetStoreFaults(const StoreFaults& faults);
+  /// Connections to the store that have carried a request get no further answer, asynchronously.
+  void SilenceStoreConnections();
+  /// A second address of the store. Calls that arrive there are turned away while
+  /// SetSideEntranceFaults() says so; the others are served.
+  const std::string& side_entrance() const { return side_entrance_address_; }
+  /// Only `silent` and `busy` count, asynchronously.
+  void SetSideEntranceFaults(const StoreFaults& faults);
   /// Writes the runner's entry with the models that it holds, asynchronously. May be called from
   /// any thread.
   void PutRunner();
@@ -65,12 +74,27 @@
   void HandleCall(CallerConnection* connection, const HttpMessage& request);
   nlohmann::json Holdings() const;
 
+  /// Passes requests on to the store, or turns them away.
+  class SideEntrance final : public CallerHandler {
+   public:
+    explicit SideEntrance(FakePlatform* owner) : owner_(owner) {}
+    void OnRequest(CallerConnection* connection, HttpMessage request) override;
+    void OnCallerGone(CallerConnection* connection) override;
+    StoreFaults faults_;
+
+   private:
+    FakePlatform* owner_;
+  };
+
   SystemClock clock_;
   EventLoop loop_;
   StandinStore store_;
   StandinStore::Copy copy_;
   CallerListener runner_;
+  SideEntrance side_entrance_;
+  CallerListener side_listener_;
   std::string store_address_;
+  std::string side_entrance_address_;
   std::string runner_address_;
   std::map<std::string, bool> models_;
   uint64_t sequence_ = 0;
--- a/tests/standin_store.cc
+++ b/tests/standin_store.cc
@@ -125,6 +125,7 @@
 }
 
 void StandinStore::OnRequest(CallerConnection* connection, HttpMessage request) {
+  used_.insert(connection->caller());
   if (faults_.silent) return;
   if (faults_.busy) {
     Send(connection, {503, Json::object()});
@@ -195,6 +196,7 @@
 }
 
 void StandinStore::Send(CallerConnection* connection, const Reply& reply) {
+  if (silenced_.contains(connection->caller())) return;
   HttpMessage answer;
   answer.head.status = reply.status;
   answer.head.reason = "Answer";
--- a/tests/standin_store.h
+++ b/tests/standin_store.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,8 @@
   std::optional<std::string> Value(const std::string& key) const;
   /// Ends the connections of all waiting watches. Returns whether there were any.
   bool AbortWatchers();
+  /// Connections that have carried a request get no further answer; new ones work.
+  void SilenceConnections() { silenced_ = used_; }
   /// Watches report no changes until DropHistory().
   void MuteWatches() { watches_muted_ = true; }
   /// Aborts all watches and ends MuteWatches(). From now on, a watch from before the current
@@ -119,6 +122,9 @@
   uint64_t last_lease_ = 0;
   bool watches_muted_ = false;
   std::vector<Watcher> watchers_;
+  /// Callers ("IP:port") of the connections that have carried a request, and the silent ones.
+  std::set<std::string> used_;
+  std::set<std::string> silenced_;
   /// Requests that wait for a delayed answer. The number is unique to the request, so that its
   /// timer cannot answer a later request.
   std::map<CallerConnection*, uint64_t> delayed_;
