Follow the store again within the stable window

Callers were refused with 404 on an added route, or reached the former backend, for up to 3.1 s (3.65 s in large fleets) after all connections to the store had gone silent; the platform excuses 3 s.

Cause: the pause between two watch calls, the watch's wait, its margin and the pause after a failure were bounded one by one, but not together, and a call after a lost one could use another kept connection of the time before.

The wait is now what the pause leaves of a round, so that the sum is 2.75 s in fleets of any size, and a store call without an answer closes the idle connections. The check of the constants left the pause out; it now has it, for 1 to 340 followers.

--- a/drivers/gateway/buffered_call.h
+++ b/drivers/gateway/buffered_call.h
@@ -35,6 +35,8 @@
   /// `still_wanted`: see ExchangeOptions.
   void Start(const std::string& address, const HttpMessage& request, Millis timeout, Done done,
              std::function<bool()> still_wanted = {});
+  /// See HttpClient::CloseIdle().
+  void CloseIdle(const std::string& address) { client_->CloseIdle(address); }
   SteadyTime Now() const { return loop_->Now(); }
 
  private:
--- a/drivers/gateway/http_client.cc
+++ b/drivers/gateway/http_client.cc
@@ -321,6 +321,13 @@
   loop_->Defer([last] {});
 }
 
+void HttpClient::CloseIdle(const std::string& address) {
+  // Release() erases the address with its last connection, so it is looked up in each round.
+  for (auto found = idle_.find(address); found != idle_.end(); found = idle_.find(address)) {
+    Release(found->second.back(), false);
+  }
+}
+
 void HttpClient::CloseExpired() {
   const SteadyTime now = loop_->Now();
   std::vector<Connection*> expired;
--- a/drivers/gateway/http_client.h
+++ b/drivers/gateway/http_client.h
@@ -89,6 +89,8 @@
   /// Ends an exchange without a callback and resets its connection, so that the server stops work
   /// on the request.
   void Cancel(ExchangeId exchange);
+  /// Closes the idle connections to an address.
+  void CloseIdle(const std::string& address);
   /// Nullopt once the exchange has ended.
   std::optional<ConnectionInfo> ConnectionOf(ExchangeId exchange) const;
   /// Connections opened since the client was created.
--- a/drivers/gateway/prefix_follower.cc
+++ b/drivers/gateway/prefix_follower.cc
@@ -60,8 +60,8 @@
 }
 
 void PrefixFollower::Watch() {
-  const Millis wait = failing_ ? kWaitAfterFailure : kWait;
-  const Millis limit = failing_ ? kWaitAfterFailure + TimeoutAfterFailure() : kWait + kAnswerMargin;
+  const Millis wait = failing_ ? kWaitAfterFailure : WatchWait(followers_);
+  const Millis limit = wait + (failing_ ? TimeoutAfterFailure() : kAnswerMargin);
   store_->Start(protocol_->WatchRequest(prefix_, position_.revision, wait), limit,
                 InThisRound([this](const Result<HttpMessage>& answer) { OnChanges(answer); }));
 }
--- a/drivers/gateway/prefix_follower.h
+++ b/drivers/gateway/prefix_follower.h
@@ -31,13 +31,14 @@
 /// watch from there as if nothing had happened.
 class PrefixFollower final : public StoreRestoreListener {
  public:
-  /// Longest time that the store delays the answer to a watch call when nothing changes. A call
-  /// that the store dropped at the end of an outage, or whose connection is dead, fails after this
-  /// time plus kAnswerMargin, and the next one follows after kRetryPause. Together they stay below
-  /// the 3 s after which the platform requires instances to use the newest configuration again.
-  static constexpr Millis kWait{2'000};
+  /// Longest time from the answer to one watch call until the answer to the next one when nothing
+  /// changes. A call that the store dropped at the end of an outage, or whose connection is dead,
+  /// fails kAnswerMargin later, and the next one follows after kRetryPause. Together they stay
+  /// below the 3 s after which the platform requires instances to use the newest configuration
+  /// again.
+  static constexpr Millis kRoundTime{2'000};
   static constexpr Millis kAnswerMargin{500};
-  /// Replaces kWait while calls fail, so that the end of an outage is noticed early.
+  /// Replaces the usual wait while calls fail, so that the end of an outage is noticed early.
   static constexpr Millis kWaitAfterFailure{200};
   static constexpr Millis kReadTimeout{1'500};
   /// Timeouts of successive calls while calls fail. A store that is back answers in milliseconds,
@@ -57,6 +58,8 @@
     return std::clamp(kWatchPause * static_cast<int64_t>(followers) / kFollowersAtFullRate,
                       kWatchPause, kMaxWatchPause);
   }
+  /// Longest time that the store delays the answer to a watch call when nothing changes.
+  static Millis WatchWait(size_t followers) { return kRoundTime - WatchPause(followers); }
   /// Pause after a failed call.
   static constexpr Millis kRetryPause{250};
 
--- a/drivers/gateway/store_calls.cc
+++ b/drivers/gateway/store_calls.cc
@@ -42,6 +42,9 @@
   const SteadyTime now = calls_->Now();
   const bool interrupted = contact_->interrupted();
   contact_->OnCall(end, sent_at, now);
+  // What has lost track of one connection may have lost the others, so the next call opens a new
+  // one.
+  if (end == StoreCallEnd::kNoAnswer) calls_->CloseIdle(address_);
   if (end != StoreCallEnd::kAnswered) {
     metrics_
         ->GetCounter(fmt::format("store_calls_failed_total{{end=\"{}\"}}", StoreCallEndName(end)))
--- a/tests/gateway_order_tracker_test.cc
+++ b/tests/gateway_order_tracker_test.cc
@@ -129,8 +129,13 @@
 // 606 two watches were lost in a row and the configuration was 5.3 s late.
 TEST_CASE("gateway: a lost watch is noticed within the platform's stable window") {
   constexpr Millis kStableWindow{3'000};
-  CHECK(PrefixFollower::kWait + PrefixFollower::kAnswerMargin + PrefixFollower::kRetryPause <
-        kStableWindow);
+  for (const size_t followers : {1, 6, 33, 103, 340}) {
+    CAPTURE(followers);
+    CHECK(PrefixFollower::WatchWait(followers) > Millis(0));
+    CHECK(PrefixFollower::WatchPause(followers) + PrefixFollower::WatchWait(followers) +
+              PrefixFollower::kAnswerMargin + PrefixFollower::kRetryPause <
+          kStableWindow);
+  }
   // While calls fail, the store holds them only for a fraction of the time limit.
   CHECK(PrefixFollower::kWaitAfterFailure * 4 < PrefixFollower::kReadTimeout);
   CHECK(PrefixFollower::kReadTimeout + PrefixFollower::kRetryPause < kStableWindow);
