Read the other store items when one is unreadable

Callers would be refused with 404 on added routes, and runners that have left would get calls, until the gateway is started again: one item of an answer without a key, a revision or a readable value rejected the whole answer, and the watch was repeated from the same position for ever.

The test failed before (no batch at all in the row 'no key').

--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -369,6 +369,26 @@
   }
 }
 
+// Guards against a confirmed configuration that is ignored because of fields that are not used.
+TEST_CASE("platform: a configuration may hold more than the gateway uses") {
+  const PlatformCodec codec;
+  const std::string route =
+      R"({"name":"r","hostname":"h.example","path-prefix":"/p/","kind":"idempotent","service":"s")";
+  for (const std::string& text :
+       {R"({"version":2,"routes":[)" + route +
+            R"(,"public":true}],"tenants":[{"name":"t","api-keys":["k1","k2"],"priority":0,)"
+            R"("rate-per-s":1.5,"burst":0,"unit":"tokens","plain-tokens":100}]})",
+        R"({"version":2,"routes":[)" + route +
+            R"(,"timeout-ms":null,"priority":null,"traffic-split":null}],"limits":null})",
+        R"({"version":2.0,"routes":[)" + route + R"(,"timeout-ms":1500.5,"max-attempts":2.0}]})"}) {
+    CAPTURE(text);
+    const auto decoded = codec.DecodeRoutes(text);
+    REQUIRE(IsOk(decoded));
+    CHECK(ValueOf(decoded).version == gateway::FleetVersion(2));
+    CHECK(ValueOf(decoded).routes.size() == 1);
+  }
+}
+
 TEST_CASE("platform: store calls are encoded and their answers are decoded") {
   const PlatformCodec codec;
   CHECK(codec.RangeRequest("servers/", "servers/a b").head.target ==
@@ -405,6 +425,40 @@
 };
 
 // Guards against a malformed era that counts as a restore, and against positions without their era.
+// Guards against one unreadable item that holds up all other changes for good, because the watch is
+// repeated from the same position.
+TEST_CASE("platform: an unreadable store item does not hold up the others") {
+  struct Case {
+    const char* name;
+    const char* item;
+    /// Whether its key counts as present.
+    bool present;
+  };
+  const platform::PlatformCodec codec;
+  for (const Case& test :
+       {Case{"no key", R"({"value":"YQ==","revision":5})", false},
+        Case{"key of another type", R"({"key":7,"value":"YQ==","revision":5})", false},
+        Case{"not an object", R"("text")", false},
+        Case{"no revision", R"({"key":"servers/a","value":"YQ=="})", false},
+        Case{"no value", R"({"key":"servers/a","revision":5})", true},
+        Case{"value of another type", R"({"key":"servers/a","value":[],"revision":5})", true}}) {
+    CAPTURE(std::string(test.name));
+    const std::string sound = R"({"key":"op/config","value":"Yg==","revision":6})";
+    const std::string list = std::string("[") + test.item + "," + sound + "]";
+    for (const auto& batch :
+         {codec.DecodeWatch(Answer(200, R"({"events":)" + list + R"(,"store-revision":6})")),
+          codec.DecodeRange(
+              Answer(200, R"({"items":)" + list + R"(,"truncated":false,"store-revision":6})"))}) {
+      REQUIRE(IsOk(batch));
+      const auto& items = ValueOf(batch).items;
+      REQUIRE(items.size() == (test.present ? 2U : 1U));
+      CHECK(items.back().key == "op/config");
+      CHECK(items.back().value == "b");
+      if (test.present) CHECK(items.front().value.empty());
+    }
+  }
+}
+
 TEST_CASE("platform: the era of the store is decoded") {
   const std::vector<EraCase> cases = {
       {"absent", nullptr, std::nullopt},
