Log which lost calls are repeats of each other

The logs could not tell whether two calls of one caller were the same request. attempt-failed now names a hash of what repeats share: method, host, path and query, caller's address, model, prompt and body.

--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -70,6 +70,8 @@
   /// Retry-After of refusals for temporary conditions.
   static constexpr Millis kShortRetryAfter{300};
 
+  /// See TraitOfRequest().
+  CallTrait RequestTrait() const;
   DemandMeter::Key DemandKey(bool with_adapter) const;
   Millis Elapsed() const;
   /// Time within which the next event must arrive, or the caller gives up.
@@ -136,6 +138,8 @@
   TimerId silence_timer_;
   /// Empty for calls to plain services.
   std::vector<CallTrait> traits_;
+  /// Shared with the call's repeats only.
+  CallTrait request_trait_;
   std::set<RunnerId> tried_;
   std::map<RunnerId, SteadyTime> rejected_until_;
   CallAttempts attempts_;
--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -191,14 +191,15 @@
 
 void CallSession::RecordFailure(AttemptFailure failure, const std::string& detail) {
   const SteadyTime now = context_->loop.Now();
-  LogInfo("call",
-          fmt::format(
-              "event=attempt-failed runner={} failure={} after_ms={} begun={} ended_by={} parts={} "
-              "reason=\"{}\"",
-              runner_.runner.value(), AttemptFailureName(failure), ToMillis(now - sent_at_).count(),
-              first_event_seen_ ? "yes" : "no", EndedByGateway(failure) ? "gateway" : "runner",
-              PartIds(call_.prompt), detail),
-          call_.id.value());
+  LogInfo(
+      "call",
+      fmt::format(
+          "event=attempt-failed runner={} failure={} after_ms={} begun={} ended_by={} parts={} {} "
+          "reason=\"{}\"",
+          runner_.runner.value(), AttemptFailureName(failure), ToMillis(now - sent_at_).count(),
+          first_event_seen_ ? "yes" : "no", EndedByGateway(failure) ? "gateway" : "runner",
+          PartIds(call_.prompt), request_trait_.value(), detail),
+      call_.id.value());
   context_->metrics
       ->GetCounter(
           fmt::format("attempt_failures_total{{failure=\"{}\"}}", AttemptFailureName(failure)))
--- a/servers/gateway/call_traits.cc
+++ b/servers/gateway/call_traits.cc
@@ -1,5 +1,9 @@
 #include "servers/gateway/call_traits.h"
 
+#include <fmt/format.h>
+
+#include "core/hashing.h"
+
 namespace shallot::gateway {
 
 std::vector<CallTrait> TraitsOf(const BackendName& backend, const CallRequest& call) {
@@ -23,4 +27,17 @@
   return traits;
 }
 
+CallTrait TraitOfRequest(const CallRequest& call, const CallContent& content) {
+  uint64_t hash = 0;
+  const auto add = [&hash](std::string_view text) { hash = StableHash(text, hash); };
+  for (const std::string_view text :
+       {content.method, std::string_view(call.host), content.target, content.caller,
+        std::string_view(call.model.value()), std::string_view(call.adapter.value())}) {
+    add(text);
+  }
+  for (const PromptPart& part : call.prompt) add(part.id);
+  add(content.body);
+  return MakeTrait(fmt::format("request:{:016x}", hash));
+}
+
 }  // namespace shallot::gateway
--- a/servers/gateway/call_traits.h
+++ b/servers/gateway/call_traits.h
@@ -1,6 +1,7 @@
 #ifndef SERVERS_GATEWAY_CALL_TRAITS_H_
 #define SERVERS_GATEWAY_CALL_TRAITS_H_
 
+#include <string_view>
 #include <vector>
 
 #include "servers/crash_quarantine.h"
@@ -16,6 +17,20 @@
 std::vector<CallTrait> TraitsOfEntry(const BackendName& backend, const ModelName& model,
                                      const AdapterName& adapter);
 
+/// What a call's repeats have in common with it, besides its CallRequest. Ids, deadlines and
+/// connections differ between repeats.
+struct CallContent {
+  std::string_view method;
+  /// Path and query.
+  std::string_view target;
+  std::string_view body;
+  /// The caller's address without its port.
+  std::string_view caller;
+};
+
+/// The trait that a call shares with its repeats only.
+CallTrait TraitOfRequest(const CallRequest& call, const CallContent& content);
+
 }  // namespace shallot::gateway
 
 #endif  // SERVERS_GATEWAY_CALL_TRAITS_H_
