Play a deadly request and changes beside a lost store in the process soak

Incident deadly-requests: one request to a plain service, from all callers, crashes each runner that runs it.

--- a/Makefile
+++ b/Makefile
@@ -56,8 +56,8 @@
 		--source-file='*/tests/fault_random_test.cc' --test-case=soak
 
 # Random faults on gateway processes with SEEDS new seeds from SEED on, FAULT_S seconds each, beside
-# INCIDENT: none, deadly-calls, limited-runners, restored-store or
-# unwilling-runners, real-network, runner-processes.
+# INCIDENT: none, deadly-calls, deadly-requests, config-behind, limited-runners, restored-store,
+# unwilling-runners, real-network or runner-processes.
 SEEDS ?= 10
 INCIDENT ?= none
 FAULT_S ?= 15
--- a/tests/soak/incident_checker.cc
+++ b/tests/soak/incident_checker.cc
@@ -9,6 +9,8 @@
 
 /// Gateways have to know deadly calls once these have crashed so many runners.
 constexpr size_t kCrashesToKnow = 5;
+/// The same where they are repeats of one request.
+constexpr size_t kCrashesToKnowRequest = 3;
 constexpr uint64_t kMaxLateDeadlyCalls = 3;
 /// Shares of served calls are compared from this number of calls on.
 constexpr uint64_t kMinCalls = 20;
@@ -34,10 +36,14 @@
       });
 }
 
+size_t IncidentChecker::CrashesToKnow() const {
+  return OneRequest() ? kCrashesToKnowRequest : kCrashesToKnow;
+}
+
 SteadyTime IncidentChecker::CrashesKnownFrom() const {
   const std::vector<SteadyTime>& crashes = fleet_->deadly_crashes();
   if (crashes.empty()) return SteadyTime::max();
-  return crashes[std::min(crashes.size(), kCrashesToKnow) - 1] + Duration(SoakBounds::kStable);
+  return crashes[std::min(crashes.size(), CrashesToKnow()) - 1] + Duration(SoakBounds::kStable);
 }
 
 void IncidentChecker::OnArrival(const SentCall& call, const RunnerId& runner, SteadyTime at) {
@@ -101,7 +107,7 @@
 }
 
 void IncidentChecker::CheckDeadly(const SentCall& call, SteadyTime at) {
-  if (!call.deadly || fleet_->deadly_crashes().size() < kCrashesToKnow) return;
+  if (!call.deadly || fleet_->deadly_crashes().size() < CrashesToKnow()) return;
   if (at <= CrashesKnownFrom() || !fleet_->GatewayUndisturbed(call.gateway, at, at, true)) return;
   ++late_deadly_calls_;
   fleet_->LogEvent(fmt::format("deadly call {} of gateway {} reached a runner late",
@@ -113,7 +119,9 @@
   if (limited != sent_to_limited_.end() && result.sealed) {
     limited_[limited->second].informed.try_emplace(call.gateway, result.at);
   }
-  if (call.deadly || call.model.empty() || result.end == CallEnd::kAbandoned) return;
+  // The sound calls that share a route with the deadly ones.
+  const bool compared = OneRequest() ? call.route == "lookup" : !call.model.empty();
+  if (call.deadly || !compared || result.end == CallEnd::kAbandoned) return;
   if (!fleet_->AllUndisturbed(call.gateway, call.sent_at, result.at, true)) return;
   Served* served = nullptr;
   if (fleet_->deadly_crashes().empty()) served = &before_crashes_;
--- a/tests/soak/incident_checker.h
+++ b/tests/soak/incident_checker.h
@@ -51,6 +51,9 @@
   void OnArrival(const SentCall& call, const RunnerId& runner, SteadyTime at);
   void CheckDeadly(const SentCall& call, SteadyTime at);
   void CheckLimit(const SentCall& call, const RunnerId& runner, SteadyTime at);
+  /// Whether all deadly calls of the run are repeats of one request.
+  bool OneRequest() const { return fleet_->options().incident == Incident::kDeadlyRequests; }
+  size_t CrashesToKnow() const;
   /// From when on the gateways have to know the deadly calls; SteadyTime::max() without crashes.
   SteadyTime CrashesKnownFrom() const;
 
--- a/tests/soak/process_soak_main.cc
+++ b/tests/soak/process_soak_main.cc
@@ -44,6 +44,8 @@
 const std::map<std::string, Incident> kIncidents = {
     {"none", Incident::kNone},
     {"deadly-calls", Incident::kDeadlyCalls},
+    {"deadly-requests", Incident::kDeadlyRequests},
+    {"config-behind", Incident::kConfigBehind},
     {"limited-runners", Incident::kLimitedRunners},
     {"restored-store", Incident::kRestoredStore},
     {"unwilling-runners", Incident::kUnwillingRunners},
@@ -214,7 +216,10 @@
           (std::filesystem::temp_directory_path() / "shallot-soak").string()))(
       "keep", "keep the logs of seeds that pass")(
       "incident",
-      "none, deadly-calls (calls crash their runners), limited-runners (runners name limits), "
+      "none, deadly-calls (calls crash their runners), deadly-requests (repeats of one request "
+      "do), "
+      "config-behind (changes while gateways lose the store), limited-runners (runners name "
+      "limits), "
       "restored-store (the store returns from copies that are seconds old), unwilling-runners "
       "(runners say that they leave or are closed), real-network (sockets as on a network, cut "
       "watches, unannounced leaves, stops together) or runner-processes (runners with queues, late "
--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -69,13 +69,17 @@
     const bool is_long = may_be_long && random.Unit() < kLongBodyProbability;
     call.body = std::string(random.Below(is_long ? kMaxLongBodyBytes : kMaxBodyBytes), 'x');
   }
+  const Incident incident = fleet_->options().incident;
+  if (incident == Incident::kDeadlyRequests && route.name == "lookup") {
+    call.deadly = random.Unit() < fleet_->deadly_share();
+    if (call.deadly) call.target = route.prefix + StandinRunner::kDeadlyQuery;
+  }
   if (route.kind == CallKind::kStream) {
     const uint64_t model = random.Unit() < kInitialModelProbability
                                ? random.Below(2)
                                : random.Below(StandinRunner::kModels);
     call.model = fmt::format("m{}", model);
-    const double deadly_share = fleet_->deadly_share();
-    call.deadly = deadly_share > 0 && random.Unit() < deadly_share;
+    call.deadly = incident == Incident::kDeadlyCalls && random.Unit() < fleet_->deadly_share();
   }
   call.gateway = *gateway_;
   call.sent_at = fleet_->loop()->Now();
--- a/tests/soak/soak_options.h
+++ b/tests/soak/soak_options.h
@@ -14,6 +14,11 @@
   kNone,
   /// Calls with one prompt part crash each runner that begins to answer them.
   kDeadlyCalls,
+  /// One request to a plain service, from all callers, crashes each runner that runs it.
+  kDeadlyRequests,
+  /// The configuration changes about every second, while single gateways lose the store and it is
+  /// restored.
+  kConfigBehind,
   /// An engine and a runner of a plain service limit their calls.
   kLimitedRunners,
   /// The store is restored again and again from copies that are seconds old.
--- a/tests/soak/soak_schedule.cc
+++ b/tests/soak/soak_schedule.cc
@@ -27,6 +27,9 @@
 /// Pauses between two restores of the store.
 constexpr uint64_t kShortestRestoreGapMs = 7'000;
 constexpr uint64_t kRestoreGapSpreadMs = 4'000;
+/// Pauses between two changes of the configuration that come one after the other.
+constexpr uint64_t kShortestChangeGapMs = 500;
+constexpr uint64_t kChangeGapSpreadMs = 1'000;
 /// A gateway does not hear of the store for this long around a restore.
 constexpr Millis kUnawareTime{3'500};
 /// Pause between a change of the configuration and the restore that loses it.
@@ -93,12 +96,20 @@
 
 void SoakSchedule::ScheduleIncident() {
   if (fleet_->options().incident == Incident::kNone) return;
-  if (fleet_->options().incident == Incident::kRestoredStore) fleet_->CopyStore();
+  const Incident incident = fleet_->options().incident;
+  if (incident == Incident::kRestoredStore || incident == Incident::kConfigBehind) {
+    fleet_->CopyStore();
+  }
   fleet_->loop()->After(kIncidentDelay, [this] {
     if (fleet_->options().incident == Incident::kRestoredStore) {
       RestoreAgain();
       return;
     }
+    if (fleet_->options().incident == Incident::kConfigBehind) {
+      ChangeConfigAgain();
+      LoseStoreAgain();
+      return;
+    }
     if (fleet_->options().incident == Incident::kUnwillingRunners) {
       DisturbRunnersAgain();
       return;
@@ -143,6 +154,23 @@
   fleet_->loop()->After(Millis(gap), [this] { RestoreAgain(); });
 }
 
+void SoakSchedule::ChangeConfigAgain() {
+  if (stopped_) return;
+  fleet_->ChangeConfig();
+  const uint64_t gap = kShortestChangeGapMs + fleet_->random().Below(kChangeGapSpreadMs);
+  fleet_->loop()->After(Millis(gap), [this] { ChangeConfigAgain(); });
+}
+
+void SoakSchedule::LoseStoreAgain() {
+  if (stopped_) return;
+  Random& random = fleet_->random();
+  fleet_->InjectLinkFault(LinkEnd::kStore, RandomGateway(), RandomLinkFault(), RandomDuration());
+  if (random.Below(3) == 0) fleet_->RestoreStore();
+  if (random.Below(3) == 0) fleet_->KillGateway(RandomGateway());
+  const uint64_t gap = kShortestRestoreGapMs + random.Below(kRestoreGapSpreadMs);
+  fleet_->loop()->After(Millis(gap), [this] { LoseStoreAgain(); });
+}
+
 void SoakSchedule::DisturbRunnersAgain() {
   if (stopped_) return;
   Random& random = fleet_->random();
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -33,6 +33,8 @@
   /// Begins the incident of the run's options. It lasts until the run's end.
   void ScheduleIncident();
   void RestoreAgain();
+  void ChangeConfigAgain();
+  void LoseStoreAgain();
   void DisturbRunnersAgain();
   void CutWatchesAgain();
   void StopTogetherAgain();
--- a/tests/soak/standin_runner.cc
+++ b/tests/soak/standin_runner.cc
@@ -218,7 +218,8 @@
   Work work;
   work.id = RequestId(Field(request, "Attempt-Id"));
   work.stream = spec_.is_engine;
-  work.deadly = Field(request, "Prompt-Prefix").find(kDeadlyPart) != std::string::npos;
+  work.deadly = Field(request, "Prompt-Prefix").find(kDeadlyPart) != std::string::npos ||
+                request.head.target.ends_with(kDeadlyQuery);
   CallRun run{RunnerId(spec_.id),
               BackendName(spec_.backend),
               request.head.method,
--- a/tests/soak/standin_runner.h
+++ b/tests/soak/standin_runner.h
@@ -66,6 +66,9 @@
   /// Prompt part that crashes the runner when it begins to answer.
   static constexpr const char* kDeadlyPart = "dead";
 
+  /// Query of the request that crashes the runner when it runs it.
+  static constexpr const char* kDeadlyQuery = "?deadly";
+
   StandinRunner(RunnerContext* context, const RunnerSpec& spec);
   ~StandinRunner() override;
 
