Test that runners which crash by themselves hold no requests back

Two rows of the simulation: six runners crash by themselves once a second, with requests that are all different, and with ten that come again and again. No sound request is refused for over 15 s or after the crashes.

--- a/servers/crash_quarantine.h
+++ b/servers/crash_quarantine.h
@@ -76,7 +76,7 @@
 /// Finds out what the calls have in common that crash one runner after the other, and refuses these
 /// calls. Load pattern: a few calls among many sound ones, at all gateways, crash each runner that
 /// begins to answer them; the other calls at that runner are lost with them and share most of their
-/// traits.
+/// traits. Or repeats of one request do so, at all gateways.
 ///
 /// A trait is suspected for each crash at which a call that has it was waiting for its answer. The
 /// suspicion is weaker if such calls were answered shortly before, and void if one was answered
@@ -84,9 +84,13 @@
 /// traits that all of its calls share: a call is refused only if it has all of them. A crash by a
 /// call that has some of them leaves only the common ones. If calls without the strongest suspect
 /// are as suspect, a third crash has to decide; if that does not either, both are held back for a
-/// short time. A quarantine ends when calls with each of its traits were answered, when another one
-/// explains its crashes, and otherwise by itself; the first crash that follows renews it for twice
-/// the time.
+/// short time, which each gateway ends at another moment, and then sent one at a time. A quarantine
+/// ends when calls with each of its traits were answered, when another one explains its crashes,
+/// and otherwise by itself; the first crash that follows renews it for twice the time.
+///
+/// One of the traits is shared by a call's repeats only. In a small pool of runners, sound calls
+/// wait for the same runners as a deadly request and are lost in the same crashes, so a crash
+/// counts only once all gateways had time to report it.
 ///
 /// All gateways combine their findings and draw the same conclusions; none decides for the others.
 /// In own fleets, agents report the crashes of their engines and routers draw the conclusions.
--- a/tests/gateway_repeated_request_fleet_test.cc
+++ b/tests/gateway_repeated_request_fleet_test.cc
@@ -44,6 +44,10 @@
   /// Calls a second in all.
   double sound;
   double deadly;
+  /// Crashes a second without a deadly call.
+  double spontaneous = 0;
+  /// Number of different sound requests; 0: no two are alike.
+  uint64_t distinct = 0;
 };
 
 /// A small pool of runners that serves calls of many gateways. While all runners are down, calls
@@ -64,9 +68,16 @@
   void Play() {
     for (; now_ < kStart + kLength; now_ += kTick) {
       const double tick_s = std::chrono::duration<double>(kTick).count();
-      if (random_.Unit() < pool_.sound * tick_s) Arrive(MakeRequestTrait(++requests_).value());
+      if (random_.Unit() < pool_.sound * tick_s) {
+        const uint64_t number = pool_.distinct > 0 ? random_.Below(pool_.distinct) : ++requests_;
+        Arrive(MakeRequestTrait(number).value());
+      }
       if (random_.Unit() < pool_.deadly * tick_s) Arrive(kDeadly);
       Dispatch();
+      if (random_.Unit() < pool_.spontaneous * tick_s) {
+        const size_t index = random_.Below(runners_.size());
+        if (!runners_[index].back_at) Crash(index);
+      }
       for (size_t index = 0; index < runners_.size(); ++index) Work(index);
       Exchange();
       for (Gateway& gateway : gateways_) gateway.quarantine->Update(now_);
@@ -281,6 +292,10 @@
         Pool{"6 gateways", 6, CrashQuarantine::kSettleDirect, 100, 60, 3, 7, 2},
         Pool{"6 gateways, many calls", 6, CrashQuarantine::kSettleDirect, 100, 60, 3, 40, 4},
         Pool{"6 gateways, rare repeats", 6, CrashQuarantine::kSettleDirect, 100, 60, 3, 7, 0.3},
+        Pool{"6 gateways, crashes by themselves", 6, CrashQuarantine::kSettleDirect, 100, 60, 6, 20,
+             0, 1},
+        Pool{"6 gateways, crashes by themselves, the same requests", 6,
+             CrashQuarantine::kSettleDirect, 100, 60, 6, 20, 0, 1, 10},
         Pool{"100 gateways", 100, CrashQuarantine::kSettleByStore, 400, 900, 12, 100, 4}}) {
     for (uint64_t seed = 1; seed <= 10; ++seed) {
       CAPTURE(std::string(pool.name));
--- a/tests/gateway_repeated_request_test.cc
+++ b/tests/gateway_repeated_request_test.cc
@@ -25,8 +25,9 @@
 constexpr Millis kCallTime{6'000};
 constexpr const char* kDeadlyBody = "deadly body";
 
-/// Three runners that hold m1, serve plain calls and crash when they begin to run a call with a
-/// deadly body from the usual caller. A crashed runner restarts at once, with a later start time.
+/// Three runners that hold m1, serve plain calls and crash when they begin to run a call with the
+/// deadly body, unless its caller has the key "other". A crashed runner restarts at once, with a
+/// later start time.
 class CrashingRunners {
  public:
   CrashingRunners(GatewayFixture* fixture, std::string path) : fixture_(fixture), path_(path) {
