--- a/tests/gateway_config_behind_test.cc
+++ b/tests/gateway_config_behind_test.cc
@@ -13,18 +13,6 @@
 constexpr Millis kConfigApply{2'000};
 constexpr Millis kSkew{5'000};
 
-/// kConfig as another version, with one more route to the runner.
-std::string ConfigWithRoute(int version) {
-  std::string config = kConfig;
-  const std::string from = "{\"version\":1,\"routes\":[";
-  const std::string route =
-      R"({"name":"added","hostname":"h.example","path-prefix":"/new/","kind":"idempotent",)"
-      R"("timeout-ms":20000,"target-latency-ms":100,"service":"engine","max-attempts":1},)";
-  config.replace(config.find(from), from.size(),
-                 "{\"version\":" + std::to_string(version) + ",\"routes\":[" + route);
-  return config;
-}
-
 /// A second gateway of a fixture's platform.
 class SecondGateway {
  public:
@@ -85,7 +73,7 @@
     fixture.platform_.Put("other/key", "value");
     std::this_thread::sleep_for(test.pause);
     fixture.platform_.SilenceStoreConnections();
-    fixture.platform_.Put("op/config", ConfigWithRoute(2));
+    fixture.platform_.Put("op/config", ConfigWithRoute(2, "/new/"));
     CHECK(TimeUntilServed(&fixture, fixture.settings_.caller_address) <= kStableWindow);
   }
 }
@@ -109,7 +97,7 @@
     faults.busy = test.busy;
     faults.silent = !test.busy;
     fixture.platform_.SetSideEntranceFaults(faults);
-    fixture.platform_.Put("op/config", ConfigWithRoute(2));
+    fixture.platform_.Put("op/config", ConfigWithRoute(2, "/new/"));
     CHECK(TimeUntilServed(&fixture, address) <= kConfigApply + kSkew);
   }
 }
@@ -123,7 +111,7 @@
   REQUIRE(fixture.AwaitReady());
   const std::string& first = fixture.settings_.caller_address;
   fixture.platform_.CopyStore();
-  fixture.platform_.Put("op/config", ConfigWithRoute(2));
+  fixture.platform_.Put("op/config", ConfigWithRoute(2, "/new/"));
   REQUIRE(TimeUntilServed(&fixture, first) <= kConditionTimeout);
   fixture.platform_.RestoreStore({});
   REQUIRE(fixture.platform_.StoreValue("op/config") == std::string(kConfig));
--- a/tests/gateway_crash_fleet_test.cc
+++ b/tests/gateway_crash_fleet_test.cc
@@ -1,12 +1,12 @@
 #include <doctest/doctest.h>
 
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "core/random.h"
 #include "servers/crash_quarantine.h"
+#include "tests/gateway_findings_exchange.h"
 
 namespace shallot::gateway {
 namespace {
@@ -26,10 +26,7 @@
 struct FleetSize {
   const char* name;
   size_t gateways;
-  Millis settle;
-  /// Longest time until findings are published, and until another gateway reads them.
-  uint64_t publish_ms;
-  uint64_t delivery_ms;
+  FindingsExchange::Delays delays;
   /// Sound calls and deadly calls for each tick, in all.
   size_t sound;
   double deadly;
@@ -38,21 +35,14 @@
 /// Gateways that each see a small part of the calls, and read each other's findings with a delay.
 class GatewayFleet {
  public:
-  GatewayFleet(const FleetSize& size, uint64_t seed) : size_(size), random_(seed) {
-    for (size_t index = 0; index < size.gateways; ++index) {
-      Gateway& gateway = gateways_.emplace_back();
-      gateway.id = InstanceId("front-" + std::to_string(index));
-      gateway.quarantine = std::make_unique<CrashQuarantine>(gateway.id);
-      gateway.quarantine->SetSettleTime(size.settle);
-    }
-  }
+  GatewayFleet(const FleetSize& size, uint64_t seed)
+      : size_(size), random_(seed), gateways_(size.gateways, size.delays, &random_) {}
 
   void Play() {
     while (now_ < kStart + kLength) {
       for (size_t call = 0; call < size_.sound; ++call) SendSound();
       if (now_ > kStart + kSoundOnly && random_.Unit() < size_.deadly) SendDeadly();
-      Exchange();
-      for (Gateway& gateway : gateways_) gateway.quarantine->Update(now_);
+      gateways_.Advance(now_);
       now_ += kTick;
     }
   }
@@ -60,33 +50,20 @@
   size_t late_arrivals() const { return late_; }
   /// Sound calls that were refused although the time to learn is over.
   size_t sound_refused() const { return sound_refused_; }
-  uint64_t publications() const { return publications_; }
+  uint64_t publications() const { return gateways_.publications(); }
   size_t crashes() const { return crashes_; }
 
  private:
-  struct Gateway {
-    InstanceId id;
-    std::unique_ptr<CrashQuarantine> quarantine;
-    std::optional<SteadyTime> publish_at;
-  };
-  struct Delivery {
-    SteadyTime at;
-    size_t to = 0;
-    InstanceId from;
-    std::shared_ptr<const CrashFindings> findings;
-  };
-
-  Gateway& AnyGateway() { return gateways_[random_.Below(gateways_.size())]; }
   std::vector<CallTrait> AnyCall() {
     return {CallTrait("s" + std::to_string(++sessions_)),
             CallTrait("f" + std::to_string(random_.Below(kFirstParts))), CallTrait("model")};
   }
 
   void SendSound() {
-    Gateway& gateway = AnyGateway();
+    CrashQuarantine& gateway = gateways_.Any();
     const auto call = AnyCall();
-    if (!gateway.quarantine->Match(call, now_)) {
-      gateway.quarantine->OnAnswerBegun(call, now_);
+    if (!gateway.Match(call, now_)) {
+      gateway.OnAnswerBegun(call, now_);
     } else if (fifth_crash_ && now_ > *fifth_crash_ + kStable * 2) {
       ++sound_refused_;
     }
@@ -94,64 +71,43 @@
 
   /// Its runner crashes, and with it the sound calls that other gateways wait for.
   void SendDeadly() {
-    Gateway& gateway = AnyGateway();
+    CrashQuarantine& gateway = gateways_.Any();
     auto call = AnyCall();
     call.emplace_back("dead");
-    if (gateway.quarantine->Match(call, now_)) return;
+    if (gateway.Match(call, now_)) return;
     if (fifth_crash_ && now_ > *fifth_crash_ + kStable) ++late_;
     const RunnerRun crash{RunnerId("r" + std::to_string(++crashes_)), RunnerStartTime(1)};
     if (crashes_ == 5) fifth_crash_ = now_;
     const FailureDomain domain("d" + std::to_string(random_.Below(kDomains)));
-    gateway.quarantine->OnCrash(crash, domain, {call}, now_);
+    gateway.OnCrash(crash, domain, {call}, now_);
     for (int other = 0; other < kOtherCalls; ++other) {
-      AnyGateway().quarantine->OnCrash(crash, domain, {AnyCall()}, now_);
-    }
-  }
-
-  void Exchange() {
-    for (Gateway& gateway : gateways_) {
-      if (gateway.quarantine->TakeChanged() && !gateway.publish_at) {
-        gateway.publish_at = now_ + Millis(random_.Below(size_.publish_ms));
-      }
-      if (!gateway.publish_at || now_ < *gateway.publish_at) continue;
-      gateway.publish_at.reset();
-      ++publications_;
-      const auto findings = std::make_shared<const CrashFindings>(gateway.quarantine->Own(now_));
-      for (size_t to = 0; to < gateways_.size(); ++to) {
-        if (gateways_[to].id == gateway.id) continue;
-        deliveries_.push_back(
-            {now_ + Millis(random_.Below(size_.delivery_ms)), to, gateway.id, findings});
-      }
+      gateways_.Any().OnCrash(crash, domain, {AnyCall()}, now_);
     }
-    std::erase_if(deliveries_, [&](const Delivery& delivery) {
-      if (now_ < delivery.at) return false;
-      gateways_[delivery.to].quarantine->Merge(delivery.from, *delivery.findings, now_);
-      return true;
-    });
   }
 
   FleetSize size_;
   Random random_;
   SteadyTime now_ = kStart;
-  std::vector<Gateway> gateways_;
-  std::vector<Delivery> deliveries_;
+  FindingsExchange gateways_;
   std::optional<SteadyTime> fifth_crash_;
   size_t crashes_ = 0;
   size_t sessions_ = 0;
   size_t late_ = 0;
   size_t sound_refused_ = 0;
-  uint64_t publications_ = 0;
 };
 
 // Guards against sound calls that are refused because most gateways have not seen them answered,
 // and against findings that take too long in a large fleet.
 TEST_CASE("gateway: fleets of any size refuse deadly calls and no sound ones") {
   for (const FleetSize& size :
-       {FleetSize{"6 gateways", 6, CrashQuarantine::kSettleDirect, 100, 60, 3, 0.2},
-        FleetSize{"23 gateways", 23, CrashQuarantine::kSettleDirect, 100, 60, 6, 0.5},
-        FleetSize{"100 gateways", 100, CrashQuarantine::kSettleByStore, 400, 900, 10, 1.0},
-        FleetSize{"100 gateways with few calls each", 100, CrashQuarantine::kSettleByStore, 400,
-                  900, 2, 1.0}}) {
+       {FleetSize{"6 gateways", 6, {CrashQuarantine::kSettleDirect, 100, 60}, 3, 0.2},
+        FleetSize{"23 gateways", 23, {CrashQuarantine::kSettleDirect, 100, 60}, 6, 0.5},
+        FleetSize{"100 gateways", 100, {CrashQuarantine::kSettleByStore, 400, 900}, 10, 1.0},
+        FleetSize{"100 gateways with few calls each",
+                  100,
+                  {CrashQuarantine::kSettleByStore, 400, 900},
+                  2,
+                  1.0}}) {
     for (const uint64_t seed : {1, 2}) {
       CAPTURE(std::string(size.name));
       CAPTURE(seed);
--- a/tests/gateway_daemon_fixture.h
+++ b/tests/gateway_daemon_fixture.h
@@ -32,6 +32,18 @@
 "weights-mb":100,"adapter-slots":2,"loads-per-s":2,"models":[{"name":"m1","weights-mb":10,
 "load-s":1,"warm-s":0.01,"disk-s":0.02},{"name":"m2","weights-mb":10,"load-s":30}]}}]})";
 
+/// kConfig as another version, with one more route to the runner.
+inline std::string ConfigWithRoute(int version, const std::string& prefix) {
+  std::string config = kConfig;
+  const std::string from = "{\"version\":1,\"routes\":[";
+  const std::string route = R"({"name":"added","hostname":"h.example","path-prefix":")" + prefix +
+                            R"(","kind":"idempotent","timeout-ms":20000,"target-latency-ms":100,)"
+                            R"("service":"engine","max-attempts":1},)";
+  config.replace(config.find(from), from.size(),
+                 "{\"version\":" + std::to_string(version) + ",\"routes\":[" + route);
+  return config;
+}
+
 /// Limit on waiting for a condition. Conditions normally hold within a second; only a hang reaches
 /// the limit.
 inline constexpr Seconds kConditionTimeout{30};
--- a/tests/gateway_repeated_request_fleet_test.cc
+++ b/tests/gateway_repeated_request_fleet_test.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <deque>
-#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -10,6 +9,7 @@
 
 #include "core/random.h"
 #include "servers/crash_quarantine.h"
+#include "tests/gateway_findings_exchange.h"
 
 namespace shallot::gateway {
 namespace {
@@ -36,10 +36,7 @@
 struct Pool {
   const char* name;
   size_t gateways;
-  Millis settle;
-  /// Longest time until findings are published, and until another gateway reads them.
-  uint64_t publish_ms;
-  uint64_t delivery_ms;
+  FindingsExchange::Delays delays;
   size_t runners;
   /// Calls a second in all.
   double sound;
@@ -56,14 +53,10 @@
 class CrashingPool {
  public:
   CrashingPool(const Pool& pool, uint64_t seed)
-      : pool_(pool), random_(seed), runners_(pool.runners) {
-    for (size_t index = 0; index < pool.gateways; ++index) {
-      Gateway& gateway = gateways_.emplace_back();
-      gateway.id = InstanceId("front-" + std::to_string(index));
-      gateway.quarantine = std::make_unique<CrashQuarantine>(gateway.id);
-      gateway.quarantine->SetSettleTime(pool.settle);
-    }
-  }
+      : pool_(pool),
+        random_(seed),
+        runners_(pool.runners),
+        gateways_(pool.gateways, pool.delays, &random_) {}
 
   void Play() {
     for (; now_ < kStart + kLength; now_ += kTick) {
@@ -79,8 +72,7 @@
         if (!runners_[index].back_at) Crash(index);
       }
       for (size_t index = 0; index < runners_.size(); ++index) Work(index);
-      Exchange();
-      for (Gateway& gateway : gateways_) gateway.quarantine->Update(now_);
+      gateways_.Advance(now_);
     }
   }
 
@@ -114,18 +106,6 @@
     std::optional<SteadyTime> back_at;
     std::deque<Call> calls;
   };
-  struct Gateway {
-    InstanceId id;
-    std::unique_ptr<CrashQuarantine> quarantine;
-    std::optional<SteadyTime> publish_at;
-  };
-  struct Delivery {
-    SteadyTime at;
-    size_t to = 0;
-    InstanceId from;
-    std::shared_ptr<const CrashFindings> findings;
-  };
-
   static std::vector<CallTrait> TraitsOfCall(const Call& call) { return {CallTrait(call.request)}; }
 
   void Arrive(const std::string& request, bool repeat = false) {
@@ -168,7 +148,7 @@
     std::deque<Call> waiting;
     waiting.swap(waiting_);
     for (Call& call : waiting) {
-      const auto match = gateways_[call.gateway].quarantine->Match(TraitsOfCall(call), now_);
+      const auto match = gateways_.At(call.gateway).Match(TraitsOfCall(call), now_);
       if (match) {
         if (call.request != kDeadly) Refuse(call);
         continue;
@@ -192,7 +172,7 @@
     }
     if (call->request == kDeadly && third_crash_ && now_ > *third_crash_ + kStable) ++late_;
     ++call->runners;
-    gateways_[call->gateway].quarantine->OnSent(TraitsOfCall(*call), now_);
+    gateways_.At(call->gateway).OnSent(TraitsOfCall(*call), now_);
     call->ends = now_ + Duration(kWork);
     runners_[up[random_.Below(up.size())]].calls.push_back(*call);
   }
@@ -210,7 +190,7 @@
         return;
       }
       runner.calls.pop_front();
-      gateways_[call.gateway].quarantine->OnAnswerBegun(TraitsOfCall(call), now_);
+      gateways_.At(call.gateway).OnAnswerBegun(TraitsOfCall(call), now_);
       if (!call.repeat) sound_[call.number].second = true;
     }
   }
@@ -230,13 +210,12 @@
         if (call.gateway == gateway) calls.push_back(TraitsOfCall(call));
       }
       if (calls.empty()) continue;
-      gateways_[gateway].quarantine->OnCrash(run, FailureDomain("d" + std::to_string(index)),
-                                             std::move(calls), now_);
+      gateways_.At(gateway).OnCrash(run, FailureDomain("d" + std::to_string(index)),
+                                    std::move(calls), now_);
     }
     for (const Call& call : lost) {
       // This crash counts, too.
-      const size_t crashes =
-          gateways_[call.gateway].quarantine->CrashesWith(CallTrait(call.request));
+      const size_t crashes = gateways_.At(call.gateway).CrashesWith(CallTrait(call.request));
       if (call.runners < kRunnersPerCall && crashes <= CrashQuarantine::kMaxCrashesForRetry) {
         waiting_.push_back(call);
       } else {
@@ -245,35 +224,13 @@
     }
   }
 
-  void Exchange() {
-    for (Gateway& gateway : gateways_) {
-      if (gateway.quarantine->TakeChanged() && !gateway.publish_at) {
-        gateway.publish_at = now_ + Millis(random_.Below(pool_.publish_ms));
-      }
-      if (!gateway.publish_at || now_ < *gateway.publish_at) continue;
-      gateway.publish_at.reset();
-      const auto findings = std::make_shared<const CrashFindings>(gateway.quarantine->Own(now_));
-      for (size_t to = 0; to < gateways_.size(); ++to) {
-        if (gateways_[to].id == gateway.id) continue;
-        deliveries_.push_back(
-            {now_ + Millis(random_.Below(pool_.delivery_ms)), to, gateway.id, findings});
-      }
-    }
-    std::erase_if(deliveries_, [&](const Delivery& delivery) {
-      if (now_ < delivery.at) return false;
-      gateways_[delivery.to].quarantine->Merge(delivery.from, *delivery.findings, now_);
-      return true;
-    });
-  }
-
   Pool pool_;
   Random random_;
   SteadyTime now_ = kStart;
   std::vector<Runner> runners_;
-  std::vector<Gateway> gateways_;
+  FindingsExchange gateways_;
   std::deque<Call> waiting_;
   std::vector<Call> returning_;
-  std::vector<Delivery> deliveries_;
   std::optional<SteadyTime> third_crash_;
   size_t crashes_ = 0;
   size_t late_ = 0;
@@ -288,15 +245,26 @@
 // wait for the pool and are repeated share its crashes; and against refusing these for long.
 TEST_CASE("gateway: fleets of any size refuse a deadly request and no sound ones") {
   for (const Pool& pool :
-       {Pool{"1 gateway", 1, CrashQuarantine::kSettleDirect, 100, 60, 3, 7, 2},
-        Pool{"6 gateways", 6, CrashQuarantine::kSettleDirect, 100, 60, 3, 7, 2},
-        Pool{"6 gateways, many calls", 6, CrashQuarantine::kSettleDirect, 100, 60, 3, 40, 4},
-        Pool{"6 gateways, rare repeats", 6, CrashQuarantine::kSettleDirect, 100, 60, 3, 7, 0.3},
-        Pool{"6 gateways, crashes by themselves", 6, CrashQuarantine::kSettleDirect, 100, 60, 6, 20,
-             0, 1},
-        Pool{"6 gateways, crashes by themselves, the same requests", 6,
-             CrashQuarantine::kSettleDirect, 100, 60, 6, 20, 0, 1, 10},
-        Pool{"100 gateways", 100, CrashQuarantine::kSettleByStore, 400, 900, 12, 100, 4}}) {
+       {Pool{"1 gateway", 1, {CrashQuarantine::kSettleDirect, 100, 60}, 3, 7, 2},
+        Pool{"6 gateways", 6, {CrashQuarantine::kSettleDirect, 100, 60}, 3, 7, 2},
+        Pool{"6 gateways, many calls", 6, {CrashQuarantine::kSettleDirect, 100, 60}, 3, 40, 4},
+        Pool{"6 gateways, rare repeats", 6, {CrashQuarantine::kSettleDirect, 100, 60}, 3, 7, 0.3},
+        Pool{"6 gateways, crashes by themselves",
+             6,
+             {CrashQuarantine::kSettleDirect, 100, 60},
+             6,
+             20,
+             0,
+             1},
+        Pool{"6 gateways, crashes by themselves, the same requests",
+             6,
+             {CrashQuarantine::kSettleDirect, 100, 60},
+             6,
+             20,
+             0,
+             1,
+             10},
+        Pool{"100 gateways", 100, {CrashQuarantine::kSettleByStore, 400, 900}, 12, 100, 4}}) {
     for (uint64_t seed = 1; seed <= 10; ++seed) {
       CAPTURE(std::string(pool.name));
       CAPTURE(seed);
--- a/tests/gateway_store_restore_test.cc
+++ b/tests/gateway_store_restore_test.cc
@@ -11,18 +11,6 @@
 namespace shallot::gateway {
 namespace {
 
-/// kConfig as another version, with one more route to the runner.
-std::string ConfigWithRoute(int version, const std::string& prefix) {
-  std::string config = kConfig;
-  const std::string from = "{\"version\":1,\"routes\":[";
-  const std::string route = R"({"name":"added","hostname":"h.example","path-prefix":")" + prefix +
-                            R"(","kind":"idempotent","timeout-ms":20000,"target-latency-ms":100,)"
-                            R"("service":"engine","max-attempts":1},)";
-  config.replace(config.find(from), from.size(),
-                 "{\"version\":" + std::to_string(version) + ",\"routes\":[" + route);
-  return config;
-}
-
 /// Writes that raise the store's revision.
 std::vector<std::pair<std::string, std::string>> OtherWrites(int count) {
   std::vector<std::pair<std::string, std::string>> writes;
