--- a/servers/crash_quarantine.cc
+++ b/servers/crash_quarantine.cc
@@ -393,8 +393,8 @@
 void CrashQuarantine::DemoteUndecided(const std::vector<TraitSet>& undecided, SteadyTime now) {
   for (const TraitSet& traits : undecided) {
     const auto known = quarantines_.find(traits);
-    if (known == quarantines_.end() || !known->second.proven || now >= known->second.until)
-      continue;
+    if (known == quarantines_.end() || !known->second.proven) continue;
+    if (now >= known->second.until) continue;
     known->second.proven = false;
     known->second.until = std::min(known->second.until, now + HoldTime(traits));
     changed_ = true;
--- a/servers/gateway/call_traits.cc
+++ b/servers/gateway/call_traits.cc
@@ -10,12 +10,12 @@
 uint64_t RequestHash(const CallRequest& call, const CallContent& content) {
   uint64_t hash = 0;
   const auto add = [&hash](std::string_view text) { hash = StableHash(text, hash); };
-  for (const std::string_view text :
-       {content.method, std::string_view(call.host), content.target,
-        std::string_view(call.caller_key), std::string_view(call.model.value()),
-        std::string_view(call.adapter.value())}) {
-    add(text);
-  }
+  add(content.method);
+  add(call.host);
+  add(content.target);
+  add(call.caller_key);
+  add(call.model.value());
+  add(call.adapter.value());
   for (const PromptPart& part : call.prompt) add(part.id);
   add(content.body);
   return hash;
