--- a/drivers/caller_protocol.cc
+++ b/drivers/caller_protocol.cc
@@ -78,8 +78,9 @@
   std::vector<CallTrait> traits{HashTrait("body", body)};
   const auto messages = json.find("messages");
   if (messages == json.end() || !messages->is_array()) return traits;
+  constexpr size_t kMaxTraits = 6;
   // Places are kept for the entry and its base model.
-  constexpr size_t kMaxTraits = CrashQuarantine::kMaxTraitsPerCall - 2;
+  static_assert(kMaxTraits + 2 <= CrashQuarantine::kMaxTraitsPerCall);
   for (size_t index = messages->size(); index > 1 && traits.size() < kMaxTraits; --index) {
     traits.push_back(HashTrait("message", Dump((*messages)[index - 2])));
   }
