--- a/tests/gateway_config_behind_test.cc
+++ b/tests/gateway_config_behind_test.cc
@@ -19,14 +19,9 @@
   SecondGateway(const GatewayFixture& first, const std::string& store_address)
       : settings_(first.settings_) {
     settings_.instance = InstanceId("front-2");
-    settings_.caller_address = FreeLoopbackAddress();
-    settings_.readiness_address = FreeLoopbackAddress();
-    settings_.peer_address = FreeLoopbackAddress();
-    settings_.metrics_address = FreeLoopbackAddress();
     settings_.store_address = store_address;
-    daemon_ = std::make_unique<GatewayDaemon>(
-        settings_, &first.codec_, [this] { return Result<GatewaySettings>(settings_); });
-    REQUIRE(IsOk(daemon_->Start()));
+    daemon_ = StartOnFreePorts(&settings_, &first.codec_);
+    REQUIRE(daemon_ != nullptr);
   }
   ~SecondGateway() { daemon_->Stop(); }
 
--- a/tests/gateway_daemon_fixture.h
+++ b/tests/gateway_daemon_fixture.h
@@ -55,6 +55,26 @@
   std::string call_id;
 };
 
+/// Starts a gateway on addresses that it writes to `settings`, which must outlive it. Another
+/// process may take a free port before the gateway does, so a few are tried. Null if none can be
+/// had.
+inline std::unique_ptr<GatewayDaemon> StartOnFreePorts(GatewaySettings* settings,
+                                                       const PlatformProtocol* protocol) {
+  constexpr int kTries = 5;
+  for (int attempt = 0; attempt < kTries; ++attempt) {
+    settings->caller_address = FreeLoopbackAddress();
+    settings->readiness_address = FreeLoopbackAddress();
+    settings->peer_address = FreeLoopbackAddress();
+    settings->metrics_address = FreeLoopbackAddress();
+    auto daemon = std::make_unique<GatewayDaemon>(
+        *settings, protocol, [settings] { return Result<GatewaySettings>(*settings); });
+    const Status started = daemon->Start();
+    if (IsOk(started)) return daemon;
+    MESSAGE(FormatError(ErrorOf(started)));
+  }
+  return nullptr;
+}
+
 /// A gateway with a fake platform, and a caller of it.
 class GatewayFixture {
  public:
@@ -62,14 +82,9 @@
     settings_.policy = policy;
     settings_.instance = InstanceId("front-1");
     settings_.domain = FailureDomain("north");
-    settings_.caller_address = FreeLoopbackAddress();
-    settings_.readiness_address = FreeLoopbackAddress();
-    settings_.peer_address = FreeLoopbackAddress();
-    settings_.metrics_address = FreeLoopbackAddress();
     settings_.store_address = platform_.store_address();
-    daemon_ = std::make_unique<GatewayDaemon>(
-        settings_, &codec_, [this] { return Result<GatewaySettings>(settings_); });
-    REQUIRE(IsOk(daemon_->Start()));
+    daemon_ = StartOnFreePorts(&settings_, &codec_);
+    REQUIRE(daemon_ != nullptr);
   }
 
   ~GatewayFixture() { daemon_->Stop(); }
