Wait for conditions instead of sleeping in the test of silent connections

The verdict depended on pauses: whether the gateway waited on a watch when its connections went silent, and how many were kept, was left to the machine. The test now asks the stand-in store for both. The bound and the rows are as before; the row 'with several kept connections' now requires three of them.

--- a/tests/gateway_config_behind_test.cc
+++ b/tests/gateway_config_behind_test.cc
@@ -45,28 +45,29 @@
 TEST_CASE("gateway daemon: a configuration is in force soon after store connections went silent") {
   struct Case {
     const char* name;
-    /// Time that answers take before, so that calls overlap and several connections are kept.
-    Millis overlap;
-    /// Time from the last change before to the silence.
-    Millis pause;
+    /// Answers take this long before, so that calls overlap and several connections are kept.
+    Millis delay;
+    /// Number of watches that wait when the connections go silent.
+    size_t watches;
   };
-  for (const Case& test : {Case{"between two watches", Millis(0), Millis(30)},
-                           Case{"while a watch waits", Millis(0), Millis(900)},
-                           Case{"with several kept connections", Millis(300), Millis(30)}}) {
+  constexpr size_t kSeveral = 3;
+  for (const Case& test :
+       {Case{"between two watches", Millis(0), 0}, Case{"while a watch waits", Millis(0), 1},
+        Case{"with several kept connections", Millis(300), 0}}) {
     CAPTURE(std::string(test.name));
     GatewayFixture fixture;
+    FakePlatform& platform = fixture.platform_;
     fixture.Configure("engine");
     REQUIRE(fixture.AwaitReady());
-    if (test.overlap > Millis(0)) {
+    if (test.delay > Millis(0)) {
       StoreFaults slow;
-      slow.delay = test.overlap;
-      fixture.platform_.SetStoreFaults(slow);
-      std::this_thread::sleep_for(kConfigApply);
-      fixture.platform_.SetStoreFaults({});
-      std::this_thread::sleep_for(test.overlap * 2);
+      slow.delay = test.delay;
+      platform.SetStoreFaults(slow);
+      REQUIRE(fixture.Await([&] { return platform.StoreConnections() >= kSeveral; }));
+      platform.SetStoreFaults({});
     }
-    fixture.platform_.Put("other/key", "value");
-    std::this_thread::sleep_for(test.pause);
+    platform.Put("other/key", "value");
+    REQUIRE(fixture.Await([&] { return platform.WaitingWatches() == test.watches; }));
     fixture.platform_.SilenceStoreConnections();
     fixture.platform_.Put("op/config", ConfigWithRoute(2, "/new/"));
     CHECK(TimeUntilServed(&fixture, fixture.settings_.caller_address) <= kStableWindow);
--- a/tests/gateway_fake_platform.cc
+++ b/tests/gateway_fake_platform.cc
@@ -104,6 +104,18 @@
   Queue([this] { store_.SilenceConnections(); });
 }
 
+size_t FakePlatform::StoreConnections() {
+  std::promise<size_t> count;
+  Queue([&] { count.set_value(store_.connections_used()); });
+  return count.get_future().get();
+}
+
+size_t FakePlatform::WaitingWatches() {
+  std::promise<size_t> count;
+  Queue([&] { count.set_value(store_.waiting_watches()); });
+  return count.get_future().get();
+}
+
 void FakePlatform::SetSideEntranceFaults(const StoreFaults& faults) {
   Queue([this, faults] { side_entrance_.faults_ = faults; });
 }
--- a/tests/gateway_fake_platform.h
+++ b/tests/gateway_fake_platform.h
@@ -47,6 +47,10 @@
   void SetStoreFaults(const StoreFaults& faults);
   /// Connections to the store that have carried a request get no further answer, asynchronously.
   void SilenceStoreConnections();
+  /// Number of connections to the store that have carried a request; waits for the loop's thread.
+  size_t StoreConnections();
+  /// Number of watches that wait for a change; waits for the loop's thread.
+  size_t WaitingWatches();
   /// A second address of the store. Calls that arrive there are turned away while
   /// SetSideEntranceFaults() says so; the others are served.
   const std::string& side_entrance() const { return side_entrance_address_; }
--- a/tests/standin_store.h
+++ b/tests/standin_store.h
@@ -52,6 +52,9 @@
   bool AbortWatchers();
   /// Connections that have carried a request get no further answer; new ones work.
   void SilenceConnections() { silenced_ = used_; }
+  /// Number of connections that have carried a request, closed ones included.
+  size_t connections_used() const { return used_.size(); }
+  size_t waiting_watches() const { return watchers_.size(); }
   /// Watches report no changes until DropHistory().
   void MuteWatches() { watches_muted_ = true; }
   /// Aborts all watches and ends MuteWatches(). From now on, a watch from before the current
