--- a/drivers/caller_protocol.cc
+++ b/drivers/caller_protocol.cc
@@ -80,7 +80,7 @@
   if (messages == json.end() || !messages->is_array()) return traits;
   constexpr size_t kMaxTraits = 6;
   // Places are kept for the entry and its base model.
-  static_assert(kMaxTraits + 2 <= CrashQuarantine::kMaxTraitsPerCall);
+  static_assert(kMaxTraits + 2 <= kMaxTraitsPerCall);
   for (size_t index = messages->size(); index > 1 && traits.size() < kMaxTraits; --index) {
     traits.push_back(HashTrait("message", Dump((*messages)[index - 2])));
   }
--- a/drivers/gateway/findings_driver.cc
+++ b/drivers/gateway/findings_driver.cc
@@ -13,7 +13,7 @@
 
 /// Lifetime of published findings: that of the evidence or of the longest quarantine.
 Millis Lifetime(const CrashFindings& findings) {
-  Millis lifetime = CrashQuarantine::kEvidenceLifetime;
+  Millis lifetime = CrashEvidence::kLifetime;
   for (const QuarantinedTraits& quarantined : findings.quarantined) {
     lifetime = std::max(lifetime, quarantined.remaining);
   }
--- a/servers/crash_notices.h
+++ b/servers/crash_notices.h
@@ -26,7 +26,7 @@
   /// Notices of more agents are not remembered; the oldest is forgotten first.
   static constexpr size_t kMaxReporters = 256;
   /// Notices older than this are forgotten.
-  static constexpr Seconds kNoticeLifetime = CrashQuarantine::kEvidenceLifetime;
+  static constexpr Seconds kNoticeLifetime = CrashEvidence::kLifetime;
 
   CrashNotices(InstanceId self, MetricsRegistry* metrics);
 
--- a/servers/crash_quarantine.h
+++ b/servers/crash_quarantine.h
@@ -6,40 +6,18 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "servers/crash_evidence.h"
+#include "servers/crash_suspects.h"
+#include "servers/crash_traits.h"
 #include "servers/runner_run.h"
 
 namespace shallot {
 
-using TraitSet = std::set<CallTrait>;
-
-/// The trait with this text, cut to CrashQuarantine::kMaxTraitBytes.
-CallTrait MakeTrait(std::string text);
-
-/// The trait that a call shares with its repeats only, from a hash of what these have in common.
-CallTrait MakeRequestTrait(uint64_t hash);
-/// Whether only repeats of one call have the trait.
-bool IsRequestTrait(const CallTrait& trait);
-
-/// What one process knows of a crash.
-struct CrashReport {
-  RunnerRun crash;
-  FailureDomain domain;
-  /// Traits of each call whose answer had not begun when the runner crashed.
-  std::vector<std::vector<CallTrait>> calls;
-  /// Suspected traits with which calls had been answered shortly before.
-  TraitSet served_before;
-  /// Traits with which calls were answered after the crash.
-  TraitSet served_after;
-
-  bool operator==(const CrashReport&) const = default;
-};
-
 /// Traits whose common calls are refused.
 struct QuarantinedTraits {
   /// Calls that have all of them are refused. The evidence does not tell which of them is the
@@ -61,9 +39,6 @@
   bool begun = false;
 };
 
-/// The traits as one text, separated by commas, for logs.
-std::string DescribeTraits(const TraitSet& traits);
-
 /// What one process knows and the others need. Replaces what it told before.
 struct CrashFindings {
   std::vector<CrashReport> crashes;
@@ -100,10 +75,6 @@
 /// Not thread-safe.
 class CrashQuarantine {
  public:
-  /// Crashes older than this say nothing about the calls of today.
-  static constexpr Seconds kEvidenceLifetime{60};
-  /// How long an answered call speaks for its traits.
-  static constexpr Seconds kServedMemory{60};
   static constexpr Seconds kFirstQuarantine{120};
   /// The platform's leases, under which findings are stored, last no longer.
   static constexpr Seconds kLongestQuarantine{600};
@@ -120,27 +91,16 @@
   /// directly, or by the store alone.
   static constexpr Millis kSettleDirect{150};
   static constexpr Millis kSettleByStore{1'000};
-  /// Crashes in one failure domain within this time may have a common cause, such as a lost rack,
-  /// and count as one.
-  static constexpr Millis kCommonCause{1'000};
-
   /// Callers of refused calls are told to come back after this time at the latest, because a
   /// quarantine may end early.
   static constexpr Seconds kLongestRetryAfter{kUndecidedHold + kReleaseSpread};
   /// A lost call is not sent to another runner if it was lost in this many crashes before.
   static constexpr size_t kMaxCrashesForRetry = 2;
 
-  // Limits of the findings' size: the record of a gateway stays below 128 kB.
-  static constexpr size_t kMaxCrashes = 32;
-  static constexpr size_t kMaxOwnCrashes = 16;
-  static constexpr size_t kMaxCallsPerCrash = 8;
-  static constexpr size_t kMaxTraitsPerCall = 9;
-  static constexpr size_t kMaxTraitBytes = 64;
+  /// With the limits of CrashEvidence, the record of a gateway stays below 128 kB.
   static constexpr size_t kMaxQuarantined = 64;
-  /// Number of traits whose last answer is remembered.
-  static constexpr size_t kMaxServedTraits = 16'384;
 
-  explicit CrashQuarantine(InstanceId self) : self_(std::move(self)) {}
+  explicit CrashQuarantine(const InstanceId& self) : self_(self), evidence_(self) {}
 
   /// This gateway lost `calls`, whose answers had not begun, at a runner that has crashed. Replaces
   /// an earlier report of the same crash.
@@ -161,11 +121,14 @@
   std::optional<QuarantinedTraits> Match(const std::vector<CallTrait>& traits,
                                          SteadyTime now) const;
   /// Number of known crashes at which a call with the trait was lost and none was answered since.
-  size_t CrashesWith(const CallTrait& trait) const;
+  size_t CrashesWith(const CallTrait& trait) const { return evidence_.CrashesWith(trait); }
   /// What the other gateways have to know.
   CrashFindings Own(SteadyTime now) const;
   /// Whether Own() has changed since the last call of this function.
-  bool TakeChanged() { return std::exchange(changed_, false); }
+  bool TakeChanged() {
+    const bool evidence_changed = evidence_.TakeChanged();
+    return std::exchange(changed_, false) || evidence_changed;
+  }
   /// Makes Own() count as changed, after the published findings were lost.
   void MarkChanged() { changed_ = true; }
   std::vector<QuarantinedTraits> Quarantined(SteadyTime now) const;
@@ -174,20 +137,11 @@
   /// The quarantines that began or ended since the last call of this function.
   std::vector<QuarantineChange> TakeQuarantineChanges() { return std::exchange(changes_, {}); }
   /// Whether some gateway has reported this crash.
-  bool Knows(const RunnerRun& crash) const { return crashes_.contains(crash); }
+  bool Knows(const RunnerRun& crash) const { return evidence_.crashes().contains(crash); }
   /// Number of crashes that are remembered.
-  size_t crashes() const { return crashes_.size(); }
+  size_t crashes() const { return evidence_.crashes().size(); }
 
  private:
-  struct Crash {
-    FailureDomain domain;
-    std::map<InstanceId, CrashReport> reports;
-    /// All traits of the reported calls, and those of them that no reporter had seen served.
-    TraitSet suspected;
-    TraitSet unknown;
-    TraitSet served_after;
-    SteadyTime learned_at;
-  };
   struct Quarantine {
     SteadyTime since;
     SteadyTime until;
@@ -201,41 +155,12 @@
     /// The score when it began; undecided calls are held again only with a higher one.
     int score = 0;
   };
-  struct Suspect {
-    int score = 0;
-    /// In none of the crashes was the trait unknown to all reporters.
-    bool weak = true;
-    /// The calls that have the trait, as (index of the crash, index of the call).
-    std::set<std::pair<size_t, size_t>> calls;
-  };
-  using Suspects = std::map<CallTrait, Suspect>;
-  /// Suspects that used to be answered, and since when they are suspected.
-  using Contested = std::map<CallTrait, SteadyTime>;
-  using CrashList = std::vector<const Crash*>;
-
-  Crash& Remember(const RunnerRun& id, const FailureDomain& domain, SteadyTime now);
-  static void SetReport(Crash* crash, const InstanceId& gateway, CrashReport report);
-  /// Cuts the lost calls of a crash to kMaxCallsPerCrash. Those that were lost in other crashes,
-  /// too, are kept first, and then those with the most traits that nobody has seen answered.
-  void KeepMostSuspicious(std::vector<std::vector<CallTrait>>* calls, SteadyTime now) const;
-  static bool HasCall(const Crash& crash, const TraitSet& traits);
-  /// Reports which traits that nobody has seen answered this gateway has.
-  void ReportServed(const RunnerRun& id, Crash* crash, SteadyTime now);
-  /// A call with the trait was answered.
-  void RecordServedAfter(const CallTrait& trait);
   /// Whether the crashes with calls that have `traits` do not support their quarantine.
   bool Refuted(const TraitSet& traits) const;
   /// Records the suspects that used to be answered in `contested`, and removes those whose delay is
   /// not over.
   void DelayWeakSuspects(Suspects* suspects, Contested* contested, SteadyTime now);
-  bool ServedBefore(const CallTrait& trait, SteadyTime now) const;
-  bool ServedSince(const TraitSet& traits, SteadyTime since) const;
   void RenewRelapsed(SteadyTime now);
-  static Suspects FindSuspects(const CrashList& crashes);
-  /// The traits that all calls of the strongest suspect share; empty if there is none. `undecided`
-  /// receives the suspects of other calls that are as strong.
-  static TraitSet FindCause(const Suspects& suspects, int* score, std::vector<TraitSet>* undecided);
-  static TraitSet SharedTraits(const Suspects& suspects, const Suspect& suspect);
   void Begin(const TraitSet& traits, uint64_t relapses, SteadyTime now);
   /// Shortens quarantines that began before the evidence of all gateways was there, and that it
   /// does not support more than others.
@@ -253,10 +178,9 @@
   bool Explained(const TraitSet& traits, const std::set<TraitSet>& causes) const;
 
   InstanceId self_;
-  std::map<RunnerRun, Crash> crashes_;
+  CrashEvidence evidence_;
   /// Present and past quarantines; the past ones for kRelapseWindow.
   std::map<TraitSet, Quarantine> quarantines_;
-  std::unordered_map<CallTrait, SteadyTime> served_at_;
   Contested contested_;
   std::vector<QuarantineChange> changes_;
   Millis settle_{kSettleDirect};
--- a/servers/gateway/call_traits.cc
+++ b/servers/gateway/call_traits.cc
@@ -27,7 +27,7 @@
                                 const CallContent& content) {
   std::vector<CallTrait> traits = {MakeRequestTrait(RequestHash(call, content))};
   // Two places are kept for the adapter and the model.
-  constexpr size_t kLimit = CrashQuarantine::kMaxTraitsPerCall - 2;
+  constexpr size_t kLimit = kMaxTraitsPerCall - 2;
   for (size_t index = call.prompt.size(); index > 1 && traits.size() < kLimit; --index) {
     traits.push_back(MakeTrait("part:" + call.prompt[index - 2].id));
   }
--- a/tests/gateway_crash_quarantine_test.cc
+++ b/tests/gateway_crash_quarantine_test.cc
@@ -260,7 +260,7 @@
   restarted.SendTo(&third, "front-1");
   CHECK(third.Refuses("dead s3"));
   // The evidence expires before the quarantine does, and is then still told.
-  restarted.Advance(CrashQuarantine::kEvidenceLifetime + Seconds(1));
+  restarted.Advance(CrashEvidence::kLifetime + Seconds(1));
   QuarantineFixture late("front-4");
   restarted.SendTo(&late, "front-1");
   CHECK(late.Refuses("dead s3"));
@@ -306,13 +306,13 @@
             {std::to_string(crash) + "-" + std::to_string(call) + std::string(100, 'p'), 1});
       }
       calls.push_back(TraitsOf(BackendName("e"), request, {"POST", "/p/", ""}));
-      CHECK(calls.back().size() <= CrashQuarantine::kMaxTraitsPerCall);
+      CHECK(calls.back().size() <= kMaxTraitsPerCall);
     }
     fixture.quarantine_.OnCrash({RunnerId("r" + std::to_string(crash)), RunnerStartTime(1)},
                                 FailureDomain("d"), calls, fixture.now_);
     fixture.Advance(Millis(100));
   }
-  CHECK(fixture.quarantine_.crashes() <= CrashQuarantine::kMaxCrashes);
+  CHECK(fixture.quarantine_.crashes() <= CrashEvidence::kMaxCrashes);
   const std::string record =
       EncodeFindings({InstanceId("front-1"), fixture.quarantine_.Own(fixture.now_), {}});
   CHECK(record.size() < 131'072);
--- a/tests/gateway_request_crash_test.cc
+++ b/tests/gateway_request_crash_test.cc
@@ -180,7 +180,7 @@
     runner.drop_ = true;
     for (uint64_t born = 1; born <= 3; ++born) {
       // Crashes in one failure domain at the same time count as one.
-      const SteadyTime next = clock.SteadyNow() + CrashQuarantine::kCommonCause;
+      const SteadyTime next = clock.SteadyNow() + kCommonCause;
       REQUIRE(fixture.Await([&] { return call() == 502; }));
       drains ? runner.Register(born, "draining") : fixture.platform_.Remove("servers/a-0");
       REQUIRE(fixture.Await([&] { return call() == 503; }));
