--- a/tests/platform_http_test.cc
+++ b/tests/platform_http_test.cc
@@ -135,13 +135,13 @@
 TEST_CASE("the instance list is parsed and a malformed one is an error") {
   const auto parsed = ParseInstances(
       R"([{"id":"a1","role":"agent","address":"127.0.0.1:1","failure_domain":"regina",
-           "region":"prairies","runner":"w1","backend":"proof-writer","leaving":true},
+           "region":"north","runner":"w1","backend":"drafting","leaving":true},
           {"id":"r1","role":"router","address":"127.0.0.1:2"}])");
   REQUIRE(IsOk(parsed));
   REQUIRE(ValueOf(parsed).size() == 2);
   CHECK(ValueOf(parsed)[0] == InstanceRecord{InstanceId("a1"), PeerRole::kAgent, "127.0.0.1:1",
-                                             FailureDomain("regina"), Region("prairies"),
-                                             RunnerId("w1"), BackendName("proof-writer"), true});
+                                             FailureDomain("regina"), Region("north"),
+                                             RunnerId("w1"), BackendName("drafting"), true});
   CHECK(ValueOf(parsed)[1].role == PeerRole::kRouter);
   for (const char* bad : {"", "[{}]", "[1]", R"([{"id":1,"role":"agent","address":"x"}])"}) {
     CAPTURE(bad);
