--- a/bench/trace.cc
+++ b/bench/trace.cc
@@ -124,7 +124,7 @@
 TraceShape OrderDeskShape() {
   TraceShape shape;
   shape.name = "order_desk";
-  shape.backend = BackendName("proof-writer");
+  shape.backend = BackendName("drafting");
   shape.runners = 12;
   shape.models = 40;
   shape.adapters = 80;
@@ -148,7 +148,7 @@
 TraceShape ManuscriptShape() {
   TraceShape shape;
   shape.name = "manuscripts";
-  shape.backend = BackendName("scriptorium");
+  shape.backend = BackendName("checking");
   shape.runners = 9;
   shape.models = 20;
   shape.adapters = 60;
--- a/misc/demo_fleet.py
+++ b/misc/demo_fleet.py
@@ -20,18 +20,18 @@
 
 FLEETS = (
     {
-        "name": "prairie-fold",
-        "region": "prairies",
+        "name": "fast-start",
+        "region": "north",
         "domains": ("regina", "saskatoon", "red-deer"),
-        "models": ("proof-writer", 12),
-        "service": ("order-desk", 3),
+        "models": ("drafting", 12),
+        "service": ("orders", 3),
     },
     {
-        "name": "vereniging",
+        "name": "low-idle",
         "region": "be-central",
         "domains": ("leuven", "mechelen", "namur"),
-        "models": ("scriptorium", 9),
-        "service": ("registry", 3),
+        "models": ("checking", 9),
+        "service": ("records", 3),
     },
 )
 
--- a/tests/caller_protocol_test.cc
+++ b/tests/caller_protocol_test.cc
@@ -136,10 +136,10 @@
 
 TEST_CASE("service targets are split into service and path") {
   const std::vector<ServiceCase> cases = {
-      {"/services/order-desk/orders/7?x=1", "order-desk", "/orders/7?x=1"},
-      {"/services/order-desk", "order-desk", "/"},
-      {"/services/order-desk?x=1", "order-desk", "/?x=1"},
-      {"/services/order-desk/", "order-desk", "/"},
+      {"/services/orders/orders/7?x=1", "orders", "/orders/7?x=1"},
+      {"/services/orders", "orders", "/"},
+      {"/services/orders?x=1", "orders", "/?x=1"},
+      {"/services/orders/", "orders", "/"},
   };
   for (const ServiceCase& test : cases) {
     CAPTURE(test.target);
--- a/tests/daemon_settings_test.cc
+++ b/tests/daemon_settings_test.cc
@@ -9,7 +9,7 @@
 namespace shallot {
 namespace {
 
-const std::string kProcess = "[process]\nid = p1\nfailure_domain = regina\nregion = prairies\n";
+const std::string kProcess = "[process]\nid = p1\nfailure_domain = regina\nregion = north\n";
 const std::string kRouter =
     "[router]\ncaller_address = 127.0.0.1:1\npeer_address = 127.0.0.1:2\n"
     "admin_address = 127.0.0.1:3\nplatform_address = 127.0.0.1:4\n";
--- a/tests/example_files_test.cc
+++ b/tests/example_files_test.cc
@@ -33,8 +33,8 @@
 // Guards against examples that the programs reject, or that lack a part of the catalogue.
 TEST_CASE("the example fleets are valid and complete") {
   const std::vector<ExampleCase> cases = {
-      {"prairie-fold.fleet.ini", 40, 80, "proof-writer", "order-desk"},
-      {"vereniging.fleet.ini", 20, 60, "scriptorium", "registry"},
+      {"fast-start.fleet.ini", 40, 80, "drafting", "orders"},
+      {"low-idle.fleet.ini", 20, 60, "checking", "records"},
   };
   for (const ExampleCase& test : cases) {
     CAPTURE(test.file);
@@ -59,7 +59,7 @@
 
 // Guards against an example in which a print order may run twice after a lost connection.
 TEST_CASE("in the example fleets orders are not repeatable and lookups are") {
-  for (const char* file : {"prairie-fold.fleet.ini", "vereniging.fleet.ini"}) {
+  for (const char* file : {"fast-start.fleet.ini", "low-idle.fleet.ini"}) {
     CAPTURE(file);
     const FleetConfig config = LoadExample(file);
     REQUIRE(config.services.size() == 1);
@@ -75,13 +75,13 @@
 
 // Guards against examples in which both fleets weigh cold starts and idle time alike.
 TEST_CASE("the example fleets weigh cold starts and idle time differently") {
-  const FleetConfig prairie = LoadExample("prairie-fold.fleet.ini");
-  const FleetConfig vereniging = LoadExample("vereniging.fleet.ini");
-  const EntryPolicy& fast = prairie.FindEntry(EntryId("press-02"))->policy;
-  const EntryPolicy& thrifty = vereniging.FindEntry(EntryId("codex-02"))->policy;
+  const FleetConfig fast_start = LoadExample("fast-start.fleet.ini");
+  const FleetConfig low_idle = LoadExample("low-idle.fleet.ini");
+  const EntryPolicy& fast = fast_start.FindEntry(EntryId("press-02"))->policy;
+  const EntryPolicy& thrifty = low_idle.FindEntry(EntryId("codex-02"))->policy;
   CHECK(fast.cold_weight / fast.idle_weight > thrifty.cold_weight / thrifty.idle_weight);
-  CHECK(prairie.FindEntry(EntryId("press-01"))->policy.min_replicas == 2);
-  CHECK(vereniging.FindEntry(EntryId("codex-03"))->policy.max_replicas == 3);
+  CHECK(fast_start.FindEntry(EntryId("press-01"))->policy.min_replicas == 2);
+  CHECK(low_idle.FindEntry(EntryId("codex-03"))->policy.max_replicas == 3);
 }
 
 }  // namespace
--- a/tests/fleet_config_test.cc
+++ b/tests/fleet_config_test.cc
@@ -9,7 +9,7 @@
 namespace {
 
 const char* const kFleet = R"([fleet]
-name = prairie
+name = fast-start
 shards = 4
 
 [defaults]
@@ -22,7 +22,7 @@
 queue_bound = 500
 objective = 0.9
 
-[models proof-writer]
+[models drafting]
 llama-7b = v1 14000 2000
 tiny = v3 10 5
 
@@ -30,13 +30,13 @@
 shop-1 = a1
 shop-2 = a2 40
 
-[service order-desk]
+[service orders]
 
-[route order-desk status]
+[route orders status]
 method = GET
 path = /orders
 
-[route order-desk print]
+[route orders print]
 method = POST
 path = /orders
 repeatable = false
@@ -77,7 +77,7 @@
   REQUIRE(shop2 != nullptr);
   REQUIRE(llama != nullptr);
   CHECK(config.FindEntry(EntryId("none")) == nullptr);
-  CHECK(shop1->backend == BackendName("proof-writer"));
+  CHECK(shop1->backend == BackendName("drafting"));
   CHECK(shop1->size == Bytes(20ULL << 20U));
   CHECK(shop2->size == Bytes(40ULL << 20U));
   CHECK(llama->kv_cache == Bytes(2000ULL << 20U));
@@ -90,7 +90,7 @@
   CHECK(config.class_policy(CallClass::kBatch).objective == 0.9);
   REQUIRE(config.exceptions.size() == 2);
   CHECK(config.exceptions[0].author == OperatorName("kim"));
-  CHECK(config.services == std::vector<BackendName>{BackendName("order-desk")});
+  CHECK(config.services == std::vector<BackendName>{BackendName("orders")});
   CHECK(ShardOf(EntryId("llama-7b"), 4) == ShardOf(llama->base, 4));
 }
 
@@ -112,7 +112,7 @@
   for (const RouteCase& test : cases) {
     CAPTURE(test.method);
     CAPTURE(test.path);
-    const ServiceRoute* route = config.FindRoute(BackendName("order-desk"), test.method, test.path);
+    const ServiceRoute* route = config.FindRoute(BackendName("orders"), test.method, test.path);
     REQUIRE((route != nullptr) == (test.expected != nullptr));
     if (route == nullptr) continue;
     CHECK(std::string(CallClassName(route->call_class)) == test.expected);
--- a/tests/proto_codec_test.cc
+++ b/tests/proto_codec_test.cc
@@ -18,7 +18,7 @@
   call.attempt = Attempt(3);
   call.request_id = RequestId("req\xff");
   call.entry = EntryId("proof-v2");
-  call.service = BackendName("order-desk");
+  call.service = BackendName("orders");
   call.call_class = CallClass::kBatch;
   call.remaining = Millis(1234);
   call.repeatable = false;
