--- a/servers/crash_evidence.cc
+++ b/servers/crash_evidence.cc
@@ -183,6 +183,7 @@
                    [](const auto& a, const auto& b) { return a.first > b.first; });
   if (own.size() > kMaxOwnCrashes) own.resize(kMaxOwnCrashes);
   std::vector<CrashReport> reports;
+  reports.reserve(own.size());
   for (const auto& [learned_at, report] : own) reports.push_back(*report);
   return reports;
 }
--- a/servers/crash_quarantine.cc
+++ b/servers/crash_quarantine.cc
@@ -5,6 +5,7 @@
 #include "core/hashing.h"
 
 namespace shallot {
+
 void CrashQuarantine::OnCrash(const RunnerRun& id, const FailureDomain& domain,
                               std::vector<std::vector<CallTrait>> calls, SteadyTime now) {
   if (evidence_.Add(id, domain, std::move(calls), now)) EvaluateLater(now);
@@ -226,11 +227,14 @@
   while (!unexplained.empty()) {
     Suspects suspects = FindSuspects(unexplained);
     DelayWeakSuspects(&suspects, &contested, now);
-    const auto [cause, score, undecided] = FindCause(suspects);
+    const CauseVerdict verdict = FindCause(suspects);
+    const TraitSet& cause = verdict.cause;
     if (cause.empty()) break;
-    if (!undecided.empty()) {
-      DemoteUndecided(undecided, now);
-      if (score >= kUndecidedScore) HoldUndecided(undecided, score, now);
+    if (!verdict.undecided.empty()) {
+      DemoteUndecided(verdict.undecided, now);
+      if (verdict.score >= kUndecidedScore) {
+        HoldUndecided(verdict.undecided, verdict.score, now);
+      }
       break;
     }
     causes.insert(cause);
--- a/servers/crash_quarantine.h
+++ b/servers/crash_quarantine.h
@@ -100,7 +100,7 @@
   /// With the limits of CrashEvidence, the record of a gateway stays below 128 kB.
   static constexpr size_t kMaxQuarantined = 64;
 
-  explicit CrashQuarantine(const InstanceId& self) : self_(self), evidence_(self) {}
+  explicit CrashQuarantine(InstanceId self) : self_(std::move(self)), evidence_(self_) {}
 
   /// This gateway lost `calls`, whose answers had not begun, at a runner that has crashed. Replaces
   /// an earlier report of the same crash.
