Send findings again while the store is away

A gateway that returns from a cut or a freeze while the store is away did not hear of findings that the others had sent before: its callers' deadly requests went on to runners, and limited runners got too many calls, until the findings changed or the store was back.

Cause: findings were sent to the other gateways once. Whoever missed them had to read them in the store.

Now a gateway of a fleet of up to 32 sends its findings again every 1 to 2 s while its calls to the store fail, under the same number, so gateways that have them ignore them. Larger fleets share findings through the store only; the postmortem lists that as open.

--- a/drivers/gateway/findings_driver.cc
+++ b/drivers/gateway/findings_driver.cc
@@ -20,6 +20,10 @@
   return std::min<Millis>(lifetime, CrashQuarantine::kLongestQuarantine);
 }
 
+bool IsEmpty(const FindingsReport& report) {
+  return report.crashes.empty() && report.limits.empty();
+}
+
 }  // namespace
 
 FindingsDriver::FindingsDriver(GatewayContext* context)
@@ -99,14 +103,12 @@
   if (due_ && !writing_ && now >= next_) {
     due_ = false;
     next_ = now + Duration(ScaledPause(kPublishPause));
-    const FindingsReport report{context_->settings.instance,
-                                context_->quarantine.Own(now),
-                                context_->limits.Own(now),
-                                {number_.run, number_.number + 1}};
+    const FindingsReport report = OwnReport(number_.number + 1, now);
     const bool outdated = replace_ && position_.revision != StoreRevision(0);
     // Findings that have expired leave the store with their lease.
-    if (!report.crashes.empty() || !report.limits.empty() || outdated) Publish(report);
+    if (!IsEmpty(report) || outdated) Publish(report);
   }
+  RepeatInOutage(now);
   context_->loop.After(kTickInterval, [this] { Tick(); });
 }
 
@@ -131,6 +133,21 @@
                         });
 }
 
+FindingsReport FindingsDriver::OwnReport(uint64_t number, SteadyTime now) const {
+  return {context_->settings.instance,
+          context_->quarantine.Own(now),
+          context_->limits.Own(now),
+          {number_.run, number}};
+}
+
+void FindingsDriver::RepeatInOutage(SteadyTime now) {
+  if (!context_->view.contact().interrupted() || now < next_repeat_) return;
+  next_repeat_ = now + Duration(ScaledPause(kRepeatPause));
+  // With the same number, gateways that have the findings ignore them.
+  const FindingsReport report = OwnReport(number_.number, now);
+  if (!IsEmpty(report)) SendToPeers(report);
+}
+
 void FindingsDriver::SendToPeers(const FindingsReport& report) {
   if (context_->gateways.size() > kBroadcastGateways) return;
   for (const auto& [gateway, address] : context_->gateways) {
--- a/drivers/gateway/findings_driver.h
+++ b/drivers/gateway/findings_driver.h
@@ -20,6 +20,9 @@
   /// number of gateways, because all of them may have seen the same crashes.
   static constexpr Millis kPublishPause{100};
   static constexpr Millis kRetryPause{300};
+  /// While the store is away, a gateway that missed findings cannot read them there, so they are
+  /// sent again after this time.
+  static constexpr Millis kRepeatPause{1'000};
   static constexpr size_t kGatewaysAtFullRate = 32;
   /// Fleets up to this size also exchange findings directly.
   static constexpr size_t kBroadcastGateways = 32;
@@ -38,6 +41,8 @@
  private:
   void Tick();
   void Publish(const FindingsReport& report);
+  void RepeatInOutage(SteadyTime now);
+  FindingsReport OwnReport(uint64_t number, SteadyTime now) const;
   void SendToPeers(const FindingsReport& report);
   void Write(const std::string& value, LeaseId lease);
   void OnWritten(const Result<HttpMessage>& answer);
@@ -60,6 +65,7 @@
   bool writing_ = false;
   bool failing_ = false;
   SteadyTime next_{};
+  SteadyTime next_repeat_{};
 };
 
 }  // namespace shallot::gateway
