Revert "Ignore messages of gateways of other fleets"

It took the address of the store for the identity of the deployment. Gateways that reach one store over different addresses (a proxy each in the process soak) then ignored all messages of each other, without a failure of their own: no permits, no findings, no configurations.

The trace: each of its three gateways logged 150 to 620 ignored messages of the others; two of them took their equal share of the limit, while the leader gave the whole of it to itself.

--- a/drivers/gateway/admin_handler.cc
+++ b/drivers/gateway/admin_handler.cc
@@ -49,7 +49,6 @@
   set("runners_limited", context_->limits.Limited().size());
   set("runners_leaving", context_->view.Leaving().size());
   set("log_lines_dropped", DroppedLogLines());
-  set("peer_messages_rejected_total", context_->peers.rejected());
   set("config_version", context_->routes ? context_->routes->version.value() : 0);
   return metrics.Render();
 }
--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -60,7 +60,6 @@
                 return !platform->DecodeAnswer(head).call.empty();
               }),
         store(&calls, platform, settings.store_address, &view.contact(), registry),
-        peers(settings.fleet),
         limits(settings.instance),
         picker(&settings.policy, &view, settings.domain, &limits),
         quarantine(settings.instance) {}
--- a/drivers/gateway/gateway_settings.h
+++ b/drivers/gateway/gateway_settings.h
@@ -23,8 +23,6 @@
   int peer_port = 0;
   std::string metrics_address;
   std::string store_address;
-  /// Identifies the deployment; gateways of other ones are not listened to.
-  std::string fleet;
   /// Minimum lease time that the store grants.
   Millis min_lease{1'000};
   /// Time window in which orders of two different leaders must not alternate.
--- a/drivers/gateway/peer_channel.cc
+++ b/drivers/gateway/peer_channel.cc
@@ -2,7 +2,6 @@
 
 #include <optional>
 #include <set>
-#include <utility>
 #include <zmq.hpp>
 
 #include "core/log.h"
@@ -30,8 +29,7 @@
   std::map<std::string, zmq::socket_t> outgoing;
 };
 
-PeerChannel::PeerChannel(std::string fleet)
-    : fleet_(std::move(fleet)), impl_(std::make_unique<Impl>()) {}
+PeerChannel::PeerChannel() : impl_(std::make_unique<Impl>()) {}
 PeerChannel::~PeerChannel() = default;
 
 Status PeerChannel::Open(const std::string& address) {
@@ -63,7 +61,7 @@
       socket.connect("tcp://" + address);
       peer = impl_->outgoing.emplace(address, std::move(socket)).first;
     }
-    const std::string bytes = EncodePeerMessage(fleet_, message);
+    const std::string bytes = EncodePeerMessage(message);
     return peer->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
   } catch (const zmq::error_t& error) {
     LogWarning("peer", "cannot send to " + address + ": " + error.what());
@@ -85,9 +83,8 @@
       LogWarning("peer", std::string("cannot receive: ") + error.what());
       return;
     }
-    const auto message = DecodePeerMessage(fleet_, frame.to_string());
+    const auto message = DecodePeerMessage(frame.to_string());
     if (!IsOk(message)) {
-      ++rejected_;
       LogWarning("peer", FormatError(ErrorOf(message)));
       continue;
     }
--- a/drivers/gateway/peer_channel.h
+++ b/drivers/gateway/peer_channel.h
@@ -75,8 +75,7 @@
 /// messages replace, so a lost message is not sent again.
 class PeerChannel {
  public:
-  /// `fleet`: see GatewaySettings. Messages of other fleets are ignored.
-  explicit PeerChannel(std::string fleet);
+  PeerChannel();
   ~PeerChannel();
   PeerChannel(const PeerChannel&) = delete;
   PeerChannel& operator=(const PeerChannel&) = delete;
@@ -89,13 +88,9 @@
   void CloseAllExcept(const std::set<std::string>& keep);
   /// Passes at most `limit` received messages to `handle`, without blocking.
   void Receive(size_t limit, const std::function<void(const PeerMessage&)>& handle);
-  /// Number of messages that were ignored because they are invalid or come from another fleet.
-  uint64_t rejected() const { return rejected_; }
 
  private:
   struct Impl;
-  std::string fleet_;
-  uint64_t rejected_ = 0;
   std::unique_ptr<Impl> impl_;
 };
 
--- a/drivers/gateway/peer_codec.cc
+++ b/drivers/gateway/peer_codec.cc
@@ -206,9 +206,8 @@
                "remove the key; gateways write it again"};
 }
 
-std::string EncodePeerMessage(const std::string& fleet, const PeerMessage& message) {
+std::string EncodePeerMessage(const PeerMessage& message) {
   gateway_wire::PeerMessage wire;
-  wire.set_fleet(fleet);
   if (const auto* demand = std::get_if<DemandReport>(&message)) {
     EncodeDemand(*demand, wire.mutable_demand());
   } else if (const auto* findings = std::get_if<FindingsReport>(&message)) {
@@ -230,15 +229,9 @@
   return wire.SerializeAsString();
 }
 
-Result<PeerMessage> DecodePeerMessage(const std::string& fleet, const std::string& bytes) {
+Result<PeerMessage> DecodePeerMessage(const std::string& bytes) {
   gateway_wire::PeerMessage wire;
-  const bool parsed = wire.ParseFromString(bytes);
-  if (parsed && wire.fleet() != fleet) {
-    return Error{ErrorKind::kInvalidArgument,
-                 "ignoring a message from a gateway of fleet \"" + wire.fleet() + "\"",
-                 "give the deployments different addresses, or wait until an update has ended"};
-  }
-  if (parsed) {
+  if (wire.ParseFromString(bytes)) {
     if (wire.has_demand()) return PeerMessage(DecodeDemand(wire.demand()));
     if (wire.has_notice()) return PeerMessage(DecodeNotice(wire.notice()));
     if (wire.has_findings()) return PeerMessage(DecodeReport(wire.findings()));
--- a/drivers/gateway/peer_codec.h
+++ b/drivers/gateway/peer_codec.h
@@ -10,9 +10,8 @@
 
 /// Protobuf encoding of the messages between gateways. Decoding returns kInvalidArgument for
 /// invalid bytes.
-std::string EncodePeerMessage(const std::string& fleet, const PeerMessage& message);
-/// Messages of other fleets are invalid, too: they come from gateways whose address was used again.
-Result<PeerMessage> DecodePeerMessage(const std::string& fleet, const std::string& bytes);
+std::string EncodePeerMessage(const PeerMessage& message);
+Result<PeerMessage> DecodePeerMessage(const std::string& bytes);
 /// The value of a gateway's findings key.
 std::string EncodeFindings(const FindingsReport& report);
 Result<FindingsReport> DecodeFindings(const std::string& bytes);
