Decode teams, keys and quotas of the configuration

Cause: two new deployments and the shifted order desk give callers keys and quotas.

Change: FleetRoutes holds the teams, their keys and quotas; the bounds on keys and quotas are read from the settings. Nothing uses them yet.

Ruled out: rejecting a configuration in which two teams share a key. The store has accepted it, so the rest of it must come into force.

--- a/servers/gateway/fleet_routes.cc
+++ b/servers/gateway/fleet_routes.cc
@@ -11,6 +11,13 @@
   return best;
 }
 
+const Team* FleetRoutes::FindTeam(const std::string& key) const {
+  const auto holder = team_of_key.find(key);
+  if (holder == team_of_key.end()) return nullptr;
+  const auto team = teams.find(holder->second);
+  return team == teams.end() ? nullptr : &team->second;
+}
+
 const EngineSpec* FleetRoutes::Engine(const BackendName& backend) const {
   const auto found = backends.find(backend);
   if (found == backends.end() || !found->second.engine) return nullptr;
--- a/servers/gateway/fleet_routes.h
+++ b/servers/gateway/fleet_routes.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "core/clock.h"
@@ -15,6 +16,7 @@
 using RouteName = StrongId<struct RouteNameTag>;
 using ModelName = StrongId<struct ModelNameTag>;
 using AdapterName = StrongId<struct AdapterNameTag>;
+using TeamName = StrongId<struct TeamNameTag>;
 /// Version of the operators' configuration; increases by varying steps.
 using FleetVersion = StrongNumber<struct FleetVersionTag>;
 
@@ -50,6 +52,8 @@
   uint64_t max_attempts = 1;
   /// A stream may continue on another runner after its last event.
   bool resumable = false;
+  /// Calls need no key, also in deployments with teams.
+  bool is_public = false;
   /// Maximum pause between events for a stream to count as on time.
   Millis gap_target{0};
   /// Callers of a stream give up when no event has arrived for this long; zero if they wait until
@@ -89,6 +93,31 @@
   std::optional<EngineSpec> engine;
 };
 
+/// What a quota counts.
+enum class QuotaUnit { kCalls, kTokens };
+
+/// A team's quota over all gateways together: a token bucket.
+struct TeamQuota {
+  QuotaUnit unit = QuotaUnit::kCalls;
+  /// Units per second; 0 means no limit.
+  double rate_per_s = 0;
+  /// Units that may be used at once on top of the rate.
+  double burst = 0;
+  /// Cost in tokens of a call that does not state its tokens.
+  uint64_t plain_tokens = 0;
+
+  bool limited() const { return rate_per_s > 0; }
+};
+
+/// A group of callers that share keys and a quota.
+struct Team {
+  TeamName name;
+  /// Rank of the team's calls, which counts before the rank of their routes; 0 is the most urgent.
+  /// Absent if the operators assign none.
+  std::optional<uint64_t> rank;
+  TeamQuota quota;
+};
+
 /// Limits on what callers send; zero means no limit.
 struct CallerLimits {
   uint64_t max_header_bytes = 16'384;
@@ -103,7 +132,14 @@
   std::vector<Route> routes;
   std::map<BackendName, BackendSpec> backends;
   CallerLimits limits;
-
+  /// Whether calls need the key of a team, unless their route is public.
+  bool keys_required = false;
+  std::map<TeamName, Team> teams;
+  /// The team that holds each key. Keys are secrets: they must not reach logs, metrics or runners.
+  std::unordered_map<std::string, TeamName> team_of_key;
+
+  /// The team that holds the key; null if none does.
+  const Team* FindTeam(const std::string& key) const;
   /// The route of `host` with the longest prefix of `path`; null if there is none.
   const Route* Find(const std::string& host, const std::string& path) const;
   const EngineSpec* Engine(const BackendName& backend) const;
--- a/servers/gateway/gateway_policy.h
+++ b/servers/gateway/gateway_policy.h
@@ -56,6 +56,18 @@
   /// An attempt at a stream without a first event is abandoned for another runner after this many
   /// target latencies.
   double first_event_targets = 1.6;
+  /// Time after which a change of the configuration is in force at all gateways, counted from the
+  /// store's acknowledgement to the operators.
+  Millis config_apply{2'000};
+  /// Whether a call must not run if it was sent later than `revoke_time` after the acknowledgement
+  /// of a configuration without its key.
+  bool strict_revoke = false;
+  Millis revoke_time{5'000};
+  /// Quotas of teams are measured over any span of this length.
+  Millis quota_window{8'000};
+  /// Share by which calls may exceed a quota, and units that may exceed it on top of that.
+  double quota_overshoot = 0;
+  double quota_slack = 0;
 };
 
 }  // namespace shallot::gateway
--- a/tests/platform_fleet_codec_test.cc
+++ b/tests/platform_fleet_codec_test.cc
@@ -158,5 +158,70 @@
   }
 }
 
+/// A configuration with one public route, one other route and the given teams.
+std::string ConfigWithTeams(const std::string& teams) {
+  return R"({"version":3,"routes":[{"name":"r","hostname":"h.example","path-prefix":"/p/",)"
+         R"("kind":"idempotent","service":"s","public":true},{"name":"q","hostname":"h.example",)"
+         R"("path-prefix":"/q/","kind":"idempotent","service":"s"}],"tenants":)" +
+         teams + "}";
+}
+
+TEST_CASE("platform: teams, their keys and quotas are decoded") {
+  const PlatformCodec codec;
+  const auto decoded = codec.DecodeRoutes(ConfigWithTeams(
+      R"([{"name":"hule930","api-keys":["k1","k2"],"priority":1,"unit":"tokens",)"
+      R"("plain-tokens":200,"rate-per-s":328517,"burst":1000},{"name":"b","api-keys":[]}])"));
+  REQUIRE(IsOk(decoded));
+  const gateway::FleetRoutes& fleet = ValueOf(decoded);
+  CHECK(fleet.keys_required);
+  CHECK(fleet.routes[0].is_public);
+  CHECK_FALSE(fleet.routes[1].is_public);
+  const gateway::Team* team = fleet.FindTeam("k2");
+  REQUIRE(team != nullptr);
+  CHECK(team->name == gateway::TeamName("hule930"));
+  CHECK(team->rank == 1);
+  CHECK(team->quota.unit == gateway::QuotaUnit::kTokens);
+  CHECK(team->quota.rate_per_s == doctest::Approx(328'517));
+  CHECK(team->quota.burst == doctest::Approx(1'000));
+  CHECK(team->quota.plain_tokens == 200);
+  CHECK(fleet.FindTeam("") == nullptr);
+  CHECK(fleet.FindTeam("k3") == nullptr);
+  const gateway::Team& other = fleet.teams.at(gateway::TeamName("b"));
+  CHECK_FALSE(other.quota.limited());
+  CHECK_FALSE(other.rank);
+}
+
+// Guards against treating a configuration whose last team was removed as one without keys, which
+// would let every caller in.
+TEST_CASE("platform: a configuration with an empty list of teams requires keys") {
+  const PlatformCodec codec;
+  const auto decoded = codec.DecodeRoutes(ConfigWithTeams("[]"));
+  REQUIRE(IsOk(decoded));
+  CHECK(ValueOf(decoded).keys_required);
+  CHECK_FALSE(ValueOf(codec.DecodeRoutes(kConfig)).keys_required);
+}
+
+// Guards against ignoring a configuration that the store accepted because one key is listed twice.
+TEST_CASE("platform: a key that two teams have belongs to the first") {
+  const PlatformCodec codec;
+  const auto decoded = codec.DecodeRoutes(
+      ConfigWithTeams(R"([{"name":"a","api-keys":["k"]},{"name":"b","api-keys":["k"]}])"));
+  REQUIRE(IsOk(decoded));
+  CHECK(ValueOf(decoded).FindTeam("k")->name == gateway::TeamName("a"));
+}
+
+TEST_CASE("platform: invalid teams are typed errors that do not show keys") {
+  const PlatformCodec codec;
+  for (const char* teams :
+       {R"([{"api-keys":["secret"]}])", R"([{"name":"a","api-keys":["secret",7]}])",
+        R"([{"name":"a","api-keys":"secret"}])", R"([{"name":"a","rate-per-s":-1}])",
+        R"([{"name":"a"},{"name":"a"}])", R"(["secret"])", R"({"a":1})"}) {
+    CAPTURE(std::string(teams));
+    const auto decoded = codec.DecodeRoutes(ConfigWithTeams(teams));
+    REQUIRE(KindOf(decoded) == "invalid-argument");
+    CHECK(FormatError(ErrorOf(decoded)).find("secret") == std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace shallot::platform
--- a/tests/platform_settings_test.cc
+++ b/tests/platform_settings_test.cc
@@ -17,7 +17,9 @@
       R"({"node":"front-regina-1","ip":"10.1.0.38","zone":"regina",
 "listen":{"front":"10.1.0.38:8149","ready":"10.1.0.38:8141"},"port-range":[7380,7395],
 "bounds":{"grace-s":8,"retry-budget-ratio":0.2,"budget-window-s":10,"retry-slack":58,
-"lease-ms":3000,"require-fencing":false,"ceiling-window-s":5},
+"lease-ms":3000,"require-fencing":false,"ceiling-window-s":5,"config-apply-ms":3000,
+"strict-revoke":true,"revoke-ms":5000,"quota-window-s":8,"quota-overshoot":0.1,
+"quota-slack":110000},
 "platform":{"address":"10.200.1.7:8142","ttl-min-ms":1000},"new-field":[1]})";
   const auto decoded = DecodeSettings(text);
   REQUIRE(IsOk(decoded));
@@ -28,6 +30,12 @@
   CHECK(settings.stop_grace == Millis(8'000));
   CHECK_FALSE(settings.orders_fenced);
   CHECK(settings.policy.retry_slack == 58);
+  CHECK(settings.policy.config_apply == Millis(3'000));
+  CHECK(settings.policy.strict_revoke);
+  CHECK(settings.policy.revoke_time == Millis(5'000));
+  CHECK(settings.policy.quota_window == Millis(8'000));
+  CHECK(settings.policy.quota_overshoot == doctest::Approx(0.1));
+  CHECK(settings.policy.quota_slack == doctest::Approx(110'000));
   const nlohmann::json good = nlohmann::json::parse(text);
   for (const char* field : {"node", "zone", "ip", "listen", "port-range", "platform"}) {
     CAPTURE(std::string(field));
