Tell late first events from late pauses of streams

Cause: the aim of a stream counts its first event and its pauses, but logs and metrics did not show which of them made a call late.

Change: the end of a stream logs the time to its first event and its longest pause, and late streams are counted by part.

--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -107,6 +107,11 @@
   Millis RetryAfterRefusal();
   /// Draws on the retry limit, unless a retry has already been granted for this attempt.
   bool TakeRetry();
+  /// Records the pace of the answer when an event is passed on to the caller.
+  void RecordEventPace();
+  /// Counts the answer as late if its first event or one of its pauses was. Returns the figures for
+  /// the log.
+  std::string RecordStreamPace();
   /// Records how long the runner took to the first event, or how long it took without one.
   void RecordFirstEvent(bool arrived);
   void Refuse(const std::string& reason, Millis retry_after);
@@ -157,6 +162,10 @@
   // State of the answer to the caller.
   bool answer_begun_ = false;
   EventStream events_;
+  /// Time from the arrival of the call to the first event, and the longest time between two events
+  /// since then, also over several runners.
+  Millis first_event_after_{0};
+  Millis longest_gap_{0};
 };
 
 }  // namespace shallot::gateway
--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -115,6 +115,34 @@
   }
 }
 
+void CallSession::RecordEventPace() {
+  const SteadyTime now = context_->loop.Now();
+  if (!answer_begun_) {
+    answer_begun_ = true;
+    first_event_after_ = ToMillis(now - started_at_);
+  } else {
+    longest_gap_ = std::max(longest_gap_, ToMillis(now - last_event_at_));
+  }
+  last_event_at_ = now;
+}
+
+std::string CallSession::RecordStreamPace() {
+  const bool first_late = first_event_after_ > route_->target_latency;
+  const bool gap_late = route_->gap_target > Millis(0) && longest_gap_ > route_->gap_target;
+  const char* late = "no";
+  if (first_late) late = gap_late ? "both" : "first-event";
+  if (!first_late && gap_late) late = "pause";
+  context_->metrics->GetHistogram("stream_longest_pause_seconds").Record(longest_gap_);
+  if (first_late || gap_late) {
+    context_->metrics
+        ->GetCounter(
+            fmt::format("streams_late_total{{part=\"{}\",route=\"{}\"}}", late, route_->name.value()))
+        .Add();
+  }
+  return fmt::format("events={} first_event_ms={} longest_pause_ms={} late={}", events_.delivered(),
+                     first_event_after_.count(), longest_gap_.count(), late);
+}
+
 void CallSession::ForwardEvents() {
   const uint64_t delivered_before = events_.delivered();
   while (const auto event = events_.Next()) {
@@ -126,12 +154,9 @@
       context_->metrics->GetHistogram("first_event_seconds")
           .Record(context_->loop.Now() - started_at_);
     }
-    if (!answer_begun_) {
-      answer_begun_ = true;
-      connection_->BeginStream(context_->protocol->EncodeAnswer(answer_.head));
-    }
+    if (!answer_begun_) connection_->BeginStream(context_->protocol->EncodeAnswer(answer_.head));
     connection_->SendChunk(*event);
-    last_event_at_ = context_->loop.Now();
+    RecordEventPace();
   }
   if (events_.too_long()) {
     context_->client.Cancel(exchange_);
@@ -171,7 +196,7 @@
   }
   if (!answer_begun_) connection_->BeginStream(context_->protocol->EncodeAnswer(answer_.head));
   connection_->FinishStream();
-  Finish("completed", answer_.head.status, fmt::format("events={}", events_.delivered()));
+  Finish("completed", answer_.head.status, RecordStreamPace());
 }
 
 void CallSession::OnFailure(ExchangeFailure failure, const std::string& detail) {
