Replace the caller's key by its team in calls to runners

Cause: a key must not reach a runner, and a caller must not name its team.

Change: where the configuration has teams, Credential and the caller's Tenant-Name are removed and Tenant-Name is set to the team of the envelope. A call with several different keys has none. A batch of store items says whether unreadable ones were left out.

Ruled out: removing the key in CallSession. Only platform/ knows names on the wire.

--- a/drivers/gateway/platform_protocol.h
+++ b/drivers/gateway/platform_protocol.h
@@ -56,6 +56,10 @@
   /// Id of the last event that was delivered; the stream resumes after it. If empty, the caller's
   /// own request applies.
   std::string resume_after;
+  /// The configuration has teams: the caller's key and the team that it claims are not sent on.
+  bool keys_required = false;
+  /// The team that holds the caller's key; empty if none does.
+  TeamName team;
 };
 
 /// An item of the platform store, or the deletion of one.
@@ -70,6 +74,8 @@
 struct StoreBatch {
   std::vector<StoreItem> items;
   bool truncated = false;
+  /// Some items could not be read and are missing.
+  bool incomplete = false;
   StorePosition position;
 };
 
--- a/tests/platform_call_codec_test.cc
+++ b/tests/platform_call_codec_test.cc
@@ -105,6 +105,78 @@
   CHECK(*codec.EncodeCall(call, envelope).head.Find("Last-Event-Id") == "17");
 }
 
+// Guards against a key or a claimed team that reaches a runner, also when it is repeated, and
+// against a changed call in deployments without teams.
+TEST_CASE("platform: the key is replaced by the team only where keys are in force") {
+  struct Case {
+    const char* name;
+    std::vector<std::pair<std::string, std::string>> fields;
+    bool keys_required;
+    const char* team;
+    const char* key;
+    size_t keys_sent;
+    std::vector<std::string> teams_sent;
+  };
+  using Fields = std::vector<std::pair<std::string, std::string>>;
+  const PlatformCodec codec;
+  for (const Case& test : std::vector<Case>{
+           {"known key", {{"Credential", "k1"}}, true, "t1", "k1", 0, {"t1"}},
+           {"claimed team", {{"tenant-name", "t9"}, {"Tenant-Name", "t8"}}, true, "", "", 0, {}},
+           {"key and claimed team",
+            Fields{{"credential", "k1"}, {"Tenant-Name", "t9"}},
+            true,
+            "t1",
+            "k1",
+            0,
+            {"t1"}},
+           {"the same key twice",
+            Fields{{"Credential", "k1"}, {"Credential", "k1"}},
+            true,
+            "t1",
+            "k1",
+            0,
+            {"t1"}},
+           {"two keys", Fields{{"Credential", "k1"}, {"Credential", "k2"}}, true, "", "", 0, {}},
+           {"an empty key and a key",
+            Fields{{"Credential", ""}, {"Credential", "k1"}},
+            true,
+            "",
+            "",
+            0,
+            {}},
+           {"named hop-by-hop",
+            Fields{{"Credential", "k1"}, {"Connection", "Tenant-Name"}},
+            true,
+            "t1",
+            "k1",
+            0,
+            {"t1"}},
+           {"no teams",
+            Fields{{"Credential", "k1"}, {"Tenant-Name", "t9"}},
+            false,
+            "",
+            "k1",
+            1,
+            {"t9"}}}) {
+    CAPTURE(std::string(test.name));
+    HttpMessage call = StreamCall();
+    call.head.fields.insert(call.head.fields.end(), test.fields.begin(), test.fields.end());
+    const auto decoded = codec.DecodeCall(call.head);
+    REQUIRE(IsOk(decoded));
+    CHECK(ValueOf(decoded).caller_key == test.key);
+    CallEnvelope envelope;
+    envelope.keys_required = test.keys_required;
+    envelope.team = gateway::TeamName(test.team);
+    const HttpMessage out = codec.EncodeCall(call, envelope);
+    CHECK(out.head.Count("Credential") == test.keys_sent);
+    std::vector<std::string> teams;
+    for (const auto& [name, value] : out.head.fields) {
+      if (gateway::EqualsIgnoringCase(name, "Tenant-Name")) teams.push_back(value);
+    }
+    CHECK(teams == test.teams_sent);
+  }
+}
+
 TEST_CASE("platform: a runner's answer is decoded") {
   const PlatformCodec codec;
   HttpHead head;
