--- a/servers/gateway/config_exchange.cc
+++ b/servers/gateway/config_exchange.cc
@@ -1,9 +1,8 @@
 #include "servers/gateway/config_exchange.h"
 
 #include <algorithm>
-#include <utility>
 
-#include "core/hashing.h"
+#include "servers/gateway/gateway_ring.h"
 
 namespace shallot::gateway {
 
@@ -25,30 +24,12 @@
   return watch_may_bring_it ? Response::kNone : Response::kSendCopy;
 }
 
-std::vector<InstanceId> ConfigExchange::Partners(const std::set<InstanceId>& gateways) const {
-  std::vector<std::pair<uint64_t, InstanceId>> after;
-  std::vector<std::pair<uint64_t, InstanceId>> before;
-  const std::pair<uint64_t, InstanceId> own{StableHash(self_.value()), self_};
-  for (const InstanceId& gateway : gateways) {
-    if (gateway == self_) continue;
-    std::pair<uint64_t, InstanceId> entry{StableHash(gateway.value()), gateway};
-    (entry > own ? after : before).push_back(std::move(entry));
-  }
-  std::sort(after.begin(), after.end());
-  std::sort(before.begin(), before.end());
-  after.insert(after.end(), before.begin(), before.end());
-  std::vector<InstanceId> partners;
-  for (size_t index = 0; index < std::min(after.size(), kPartners); ++index) {
-    partners.push_back(after[index].second);
-  }
-  return partners;
-}
-
 std::vector<InstanceId> ConfigExchange::TakePartners(const std::set<InstanceId>& gateways,
                                                      SteadyTime now) {
   if (!Due(now)) return {};
-  const std::vector<InstanceId> partners = Partners(gateways);
+  std::vector<InstanceId> partners = GatewaysAfter(self_, gateways);
   if (partners.empty()) return {};
+  partners.resize(std::min(partners.size(), kPartners));
   next_ = now + Duration(kInterval);
   const size_t count = std::min(partners.size(), started_ ? size_t{1} : kPartnersAtStart);
   started_ = true;
--- a/servers/gateway/config_exchange.h
+++ b/servers/gateway/config_exchange.h
@@ -25,8 +25,8 @@
  public:
   /// Time between two comparisons.
   static constexpr Millis kInterval{500};
-  /// Number of gateways that a gateway compares with in turn: the next ones in the order of the
-  /// hashes of their names, which mixes failure domains. Limits the connections in a large fleet.
+  /// Number of gateways that a gateway compares with in turn: the first ones of GatewaysAfter().
+  /// Limits the connections in a large fleet.
   static constexpr size_t kPartners = 6;
   /// A gateway that starts compares with this many at once.
   static constexpr size_t kPartnersAtStart = 3;
@@ -56,8 +56,6 @@
   }
 
  private:
-  std::vector<InstanceId> Partners(const std::set<InstanceId>& gateways) const;
-
   struct Applied {
     FleetVersion version;
     SteadyTime at;
