--- a/servers/gateway/waiting_policy.cc
+++ b/servers/gateway/waiting_policy.cc
@@ -14,6 +14,9 @@
 /// Range of Retry-After while the gateway has no configuration.
 constexpr Millis kMinStartRetry{1'000};
 constexpr Millis kMaxStartRetry{3'000};
+/// Minimum Retry-After without a proof that the configuration is the latest: the time in which a
+/// gateway that has resumed gets one from the store or another gateway.
+constexpr Millis kMinProofRetry{300};
 
 /// Lengthens `delay` by up to kRetrySpread, depending on the call.
 Millis Spread(Millis delay, const RequestId& call) {
@@ -75,4 +78,8 @@
   return Spread(std::clamp(since_start, kMinStartRetry, kMaxStartRetry), call);
 }
 
+Millis RetryAfterWithoutProof(std::optional<Millis> overdue, const RequestId& call) {
+  return Spread(std::clamp(overdue.value_or(kMinStartRetry), kMinProofRetry, kMaxStartRetry), call);
+}
+
 }  // namespace shallot::gateway
--- a/servers/gateway/waiting_policy.h
+++ b/servers/gateway/waiting_policy.h
@@ -57,6 +57,12 @@
 /// is expected to stay away as long as it has been. Spread like that of DecideRefusal().
 Millis RetryAfterWhileStarting(Millis since_start, const RequestId& call);
 
+/// Retry-After while the gateway cannot prove that its configuration is the latest. `overdue`: how
+/// long the proof has been too old; absent if there has been none. A gateway that was suspended
+/// has a new proof in a fraction of a second; an outage of the store is expected to last as long
+/// again as it has. Spread like that of DecideRefusal().
+Millis RetryAfterWithoutProof(std::optional<Millis> overdue, const RequestId& call);
+
 }  // namespace shallot::gateway
 
 #endif  // SERVERS_GATEWAY_WAITING_POLICY_H_
