Keep the proof of the configuration recent

Cause: ConfigProof needs the ends of the store's calls and the proofs of other gateways.

Change: the follower says what its reads and watches showed; ProofDriver reads the key and exchanges ProofRequest and ProofResponse when ConfigProof says so, only while the configuration has teams. A response counts only from a gateway that the store lists at that address.

Ruled out: a separate watch for the configuration's key, which would cost a store call for each of its answers.

--- a/drivers/gateway/config_driver.cc
+++ b/drivers/gateway/config_driver.cc
@@ -12,9 +12,13 @@
 ConfigDriver::ConfigDriver(GatewayContext* context, std::function<void()> on_change)
     : context_(context), on_change_(std::move(on_change)), exchange_(context->settings.instance) {}
 
-void ConfigDriver::OnItem(const StoreItem& item) {
-  if (item.deleted) return;
-  Apply(item.value, fmt::format("store revision={}", item.position.revision.value()));
+std::optional<FleetVersion> ConfigDriver::OnItem(const StoreItem& item) {
+  std::optional<FleetVersion> version = FleetVersion();
+  if (!item.deleted) {
+    version = Apply(item.value, fmt::format("store revision={}", item.position.revision.value()));
+  }
+  context_->proof.OnStoreConfig(item.position, version);
+  return version;
 }
 
 void ConfigDriver::OnVersion(const ConfigVersion& message) {
@@ -47,13 +51,14 @@
   Apply(message.value, "gateway from=" + message.gateway.value());
 }
 
-void ConfigDriver::Apply(const std::string& value, const std::string& source) {
+std::optional<FleetVersion> ConfigDriver::Apply(const std::string& value,
+                                                const std::string& source) {
   const auto decoded = context_->protocol->DecodeRoutes(value);
   if (!IsOk(decoded)) {
     LogError("config", fmt::format("event=config-invalid source={} reason=\"{}\"", source,
                                    FormatError(ErrorOf(decoded))));
     context_->metrics->GetCounter("config_invalid_total").Add();
-    return;
+    return std::nullopt;
   }
   const FleetRoutes& received = ValueOf(decoded);
   if (context_->routes && received.version <= context_->routes->version) {
@@ -62,14 +67,20 @@
                  fmt::format("event=config-not-newer version={} in_force={} source={}",
                              received.version.value(), context_->routes->version.value(), source));
     }
-    return;
+    return received.version;
   }
   LogInfo("config", fmt::format("event=config-applied version={} routes={} source={}",
                                 received.version.value(), received.routes.size(), source));
   context_->routes = std::make_shared<const FleetRoutes>(received);
   value_ = value;
   exchange_.OnApplied(received.version, context_->loop.Now());
+  context_->proof.OnApplied(received.version);
   on_change_();
+  return received.version;
+}
+
+void ConfigDriver::RequestCopy(const InstanceId& gateway, const std::string& address) {
+  Send(gateway, address, OwnVersion());
 }
 
 ConfigVersion ConfigDriver::OwnVersion() const {
--- a/drivers/gateway/fleet_follower.cc
+++ b/drivers/gateway/fleet_follower.cc
@@ -64,6 +64,10 @@
 
 void FleetFollower::OnStoreSuccess() { follower_.SetFollowers(context_->gateways.size()); }
 
+void FleetFollower::OnUpToDate(BootTime sent_at, bool complete) {
+  if (proof_listener_) proof_listener_(sent_at, complete);
+}
+
 void FleetFollower::OnRunner(const StoreItem& item) {
   const RunnerId id(item.key.substr(context_->protocol->RunnersPrefix().size()));
   if (item.deleted) {
--- a/drivers/gateway/fleet_follower.h
+++ b/drivers/gateway/fleet_follower.h
@@ -37,6 +37,7 @@
   void OnSnapshot(const std::vector<StoreItem>& items, StorePosition as_of) override;
   void OnChange(const StoreItem& item) override;
   void OnStoreSuccess() override;
+  void OnUpToDate(BootTime sent_at, bool complete) override;
   void OnStoreRestored() override;
 
   using LeaderListener = std::function<void(const std::optional<LeaderRecord>&, StorePosition)>;
@@ -51,6 +52,10 @@
     item_listener_ = listener;
   }
 
+  using ProofListener = std::function<void(BootTime sent_at, bool complete)>;
+  /// Sets the callback for PrefixListener::OnUpToDate().
+  void SetProofListener(ProofListener listener) { proof_listener_ = std::move(listener); }
+
   using KeyListener =
       std::function<void(const std::optional<StorePosition>& key, StorePosition as_of)>;
   /// Sets the callback for the position of one key (empty when the key is absent). It is called
@@ -72,6 +77,7 @@
   /// The one key whose position `key_listener_` receives.
   std::string listener_key_;
   KeyListener key_listener_;
+  ProofListener proof_listener_;
   std::string item_prefix_;
   StoreItemListener* item_listener_ = nullptr;
   PrefixFollower follower_;
--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/metrics.h"
+#include "core/random.h"
 #include "drivers/gateway/buffered_call.h"
 #include "drivers/gateway/event_loop.h"
 #include "drivers/gateway/gateway_settings.h"
@@ -17,6 +18,7 @@
 #include "drivers/gateway/platform_protocol.h"
 #include "drivers/gateway/store_calls.h"
 #include "servers/crash_quarantine.h"
+#include "servers/gateway/access/config_proof.h"
 #include "servers/gateway/demand_aggregator.h"
 #include "servers/gateway/fleet_routes.h"
 #include "servers/gateway/fleet_view.h"
@@ -62,7 +64,8 @@
         store(&calls, platform, settings.store_address, &view.contact(), registry),
         limits(settings.instance),
         picker(&settings.policy, &view, settings.domain, &limits),
-        quarantine(settings.instance) {}
+        quarantine(settings.instance),
+        proof(settings.instance, EntropySeed()) {}
 
   GatewaySettings settings;
   const PlatformProtocol* protocol;
@@ -82,6 +85,8 @@
   DemandMeter meter;
   CrashQuarantine quarantine;
   SentCalls sent_calls;
+  /// As of when `routes` was the latest configuration.
+  ConfigProof proof;
   /// Set while the gateway runs.
   CrashObserver* crash_observer = nullptr;
   std::map<BackendName, RetryShare> retry_shares;
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -75,6 +75,7 @@
       admin_listener_(
           std::make_unique<CallerListener>(&context_->loop, "metrics", admin_handler_.get())),
       config_(std::make_unique<ConfigDriver>(context_.get(), [this] { DispatchWaitingCalls(); })),
+      proof_(std::make_unique<ProofDriver>(context_.get(), config_.get())),
       follower_(std::make_unique<FleetFollower>(context_.get(), config_.get(),
                                                 [this] { DispatchWaitingCalls(); })),
       placement_(std::make_unique<PlacementDriver>(
@@ -84,6 +85,8 @@
       findings_(std::make_unique<FindingsDriver>(context_.get())),
       permits_(std::make_unique<PermitDriver>(context_.get(), placement_.get())) {
   context_->crash_observer = crash_monitor_.get();
+  follower_->SetProofListener(
+      [this](BootTime sent_at, bool complete) { proof_->OnUpToDate(sent_at, complete); });
   follower_->SetItemListener(findings_->Prefix(), findings_.get());
   follower_->SetLeaderListener(
       [this](const std::optional<LeaderRecord>& record, StorePosition as_of) {
@@ -240,6 +243,14 @@
       config_->OnCopy(*copy);
       return;
     }
+    if (const auto* ask = std::get_if<ProofRequest>(&message)) {
+      proof_->OnRequest(*ask);
+      return;
+    }
+    if (const auto* proof = std::get_if<ProofResponse>(&message)) {
+      proof_->OnResponse(*proof);
+      return;
+    }
     OnPeerNotice(std::get<RunnerNotice>(message));
   });
 }
@@ -400,6 +411,7 @@
   CloseStalePeers();
   ReceivePeerMessages();
   config_->Tick();
+  proof_->Tick();
   for (const RunnerId& runner : context_->view.DropExpired(context_->loop.Now())) {
     LogInfo("runners", "event=runner-lapsed runner=" + runner.value());
   }
--- a/drivers/gateway/gateway_daemon.h
+++ b/drivers/gateway/gateway_daemon.h
@@ -10,6 +10,7 @@
 
 #include "core/metrics.h"
 #include "drivers/daemon.h"
+#include "drivers/gateway/access/proof_driver.h"
 #include "drivers/gateway/admin_handler.h"
 #include "drivers/gateway/call_session.h"
 #include "drivers/gateway/caller_listener.h"
@@ -83,6 +84,7 @@
   std::unique_ptr<CallerListener> readiness_;
   std::unique_ptr<CallerListener> admin_listener_;
   std::unique_ptr<ConfigDriver> config_;
+  std::unique_ptr<ProofDriver> proof_;
   std::unique_ptr<FleetFollower> follower_;
   std::unique_ptr<PlacementDriver> placement_;
   std::unique_ptr<PresenceDriver> presence_;
--- a/drivers/gateway/peer_channel.h
+++ b/drivers/gateway/peer_channel.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -69,12 +70,33 @@
   std::string value;
 };
 
-using PeerMessage = std::variant<DemandReport, RunnerNotice, FindingsReport, PermitRequest,
-                                 PermitResponse, ConfigVersion, ConfigCopy>;
+/// A gateway's request for another one's proof that its configuration is the latest.
+struct ProofRequest {
+  InstanceId gateway;
+  /// "IP:port" where the gateway accepts the response.
+  std::string address;
+  /// Echoed in the response.
+  uint64_t number = 0;
+};
+
+struct ProofResponse {
+  InstanceId gateway;
+  /// "IP:port" under which the store lists the gateway.
+  std::string address;
+  uint64_t number = 0;
+  /// The version in force; 0 if there is none.
+  FleetVersion version;
+  /// Age of the proof, rounded up; absent if there is none.
+  std::optional<Millis> age;
+};
+
+using PeerMessage =
+    std::variant<DemandReport, RunnerNotice, FindingsReport, PermitRequest, PermitResponse,
+                 ConfigVersion, ConfigCopy, ProofRequest, ProofResponse>;
 
 /// Messages between gateways over ZeroMQ: demand reports and permit requests to the leader, notices
-/// and permits from it, findings to all, and configurations. They are soft state that newer
-/// messages replace, so a lost message is not sent again.
+/// and permits from it, findings to all, configurations and the age of their proofs. They are soft
+/// state that newer messages replace, so a lost message is not sent again.
 class PeerChannel {
  public:
   PeerChannel();
--- a/drivers/gateway/peer_codec.cc
+++ b/drivers/gateway/peer_codec.cc
@@ -170,6 +170,25 @@
   return response;
 }
 
+void EncodeProof(const ProofResponse& response, gateway_wire::ProofResponse* wire) {
+  wire->set_gateway(response.gateway.value());
+  wire->set_address(response.address);
+  wire->set_number(response.number);
+  wire->set_version(response.version.value());
+  if (response.age) wire->set_age_ms(static_cast<uint64_t>(response.age->count()));
+}
+
+ProofResponse DecodeProof(const gateway_wire::ProofResponse& wire) {
+  ProofResponse response{InstanceId(wire.gateway()), wire.address(), wire.number(),
+                         FleetVersion(wire.version()), std::nullopt};
+  // A larger age would overflow times; a proof that old is none.
+  constexpr uint64_t kMaxAgeMs = uint64_t{1} << 32;
+  if (wire.has_age_ms() && wire.age_ms() <= kMaxAgeMs) {
+    response.age = Millis(static_cast<int64_t>(wire.age_ms()));
+  }
+  return response;
+}
+
 void EncodeReport(const FindingsReport& report, gateway_wire::Findings* wire) {
   wire->set_gateway(report.gateway.value());
   EncodeCrashFindings(report.crashes, wire->mutable_crashes());
@@ -224,6 +243,12 @@
     wire.mutable_config_copy()->set_gateway(copy->gateway.value());
     wire.mutable_config_copy()->set_address(copy->address);
     wire.mutable_config_copy()->set_value(copy->value);
+  } else if (const auto* ask = std::get_if<ProofRequest>(&message)) {
+    wire.mutable_proof_request()->set_gateway(ask->gateway.value());
+    wire.mutable_proof_request()->set_address(ask->address);
+    wire.mutable_proof_request()->set_number(ask->number);
+  } else if (const auto* proof = std::get_if<ProofResponse>(&message)) {
+    EncodeProof(*proof, wire.mutable_proof_response());
   } else {
     EncodeNotice(std::get<RunnerNotice>(message), wire.mutable_notice());
   }
@@ -247,6 +272,11 @@
       const gateway_wire::ConfigCopy& copy = wire.config_copy();
       return PeerMessage(ConfigCopy{InstanceId(copy.gateway()), copy.address(), copy.value()});
     }
+    if (wire.has_proof_request()) {
+      const gateway_wire::ProofRequest& ask = wire.proof_request();
+      return PeerMessage(ProofRequest{InstanceId(ask.gateway()), ask.address(), ask.number()});
+    }
+    if (wire.has_proof_response()) return PeerMessage(DecodeProof(wire.proof_response()));
   }
   return Error{ErrorKind::kInvalidArgument, "cannot decode a message from another gateway",
                "run the same version on all gateways"};
--- a/drivers/gateway/prefix_follower.cc
+++ b/drivers/gateway/prefix_follower.cc
@@ -26,6 +26,8 @@
     ++round_;
     snapshot_items_.clear();
     first_page_ = true;
+    read_sent_at_ = loop_->clock()->BootNow();
+    read_complete_ = true;
   }
   const Millis limit = failing_ ? TimeoutAfterFailure() : kReadTimeout;
   store_->Start(protocol_->RangeRequest(prefix_, after), limit,
@@ -45,6 +47,7 @@
   const StoreBatch& batch = ValueOf(page);
   if (first_page_) position_ = batch.position;
   first_page_ = false;
+  if (batch.incomplete) read_complete_ = false;
   snapshot_items_.insert(snapshot_items_.end(), batch.items.begin(), batch.items.end());
   if (batch.truncated && !batch.items.empty()) {
     Read(batch.items.back().key);
@@ -55,6 +58,7 @@
   failures_ = 0;
   listener_->OnStoreSuccess();
   listener_->OnSnapshot(snapshot_items_, position_);
+  listener_->OnUpToDate(read_sent_at_, read_complete_ && !batch.truncated);
   snapshot_items_.clear();
   Watch();
 }
@@ -62,11 +66,14 @@
 void PrefixFollower::Watch() {
   const Millis wait = failing_ ? kWaitAfterFailure : WatchWait(followers_);
   const Millis limit = wait + (failing_ ? TimeoutAfterFailure() : kAnswerMargin);
-  store_->Start(protocol_->WatchRequest(prefix_, position_.revision, wait), limit,
-                InThisRound([this](const Result<HttpMessage>& answer) { OnChanges(answer); }));
+  store_->Start(
+      protocol_->WatchRequest(prefix_, position_.revision, wait), limit,
+      InThisRound([this, sent_at = loop_->clock()->BootNow()](const Result<HttpMessage>& answer) {
+        OnChanges(answer, sent_at);
+      }));
 }
 
-void PrefixFollower::OnChanges(const Result<HttpMessage>& answer) {
+void PrefixFollower::OnChanges(const Result<HttpMessage>& answer, BootTime sent_at) {
   if (!IsOk(answer)) {
     Retry(ErrorOf(answer), false);
     return;
@@ -83,6 +90,7 @@
   const StoreBatch& batch = ValueOf(changes);
   for (const StoreItem& item : batch.items) listener_->OnChange(item);
   position_ = std::max(position_, batch.position);
+  listener_->OnUpToDate(sent_at, !batch.incomplete && !batch.truncated);
   loop_->After(WatchPause(followers_), InThisRound([this] { Watch(); }));
 }
 
--- a/drivers/gateway/prefix_follower.h
+++ b/drivers/gateway/prefix_follower.h
@@ -23,6 +23,9 @@
   virtual void OnChange(const StoreItem& item) = 0;
   /// A call to the store succeeded.
   virtual void OnStoreSuccess() = 0;
+  /// All that the store had when a call was sent at `sent_at` has been delivered. `complete`:
+  /// nothing was left out because it was unreadable or too much for one answer.
+  virtual void OnUpToDate(BootTime sent_at, bool complete) = 0;
 };
 
 /// Watches a key prefix of the store: reads all pages, then polls for changes with long-running
@@ -82,7 +85,8 @@
   void Read(const std::string& after);
   void OnPage(const Result<HttpMessage>& answer);
   void Watch();
-  void OnChanges(const Result<HttpMessage>& answer);
+  /// `sent_at`: when the watch call was sent.
+  void OnChanges(const Result<HttpMessage>& answer, BootTime sent_at);
   void Retry(const Error& error, bool read_again);
   Millis TimeoutAfterFailure() const {
     return kTimeoutsAfterFailure[failures_ % kTimeoutsAfterFailure.size()];
@@ -98,6 +102,10 @@
   /// snapshot, so the watch starts at the position of the first page.
   StorePosition position_;
   bool first_page_ = true;
+  /// When the call for the first page was sent.
+  BootTime read_sent_at_{};
+  /// No page left an unreadable item out.
+  bool read_complete_ = true;
   /// Counts how often the store was read from the start; calls and timers of earlier rounds are
   /// ignored.
   uint64_t round_ = 0;
