--- a/servers/gateway/access/config_proof.cc
+++ b/servers/gateway/access/config_proof.cc
@@ -13,8 +13,12 @@
 /// The key is read this long before a proof becomes too old: the timeout of one read and a tick.
 constexpr Millis kReadReserve{800};
 /// Other gateways are asked this long before the key is read, because messages between gateways
-/// cost less than store calls. A response takes two ticks of 20 ms.
-constexpr Millis kAskLead{200};
+/// cost less than store calls. They send a newer version only when it is a second old
+/// (ConfigExchange::kWatchTime).
+constexpr Millis kAskLead{1'000};
+/// Minimum age from which other gateways are asked. The watch of a busy store is answered more
+/// often, also at its longest pause (PrefixFollower::kMaxWatchPause).
+constexpr Millis kMinAskAge{1'000};
 /// The era of a store that was never restored. A gateway that starts in a later era does not know
 /// how long ago the restore was.
 constexpr StoreEra kFirstEra{1};
@@ -26,7 +30,7 @@
   if (policy.strict_revoke) bound = std::min(bound, RevokeBound(policy));
   ProofTimes times;
   times.read_age = std::max(bound - kReadReserve, kReadReserve);
-  times.ask_age = times.read_age - kAskLead;
+  times.ask_age = std::max(times.read_age - kAskLead, kMinAskAge);
   return times;
 }
 
@@ -57,6 +61,8 @@
   const BootTime earliest =
       std::max(next_read_, settled_at_ == BootTime::min() ? next_read_
                                                           : settled_at_ + Duration(times.read_age));
+  // Without a configuration, the follower reads all items.
+  if (version_ == FleetVersion()) return false;
   if (reading_ || now < earliest || !OlderThan(times.read_age, now)) return false;
   reading_ = true;
   return true;
--- a/tests/gateway_config_behind_test.cc
+++ b/tests/gateway_config_behind_test.cc
@@ -13,25 +13,6 @@
 constexpr Millis kConfigApply{2'000};
 constexpr Millis kSkew{5'000};
 
-/// A second gateway of a fixture's platform.
-class SecondGateway {
- public:
-  SecondGateway(const GatewayFixture& first, const std::string& store_address)
-      : settings_(first.settings_) {
-    settings_.instance = InstanceId("front-2");
-    settings_.store_address = store_address;
-    daemon_ = StartOnFreePorts(&settings_, &first.codec_);
-    REQUIRE(daemon_ != nullptr);
-  }
-  ~SecondGateway() { daemon_->Stop(); }
-
-  const GatewaySettings& settings() const { return settings_; }
-
- private:
-  GatewaySettings settings_;
-  std::unique_ptr<GatewayDaemon> daemon_;
-};
-
 /// Time until the gateway serves the added route.
 Millis TimeUntilServed(GatewayFixture* fixture, const std::string& address) {
   const SystemClock clock;
--- /dev/null
+++ b/tests/gateway_config_proof_test.cc
@@ -0,0 +1,495 @@
+#include "servers/gateway/access/config_proof.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/random.h"
+#include "servers/gateway/access/caller_access.h"
+
+namespace shallot::gateway {
+namespace {
+
+constexpr BootTime kStart{std::chrono::seconds(1'000)};
+constexpr Millis kTick{20};
+/// Time after which an added key must be in effect.
+constexpr Millis kApply{3'000};
+
+GatewayPolicy StrictPolicy() {
+  GatewayPolicy policy;
+  policy.config_apply = kApply;
+  policy.revoke_time = Millis(5'000);
+  policy.strict_revoke = true;
+  return policy;
+}
+
+StorePosition At(uint64_t era, uint64_t revision) {
+  return {StoreEra(era), StoreRevision(revision)};
+}
+
+ConfigProof MakeProof(uint64_t version) {
+  ConfigProof proof(InstanceId("front-0"), 100);
+  if (version > 0) proof.OnApplied(FleetVersion(version));
+  return proof;
+}
+
+// Guards against a proof that a store call does not give: because of when it was sent, of what it
+// left out, of a configuration that is not in force, or of a restore.
+TEST_CASE("gateway: which store calls prove the configuration") {
+  struct Case {
+    const char* name;
+    std::function<void(ConfigProof*)> play;
+    /// Time of the proof after kStart; absent if there is none.
+    std::optional<int> proved_ms;
+  };
+  const auto at = [](int ms) { return kStart + Millis(ms); };
+  const auto up_to_date = [at](ConfigProof* proof, int sent, int now, bool complete = true) {
+    proof->OnUpToDate(at(sent), complete, at(now));
+  };
+  for (const Case& test : std::vector<Case>{
+           {"nothing yet", [](ConfigProof*) {}, std::nullopt},
+           {"an answer counts from when its call was sent",
+            [&](ConfigProof* proof) { up_to_date(proof, 10, 9'000); }, 10},
+           {"an older answer that comes later changes nothing",
+            [&](ConfigProof* proof) {
+              up_to_date(proof, 500, 510);
+              up_to_date(proof, 10, 520);
+            },
+            500},
+           {"a newer version from another gateway keeps the proof",
+            [&](ConfigProof* proof) {
+              up_to_date(proof, 10, 20);
+              proof->OnApplied(FleetVersion(6));
+            },
+            10},
+           {"a configuration that cannot be decoded ends further proofs",
+            [&](ConfigProof* proof) {
+              up_to_date(proof, 10, 20);
+              proof->OnStoreConfig(At(1, 7), std::nullopt);
+              up_to_date(proof, 400, 410);
+            },
+            10},
+           {"a later one that can be decoded allows them again",
+            [&](ConfigProof* proof) {
+              proof->OnStoreConfig(At(1, 7), std::nullopt);
+              proof->OnApplied(FleetVersion(7));
+              proof->OnStoreConfig(At(1, 8), FleetVersion(7));
+              up_to_date(proof, 400, 410);
+            },
+            400},
+           {"a late read of an earlier state does not",
+            [&](ConfigProof* proof) {
+              proof->OnStoreConfig(At(1, 7), std::nullopt);
+              proof->OnStoreConfig(At(1, 6), FleetVersion(5));
+              up_to_date(proof, 400, 410);
+            },
+            std::nullopt},
+           {"after an incomplete answer the watch proves nothing",
+            [&](ConfigProof* proof) {
+              up_to_date(proof, 10, 20, false);
+              up_to_date(proof, 400, 410);
+            },
+            std::nullopt},
+           {"until the key was read after it",
+            [&](ConfigProof* proof) {
+              up_to_date(proof, 10, 20, false);
+              proof->OnKeyRead(at(30), FleetVersion(5), at(40));
+              up_to_date(proof, 400, 410);
+            },
+            400},
+           {"a read of the key that was sent before it does not help",
+            [&](ConfigProof* proof) {
+              up_to_date(proof, 10, 20, false);
+              proof->OnKeyRead(at(15), FleetVersion(5), at(40));
+              up_to_date(proof, 400, 410);
+            },
+            15},
+           {"a key with a version that is not in force",
+            [&](ConfigProof* proof) { proof->OnKeyRead(at(30), FleetVersion(6), at(40)); },
+            std::nullopt},
+           {"a key that cannot be decoded",
+            [&](ConfigProof* proof) { proof->OnKeyRead(at(30), std::nullopt, at(40)); },
+            std::nullopt},
+           {"calls right after a restore do not count",
+            [&](ConfigProof* proof) {
+              proof->OnEra(StoreEra(1), at(0));
+              up_to_date(proof, 10, 20);
+              proof->OnEra(StoreEra(2), at(100));
+              up_to_date(proof, 3'099, 3'110);
+              proof->OnKeyRead(at(3'099), FleetVersion(5), at(3'110));
+            },
+            10},
+           {"calls after the time to settle do",
+            [&](ConfigProof* proof) {
+              proof->OnEra(StoreEra(1), at(0));
+              proof->OnEra(StoreEra(2), at(100));
+              up_to_date(proof, 3'100, 3'110);
+            },
+            3'100},
+           {"a gateway that starts on a restored store waits as well",
+            [&](ConfigProof* proof) {
+              proof->OnEra(StoreEra(4), at(0));
+              up_to_date(proof, 2'990, 3'010);
+            },
+            std::nullopt}}) {
+    CAPTURE(std::string(test.name));
+    ConfigProof proof = MakeProof(5);
+    test.play(&proof);
+    std::optional<BootTime> expected;
+    if (test.proved_ms) expected = at(*test.proved_ms);
+    CHECK(proof.proved_at() == expected);
+  }
+  ConfigProof without_configuration = MakeProof(0);
+  without_configuration.OnUpToDate(kStart, true, kStart);
+  CHECK_FALSE(without_configuration.proved_at());
+}
+
+// Guards against another gateway's proof that does not hold for this one.
+TEST_CASE("gateway: which responses of other gateways prove the configuration") {
+  struct Case {
+    const char* name;
+    const char* sender;
+    uint64_t number;
+    uint64_t version;
+    std::optional<Millis> age;
+    bool counts;
+  };
+  const ProofTimes times = ProofTimesOf(StrictPolicy());
+  for (const Case& test : {Case{"same version", "front-1", 101, 5, Millis(300), true},
+                           Case{"no proof", "front-1", 101, 5, std::nullopt, false},
+                           Case{"older version", "front-1", 101, 4, Millis(300), false},
+                           Case{"newer version", "front-1", 101, 6, Millis(300), false},
+                           Case{"not asked", "front-2", 101, 5, Millis(300), false},
+                           Case{"earlier run", "front-1", 7, 5, Millis(300), false},
+                           Case{"impossible age", "front-1", 101, 5, Millis(-1), false},
+                           Case{"older than the clock", "front-1", 101, 5, Millis::max(), false}}) {
+    CAPTURE(std::string(test.name));
+    ConfigProof proof = MakeProof(5);
+    const auto ask = proof.TakeAsk({InstanceId("front-0"), InstanceId("front-1")}, times, kStart);
+    REQUIRE(ask);
+    REQUIRE(ask->gateway == InstanceId("front-1"));
+    // The response may be late; the own time of asking counts.
+    CHECK(proof.OnResponse(InstanceId(test.sender), test.number, FleetVersion(test.version),
+                           test.age, times, kStart + Millis(1'000)) == test.counts);
+    std::optional<BootTime> expected;
+    if (test.counts) expected = kStart - Millis(300);
+    CHECK(proof.proved_at() == expected);
+  }
+}
+
+// Guards against store calls beside a watch that already proves the configuration, and against
+// calls in quick succession while the store is away.
+TEST_CASE("gateway: the key is read only when the proof is old, and less often in an outage") {
+  const ProofTimes times = ProofTimesOf(StrictPolicy());
+  ConfigProof proof = MakeProof(5);
+  int reads = 0;
+  const auto play = [&](int from_ms, int to_ms, bool watched) {
+    for (int ms = from_ms; ms < to_ms; ms += 20) {
+      const BootTime now = kStart + Millis(ms);
+      if (watched && ms % 400 == 0) proof.OnUpToDate(now - Millis(380), true, now);
+      if (!proof.TakeRead(times, now)) continue;
+      ++reads;
+      proof.OnKeyReadFailed(now + Millis(10));
+    }
+  };
+  play(0, 60'000, true);
+  CHECK(reads == 0);
+  play(60'000, 90'000, false);
+  CHECK(reads >= 10);
+  CHECK(reads <= 18);
+}
+
+/// Gateways before one store. Messages and calls take up to 60 ms; a frozen gateway handles what
+/// arrives when it resumes.
+struct Scenario {
+  const char* name;
+  size_t gateways = 21;
+  /// Share of the gateways that the store turns away from the fifth second on.
+  double turned_away = 0;
+  Millis change{10'000};
+  /// Time between two restores from a copy that is four versions old; zero: none. The operators
+  /// write a new version within 2.5 s.
+  Millis restore{0};
+  double freezes = 0;
+  /// The store answers nobody until this time.
+  Millis store_from{0};
+  /// Runners write to the store all the time, so that watches are answered at once.
+  bool busy = true;
+  /// The proof of every gateway that is not frozen must stay below this age; zero: not checked.
+  Millis max_age{0};
+  /// Number of reads of the key allowed for each gateway, over 60 s.
+  uint64_t max_reads = 0;
+};
+
+class ProofFleet {
+ public:
+  ProofFleet(const Scenario& scenario, uint64_t seed) : scenario_(scenario), random_(seed) {
+    for (size_t index = 0; index < scenario.gateways; ++index) {
+      const InstanceId id("front-" + std::to_string(index));
+      indexes_[id] = index;
+      ids_.insert(id);
+      gateways_.push_back(std::make_unique<Gateway>(id, random_.Next() >> 1U));
+      gateways_.back()->turned_away = random_.Unit() < scenario.turned_away;
+    }
+    Write();
+  }
+
+  void Play(Millis time) {
+    for (; now_ < kStart + time; now_ += kTick) {
+      if (now_ >= next_change_) Write();
+      if (scenario_.restore > Millis(0) && now_ >= next_restore_) Restore();
+      auto due = events_.begin();
+      while (due != events_.end() && due->first <= now_) {
+        due->second();
+        due = events_.erase(due);
+      }
+      for (size_t index = 0; index < gateways_.size(); ++index) Tick(index);
+    }
+  }
+
+  bool sound() const { return sound_; }
+  Millis oldest() const { return oldest_; }
+  uint64_t reads() const { return reads_; }
+  uint64_t asks() const { return asks_; }
+
+ private:
+  struct Gateway {
+    Gateway(const InstanceId& id, uint64_t number) : proof(id, number) {}
+    ConfigProof proof;
+    std::optional<uint64_t> era;
+    BootTime frozen_until{};
+    BootTime resumed_at{};
+    BootTime next_watch{};
+    BootTime applied_at{};
+    bool turned_away = false;
+    std::vector<std::function<void()>> held;
+  };
+  struct StoreState {
+    uint64_t era = 1;
+    uint64_t revision = 0;
+    uint64_t version = 0;
+  };
+
+  Millis Latency() { return Millis(1 + static_cast<int64_t>(random_.Below(60))); }
+  bool StoreServes(const Gateway& gateway) const {
+    return now_ >= kStart + scenario_.store_from &&
+           !(gateway.turned_away && now_ >= kStart + Millis(5'000));
+  }
+  void Write() {
+    store_.version = ++last_version_;
+    ++store_.revision;
+    acknowledged_.push_back(now_);
+    next_change_ = now_ + scenario_.change;
+  }
+  void Restore() {
+    next_restore_ = now_ + scenario_.restore;
+    ++store_.era;
+    store_.version = store_.version > 4 ? store_.version - 4 : 1;
+    next_change_ = now_ + Millis(500 + static_cast<int64_t>(random_.Below(2'000)));
+  }
+  /// Runs `handle` at the gateway after the latency and any freeze.
+  void Deliver(size_t to, std::function<void()> handle) {
+    events_.emplace(now_ + Latency(), [this, to, handle = std::move(handle)] {
+      Gateway& gateway = *gateways_[to];
+      if (now_ < gateway.frozen_until) {
+        gateway.held.push_back(handle);
+      } else {
+        handle();
+      }
+    });
+  }
+  void Apply(Gateway* gateway, uint64_t version) {
+    if (FleetVersion(version) <= gateway->proof.version()) return;
+    gateway->proof.OnApplied(FleetVersion(version));
+    gateway->applied_at = now_;
+  }
+  /// A call that reaches the store after the latency, is held there for `wait`, and whose answer is
+  /// used by `done` unless it belongs to an earlier era.
+  void CallStore(size_t index, Millis wait, std::function<void(const StoreState*)> done) {
+    events_.emplace(now_ + Latency() + wait, [this, index, done = std::move(done)] {
+      const StoreState answer = store_;
+      const bool served = StoreServes(*gateways_[index]);
+      Deliver(index, [this, index, answer, served, done] {
+        Gateway& gateway = *gateways_[index];
+        if (!served || (gateway.era && answer.era < *gateway.era)) {
+          done(nullptr);
+          return;
+        }
+        gateway.era = answer.era;
+        gateway.proof.OnEra(StoreEra(answer.era), now_);
+        Apply(&gateway, answer.version);
+        gateway.proof.OnStoreConfig(At(answer.era, answer.revision), FleetVersion(answer.version));
+        done(&answer);
+      });
+    });
+  }
+  void Tick(size_t index) {
+    Gateway& gateway = *gateways_[index];
+    Check(gateway);
+    if (now_ < gateway.frozen_until) return;
+    if (!gateway.held.empty()) {
+      const auto held = std::move(gateway.held);
+      gateway.held.clear();
+      gateway.resumed_at = now_;
+      for (const auto& handle : held) handle();
+    }
+    if (random_.Unit() < scenario_.freezes * 0.02) {
+      gateway.frozen_until = now_ + Millis(static_cast<int64_t>(random_.Below(9'000)));
+      gateway.resumed_at = gateway.frozen_until;
+    }
+    if (now_ >= gateway.next_watch) Watch(index);
+    const ProofTimes times = ProofTimesOf(policy_);
+    if (gateway.proof.TakeRead(times, now_)) {
+      ++reads_;
+      CallStore(index, Millis(0), [this, &gateway, sent = now_](const StoreState* state) {
+        if (state == nullptr) {
+          gateway.proof.OnKeyReadFailed(now_);
+        } else {
+          gateway.proof.OnKeyRead(sent, FleetVersion(state->version), now_);
+        }
+      });
+    }
+    if (const auto ask = gateway.proof.TakeAsk(ids_, times, now_)) Ask(index, *ask);
+  }
+  void Watch(size_t index) {
+    Gateway& gateway = *gateways_[index];
+    gateway.next_watch = BootTime::max();
+    // A gateway without a configuration reads all items first.
+    const bool reads_all = gateway.proof.version() == FleetVersion();
+    const Millis wait(scenario_.busy || reads_all ? 0 : 1'650);
+    CallStore(index, wait, [this, &gateway, sent = now_](const StoreState* state) {
+      if (state != nullptr) gateway.proof.OnUpToDate(sent, true, now_);
+      gateway.next_watch = now_ + Millis(350);
+    });
+  }
+  void Ask(size_t from, const ConfigProof::Ask& ask) {
+    ++asks_;
+    const size_t to = indexes_.at(ask.gateway);
+    Deliver(to, [this, from, to, ask] {
+      const Gateway& other = *gateways_[to];
+      const FleetVersion version = other.proof.version();
+      const bool copy = now_ - other.applied_at > Millis(1'000);
+      Deliver(from, [this, from, ask, version, copy, age = other.proof.Age(now_)] {
+        Gateway& gateway = *gateways_[from];
+        (void)gateway.proof.OnResponse(ask.gateway, ask.number, version, age, ProofTimesOf(policy_),
+                                       now_);
+        if (copy) Apply(&gateway, version.value());
+      });
+    });
+  }
+  void Check(const Gateway& gateway) {
+    const auto proved = gateway.proof.proved_at();
+    if (proved) {
+      // All versions that were acknowledged by then are in force.
+      const auto later = std::lower_bound(acknowledged_.begin(), acknowledged_.end(), *proved);
+      const auto needed = static_cast<uint64_t>(later - acknowledged_.begin());
+      if (gateway.proof.version() < FleetVersion(needed)) sound_ = false;
+    }
+    constexpr Millis kWarmUp{1'500};
+    const BootTime begin = kStart + scenario_.store_from + kWarmUp;
+    if (now_ < begin || now_ < gateway.frozen_until + kWarmUp) return;
+    if (now_ < gateway.resumed_at + kWarmUp) return;
+    oldest_ = std::max(oldest_, gateway.proof.Age(now_).value_or(Millis(99'999)));
+  }
+
+  Scenario scenario_;
+  Random random_;
+  GatewayPolicy policy_ = StrictPolicy();
+  BootTime now_ = kStart;
+  StoreState store_;
+  uint64_t last_version_ = 0;
+  /// Index: version - 1.
+  std::vector<BootTime> acknowledged_;
+  BootTime next_change_{};
+  BootTime next_restore_ = kStart + Millis(12'000);
+  std::map<InstanceId, size_t> indexes_;
+  std::set<InstanceId> ids_;
+  std::vector<std::unique_ptr<Gateway>> gateways_;
+  std::multimap<BootTime, std::function<void()>> events_;
+  bool sound_ = true;
+  Millis oldest_{0};
+  uint64_t reads_ = 0;
+  uint64_t asks_ = 0;
+};
+
+// Guards against a gateway that holds an outdated configuration for the latest one, which lets a
+// removed key run or refuses an added one, and against gateways that lose their proof although the
+// store or another gateway could give it, or that call the store needlessly.
+TEST_CASE("gateway: proofs are sound and recent over cuts, freezes, restores and storms") {
+  Scenario base;
+  const auto with = [&base](const char* name, size_t gateways,
+                            const std::function<void(Scenario*)>& change) {
+    Scenario scenario = base;
+    scenario.name = name;
+    scenario.gateways = gateways;
+    change(&scenario);
+    return scenario;
+  };
+  std::vector<Scenario> scenarios;
+  for (const size_t gateways : {1, 21, 100}) {
+    scenarios.push_back(
+        with("busy watch", gateways, [](Scenario* s) { s->max_age = Millis(900); }));
+    scenarios.push_back(with("quiet watch", gateways, [](Scenario* s) {
+      s->busy = false;
+      s->max_age = kApply;
+      s->max_reads = 40;
+    }));
+    scenarios.push_back(with("restores", gateways, [](Scenario* s) {
+      s->restore = Millis(12'000);
+      s->max_reads = 5;
+    }));
+    scenarios.push_back(with("freezes", gateways, [](Scenario* s) {
+      s->freezes = 0.1;
+      s->max_age = kApply;
+      s->max_reads = 40;
+    }));
+    scenarios.push_back(with("storm and restores", gateways, [](Scenario* s) {
+      s->change = Millis(1'000);
+      s->restore = Millis(12'000);
+      s->freezes = 0.05;
+      s->max_reads = 40;
+    }));
+    scenarios.push_back(with("start without the store", gateways, [](Scenario* s) {
+      s->store_from = Millis(10'000);
+      s->max_age = kApply;
+      s->max_reads = 12;
+    }));
+    if (gateways == 1) continue;
+    scenarios.push_back(with("a third turned away", gateways, [](Scenario* s) {
+      s->turned_away = 0.33;
+      s->max_age = kApply;
+      s->max_reads = 3;
+    }));
+    scenarios.push_back(with("a third turned away in a storm", gateways, [](Scenario* s) {
+      s->turned_away = 0.33;
+      s->change = Millis(1'000);
+      s->freezes = 0.02;
+      s->max_reads = 40;
+    }));
+  }
+  for (const Scenario& scenario : scenarios) {
+    for (const uint64_t seed : {1, 2, 3}) {
+      CAPTURE(std::string(scenario.name));
+      CAPTURE(scenario.gateways);
+      CAPTURE(seed);
+      ProofFleet fleet(scenario, seed);
+      fleet.Play(Millis(60'000));
+      CHECK(fleet.sound());
+      if (scenario.max_age > Millis(0)) CHECK(fleet.oldest() <= scenario.max_age);
+      CHECK(fleet.reads() <= scenario.max_reads * scenario.gateways);
+      // A message of about 100 bytes both ways, at most every 200 ms.
+      CHECK(fleet.asks() <= 300 * scenario.gateways);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace shallot::gateway
--- a/tests/gateway_daemon_fixture.h
+++ b/tests/gateway_daemon_fixture.h
@@ -100,6 +100,7 @@
     request.set("Deadline-Ms", "10000");
     if (!model.empty()) request.set("Model-Name", model);
     if (!prompt.empty()) request.set("Prompt-Prefix", prompt);
+    for (const auto& [name, value] : fields_) request.add(name, value);
     request.setContentLength(static_cast<int64_t>(body.size()));
     session.sendRequest(request) << body;
     Poco::Net::HTTPResponse response;
@@ -215,6 +216,27 @@
   int calls_ = 0;
   /// Id of the next calls; empty: each gets another one.
   std::string call_id_;
+  /// Further fields of the next requests.
+  std::vector<std::pair<std::string, std::string>> fields_;
+};
+
+/// A second gateway of a fixture's platform.
+class SecondGateway {
+ public:
+  SecondGateway(const GatewayFixture& first, const std::string& store_address)
+      : settings_(first.settings_) {
+    settings_.instance = InstanceId("front-2");
+    settings_.store_address = store_address;
+    daemon_ = StartOnFreePorts(&settings_, &first.codec_);
+    REQUIRE(daemon_ != nullptr);
+  }
+  ~SecondGateway() { daemon_->Stop(); }
+
+  const GatewaySettings& settings() const { return settings_; }
+
+ private:
+  GatewaySettings settings_;
+  std::unique_ptr<GatewayDaemon> daemon_;
 };
 
 /// The answer of a scripted runner up to the end of its head; the id is that of the request.
