Keep keys from runners also after teams have come

Cause: a call that was admitted before the configuration had teams and is sent again after that carried its key to the second runner.

Change: the key is removed if the configuration in force has teams.

Ruled out: admitting such a call again. It may have run.

--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -229,7 +229,8 @@
   envelope.time_left = TimeLeft();
   envelope.urgency = Urgency();
   envelope.resume_after = events_.last_id();
-  envelope.keys_required = keys_required_;
+  // Teams may have come with a later configuration, while the call was at its first runner.
+  envelope.keys_required = keys_required_ || context_->routes->keys_required;
   if (team_) envelope.team = team_->name;
   ExchangeOptions options;
   options.connect_timeout = context_->settings.policy.connect_timeout;
