Charge calls to their team's quota

Cause: quotas were decoded but not kept; calls beyond them took runners from other teams.

A call takes its cost after admission; it waits for tokens for a short time, or gets 429 with the time until the quota has room. What a call that no runner ran was charged is given back. New quotas take effect with the configuration, not at the next tick, because calls arrive in between. GET /quotas and metrics show tokens, issuer and members.

Ruled out: a refund for each call with CallAttempts::NotRun(), which is also true while an attempt is in progress and after an answer.

--- a/drivers/gateway/admin_handler.cc
+++ b/drivers/gateway/admin_handler.cc
@@ -29,6 +29,8 @@
     connection->Answer(TextAnswer(200, "OK", "application/json", Runners()));
   } else if (path == "/store") {
     connection->Answer(TextAnswer(200, "OK", "application/json", Store()));
+  } else if (path == "/quotas") {
+    connection->Answer(TextAnswer(200, "OK", "application/json", Quotas()));
   } else {
     connection->Answer(TextAnswer(404, "Not Found", "text/plain", ""));
   }
@@ -50,6 +52,15 @@
   set("runners_leaving", context_->view.Leaving().size());
   set("log_lines_dropped", DroppedLogLines());
   set("config_version", context_->routes ? context_->routes->version.value() : 0);
+  if (context_->quotas.account().active()) {
+    const BootTime now = context_->clock->BootNow();
+    set("quota_members", context_->quotas.issuer().Members(now));
+    set("quota_issuer_is_self", context_->quotas.current() == context_->settings.instance ? 1 : 0);
+    for (const TeamName& team : context_->quotas.account().Teams()) {
+      metrics.GetGauge("quota_balance{team=\"" + team.value() + "\"}")
+          .Set(static_cast<int64_t>(context_->quotas.account().Balance(team, now)));
+    }
+  }
   return metrics.Render();
 }
 
@@ -91,6 +102,20 @@
   return Dump({{"gateway", context_->settings.instance.value()}, {"unwilling", unwilling}});
 }
 
+std::string AdminHandler::Quotas() const {
+  const BootTime now = context_->clock->BootNow();
+  Json teams = Json::array();
+  for (const TeamName& team : context_->quotas.account().Teams()) {
+    teams.push_back(
+        {{"team", team.value()}, {"balance", context_->quotas.account().Balance(team, now)}});
+  }
+  return Dump({{"gateway", context_->settings.instance.value()},
+               {"issuer", context_->quotas.current().value()},
+               {"members", context_->quotas.issuer().Members(now)},
+               {"known_gateways", context_->quotas.issuer().known_gateways()},
+               {"teams", teams}});
+}
+
 std::string AdminHandler::Store() const {
   const std::optional<StoreEra> era = context_->store.era();
   const Json state = {
--- a/drivers/gateway/admin_handler.h
+++ b/drivers/gateway/admin_handler.h
@@ -20,7 +20,7 @@
 /// Answers operators: `GET /metrics` with all metrics as text; as JSON, `GET /quarantine` with the
 /// calls that the gateway refuses because such calls crash runners, `GET /limits` with the runners
 /// that limit their calls, `GET /runners` with the runners that take no calls now, and `GET /store`
-/// with what the gateway has read from the store.
+/// with what the gateway has read from the store, and `GET /quotas` with the tokens of each team.
 class AdminHandler final : public CallerHandler {
  public:
   AdminHandler(GatewayContext* context, std::function<DaemonFigures()> figures)
@@ -35,6 +35,7 @@
   std::string Limits() const;
   std::string Runners();
   std::string Store() const;
+  std::string Quotas() const;
 
   GatewayContext* context_;
   std::function<DaemonFigures()> figures_;
--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -143,6 +143,7 @@
 
 void CallSession::Dispatch() {
   if (RefuseIfQuarantined()) return;
+  if (!ChargeQuota()) return;
   const std::set<RunnerId> excluded = RecentlyRejected();
   PickError problem = PickError::kNone;
   const auto picked = context_->picker.Pick(MakeQuery(&excluded), context_->loop.Now(), &problem);
@@ -384,7 +385,7 @@
     return;
   }
   connection_->Answer(context_->protocol->ErrorAnswer(status, call_.id, reason, retry_after));
-  Finish(status == 503 ? "refused" : "failed", status,
+  Finish(status == 503 || status == 429 ? "refused" : "failed", status,
          fmt::format("reason=\"{}\" retry_after_ms={}", reason,
                      retry_after ? retry_after->count() : 0));
 }
@@ -410,6 +411,7 @@
   if (ended_) return;
   ended_ = true;
   waiting_ = false;
+  SettleQuota();
   StopTimers();
   const std::string route = route_ == nullptr ? "" : route_->name.value();
   LogInfo(
--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -76,6 +76,11 @@
   Millis PatienceLeft() const;
   std::set<RunnerId> RecentlyRejected() const;
   void Dispatch();
+  /// Takes the call's cost from its team's quota. Returns false while the call waits for that, and
+  /// if it was refused.
+  bool ChargeQuota();
+  /// Gives back what the call was charged if it has not run; it no longer waits for tokens.
+  void SettleQuota();
   /// Refuses the call if calls like it crash runners. Returns true if it does.
   bool RefuseIfQuarantined();
   RunnerPicker::Query MakeQuery(const std::set<RunnerId>* excluded) const;
@@ -139,6 +144,11 @@
   std::set<RunnerId> tried_;
   std::map<RunnerId, SteadyTime> rejected_until_;
   CallAttempts attempts_;
+  /// The team whose quota the call counts for; null if there is no limit.
+  const Team* quota_team_ = nullptr;
+  QuotaTicket quota_ticket_;
+  double quota_cost_ = 0;
+  std::optional<BootTime> charged_at_;
 
   // State of the current attempt.
   ExchangeId exchange_;
--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -21,6 +21,7 @@
 #include "servers/gateway/fleet_routes.h"
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/leader_election.h"
+#include "servers/gateway/quota/quota_exchange.h"
 #include "servers/gateway/retry_share.h"
 #include "servers/gateway/runner_limits.h"
 #include "servers/gateway/runner_picker.h"
@@ -61,6 +62,7 @@
               }),
         store(&calls, platform, settings.store_address, &view.contact(), registry),
         limits(settings.instance),
+        quotas(settings.instance, system_clock->BootNow()),
         picker(&settings.policy, &view, settings.domain, &limits),
         quarantine(settings.instance) {}
 
@@ -78,6 +80,7 @@
   /// Newest configuration; null until the first one has been read.
   std::shared_ptr<const FleetRoutes> routes;
   RunnerLimits limits;
+  QuotaExchange quotas;
   RunnerPicker picker;
   DemandMeter meter;
   CrashQuarantine quarantine;
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -74,7 +74,11 @@
           std::make_unique<CallerListener>(&context_->loop, "readiness", readiness_handler_.get())),
       admin_listener_(
           std::make_unique<CallerListener>(&context_->loop, "metrics", admin_handler_.get())),
-      config_(std::make_unique<ConfigDriver>(context_.get(), [this] { DispatchWaitingCalls(); })),
+      config_(std::make_unique<ConfigDriver>(context_.get(),
+                                             [this] {
+                                               quotas_->ApplyQuotas();
+                                               DispatchWaitingCalls();
+                                             })),
       follower_(std::make_unique<FleetFollower>(context_.get(), config_.get(),
                                                 [this] { DispatchWaitingCalls(); })),
       placement_(std::make_unique<PlacementDriver>(
@@ -82,7 +86,8 @@
       presence_(std::make_unique<PresenceDriver>(context_.get())),
       crash_monitor_(std::make_unique<CrashMonitor>(context_.get())),
       findings_(std::make_unique<FindingsDriver>(context_.get())),
-      permits_(std::make_unique<PermitDriver>(context_.get(), placement_.get())) {
+      permits_(std::make_unique<PermitDriver>(context_.get(), placement_.get())),
+      quotas_(std::make_unique<QuotaDriver>(context_.get())) {
   context_->crash_observer = crash_monitor_.get();
   follower_->SetItemListener(findings_->Prefix(), findings_.get());
   follower_->SetLeaderListener(
@@ -232,6 +237,14 @@
       permits_->OnResponse(*response);
       return;
     }
+    if (const auto* ask = std::get_if<QuotaAsk>(&message)) {
+      quotas_->OnAsk(*ask);
+      return;
+    }
+    if (const auto* grant = std::get_if<QuotaGrant>(&message)) {
+      quotas_->OnGrant(*grant);
+      return;
+    }
     if (const auto* version = std::get_if<ConfigVersion>(&message)) {
       config_->OnVersion(*version);
       return;
@@ -409,7 +422,10 @@
   crash_monitor_->Tick();
   ApplyQuarantineChanges();
   ReportDemand();
+  // Calls that wait for tokens state so before the requests are sent, and a gateway that issues
+  // tokens to itself has them before the next dispatch.
   DispatchWaitingCalls();
+  if (quotas_->Tick()) DispatchWaitingCalls();
   if (permits_->Tick()) DispatchWaitingCalls();
   context_->loop.After(kTickInterval, [this] { Tick(); });
 }
--- a/drivers/gateway/gateway_daemon.h
+++ b/drivers/gateway/gateway_daemon.h
@@ -20,6 +20,7 @@
 #include "drivers/gateway/permit_driver.h"
 #include "drivers/gateway/placement_driver.h"
 #include "drivers/gateway/presence_driver.h"
+#include "drivers/gateway/quota/quota_driver.h"
 #include "servers/gateway/stop_sequence.h"
 
 namespace shallot::gateway {
@@ -89,6 +90,7 @@
   std::unique_ptr<CrashMonitor> crash_monitor_;
   std::unique_ptr<FindingsDriver> findings_;
   std::unique_ptr<PermitDriver> permits_;
+  std::unique_ptr<QuotaDriver> quotas_;
   std::map<CallerConnection*, std::shared_ptr<CallSession>> sessions_;
   std::thread thread_;
   std::atomic<bool> drain_requested_{false};
--- a/drivers/gateway/peer_channel.h
+++ b/drivers/gateway/peer_channel.h
@@ -16,6 +16,7 @@
 #include "servers/gateway/findings_order.h"
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/leader_election.h"
+#include "servers/gateway/quota/quota_messages.h"
 #include "servers/gateway/runner_limits.h"
 
 namespace shallot::gateway {
@@ -70,11 +71,12 @@
 };
 
 using PeerMessage = std::variant<DemandReport, RunnerNotice, FindingsReport, PermitRequest,
-                                 PermitResponse, ConfigVersion, ConfigCopy>;
+                                 PermitResponse, ConfigVersion, ConfigCopy, QuotaAsk, QuotaGrant>;
 
 /// Messages between gateways over ZeroMQ: demand reports and permit requests to the leader, notices
 /// and permits from it, findings to all, and configurations. They are soft state that newer
-/// messages replace, so a lost message is not sent again.
+/// messages replace, so a lost message is not sent again. Requests for tokens of quotas and the
+/// responses go between each gateway and its quota issuer.
 class PeerChannel {
  public:
   PeerChannel();
--- a/drivers/gateway/peer_codec.cc
+++ b/drivers/gateway/peer_codec.cc
@@ -1,5 +1,6 @@
 #include "drivers/gateway/peer_codec.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include "drivers/crash_codec.h"
@@ -8,6 +9,9 @@
 namespace shallot::gateway {
 namespace {
 
+/// Longer times in messages between gateways are invalid.
+constexpr int64_t kMostNs = 3'600'000'000'000;
+
 using HeldModels = std::map<ModelName, std::set<AdapterName>>;
 
 void EncodeDemand(const DemandReport& report, gateway_wire::DemandReport* wire) {
@@ -191,6 +195,80 @@
   return report;
 }
 
+/// Amounts from another version or from a foreign writer must not become tokens.
+double ValidAmount(double amount) { return std::isfinite(amount) && amount > 0 ? amount : 0.0; }
+
+void EncodeQuotaAsk(const QuotaAsk& ask, gateway_wire::QuotaAsk* wire) {
+  wire->set_gateway(ask.gateway.value());
+  wire->set_address(ask.address);
+  wire->set_number(ask.number);
+  wire->set_seen(ask.seen);
+  if (ask.stamp) wire->set_stamp_ns(ask.stamp->time_since_epoch().count());
+  wire->set_held_ns(ask.held.count());
+  wire->set_joins_in_ns(ask.joins_in.count());
+  wire->set_known_gateways(ask.known_gateways);
+  wire->set_leaving(ask.leaving);
+  for (const TeamAsk& team : ask.teams) {
+    gateway_wire::TeamAsk* out = wire->add_teams();
+    out->set_team(team.team.value());
+    for (const double cost : team.costs) out->add_costs(cost);
+    out->set_ahead(team.ahead);
+    out->set_returned(team.returned);
+  }
+}
+
+QuotaAsk DecodeQuotaAsk(const gateway_wire::QuotaAsk& wire) {
+  QuotaAsk ask;
+  ask.gateway = InstanceId(wire.gateway());
+  ask.address = wire.address();
+  ask.number = wire.number();
+  ask.seen = wire.seen();
+  if (wire.stamp_ns() != 0) ask.stamp = BootTime(Duration(wire.stamp_ns()));
+  // A negative time would prove a request that is newer than it is, or one that joins too early.
+  ask.held = Duration(std::clamp<int64_t>(wire.held_ns(), 0, kMostNs));
+  ask.joins_in = Duration(std::clamp<int64_t>(wire.joins_in_ns(), 0, kMostNs));
+  ask.known_gateways = wire.known_gateways();
+  ask.leaving = wire.leaving();
+  for (const gateway_wire::TeamAsk& team : wire.teams()) {
+    TeamAsk out{TeamName(team.team()), {}, ValidAmount(team.ahead()), ValidAmount(team.returned())};
+    for (const double cost : team.costs()) out.costs.push_back(ValidAmount(cost));
+    ask.teams.push_back(std::move(out));
+  }
+  return ask;
+}
+
+void EncodeQuotaGrant(const QuotaGrant& grant, gateway_wire::QuotaGrant* wire) {
+  wire->set_issuer(grant.issuer.value());
+  wire->set_number(grant.number);
+  wire->set_stamp_ns(grant.stamp.time_since_epoch().count());
+  wire->set_known_gateways(grant.known_gateways);
+  for (const TeamGrant& team : grant.teams) {
+    gateway_wire::TeamGrant* out = wire->add_teams();
+    out->set_team(team.team.value());
+    out->set_tokens(team.tokens);
+    out->set_level(team.level);
+    out->set_before(team.before);
+    out->set_fill_per_s(team.fill_per_s);
+    out->set_capacity(team.capacity);
+    out->set_debt(team.debt);
+  }
+}
+
+QuotaGrant DecodeQuotaGrant(const gateway_wire::QuotaGrant& wire) {
+  QuotaGrant grant{InstanceId(wire.issuer()),
+                   wire.number(),
+                   BootTime(Duration(wire.stamp_ns())),
+                   wire.known_gateways(),
+                   {}};
+  for (const gateway_wire::TeamGrant& team : wire.teams()) {
+    grant.teams.push_back({TeamName(team.team()), ValidAmount(team.tokens()),
+                           std::isfinite(team.level()) ? team.level() : 0.0,
+                           ValidAmount(team.before()), ValidAmount(team.fill_per_s()),
+                           ValidAmount(team.capacity()), ValidAmount(team.debt())});
+  }
+  return grant;
+}
+
 }  // namespace
 
 std::string EncodeFindings(const FindingsReport& report) {
@@ -224,6 +302,10 @@
     wire.mutable_config_copy()->set_gateway(copy->gateway.value());
     wire.mutable_config_copy()->set_address(copy->address);
     wire.mutable_config_copy()->set_value(copy->value);
+  } else if (const auto* ask = std::get_if<QuotaAsk>(&message)) {
+    EncodeQuotaAsk(*ask, wire.mutable_quota_ask());
+  } else if (const auto* grant = std::get_if<QuotaGrant>(&message)) {
+    EncodeQuotaGrant(*grant, wire.mutable_quota_grant());
   } else {
     EncodeNotice(std::get<RunnerNotice>(message), wire.mutable_notice());
   }
@@ -238,6 +320,8 @@
     if (wire.has_findings()) return PeerMessage(DecodeReport(wire.findings()));
     if (wire.has_permit_request()) return PeerMessage(DecodeRequest(wire.permit_request()));
     if (wire.has_permit_response()) return PeerMessage(DecodeResponse(wire.permit_response()));
+    if (wire.has_quota_ask()) return PeerMessage(DecodeQuotaAsk(wire.quota_ask()));
+    if (wire.has_quota_grant()) return PeerMessage(DecodeQuotaGrant(wire.quota_grant()));
     if (wire.has_config_version()) {
       const gateway_wire::ConfigVersion& version = wire.config_version();
       return PeerMessage(ConfigVersion{InstanceId(version.gateway()), version.address(),
--- a/servers/gateway/call_attempts.cc
+++ b/servers/gateway/call_attempts.cc
@@ -15,6 +15,7 @@
 
 void CallAttempts::OnFailed(AttemptFailure failure) {
   last_failure_ = failure;
+  ++failed_;
   if (!ProvesNotRun(failure)) ++runs_;
 }
 
--- a/servers/gateway/call_attempts.h
+++ b/servers/gateway/call_attempts.h
@@ -32,6 +32,9 @@
   bool MayUseKeptConnection(const std::string& address) const;
   /// Whether it is certain that no runner has run the call.
   bool NotRun() const { return runs_ == 0; }
+  /// Whether it is certain that no runner has run the call and that none will run it, because all
+  /// attempts have ended.
+  bool NeverRuns() const { return NotRun() && failed_ == sent_; }
   /// The step after the last failed attempt. `answer_begun`: the caller has the head of an answer;
   /// `retry_allowed`: the retry limit leaves room.
   NextStep AfterFailure(bool answer_begun, Millis time_left, bool retry_allowed) const;
@@ -49,6 +52,7 @@
   uint64_t max_attempts_ = 1;
   uint64_t sent_ = 0;
   uint64_t runs_ = 0;
+  uint64_t failed_ = 0;
   /// Runners may share an address, and the connections to it.
   std::set<std::string> addresses_;
   std::optional<AttemptFailure> last_failure_;
--- a/servers/gateway/quota/quota_account.cc
+++ b/servers/gateway/quota/quota_account.cc
@@ -33,6 +33,12 @@
 
 }  // namespace
 
+double QuotaCost(const TeamQuota& quota, const CallRequest& call) {
+  if (quota.unit == QuotaUnit::kCalls) return 1;
+  const uint64_t tokens = call.prompt_tokens + call.max_output_tokens;
+  return static_cast<double>(tokens > 0 ? tokens : quota.plain_tokens);
+}
+
 void QuotaAccount::SetQuotas(const std::map<TeamName, Team>& teams, BootTime now) {
   std::erase_if(teams_, [&](const auto& entry) {
     const auto found = teams.find(entry.first);
--- a/servers/gateway/quota/quota_account.h
+++ b/servers/gateway/quota/quota_account.h
@@ -9,6 +9,7 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "servers/gateway/call_request.h"
 #include "servers/gateway/quota/quota_messages.h"
 
 namespace shallot::gateway {
@@ -16,6 +17,9 @@
 /// A call that asks for its cost; unique in one run of a gateway.
 using QuotaTicket = StrongNumber<struct QuotaTicketTag>;
 
+/// What a call counts for: 1, or its prompt and answer tokens.
+double QuotaCost(const TeamQuota& quota, const CallRequest& call);
+
 /// What a call gets that asks for its cost.
 struct QuotaVerdict {
   enum class State { kAdmitted, kWait, kRefused };
--- a/servers/gateway/quota/quota_messages.h
+++ b/servers/gateway/quota/quota_messages.h
@@ -21,6 +21,8 @@
   double ahead = 0;
   /// Unused tokens that the gateway gives back.
   double returned = 0;
+
+  bool operator==(const TeamAsk&) const = default;
 };
 
 /// A gateway's request for tokens, sent to its quota issuer.
@@ -43,6 +45,8 @@
   /// The gateway has another issuer now and must no longer be counted.
   bool leaving = false;
   std::vector<TeamAsk> teams;
+
+  bool operator==(const QuotaAsk&) const = default;
 };
 
 struct TeamGrant {
@@ -57,6 +61,8 @@
   double capacity = 0;
   /// A call that costs more than the capacity may leave this much debt.
   double debt = 0;
+
+  bool operator==(const TeamGrant&) const = default;
 };
 
 /// The issuer's response to a QuotaAsk.
@@ -68,6 +74,8 @@
   BootTime stamp{};
   uint64_t known_gateways = 0;
   std::vector<TeamGrant> teams;
+
+  bool operator==(const QuotaGrant&) const = default;
 };
 
 }  // namespace shallot::gateway
--- a/tests/gateway_daemon_fixture.h
+++ b/tests/gateway_daemon_fixture.h
@@ -98,6 +98,7 @@
     request.setHost("h.example");
     request.set("Attempt-Id", call_id_.empty() ? "call-" + std::to_string(++calls_) : call_id_);
     request.set("Deadline-Ms", "10000");
+    if (!key_.empty()) request.set("Credential", key_);
     if (!model.empty()) request.set("Model-Name", model);
     if (!prompt.empty()) request.set("Prompt-Prefix", prompt);
     request.setContentLength(static_cast<int64_t>(body.size()));
@@ -215,6 +216,8 @@
   int calls_ = 0;
   /// Id of the next calls; empty: each gets another one.
   std::string call_id_;
+  /// Key of the next calls; empty: none.
+  std::string key_;
 };
 
 /// The answer of a scripted runner up to the end of its head; the id is that of the request.
--- a/tests/gateway_peer_codec_test.cc
+++ b/tests/gateway_peer_codec_test.cc
@@ -81,6 +81,28 @@
   CHECK(response.permits[0].run == run);
   CHECK(response.permits[0].calls == 1);
   CHECK(response.permits[0].next == Millis(600));
+  const TeamName team("t");
+  const QuotaAsk quota_ask{InstanceId("front-1"),
+                           "10.0.0.1:7380",
+                           7,
+                           6,
+                           BootTime(Millis(90)),
+                           Millis(8),
+                           Millis(5),
+                           21,
+                           true,
+                           {{team, {200, 9'200}, 400, 30}}};
+  const auto ask = DecodePeerMessage(EncodePeerMessage(quota_ask));
+  REQUIRE(IsOk(ask));
+  CHECK(std::get<QuotaAsk>(ValueOf(ask)) == quota_ask);
+  const QuotaGrant quota_grant{InstanceId("front-2"),
+                               7,
+                               BootTime(Millis(95)),
+                               21,
+                               {{team, 200, -40, 10, 29'000, 58'000, 9}}};
+  const auto grant = DecodePeerMessage(EncodePeerMessage(quota_grant));
+  REQUIRE(IsOk(grant));
+  CHECK(std::get<QuotaGrant>(ValueOf(grant)) == quota_grant);
   const auto found = DecodeFindings(EncodeFindings({InstanceId("front-1"), {}, {{run, 1.6}}}));
   REQUIRE(IsOk(found));
   CHECK(ValueOf(found).limits == std::vector<LimitFinding>{{run, 1.6}});
