--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -86,6 +86,11 @@
   /// Returns true if it does.
   bool RefuseIfAccessLost();
   void Deny(const Denial& denial);
+  /// Takes the call's cost from its team's quota. Returns false while the call waits for that, and
+  /// if it was refused.
+  bool ChargeQuota();
+  /// Gives back what the call was charged if it has not run; it no longer waits for tokens.
+  void SettleQuota();
   /// Refuses the call if calls like it crash runners. Returns true if it does.
   bool RefuseIfQuarantined();
   RunnerPicker::Query MakeQuery(const std::set<RunnerId>* excluded) const;
@@ -166,6 +171,11 @@
   std::set<RunnerId> tried_;
   std::map<RunnerId, SteadyTime> rejected_until_;
   CallAttempts attempts_;
+  /// The team whose quota the call counts for; null if there is no limit.
+  const Team* quota_team_ = nullptr;
+  QuotaTicket quota_ticket_;
+  double quota_cost_ = 0;
+  std::optional<BootTime> charged_at_;
 
   // State of the current attempt.
   ExchangeId exchange_;
--- a/drivers/gateway/peer_channel.h
+++ b/drivers/gateway/peer_channel.h
@@ -17,6 +17,7 @@
 #include "servers/gateway/findings_order.h"
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/leader_election.h"
+#include "servers/gateway/quota/quota_messages.h"
 #include "servers/gateway/runner_limits.h"
 
 namespace shallot::gateway {
@@ -92,11 +93,12 @@
 
 using PeerMessage =
     std::variant<DemandReport, RunnerNotice, FindingsReport, PermitRequest, PermitResponse,
-                 ConfigVersion, ConfigCopy, ProofRequest, ProofResponse>;
+                 ConfigVersion, ConfigCopy, ProofRequest, ProofResponse, QuotaAsk, QuotaGrant>;
 
 /// Messages between gateways over ZeroMQ: demand reports and permit requests to the leader, notices
-/// and permits from it, findings to all, configurations and the age of their proofs. They are soft
-/// state that newer messages replace, so a lost message is not sent again.
+/// and permits from it, findings to all, configurations and the age of their proofs, requests for
+/// tokens of quotas and the responses of quota issuers. They are soft state that newer messages
+/// replace, so a lost message is not sent again.
 class PeerChannel {
  public:
   PeerChannel();
--- a/tests/gateway_daemon_fixture.h
+++ b/tests/gateway_daemon_fixture.h
@@ -98,6 +98,7 @@
     request.setHost("h.example");
     request.set("Attempt-Id", call_id_.empty() ? "call-" + std::to_string(++calls_) : call_id_);
     request.set("Deadline-Ms", "10000");
+    if (!key_.empty()) request.set("Credential", key_);
     if (!model.empty()) request.set("Model-Name", model);
     if (!prompt.empty()) request.set("Prompt-Prefix", prompt);
     for (const auto& [name, value] : fields_) request.add(name, value);
@@ -218,6 +219,8 @@
   std::string call_id_;
   /// Further fields of the next requests.
   std::vector<std::pair<std::string, std::string>> fields_;
+  /// Key of the next calls; empty: none.
+  std::string key_;
 };
 
 /// A second gateway of a fixture's platform.
