Reject impossible statuses and cut-off answers without a length

Cause: the gateway's HTTP client took each status below 200 for interim and each other one for final, so callers waited out their time budgets for 000 and got 600 as it was. A failed write takes the socket's error, so the read after it sees an end of stream, which completed an answer without a length although its server had reset the connection. An end of stream with a part of the request unsent did the same.

Change: statuses outside 100 to 599, and 101, are malformed at once. One exchange skips at most 32 interim answers, and bytes of heads that come in parts count. An answer without a length completes only a request that the operating system has taken whole, after an end of stream without a failed send. HttpConnection of the router and the agent rejects these statuses, and limits the bytes and the time until the head of an answer.

Ruled out: a change to the parser, which reports what was sent; a wait for the acknowledgement of the request's last bytes, since a server may end its stream in order after it has read enough.

--- a/drivers/gateway/http_client.cc
+++ b/drivers/gateway/http_client.cc
@@ -1,5 +1,7 @@
 #include "drivers/gateway/http_client.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cstdlib>
 #include <utility>
@@ -16,6 +18,15 @@
 constexpr uint64_t kMaxAnswerBodyBytes = 67'108'864;
 /// Bytes of interim answers and of answers to other requests that one exchange may skip.
 constexpr uint64_t kMaxSkippedBytes = 262'144;
+/// Interim answers of one exchange. A server at work on a request sends one every 20 s (RFC 2518,
+/// section 10.1), so this covers ten minutes.
+constexpr uint64_t kMaxInterimAnswers = 32;
+/// Statuses of answers (RFC 9110, section 15): from 100 interim, from 200 final.
+constexpr int kFirstInterimStatus = 100;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kLastFinalStatus = 599;
+/// The server changes to another protocol, which no request of this client asks for.
+constexpr int kSwitchingProtocols = 101;
 /// Interval at which expired idle connections are closed.
 constexpr Millis kSweepInterval{1'000};
 
@@ -56,6 +67,8 @@
     parser_.Reset();
     head_delivered_ = false;
     skipped_bytes_ = 0;
+    message_bytes_ = 0;
+    interim_answers_ = 0;
     if (tcp_.connected()) {
       tcp_.Send(request);
       return;
@@ -102,8 +115,10 @@
       }
       const size_t consumed = std::min(ValueOf(used), bytes.size());
       bytes.remove_prefix(consumed);
+      message_bytes_ += consumed;
       if (!DeliverProgress()) return;
-      if (parser_.head_done() && skipping_) skipped_bytes_ += consumed;
+      // The head of an answer may come in parts, and only its end tells that it is skipped.
+      if (parser_.head_done() && skipping_) skipped_bytes_ += std::exchange(message_bytes_, 0);
       if (skipped_bytes_ > kMaxSkippedBytes) {
         Fail(ExchangeFailure::kMalformed, "too many bytes that belong to no answer");
         return;
@@ -122,7 +137,15 @@
       Fail(ExchangeFailure::kNotConnected, "connection refused");
       return;
     }
-    if (!reset && parser_.begun() && parser_.needs_eof() && IsOk(parser_.FeedEof())) {
+    const bool unframed = parser_.begun() && parser_.needs_eof();
+    if (unframed && !tcp_.all_sent()) {
+      // A server that answers early may reset the connection because of the rest of the request,
+      // and what it had still to send is then lost. A failed send shows the reset as an end of
+      // stream, because it takes the socket's error.
+      Fail(ExchangeFailure::kLost, "the connection ended before the whole request was sent");
+      return;
+    }
+    if (!reset && unframed && IsOk(parser_.FeedEof())) {
       if (!DeliverProgress()) return;
       if (skipping_) {
         Fail(ExchangeFailure::kLost, "the connection ended with the answer to another request");
@@ -185,15 +208,31 @@
     return std::exchange(handler_, nullptr);
   }
 
+  /// Ends the exchange and returns false if no answer to it can have this status, or if too many
+  /// interim answers have come.
+  bool CheckStatus(int status) {
+    if (status < kFirstInterimStatus || status > kLastFinalStatus ||
+        status == kSwitchingProtocols) {
+      Fail(ExchangeFailure::kMalformed, fmt::format("impossible status {:03}", status));
+      return false;
+    }
+    if (status < kFirstFinalStatus && ++interim_answers_ > kMaxInterimAnswers) {
+      Fail(ExchangeFailure::kMalformed, "too many answers of interim status");
+      return false;
+    }
+    return true;
+  }
+
   /// Delivers the head and the body bytes parsed so far. Returns false if the handler ended the
   /// exchange.
   bool DeliverProgress() {
     if (!parser_.head_done()) return true;
     if (!head_delivered_) {
       const HttpHead& head = parser_.head();
+      if (!CheckStatus(head.status)) return false;
       idle_timeout_ = ServerIdleTimeout(head);
       keep_alive_ = head.keep_alive && !parser_.needs_eof();
-      const bool interim = head.status < 200;
+      const bool interim = head.status < kFirstFinalStatus;
       skipping_ = interim || handler_->OnHead(head) == HeadVerdict::kSkip;
       head_delivered_ = true;
       if (handler_ == nullptr) return false;
@@ -215,6 +254,7 @@
     if (skipping_) {
       parser_.Reset();
       head_delivered_ = false;
+      message_bytes_ = 0;
       return true;
     }
     // An answer that arrived before the whole request was sent, or that is followed by more bytes,
@@ -239,6 +279,9 @@
   uint64_t max_body_bytes_ = kMaxAnswerBodyBytes;
   uint64_t body_bytes_ = 0;
   uint64_t skipped_bytes_ = 0;
+  /// Bytes of the current answer that do not count as skipped yet.
+  uint64_t message_bytes_ = 0;
+  uint64_t interim_answers_ = 0;
   TimerId connect_timer_;
   bool head_delivered_ = false;
   bool skipping_ = false;
--- a/drivers/gateway/http_client.h
+++ b/drivers/gateway/http_client.h
@@ -24,7 +24,7 @@
   kNotConnected,    ///< No byte of the request was sent.
   kLost,            ///< The peer ended the connection before the answer was complete.
   kUnacknowledged,  ///< As kLost, because the peer no longer acknowledges what was sent.
-  kMalformed,       ///< The received bytes are not a valid HTTP answer.
+  kMalformed,       ///< The received bytes are not a valid HTTP answer to a request of this client.
 };
 
 /// Decision of the handler on the head of an answer.
--- a/drivers/gateway/tcp_connection.cc
+++ b/drivers/gateway/tcp_connection.cc
@@ -114,6 +114,7 @@
       LogInfo("tcp", fmt::format("event=send-failed unsent_bytes={} reason=\"{}\"", queued_bytes(),
                                  error.displayText()));
       send_failed_ = true;
+      timed_out_ = error.code() == ETIMEDOUT;
       sent_ = output_.size();
     }
   }
@@ -155,13 +156,14 @@
     count = socket_->receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
   } catch (const Poco::Exception& error) {
     if (IsTransient(error)) return;
-    timed_out_ = error.code() == ETIMEDOUT;
+    timed_out_ = timed_out_ || error.code() == ETIMEDOUT;
     CloseAndNotify(true);
     return;
   }
   if (count < 0) return;
   if (count == 0) {
-    CloseAndNotify(false);
+    // A failed send has taken the socket's error, so the read that should report it sees an end.
+    CloseAndNotify(send_failed_);
     return;
   }
   handler_->OnData(std::string_view(buffer.data(), static_cast<size_t>(count)));
--- a/drivers/http_connection.cc
+++ b/drivers/http_connection.cc
@@ -4,6 +4,7 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Net/StreamSocketImpl.h>
@@ -29,8 +30,15 @@
 constexpr Millis kSendTimeout{10'000};
 constexpr size_t kReadBytes = 64U << 10U;
 constexpr size_t kMaxResponseBody = 16U << 20U;
+/// Bytes up to the end of a response's head, with the interim responses before it. POCO skips those
+/// of status 100 without a limit.
+constexpr size_t kMaxHeadBytes = 256U << 10U;
+/// Statuses of final responses (RFC 9110, section 15).
+constexpr int kFirstFinalStatus = 200;
+constexpr int kLastFinalStatus = 599;
 
-/// A socket that records whether any byte was sent and whether the peer closed the connection.
+/// A socket that records whether any byte was sent and whether the peer closed the connection, and
+/// limits the head of a response.
 class TrackingSocketImpl final : public Poco::Net::StreamSocketImpl {
  public:
   int sendBytes(const void* buffer, int length, int flags) override {
@@ -39,17 +47,37 @@
     return sent;
   }
   int receiveBytes(void* buffer, int length, int flags) override {
+    if (reading_head_ && head_bytes_ > kMaxHeadBytes) {
+      throw Poco::Net::MessageException(
+          "the head of the response and what precedes it are too long");
+    }
+    if (reading_head_ && clock_.SteadyNow() > head_deadline_) {
+      throw Poco::TimeoutException("no final response in time");
+    }
     const int got = Poco::Net::StreamSocketImpl::receiveBytes(buffer, length, flags);
     if (got == 0) peer_closed_ = true;
+    if (got > 0) head_bytes_ += static_cast<size_t>(got);
     return got;
   }
-  void ResetSent() { sent_any_ = false; }
+  /// Prepares for a request whose response must begin within `timeout`.
+  void BeginExchange(Millis timeout) {
+    sent_any_ = false;
+    reading_head_ = true;
+    head_bytes_ = 0;
+    head_deadline_ = clock_.SteadyNow() + timeout;
+  }
+  /// The head of the response is complete.
+  void EndHead() { reading_head_ = false; }
   bool sent_any() const { return sent_any_; }
   bool peer_closed() const { return peer_closed_; }
 
  private:
+  const SystemClock clock_{};
   bool sent_any_ = false;
   bool peer_closed_ = false;
+  bool reading_head_ = false;
+  size_t head_bytes_ = 0;
+  SteadyTime head_deadline_{};
 };
 
 /// An HTTP session over a socket that is already connected, because POCO's automatic reconnection
@@ -187,13 +215,19 @@
   CloseIfStale();
   Open();
   if (aborted.load()) return Error{ErrorKind::kUnavailable, address + ": aborted", ""};
-  socket_impl->ResetSent();
+  socket_impl->BeginExchange(timeout);
   SetReceiveTimeout(timeout);
   Poco::Net::HTTPRequest outgoing = MakeRequest(request, address);
   session->sendRequest(outgoing) << request.body;
   Poco::Net::HTTPResponse response;
   std::istream& stream = session->receiveResponse(response);
+  socket_impl->EndHead();
   HttpReply reply = MakeReply(response);
+  if (reply.status < kFirstFinalStatus || reply.status > kLastFinalStatus) {
+    const Error failure = MakeError("impossible status " + std::to_string(reply.status));
+    Close();
+    return failure;
+  }
   const bool empty = reply.status == 204 || reply.status == 304 || request.method == "HEAD";
   body_left = empty ? 0 : reply.content_length;
   body = &stream;
--- a/drivers/http_connection.h
+++ b/drivers/http_connection.h
@@ -54,7 +54,8 @@
   HttpConnection& operator=(const HttpConnection&) = delete;
 
   /// Sends a request and reads the complete response. kUnavailable: no byte of the request was
-  /// sent. kUnknownOutcome: the connection broke, or `timeout` passed without a byte from the peer.
+  /// sent. kUnknownOutcome: the connection broke, `timeout` passed without a byte from the peer or
+  /// without the head of its response, or the status is not that of a final response (200 to 599).
   /// kResourceExhausted: the response is larger than 16 MB.
   Result<HttpReply> Exchange(const HttpRequest& request, Millis timeout);
   /// Sends a request and reads the status and headers of the response; errors as for Exchange().
--- a/tests/gateway_daemon_fixture.h
+++ b/tests/gateway_daemon_fixture.h
@@ -119,13 +119,14 @@
 
   /// As Call(), but returns the bytes that arrive until the gateway closes the connection, or until
   /// `kQuietTime` without any.
-  std::string CallRaw(const std::string& path, const std::string& model) {
+  std::string CallRaw(const std::string& path, const std::string& model,
+                      const std::string& body = "") {
     constexpr int kQuietTime = 1'000'000;  // Microseconds.
     Poco::Net::StreamSocket caller{Poco::Net::SocketAddress(settings_.caller_address)};
     const std::string request =
         "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: raw-" +
         std::to_string(++calls_) + "\r\nDeadline-Ms: 10000\r\nModel-Name: " + model +
-        "\r\nContent-Length: 0\r\n\r\n";
+        "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     caller.sendBytes(request.data(), static_cast<int>(request.size()));
     std::string received;
     std::array<char, 4'096> buffer{};
--- a/tests/raw_server.cc
+++ b/tests/raw_server.cc
@@ -82,6 +82,21 @@
   return socket_->poll(time, Poco::Net::Socket::SELECT_ERROR);
 }
 
+void RawConnection::EndStream() {
+  try {
+    socket_->shutdownSend();
+  } catch (const Poco::Exception&) {  // NOLINT(bugprone-empty-catch): the peer has reset it
+  }
+}
+
+void RawConnection::Reset() {
+  try {
+    socket_->setLinger(true, 0);
+    socket_->close();
+  } catch (const Poco::Exception&) {  // NOLINT(bugprone-empty-catch): the peer has reset it
+  }
+}
+
 void RawConnection::AwaitClose() {
   std::array<char, 4096> discarded{};
   try {
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -37,6 +37,10 @@
   /// connection: the end of the peer's stream only means that no further request follows. Returns
   /// true if the peer has reset it.
   bool WorkUntilReset(std::chrono::milliseconds limit);
+  /// Ends this side's stream in order. The peer may go on sending.
+  void EndStream();
+  /// Resets the connection.
+  void Reset();
   /// Waits until the peer closes the connection, discarding what it sends.
   void AwaitClose();
 
