Check configurations of the users' platform with shallotctl

Cause: faults of a configuration are seen only when its calls fail: a route that another one hides, a burst below the cost of one call, a key that two teams have, a version that gateways ignore.

Change: check-platform-config decodes a file as gateways do, lists findings with place and remedy, and compares it with the configuration in force. The check and the comparison are pure functions. The decoder records shared keys, and its errors name the entry by position and name. Keys appear as numbers only. shallotctl takes the decoder and the check from the gateway's library; the event loop is not linked.

Ruled out: more rules in the decoder, since gateways must use what the store has accepted; the JSON parser's own message, which repeats a part of the text, possibly a key.

Tests: gateway_config_check_test. Exit codes 0 to 3 and the JSON output were tried by hand.

--- a/main/ctl/commands.h
+++ b/main/ctl/commands.h
@@ -18,6 +18,8 @@
 int RunLimits(const CtlOptions& options);
 /// Runners that take no calls now, and why.
 int RunRunners(const CtlOptions& options);
+/// Checks a configuration of the users' platform, and compares it with another one.
+int RunCheckPlatformConfig(const CtlOptions& options);
 /// What gateways have read from the store: its era, the configuration and the leader.
 int RunStore(const CtlOptions& options);
 
--- a/main/ctl/ctl_options.h
+++ b/main/ctl/ctl_options.h
@@ -39,6 +39,8 @@
   Seconds timeout{30};
   Seconds interval{5};
   uint64_t samples = 2;
+  /// File with the configuration in force; empty when it was not given.
+  std::string against;
   std::string csv;
   std::string plot;
 };
--- a/main/shallotctl_main.cc
+++ b/main/shallotctl_main.cc
@@ -16,6 +16,8 @@
   config check FILE                check a file without applying it
   config apply FILE                replace the configuration by that of a file
   config wait REV                  wait until all given daemons have the revision
+  check-platform-config FILE       check a configuration of the users' platform as its gateways read
+                                   it; --against FILE compares it with the one in force
   exception add NAME               needs --target "entry X" or "class X", and --set KEY=VALUE
   exception remove NAME
   exception list
@@ -65,6 +67,8 @@
   add("timeout-s", "time limit of config wait", cxxopts::value(raw.timeout_s));
   add("interval-s", "report: time between samples", cxxopts::value(raw.interval_s));
   add("samples", "report: number of samples", cxxopts::value(options.samples));
+  add("against", "check-platform-config: file with the one in force",
+      cxxopts::value(options.against));
   add("csv", "report: file for all rows", cxxopts::value(options.csv));
   add("plot", "report: file for a gnuplot script", cxxopts::value(options.plot));
   add("words", "", cxxopts::value(options.arguments));
@@ -75,6 +79,7 @@
 int Dispatch(const CtlOptions& options) {
   const std::string command = shallot::ctl::Argument(options, 0);
   if (command == "config") return shallot::ctl::RunConfigCommand(options);
+  if (command == "check-platform-config") return shallot::ctl::RunCheckPlatformConfig(options);
   if (command == "exception") return shallot::ctl::RunExceptionCommand(options);
   if (command == "status") return shallot::ctl::RunStatus(options);
   if (command == "drain") return shallot::ctl::RunDrain(options);
--- a/servers/gateway/fleet_routes.h
+++ b/servers/gateway/fleet_routes.h
@@ -118,6 +118,12 @@
   TeamQuota quota;
 };
 
+/// A key that two teams state. Calls with it count for the holder.
+struct SharedKey {
+  TeamName holder;
+  TeamName other;
+};
+
 /// Limits on what callers send; zero means no limit.
 struct CallerLimits {
   uint64_t max_header_bytes = 16'384;
@@ -137,6 +143,8 @@
   std::map<TeamName, Team> teams;
   /// The team that holds each key. Keys are secrets: they must not reach logs, metrics or runners.
   std::unordered_map<std::string, TeamName> team_of_key;
+  /// One entry for each key that a team states although an earlier one has it.
+  std::vector<SharedKey> shared_keys;
 
   /// The team that holds the key; null if none does.
   const Team* FindTeam(const std::string& key) const;
