Tell a cut-off request from a lost answer in the client's log

Cause: after the check for unsent bytes, an unframed answer whose peer had stopped acknowledging counted as lost instead of unacknowledged, so a report or order ended as disconnected.

Change: only an orderly end completes an unframed answer; the other ends are told apart as before.

Ruled out: waiting for acknowledgement of the request (SIOCOUTQ), since a server may end its stream in order without reading all of it.

--- a/drivers/gateway/http_client.cc
+++ b/drivers/gateway/http_client.cc
@@ -137,15 +137,11 @@
       Fail(ExchangeFailure::kNotConnected, "connection refused");
       return;
     }
-    const bool unframed = parser_.begun() && parser_.needs_eof();
-    if (unframed && !tcp_.all_sent()) {
-      // A server that answers early may reset the connection because of the rest of the request,
-      // and what it had still to send is then lost. A failed send shows the reset as an end of
-      // stream, because it takes the socket's error.
-      Fail(ExchangeFailure::kLost, "the connection ended before the whole request was sent");
-      return;
-    }
-    if (!reset && unframed && IsOk(parser_.FeedEof())) {
+    // A server that answers early may reset the connection because of the rest of the request, and
+    // what it had still to send is then lost. A failed send hides the reset: it takes the socket's
+    // error, so that the next read sees an end of stream.
+    const bool orderly = !reset && tcp_.all_sent();
+    if (orderly && parser_.begun() && parser_.needs_eof() && IsOk(parser_.FeedEof())) {
       if (!DeliverProgress()) return;
       if (skipping_) {
         Fail(ExchangeFailure::kLost, "the connection ended with the answer to another request");
@@ -160,7 +156,13 @@
       Fail(ExchangeFailure::kUnacknowledged, "the server does not acknowledge the request");
       return;
     }
-    Fail(ExchangeFailure::kLost, reset ? "connection reset" : "connection closed");
+    if (reset) {
+      Fail(ExchangeFailure::kLost, "connection reset");
+    } else if (!tcp_.all_sent()) {
+      Fail(ExchangeFailure::kLost, "connection closed before the whole request was sent");
+    } else {
+      Fail(ExchangeFailure::kLost, "connection closed");
+    }
   }
 
   /// Ends the exchange without a callback and closes the connection.
