Read a runner's load with a fourth number

Instance-Load may have a fourth number, the time that work currently takes in percent of the usual time. A header with it was ignored as a whole, so gateways chose among such runners without any reported load. The number is decoded as AnswerMetadata::Load::pace. Headers with fewer than three or more than four numbers, or with one that cannot be read, are ignored whole, logged (event=load-unreadable) and counted (runner_loads_unreadable_total). Using the readable part of such a header was ruled out: its numbers may mean something else. The new test fails before this change.

--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -47,12 +47,7 @@
                call_.id.value());
     return HeadVerdict::kSkip;
   }
-  RunnerHealth& health = context_->picker.health(runner_.runner);
-  if (metadata.load) {
-    health.reported_running = metadata.load->running;
-    health.reported_waiting = metadata.load->waiting;
-    health.reported_at = context_->loop.Now();
-  }
+  NoteLoad(context_, runner_.runner, metadata);
   if (!metadata.call.empty()) {
     NoteWillingness(context_, {runner_.runner, runner_born_}, metadata);
     context_->limits.OnAnswer({runner_.runner, runner_born_}, metadata.calls_per_s, sent_at_,
--- a/drivers/gateway/platform_protocol.h
+++ b/drivers/gateway/platform_protocol.h
@@ -33,8 +33,14 @@
     uint64_t running = 0;
     uint64_t waiting = 0;
     uint64_t slots = 0;
+    /// Time that work currently takes at the runner over the time that it usually takes; absent if
+    /// the runner does not state it.
+    std::optional<double> pace;
   };
+  /// Absent if the answer does not state it or it cannot be read.
   std::optional<Load> load;
+  /// The answer states a load that cannot be read; all of it is ignored.
+  bool load_unreadable = false;
   /// The runner is leaving: it takes no new calls.
   bool leaving = false;
   struct Closed {
--- a/drivers/gateway/runner_answers.cc
+++ b/drivers/gateway/runner_answers.cc
@@ -13,6 +13,18 @@
   context->metrics->GetCounter("runners_left_total").Add();
 }
 
+void NoteLoad(GatewayContext* context, const RunnerId& runner, const AnswerMetadata& answer) {
+  if (answer.load_unreadable) {
+    LogWarning("runners", "event=load-unreadable runner=" + runner.value());
+    context->metrics->GetCounter("runner_loads_unreadable_total").Add();
+  }
+  if (!answer.load) return;
+  RunnerHealth& health = context->picker.health(runner);
+  health.reported_running = answer.load->running;
+  health.reported_waiting = answer.load->waiting;
+  health.reported_at = context->loop.Now();
+}
+
 void NoteReport(GatewayContext* context, const RunnerId& runner, const RunnerReport& report) {
   if (!context->view.ApplyReport(runner, report, context->loop.Now())) return;
   context->picker.Forget(runner);
--- a/drivers/gateway/runner_answers.h
+++ b/drivers/gateway/runner_answers.h
@@ -8,6 +8,9 @@
 /// Records and logs what an answer tells of the willingness of the run that gave it.
 void NoteWillingness(GatewayContext* context, const RunnerRun& run, const AnswerMetadata& answer);
 
+/// Records the load that an answer of the runner states; one that cannot be read is logged.
+void NoteLoad(GatewayContext* context, const RunnerId& runner, const AnswerMetadata& answer);
+
 /// Applies a report of a runner, its own or one passed on by the leader. A run that it reveals
 /// starts without what was observed of the run before.
 void NoteReport(GatewayContext* context, const RunnerId& runner, const RunnerReport& report);
--- a/tests/platform_call_codec_test.cc
+++ b/tests/platform_call_codec_test.cc
@@ -131,6 +131,7 @@
   metadata = codec.DecodeAnswer(rejected);
   CHECK(metadata.not_executed);
   CHECK_FALSE(metadata.load);
+  CHECK(metadata.load_unreadable);
 
   HttpHead misdirected;
   misdirected.status = 421;
@@ -140,6 +141,42 @@
   CHECK(metadata.runner == RunnerId("i-02d9e6b4"));
 }
 
+// Guards against losing a runner's load because the header has the fourth number, and against using
+// a part of a header that cannot be read.
+TEST_CASE("platform: a runner's load has three or four numbers") {
+  struct Case {
+    const char* text;
+    bool readable;
+    std::optional<double> pace;
+  };
+  const PlatformCodec codec;
+  for (const Case& test : std::vector<Case>{{"3,1,8", true, std::nullopt},
+                                            {"3,1,8,100", true, 1.0},
+                                            {"3,1,8,62.5", true, 0.625},
+                                            {"3,1,8,340", true, 3.4},
+                                            {"3,1,8,0", false, {}},
+                                            {"3,1,8,-5", false, {}},
+                                            {"3,1,8,nan", false, {}},
+                                            {"3,1,8,", false, {}},
+                                            {"3,1,8,100,7", false, {}},
+                                            {"3,1", false, {}},
+                                            {"3,x,8,100", false, {}},
+                                            {"", false, {}}}) {
+    CAPTURE(std::string(test.text));
+    HttpHead head;
+    head.status = 200;
+    head.fields = {{"Instance-Load", test.text}};
+    const gateway::AnswerMetadata metadata = codec.DecodeAnswer(head);
+    CHECK(metadata.load_unreadable == !test.readable);
+    REQUIRE(metadata.load.has_value() == test.readable);
+    if (!test.readable) continue;
+    CHECK(metadata.load->running == 3);
+    CHECK(metadata.load->waiting == 1);
+    CHECK(metadata.load->slots == 8);
+    CHECK(metadata.load->pace == test.pace);
+  }
+}
+
 struct TurnedAwayCase {
   const char* name;
   int status;
