Choose runners by pace, own sends and a strategy

All gateways took the runner with the lowest score from reports that are 200 ms old, and a runner without a recent report counted as idle, so one runner after another got the calls of most gateways. RunnerPace turns the fourth number of Instance-Load into an expected pace, OwnSends counts this gateway's calls that a report cannot contain, and RunnerChoice is the strategy (lowest, two-random, weighted). [policy] choice, load_estimate and surplus_cost_ms select among them.

--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -249,14 +249,16 @@
       context_->client.ConnectionOf(exchange_).value_or(ConnectionInfo());
   const auto& failure = attempts_.last_failure();
   const char* after = failure ? AttemptFailureName(*failure) : "none";
-  LogInfo("call",
-          fmt::format("event=send route={} runner={} attempt={} after={} caller={} connection={} "
-                      "kept={} port={} predicted_ms={} kept_tokens={} left_ms={} config={}",
-                      route_->name.value(), runner_.runner.value(), attempts_.sent(), after,
-                      connection_->caller(), connection.number, connection.kept ? "yes" : "no",
-                      connection.local_port, runner_.predicted.count(), runner_.kept_tokens,
-                      time_left.count(), routes_->version.value()),
-          call_.id.value());
+  LogInfo(
+      "call",
+      fmt::format("event=send route={} runner={} attempt={} after={} caller={} connection={} "
+                  "kept={} port={} predicted_ms={} kept_tokens={} pace={:.2f} candidates={} "
+                  "left_ms={} config={}",
+                  route_->name.value(), runner_.runner.value(), attempts_.sent(), after,
+                  connection_->caller(), connection.number, connection.kept ? "yes" : "no",
+                  connection.local_port, runner_.predicted.count(), runner_.kept_tokens,
+                  runner_.pace, runner_.candidates, time_left.count(), routes_->version.value()),
+      call_.id.value());
   if (!failure) return;
   context_->metrics
       ->GetCounter(fmt::format("calls_sent_again_total{{after=\"{}\",repeatable=\"{}\"}}", after,
@@ -354,6 +356,7 @@
   in_flight_ = false;
   RunnerHealth& health = context_->picker.health(runner_.runner);
   if (health.in_flight > 0) --health.in_flight;
+  health.sends.OnEnded(sent_at_);
   if (!first_event_seen_) health.RemovePending(Urgency(), sent_tokens_);
   health.breaker.OnProbeEnded();
   if (engine_ == nullptr) return;
--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/hashing.h"
 #include "core/metrics.h"
 #include "drivers/gateway/buffered_call.h"
 #include "drivers/gateway/event_loop.h"
@@ -61,7 +62,8 @@
               }),
         store(&calls, platform, settings.store_address, &view.contact(), registry),
         limits(settings.instance),
-        picker(&settings.policy, &view, settings.domain, &limits),
+        picker(&settings.policy, &view, settings.domain, &limits,
+               StableHash(settings.instance.value())),
         quarantine(settings.instance) {}
 
   GatewaySettings settings;
--- a/drivers/gateway/policy_settings.cc
+++ b/drivers/gateway/policy_settings.cc
@@ -1,6 +1,12 @@
 #include "drivers/gateway/policy_settings.h"
 
 namespace shallot::gateway {
+namespace {
+
+constexpr char kReportedEstimate[] = "reported";
+constexpr char kCountedEstimate[] = "counted";
+
+}  // namespace
 
 Result<GatewayPolicy> ReadGatewayPolicy(const IniDocument& document,
                                         const GatewayPolicy& defaults) {
@@ -30,6 +36,16 @@
       reader.GetMillis("cross_domain_cost_ms", policy.cross_domain_cost, Millis(0), Millis(10'000));
   policy.in_flight_cost =
       reader.GetMillis("in_flight_cost_ms", policy.in_flight_cost, Millis(0), Millis(1'000));
+  const std::string choice = reader.GetChoice("choice", ChoiceName(policy.choice), ChoiceNames());
+  policy.choice = ParseChoice(choice).value_or(policy.choice);
+  const char* estimate =
+      policy.load_estimate == LoadEstimate::kCounted ? kCountedEstimate : kReportedEstimate;
+  policy.load_estimate = reader.GetChoice("load_estimate", estimate,
+                                          {kReportedEstimate, kCountedEstimate}) == kCountedEstimate
+                             ? LoadEstimate::kCounted
+                             : LoadEstimate::kReported;
+  policy.surplus_cost =
+      reader.GetMillis("surplus_cost_ms", policy.surplus_cost, Millis(0), Millis(10'000));
   policy.retry_margin = reader.GetDouble("retry_margin", policy.retry_margin, 0, 1);
   policy.connect_timeout =
       reader.GetMillis("connect_timeout_ms", policy.connect_timeout, Millis(10), Millis(10'000));
--- a/drivers/gateway/runner_answers.cc
+++ b/drivers/gateway/runner_answers.cc
@@ -18,11 +18,10 @@
     LogWarning("runners", "event=load-unreadable runner=" + runner.value());
     context->metrics->GetCounter("runner_loads_unreadable_total").Add();
   }
-  if (!answer.load) return;
-  RunnerHealth& health = context->picker.health(runner);
-  health.reported_running = answer.load->running;
-  health.reported_waiting = answer.load->waiting;
-  health.reported_at = context->loop.Now();
+  // An answer of another runner at the same address tells nothing of this one.
+  if (!answer.load || (!answer.runner.empty() && answer.runner != runner)) return;
+  const AnswerMetadata::Load& load = *answer.load;
+  context->picker.health(runner).OnLoad(load.running, load.waiting, load.pace, context->loop.Now());
 }
 
 void NoteReport(GatewayContext* context, const RunnerId& runner, const RunnerReport& report) {
--- a/servers/gateway/gateway_policy.h
+++ b/servers/gateway/gateway_policy.h
@@ -4,9 +4,19 @@
 #include <cstdint>
 
 #include "core/clock.h"
+#include "servers/gateway/balance/runner_choice.h"
 
 namespace shallot::gateway {
 
+/// How a gateway estimates the calls at a runner.
+enum class LoadEstimate {
+  /// As last reported, or this gateway's own calls in flight if those are more.
+  kReported,
+  /// As last reported, corrected by this gateway's calls that were sent or ended since; a runner
+  /// without a recent report is assumed to be as busy as the others.
+  kCounted,
+};
+
 /// Parameters of the gateway's decisions. These defaults apply to the whole fleet; [policy] in the
 /// settings file overrides individual values.
 struct GatewayPolicy {
@@ -38,6 +48,12 @@
   Millis cross_domain_cost{15};
   /// Score per call in flight at a model runner, because each call slows down every decode step.
   Millis in_flight_cost{4};
+  /// How a runner is chosen among those that can take a call, and how its calls are estimated.
+  ChoiceKind choice = ChoiceKind::kWeighted;
+  LoadEstimate load_estimate = LoadEstimate::kCounted;
+  /// Score of a runner that recently got twice as many of this gateway's calls as the mean of the
+  /// runners that can take the call, in proportion to the surplus.
+  Millis surplus_cost{40};
   /// Maximum retries as a share of calls, over all gateways.
   double retry_ratio = 0.2;
   /// Retries per window allowed on top of that share, over all gateways together.
--- a/servers/gateway/runner_health.cc
+++ b/servers/gateway/runner_health.cc
@@ -10,6 +10,9 @@
 
 /// Reported load older than this is ignored; a report comes with each response.
 constexpr Millis kMaxReportedLoadAge{500};
+/// Time constant of the weight of a reported load: calls that it counts have ended and others have
+/// begun by then.
+constexpr Millis kReportedLoadLife{1'000};
 
 size_t Level(uint64_t urgency) {
   return std::min<size_t>(urgency, RunnerHealth::kUrgencyLevels - 1);
@@ -43,7 +46,29 @@
   return now >= next_call_ ? Millis(0) : std::chrono::ceil<Millis>(next_call_ - now);
 }
 
+void RunnerHealth::OnLoad(uint64_t running, uint64_t waiting, std::optional<double> stated_pace,
+                          SteadyTime now) {
+  reported_running = running;
+  reported_waiting = waiting;
+  reported_at = now;
+  sends.OnReport(now);
+  if (stated_pace) pace.OnReport(*stated_pace, now);
+}
+
+double RunnerHealth::CallsAt(double usual, SteadyTime now) const {
+  double calls = usual;
+  if (reported_at) {
+    const std::chrono::duration<double> age = now - *reported_at;
+    const double weight = std::exp(-age / std::chrono::duration<double>(kReportedLoadLife));
+    const uint64_t reported = reported_running + reported_waiting;
+    const uint64_t left = reported - std::min(reported, sends.EndedSince());
+    calls += weight * (static_cast<double>(left) - usual);
+  }
+  return std::max(calls + static_cast<double>(sends.Unreported()), static_cast<double>(in_flight));
+}
+
 bool RunnerHealth::OnSent(SteadyTime now) {
+  sends.OnSent(now);
   if (now < paced_until_) next_call_ = std::max(next_call_, now + Duration(kReopenGap));
   return std::exchange(closed_, false);
 }
@@ -80,6 +105,7 @@
   RunnerHealth fresh;
   fresh.in_flight = in_flight;
   fresh.pending_tokens_ = pending_tokens_;
+  fresh.sends = sends;
   *this = fresh;
 }
 
--- a/servers/gateway/runner_health.h
+++ b/servers/gateway/runner_health.h
@@ -11,6 +11,8 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "servers/circuit_breaker.h"
+#include "servers/gateway/balance/own_sends.h"
+#include "servers/gateway/balance/runner_pace.h"
 
 namespace shallot::gateway {
 
@@ -50,6 +52,8 @@
   uint64_t reported_waiting = 0;
   std::optional<SteadyTime> reported_at;
   CircuitBreaker breaker;
+  RunnerPace pace;
+  OwnSends sends;
 
   void OnSuccess(SteadyTime now);
   void OnFailure(SteadyTime now, bool counts_for_breaker);
@@ -64,6 +68,9 @@
   void Close(Millis time, SteadyTime now);
   /// Time until a call may be sent to a runner that was closed; 0 if now.
   Millis ClosedFor(SteadyTime now) const;
+  /// The runner reported its load and, if known, its pace.
+  void OnLoad(uint64_t running, uint64_t waiting, std::optional<double> stated_pace,
+              SteadyTime now);
   /// A call is sent. Returns true if it is the first one after the runner was closed.
   bool OnSent(SteadyTime now);
   /// A call was sent whose prompt has `tokens` that the runner has to process.
@@ -86,6 +93,9 @@
   double Slowness(uint64_t urgency, SteadyTime now) const;
   /// Whether the last reported load is recent enough to be used.
   bool ReportFresh(SteadyTime now) const;
+  /// Calls at the runner by the last report, less those that have ended since and with those sent
+  /// since. The report loses its weight with age to `usual`, the calls at a runner without one.
+  double CallsAt(double usual, SteadyTime now) const;
   /// The runner rejected a call for the model, for example because it is being unloaded.
   void OnModelRejected(const std::string& model, SteadyTime now);
   void OnModelServed(const std::string& model) { rejections_.erase(model); }
--- a/servers/gateway/runner_picker.cc
+++ b/servers/gateway/runner_picker.cc
@@ -6,6 +6,8 @@
 namespace shallot::gateway {
 namespace {
 
+/// Time over which a runner's pace counts: the first event and the stream that follows it.
+constexpr Millis kCallTime{2'000};
 /// Score added for a failure rate of 1, in target latencies.
 constexpr double kFailureCost = 3.0;
 /// Predicted service time of a plain service's call, relative to its target latency.
@@ -25,76 +27,142 @@
   return paused || excluded || full;
 }
 
-double RunnerPicker::Score(const Query& query, const RunnerState& runner,
-                           const RunnerHealth& health, SteadyTime now, PickedRunner* picked) const {
+std::vector<RunnerPicker::Candidate> RunnerPicker::FindCandidates(const Query& query,
+                                                                  SteadyTime now,
+                                                                  PickError* problem) {
+  std::vector<Candidate> candidates;
+  *problem = PickError::kNoRunner;
+  for (const auto& [id, runner] : view_->runners()) {
+    if (runner.entry.backend != query.backend) continue;
+    const RunnerHealth& health = health_[id];
+    PickedRunner picked;
+    picked.runner = id;
+    picked.willingness = AssessWillingness(runner, health, limits_, now);
+    if (picked.willingness.state == Willingness::State::kLeaving) continue;
+    if (*problem == PickError::kNoRunner) *problem = PickError::kModelNotLoaded;
+    if (query.engine != nullptr &&
+        !runner.entry.holdings.Holds(query.call->model, query.call->adapter)) {
+      continue;
+    }
+    // Placement loads the model elsewhere: a call that waits for that can succeed, one that is sent
+    // to an unreachable runner cannot.
+    if (query.engine != nullptr && !health.Available(now)) continue;
+    // The time at which a closed runner opens is known, so a call can wait for it.
+    const bool closed = picked.willingness.state == Willingness::State::kClosed;
+    if (!closed && Pausing(query, runner, health, now)) {
+      *problem = PickError::kAllBusy;
+      continue;
+    }
+    candidates.push_back({&runner, &health, picked});
+  }
+  if (!candidates.empty()) *problem = PickError::kNone;
+  return candidates;
+}
+
+RunnerPicker::Usual RunnerPicker::UsualOf(const std::vector<Candidate>& candidates,
+                                          SteadyTime now) {
+  Usual usual;
+  double reported = 0;
+  double speed = 0;
+  for (const Candidate& candidate : candidates) {
+    const RunnerHealth& health = *candidate.health;
+    usual.sends += health.sends.Recent(now);
+    speed += 1.0 / health.pace.Expected(kCallTime, now);
+    if (!health.ReportFresh(now)) continue;
+    usual.calls += health.CallsAt(0, now);
+    ++reported;
+  }
+  if (reported > 0) usual.calls /= reported;
+  if (speed > 0) usual.sends /= speed;
+  return usual;
+}
+
+double RunnerPicker::SurplusCost(const RunnerHealth& health, const Usual& usual,
+                                 SteadyTime now) const {
+  const double share = usual.sends / health.pace.Expected(kCallTime, now);
+  const double surplus = (health.sends.Recent(now) - share) / (share + 1.0);
+  return std::max(0.0, surplus) * static_cast<double>(policy_->surplus_cost.count());
+}
+
+void RunnerPicker::Score(const Query& query, const Usual& usual, SteadyTime now,
+                         Candidate* candidate) const {
+  const RunnerState& runner = *candidate->runner;
+  const RunnerHealth& health = *candidate->health;
+  PickedRunner& picked = candidate->picked;
+  double calls = 0;
+  if (policy_->load_estimate == LoadEstimate::kCounted) {
+    calls = health.CallsAt(usual.calls, now);
+  } else if (health.ReportFresh(now)) {
+    calls = static_cast<double>(std::max(health.in_flight, health.reported_running) +
+                                health.reported_waiting);
+  } else {
+    calls = static_cast<double>(health.in_flight);
+  }
   double first_event_ms = 0;
-  const bool report_fresh = health.ReportFresh(now);
-  const double busy =
-      std::max<double>(static_cast<double>(health.in_flight),
-                       report_fresh ? static_cast<double>(health.reported_running) : 0.0);
-  const double waiting = report_fresh ? static_cast<double>(health.reported_waiting) : 0.0;
   if (query.engine != nullptr) {
-    picked->kept_tokens =
+    picked.kept_tokens =
         prefixes_.KeptTokens(runner.entry.id, query.call->PrefixScope(), query.call->prompt);
     const double uncached = std::max(0.0, static_cast<double>(query.call->prompt_tokens) -
-                                              static_cast<double>(picked->kept_tokens));
+                                              static_cast<double>(picked.kept_tokens));
     first_event_ms =
         (uncached + health.TokensAhead(query.urgency, now)) / policy_->prefill_tokens_per_ms +
-        (busy + waiting) * static_cast<double>(policy_->in_flight_cost.count());
+        calls * static_cast<double>(policy_->in_flight_cost.count());
   } else {
     const double slots = std::max<double>(1.0, static_cast<double>(runner.entry.slots));
     const double service_ms =
         kPlainServiceShare * static_cast<double>(query.target_latency.count());
-    first_event_ms = service_ms * (1.0 + (busy + waiting) / slots);
+    first_event_ms = service_ms * (1.0 + calls / slots);
   }
-  picked->slowness = health.Slowness(query.urgency, now);
-  first_event_ms *= picked->slowness;
-  picked->predicted = Millis(static_cast<int64_t>(first_event_ms));
-  double score = first_event_ms;
-  score += static_cast<double>(picked->willingness.wait.count());
+  // The observed slowness is relative to a prediction that contains the pace, so it holds only what
+  // the runner does not state.
+  picked.pace = health.pace.Expected(kCallTime, now);
+  picked.slowness = health.Slowness(query.urgency, now);
+  first_event_ms *= picked.pace * picked.slowness;
+  picked.predicted = Millis(static_cast<int64_t>(first_event_ms));
+  double score = first_event_ms + SurplusCost(health, usual, now);
+  score += static_cast<double>(picked.willingness.wait.count());
   score +=
       health.FailureRate(now) * kFailureCost * static_cast<double>(query.target_latency.count());
   if (runner.entry.domain != own_domain_) {
     score += static_cast<double>(policy_->cross_domain_cost.count());
   }
-  if (query.tried != nullptr && query.tried->contains(runner.entry.id)) score += kTriedCostMs;
-  if (!health.Available(now)) score += kUnavailableCostMs;
-  return score;
+  const bool tried = query.tried != nullptr && query.tried->contains(runner.entry.id);
+  const bool available = health.Available(now);
+  if (tried) score += kTriedCostMs;
+  if (!available) score += kUnavailableCostMs;
+  candidate->score = score;
+  candidate->ready = !tried && available && picked.willingness.wait == Millis(0);
+}
+
+RunnerChoice& RunnerPicker::Choice() {
+  if (choice_kind_ != policy_->choice) {
+    choice_ = RunnerChoice::Make(policy_->choice, &random_);
+    choice_kind_ = policy_->choice;
+  }
+  return *choice_;
 }
 
 std::optional<PickedRunner> RunnerPicker::Pick(const Query& query, SteadyTime now,
                                                PickError* problem) {
-  std::optional<PickedRunner> best;
-  double best_score = 0;
-  *problem = PickError::kNoRunner;
-  for (const auto& [id, runner] : view_->runners()) {
-    if (runner.entry.backend != query.backend) continue;
-    const RunnerHealth& health = health_[id];
-    PickedRunner candidate;
-    candidate.runner = id;
-    candidate.willingness = AssessWillingness(runner, health, limits_, now);
-    if (candidate.willingness.state == Willingness::State::kLeaving) continue;
-    if (*problem == PickError::kNoRunner) *problem = PickError::kModelNotLoaded;
-    if (query.engine != nullptr &&
-        !runner.entry.holdings.Holds(query.call->model, query.call->adapter)) {
-      continue;
-    }
-    // Placement loads the model elsewhere: a call that waits for that can succeed, one that is sent
-    // to an unreachable runner cannot.
-    if (query.engine != nullptr && !health.Available(now)) continue;
-    // The time at which a closed runner opens is known, so a call can wait for it.
-    const bool closed = candidate.willingness.state == Willingness::State::kClosed;
-    if (!closed && Pausing(query, runner, health, now)) {
-      if (!best) *problem = PickError::kAllBusy;
-      continue;
-    }
-    const double score = Score(query, runner, health, now, &candidate);
-    if (best && score >= best_score) continue;
-    best = candidate;
-    best_score = score;
+  std::vector<Candidate> candidates = FindCandidates(query, now, problem);
+  if (candidates.empty()) return std::nullopt;
+  const Usual usual = UsualOf(candidates, now);
+  for (Candidate& candidate : candidates) Score(query, usual, now, &candidate);
+  const auto lowest = std::min_element(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& left, const Candidate& right) { return left.score < right.score; });
+  // Without a runner that can take the call now, it waits for the one with the lowest score.
+  if (!lowest->ready) return lowest->picked;
+  std::vector<size_t> ready;
+  std::vector<ScoredRunner> scored;
+  for (size_t index = 0; index < candidates.size(); ++index) {
+    if (!candidates[index].ready) continue;
+    ready.push_back(index);
+    scored.push_back({candidates[index].score, candidates[index].picked.kept_tokens});
   }
-  if (best) *problem = PickError::kNone;
-  return best;
+  PickedRunner picked = candidates[ready[Choice().Choose(scored)]].picked;
+  picked.candidates = ready.size();
+  return picked;
 }
 
 void RunnerPicker::Forget(const RunnerId& runner) {
--- a/servers/gateway/runner_picker.h
+++ b/servers/gateway/runner_picker.h
@@ -1,12 +1,18 @@
 #ifndef SERVERS_GATEWAY_RUNNER_PICKER_H_
 #define SERVERS_GATEWAY_RUNNER_PICKER_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
+#include <vector>
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "core/random.h"
+#include "servers/gateway/balance/runner_choice.h"
 #include "servers/gateway/call_request.h"
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/gateway_policy.h"
@@ -24,6 +30,10 @@
   Millis predicted{0};
   /// Factor for the runner's observed slowness that `predicted` contains.
   double slowness = 1.0;
+  /// Factor for the runner's stated pace that `predicted` contains.
+  double pace = 1.0;
+  /// Number of runners among which this one was chosen.
+  size_t candidates = 1;
   uint64_t kept_tokens = 0;
   /// `wait` is 0 if the call may be sent now.
   Willingness willingness;
@@ -34,14 +44,20 @@
 
 /// Selects the runner for a call by the predicted time to its first event, from the runner's queue,
 /// the part of the prompt that is not in its prefix cache, its observed speed and failures, and its
-/// failure domain. Handles uneven replicas of a busy model, slow, failing and limited runners, and
-/// sessions that share prompts.
+/// failure domain. Handles uneven replicas of a busy model, slow, failing and limited runners,
+/// sessions that share prompts, runners that differ in speed, and many gateways that choose at the
+/// same time on old reports.
 class RunnerPicker {
  public:
-  /// `limits` may be null.
+  /// `limits` may be null. `seed` differs between gateways, so that they choose differently among
+  /// runners with equal scores.
   RunnerPicker(const GatewayPolicy* policy, const FleetView* view, FailureDomain own_domain,
-               const RunnerLimits* limits = nullptr)
-      : policy_(policy), view_(view), own_domain_(std::move(own_domain)), limits_(limits) {}
+               const RunnerLimits* limits = nullptr, uint64_t seed = 0)
+      : policy_(policy),
+        view_(view),
+        own_domain_(std::move(own_domain)),
+        limits_(limits),
+        random_(seed) {}
 
   struct Query {
     BackendName backend;
@@ -70,13 +86,38 @@
   /// Whether the runner takes no call now, but probably soon.
   static bool Pausing(const Query& query, const RunnerState& runner, const RunnerHealth& health,
                       SteadyTime now);
-  double Score(const Query& query, const RunnerState& runner, const RunnerHealth& health,
-               SteadyTime now, PickedRunner* picked) const;
+  struct Candidate {
+    const RunnerState* runner = nullptr;
+    const RunnerHealth* health = nullptr;
+    PickedRunner picked;
+    double score = 0;
+    /// The call can be sent now, and the runner is no last resort.
+    bool ready = false;
+  };
+  /// What the candidates for a call have in common.
+  struct Usual {
+    /// Mean number of calls at those with a recent report.
+    double calls = 0;
+    /// Mean number of recent calls of this gateway, per unit of speed.
+    double sends = 0;
+  };
+
+  /// Runners that can take the call, now or after a known time.
+  std::vector<Candidate> FindCandidates(const Query& query, SteadyTime now, PickError* problem);
+  static Usual UsualOf(const std::vector<Candidate>& candidates, SteadyTime now);
+  /// Cost in ms of another call to a runner that got more of this gateway's calls than others.
+  double SurplusCost(const RunnerHealth& health, const Usual& usual, SteadyTime now) const;
+  void Score(const Query& query, const Usual& usual, SteadyTime now, Candidate* candidate) const;
+  /// The strategy of the policy in force.
+  RunnerChoice& Choice();
 
   const GatewayPolicy* policy_;
   const FleetView* view_;
   FailureDomain own_domain_;
   const RunnerLimits* limits_;
+  Random random_;
+  std::unique_ptr<RunnerChoice> choice_;
+  std::optional<ChoiceKind> choice_kind_;
   std::map<RunnerId, RunnerHealth> health_;
   PrefixIndex prefixes_;
 };
