Even out calls over runners and test many gateways choosing

With the lowest score of old reports, the busiest of 56 runners got 11 times the mean number of calls in a model with 31 gateways and little traffic: a runner without a recent report counts as idle, equal scores are resolved by name in the same way at all gateways, and prompts stay where they were first processed. The picker now adds a cost for a runner that got more of this gateway's calls than others (OwnSends) or has a higher mean reported load (MeanLoad), compared within the own failure domain so that no calls move to other domains. The model with real pickers is in gateway_balance_model.h.

Ruled out by the model: own sends counted alone (still 11 times), the cost for own sends alone (uneven between gateways or loses cached prefixes), means over 6 s (less even), two random candidates (uneven with one gateway).

--- a/drivers/gateway/policy_settings.cc
+++ b/drivers/gateway/policy_settings.cc
@@ -44,8 +44,11 @@
                                           {kReportedEstimate, kCountedEstimate}) == kCountedEstimate
                              ? LoadEstimate::kCounted
                              : LoadEstimate::kReported;
-  policy.surplus_cost =
-      reader.GetMillis("surplus_cost_ms", policy.surplus_cost, Millis(0), Millis(10'000));
+  policy.send_surplus_cost =
+      reader.GetMillis("send_surplus_cost_ms", policy.send_surplus_cost, Millis(0), Millis(10'000));
+  policy.load_surplus_cost =
+      reader.GetMillis("load_surplus_cost_ms", policy.load_surplus_cost, Millis(0), Millis(10'000));
+  policy.even_across_domains = reader.GetBool("even_across_domains", policy.even_across_domains);
   policy.retry_margin = reader.GetDouble("retry_margin", policy.retry_margin, 0, 1);
   policy.connect_timeout =
       reader.GetMillis("connect_timeout_ms", policy.connect_timeout, Millis(10), Millis(10'000));
--- a/servers/gateway/gateway_policy.h
+++ b/servers/gateway/gateway_policy.h
@@ -51,9 +51,16 @@
   /// How a runner is chosen among those that can take a call, and how its calls are estimated.
   ChoiceKind choice = ChoiceKind::kWeighted;
   LoadEstimate load_estimate = LoadEstimate::kCounted;
-  /// Score of a runner that recently got twice as many of this gateway's calls as the mean of the
-  /// runners that can take the call, in proportion to the surplus.
-  Millis surplus_cost{40};
+  /// Score of a runner that recently got twice its share of this gateway's calls, in proportion to
+  /// the surplus; one that got less gets a bonus. Spreads calls that the predicted times alone would
+  /// send to the same runner again, such as those with a popular prefix.
+  Millis send_surplus_cost{40};
+  /// The same for a runner whose mean load, as reported, is twice that of the others. It counts the
+  /// calls of all gateways, so that a gateway may keep to a few runners if the others use the rest.
+  Millis load_surplus_cost{80};
+  /// Whether a surplus is compared with runners of all failure domains; otherwise calls stay in the
+  /// own domain, because traffic between domains costs money.
+  bool even_across_domains = false;
   /// Maximum retries as a share of calls, over all gateways.
   double retry_ratio = 0.2;
   /// Retries per window allowed on top of that share, over all gateways together.
--- a/servers/gateway/runner_health.cc
+++ b/servers/gateway/runner_health.cc
@@ -52,6 +52,7 @@
   reported_waiting = waiting;
   reported_at = now;
   sends.OnReport(now);
+  mean_load.OnReport(running + waiting, now);
   if (stated_pace) pace.OnReport(*stated_pace, now);
 }
 
--- a/servers/gateway/runner_health.h
+++ b/servers/gateway/runner_health.h
@@ -11,6 +11,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "servers/circuit_breaker.h"
+#include "servers/gateway/balance/mean_load.h"
 #include "servers/gateway/balance/own_sends.h"
 #include "servers/gateway/balance/runner_pace.h"
 
@@ -54,6 +55,7 @@
   CircuitBreaker breaker;
   RunnerPace pace;
   OwnSends sends;
+  MeanLoad mean_load;
 
   void OnSuccess(SteadyTime now);
   void OnFailure(SteadyTime now, bool counts_for_breaker);
--- a/servers/gateway/runner_picker.cc
+++ b/servers/gateway/runner_picker.cc
@@ -8,6 +8,12 @@
 
 /// Time over which a runner's pace counts: the first event and the stream that follows it.
 constexpr Millis kCallTime{2'000};
+/// Calls added to a share when a surplus is compared with it, so that a few calls of a gateway with
+/// little traffic do not outweigh a cached prefix.
+constexpr double kUncountedSends = 3;
+/// Calls added to a mean load when a surplus is compared with it, because a runner that is mostly
+/// idle has a mean that varies by chance.
+constexpr double kUncountedLoad = 0.5;
 /// Score added for a failure rate of 1, in target latencies.
 constexpr double kFailureCost = 3.0;
 /// Predicted service time of a plain service's call, relative to its target latency.
@@ -53,6 +59,7 @@
       *problem = PickError::kAllBusy;
       continue;
     }
+    picked.pace = health.pace.Expected(kCallTime, now);
     candidates.push_back({&runner, &health, picked});
   }
   if (!candidates.empty()) *problem = PickError::kNone;
@@ -60,28 +67,44 @@
 }
 
 RunnerPicker::Usual RunnerPicker::UsualOf(const std::vector<Candidate>& candidates,
-                                          SteadyTime now) {
+                                          SteadyTime now) const {
   Usual usual;
-  double reported = 0;
-  double speed = 0;
+  uint64_t fresh = 0;
   for (const Candidate& candidate : candidates) {
     const RunnerHealth& health = *candidate.health;
-    usual.sends += health.sends.Recent(now);
-    speed += 1.0 / health.pace.Expected(kCallTime, now);
+    Usual::Group& group = usual.groups[GroupOf(candidate)];
+    group.sends += health.sends.Recent(now);
+    group.speed += 1.0 / candidate.picked.pace;
+    if (health.reported_at) {
+      group.load += health.mean_load.Value(0, now);
+      ++group.reported;
+    }
     if (!health.ReportFresh(now)) continue;
     usual.calls += health.CallsAt(0, now);
-    ++reported;
+    ++fresh;
+  }
+  if (fresh > 0) usual.calls /= static_cast<double>(fresh);
+  for (Usual::Group& group : usual.groups) {
+    if (group.speed > 0) group.sends /= group.speed;
+    if (group.reported > 0) group.load /= static_cast<double>(group.reported);
   }
-  if (reported > 0) usual.calls /= reported;
-  if (speed > 0) usual.sends /= speed;
   return usual;
 }
 
-double RunnerPicker::SurplusCost(const RunnerHealth& health, const Usual& usual,
+size_t RunnerPicker::GroupOf(const Candidate& candidate) const {
+  return policy_->even_across_domains || candidate.runner->entry.domain == own_domain_ ? 0 : 1;
+}
+
+double RunnerPicker::SurplusCost(const Candidate& candidate, const Usual& usual,
                                  SteadyTime now) const {
-  const double share = usual.sends / health.pace.Expected(kCallTime, now);
-  const double surplus = (health.sends.Recent(now) - share) / (share + 1.0);
-  return std::max(0.0, surplus) * static_cast<double>(policy_->surplus_cost.count());
+  const RunnerHealth& health = *candidate.health;
+  const Usual::Group& group = usual.groups[GroupOf(candidate)];
+  const double share = group.sends / candidate.picked.pace;
+  const double sends = (health.sends.Recent(now) - share) / (share + kUncountedSends);
+  const double load =
+      (health.mean_load.Value(group.load, now) - group.load) / (group.load + kUncountedLoad);
+  return sends * static_cast<double>(policy_->send_surplus_cost.count()) +
+         load * static_cast<double>(policy_->load_surplus_cost.count());
 }
 
 void RunnerPicker::Score(const Query& query, const Usual& usual, SteadyTime now,
@@ -115,11 +138,10 @@
   }
   // The observed slowness is relative to a prediction that contains the pace, so it holds only what
   // the runner does not state.
-  picked.pace = health.pace.Expected(kCallTime, now);
   picked.slowness = health.Slowness(query.urgency, now);
   first_event_ms *= picked.pace * picked.slowness;
   picked.predicted = Millis(static_cast<int64_t>(first_event_ms));
-  double score = first_event_ms + SurplusCost(health, usual, now);
+  double score = first_event_ms + SurplusCost(*candidate, usual, now);
   score += static_cast<double>(picked.willingness.wait.count());
   score +=
       health.FailureRate(now) * kFailureCost * static_cast<double>(query.target_latency.count());
@@ -153,10 +175,12 @@
       [](const Candidate& left, const Candidate& right) { return left.score < right.score; });
   // Without a runner that can take the call now, it waits for the one with the lowest score.
   if (!lowest->ready) return lowest->picked;
+  // The strategy chooses within the group of that runner, so that it sends no calls to another
+  // failure domain by chance.
   std::vector<size_t> ready;
   std::vector<ScoredRunner> scored;
   for (size_t index = 0; index < candidates.size(); ++index) {
-    if (!candidates[index].ready) continue;
+    if (!candidates[index].ready || GroupOf(candidates[index]) != GroupOf(*lowest)) continue;
     ready.push_back(index);
     scored.push_back({candidates[index].score, candidates[index].picked.kept_tokens});
   }
--- a/servers/gateway/runner_picker.h
+++ b/servers/gateway/runner_picker.h
@@ -1,6 +1,7 @@
 #ifndef SERVERS_GATEWAY_RUNNER_PICKER_H_
 #define SERVERS_GATEWAY_RUNNER_PICKER_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -98,15 +99,28 @@
   struct Usual {
     /// Mean number of calls at those with a recent report.
     double calls = 0;
-    /// Mean number of recent calls of this gateway, per unit of speed.
-    double sends = 0;
+    struct Group {
+      /// Mean number of recent calls of this gateway per unit of speed.
+      double sends = 0;
+      double speed = 0;
+      /// Mean load of the runners that have reported any, and their number.
+      double load = 0;
+      uint64_t reported = 0;
+    };
+    /// By GroupOf().
+    std::array<Group, 2> groups{};
   };
 
   /// Runners that can take the call, now or after a known time.
   std::vector<Candidate> FindCandidates(const Query& query, SteadyTime now, PickError* problem);
-  static Usual UsualOf(const std::vector<Candidate>& candidates, SteadyTime now);
-  /// Cost in ms of another call to a runner that got more of this gateway's calls than others.
-  double SurplusCost(const RunnerHealth& health, const Usual& usual, SteadyTime now) const;
+  Usual UsualOf(const std::vector<Candidate>& candidates, SteadyTime now) const;
+  /// Runners whose numbers of calls are compared have the same group: those of the own failure
+  /// domain, and the others.
+  size_t GroupOf(const Candidate& candidate) const;
+  /// Cost in ms of another call to a runner that got more calls, for all its models, than others:
+  /// from this gateway in proportion to their speed, and from all by its mean load. Negative if it
+  /// got fewer.
+  double SurplusCost(const Candidate& candidate, const Usual& usual, SteadyTime now) const;
   void Score(const Query& query, const Usual& usual, SteadyTime now, Candidate* candidate) const;
   /// The strategy of the policy in force.
   RunnerChoice& Choice();
--- a/tests/gateway_balance_model.h
+++ b/tests/gateway_balance_model.h
@@ -23,7 +23,8 @@
   double calls_per_s_per_holder = 3;
   ChoiceKind choice = ChoiceKind::kLowest;
   LoadEstimate estimate = LoadEstimate::kReported;
-  Millis surplus_cost{0};
+  Millis send_surplus_cost{0};
+  Millis load_surplus_cost{0};
   /// Pace of the first runner; the others run as usual.
   double first_pace = 1;
   /// Calls for a second model that only the first runner holds, as a share of a runner's calls.
@@ -52,7 +53,8 @@
   explicit BalanceModel(const BalanceSetup& setup) : setup_(setup), random_(setup.seed) {
     policy_.choice = setup.choice;
     policy_.load_estimate = setup.estimate;
-    policy_.surplus_cost = setup.surplus_cost;
+    policy_.send_surplus_cost = setup.send_surplus_cost;
+    policy_.load_surplus_cost = setup.load_surplus_cost;
     runners_.resize(static_cast<size_t>(setup.holders));
     for (int number = 0; number < setup.holders; ++number) {
       RunnerEntry entry;
