--- a/servers/gateway/gateway_policy.h
+++ b/servers/gateway/gateway_policy.h
@@ -54,10 +54,10 @@
   /// Score of a runner that recently got twice its share of this gateway's calls, in proportion to
   /// the surplus; one that got less gets a bonus. Spreads calls that the predicted times alone would
   /// send to the same runner again, such as those with a popular prefix.
-  Millis send_surplus_cost{40};
+  Millis send_surplus_cost{10};
   /// The same for a runner whose mean load, as reported, is twice that of the others. It counts the
   /// calls of all gateways, so that a gateway may keep to a few runners if the others use the rest.
-  Millis load_surplus_cost{80};
+  Millis load_surplus_cost{120};
   /// Whether a surplus is compared with runners of all failure domains; otherwise calls stay in the
   /// own domain, because traffic between domains costs money.
   bool even_across_domains = false;
