Place replicas by the work that runners get for all models

The planner counted calls in flight only, so with short calls two busy models could share a runner while another idled, and a model got further replicas only for its prompt tokens or slots. The cost of a runner now contains the calls per second for all its models and the new one, times its pace. A model whose replicas get 1.3 times the calls of the mean runner gets another one ([policy] even_replica_load, 0 for never) in free memory or in place of a surplus replica, mostly from local copies, by rates averaged over 20 s, and not below hot_calls_per_s for each replica. Ruled out: displacing models that are unused for long, because their next call would load them again. Answers to orders and report requests now also update the load of a runner.

--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -372,7 +372,10 @@
 
 void PlacementDriver::NoteOwnAnswer(const RunnerId& runner, const HttpHead& head) {
   const RunnerState* state = context_->view.Find(runner);
-  if (state == nullptr || !context_->protocol->DecodeAnswer(head).leaving) return;
+  if (state == nullptr) return;
+  const AnswerMetadata metadata = context_->protocol->DecodeAnswer(head);
+  NoteLoad(context_, runner, metadata);
+  if (!metadata.leaving) return;
   NoteLeaving(context_, {runner, state->entry.born}, "answer");
 }
 
@@ -386,10 +389,11 @@
   for (const LimitFinding& limit : context_->limits.Limited()) {
     limits[limit.run.runner] = limit.calls_per_s;
   }
+  const std::map<RunnerId, double> paces = context_->picker.LastingPaces(now);
   for (const auto& [name, backend] : context_->routes->backends) {
     if (!backend.engine) continue;
-    const LoadPlanner::Input input{name,         &*backend.engine, &demand,
-                                   &unreachable, limits,           &context_->quarantine};
+    const LoadPlanner::Input input{name,   &*backend.engine,      &demand, &unreachable,
+                                   limits, &context_->quarantine, paces};
     for (const PlannedOrder& planned : planner_.Plan(input, now)) SendOrder(planned);
   }
   next_plan_ = now + (context_->loop.Now() - now) * kPlanPauseFactor;
--- a/drivers/gateway/policy_settings.cc
+++ b/drivers/gateway/policy_settings.cc
@@ -25,6 +25,8 @@
   policy.replica_slot_share =
       reader.GetDouble("replica_slot_share", policy.replica_slot_share, 0.01, 1);
   policy.hot_calls_per_s = reader.GetDouble("hot_calls_per_s", policy.hot_calls_per_s, 0.01, 1e6);
+  policy.even_replica_load =
+      reader.GetDouble("even_replica_load", policy.even_replica_load, 0, 1'000);
   policy.max_replicas = reader.GetUint("max_replicas", policy.max_replicas, 1, 1'000);
   policy.store_loads_at_once =
       reader.GetUint("store_loads_at_once", policy.store_loads_at_once, 1, 1'000);
--- a/servers/gateway/balance/runner_pace.h
+++ b/servers/gateway/balance/runner_pace.h
@@ -33,9 +33,12 @@
   /// Expected mean over the time `over` from now.
   double Expected(Millis over, SteadyTime now) const;
 
- private:
+  /// Expected pace without interference, for decisions that hold for longer than it lasts.
   double Lasting(SteadyTime now) const;
+  /// Whether any value has been stated.
+  bool known() const { return at_.has_value(); }
 
+ private:
   /// Mean over kPresentTime.
   double present_ = 1.0;
   double lasting_ = 1.0;
--- a/servers/gateway/gateway_policy.h
+++ b/servers/gateway/gateway_policy.h
@@ -32,6 +32,9 @@
   /// Calls per second from which a model has at least two replicas, so that calls continue while
   /// one of its runners leaves and another one loads the model from the weight store.
   double hot_calls_per_s = 1.5;
+  /// Calls at one replica, relative to the mean runner's, above which a model gets another one where
+  /// that costs little; 0: never.
+  double even_replica_load = 1.3;
   /// Maximum number of replicas that placement gives one model.
   uint64_t max_replicas = 6;
   /// Maximum concurrent loads from the weight store; beyond 4 the store slows each one down.
--- a/servers/gateway/load_planner.cc
+++ b/servers/gateway/load_planner.cc
@@ -31,6 +31,18 @@
 /// Time horizon in seconds for the probability that an unloaded model is called again.
 constexpr double kReloadHorizonS = 10;
 
+/// Cost of loading on a runner that would then get as many calls as the mean runner. Runners with
+/// the weights on disk (0.8 s) stay ahead of those that load from the weight store (6 s).
+constexpr double kTrafficCostMs = 500;
+/// Highest traffic that counts, relative to the mean.
+constexpr double kMaxTraffic = 4;
+/// A replica for evenness is loaded from the weight store, which costs money, only if this many
+/// times the present replicas are needed.
+constexpr uint64_t kStoreLoadEvenness = 2;
+/// Averaging time of the rates that decide on replicas for evenness. Demand that shifts within
+/// seconds would otherwise load and displace replicas all the time.
+constexpr Millis kMeanRateTime{20'000};
+
 }  // namespace
 
 bool LoadPlanner::CanTakeOrder(const RunnerState& runner, SteadyTime now) const {
@@ -86,6 +98,15 @@
   return std::max(by_tokens, by_slots);
 }
 
+uint64_t LoadPlanner::EvenReplicas(const ModelName& model) const {
+  const auto found = mean_rates_.find({input_.backend, model});
+  if (found == mean_rates_.end() || policy_->even_replica_load <= 0) return 0;
+  // Below this rate, a replica saves less than its load costs.
+  const double most =
+      std::max(policy_->even_replica_load * fleet_.even_calls_per_s, policy_->hot_calls_per_s);
+  return static_cast<uint64_t>(std::ceil(found->second / most));
+}
+
 uint64_t LoadPlanner::TargetReplicas(const ModelName& model) const {
   const TotalDemand& demand = DemandFor(model);
   const auto replicas = static_cast<uint64_t>(std::ceil(ReplicasForLoad(model)));
@@ -125,12 +146,21 @@
     fleet_.most_free_mb = std::max(fleet_.most_free_mb, FreeMb(runner) - AdapterReserveMb(runner));
   }
   AllocateLimits();
+  std::map<ModelName, uint64_t> holders;
   for (const RunnerState* runner : fleet_.eligible) {
     for (const auto& [model, adapters] : runner->entry.holdings.models) {
+      ++holders[model];
       const bool serves = fleet_.limits.Serves(runner->entry.id, model);
       if (serves && fleet_.limits.Sufficient(model)) ++fleet_.replicas[model];
     }
   }
+  for (const RunnerState* runner : fleet_.eligible) {
+    double& rate = fleet_.calls_per_s[runner->entry.id];
+    for (const auto& [model, adapters] : runner->entry.holdings.models) {
+      rate += DemandFor(model).calls_per_s / static_cast<double>(holders.at(model));
+    }
+    fleet_.mean_calls_per_s += rate / static_cast<double>(fleet_.eligible.size());
+  }
   for (const Order& order : tracker_->PendingLoads()) {
     const RunnerState* runner = view_->Find(order.runner);
     if (runner == nullptr || !runner->Usable() || runner->entry.backend != input_.backend) continue;
@@ -212,9 +242,13 @@
   }
   const TotalDemand& demand = DemandFor(model);
   if (demand.waiting > 0) return std::nullopt;
-  const bool surplus = Replicas(model) > TargetReplicas(model);
+  const uint64_t needed = urgency == Urgency::kEven
+                              ? std::max(TargetReplicas(model), EvenReplicas(model))
+                              : TargetReplicas(model);
+  const bool surplus = Replicas(model) > needed;
   const bool recent = demand.since_last_call < policy_->idle_after;
   const bool running = demand.InFlightAt(runner) > 0;
+  if (urgency == Urgency::kEven && !surplus) return std::nullopt;
   if (urgency == Urgency::kOverload && !surplus) {
     const double per_replica = DemandFor(wanted).calls_per_s /
                                static_cast<double>(std::max<uint64_t>(1, Replicas(wanted)));
@@ -223,7 +257,8 @@
     if (demand.calls_per_s > kDisplacedTrafficShare * calls_for_load) return std::nullopt;
   }
   // An unload waits for running calls, during which the runner takes no other order.
-  const bool optional_load = urgency == Urgency::kReplica || urgency == Urgency::kPreload;
+  const bool optional_load =
+      urgency == Urgency::kReplica || urgency == Urgency::kPreload || urgency == Urgency::kEven;
   if (optional_load && (running || (!surplus && recent))) return std::nullopt;
   const double reload_ms = static_cast<double>(input_.engine->models.at(model).disk_load.count()) +
                            static_cast<double>(policy_->load_overhead.count());
@@ -273,6 +308,27 @@
   return kFullRunnerCostMs * std::min(1.0, share);
 }
 
+double LoadPlanner::TrafficCost(const RunnerId& runner, const ModelName& model) const {
+  if (fleet_.mean_calls_per_s <= 0) return 0;
+  const double added = DemandFor(model).calls_per_s / static_cast<double>(Replicas(model) + 1);
+  const auto pace = input_.pace.find(runner);
+  const double calls_per_s =
+      (fleet_.calls_per_s.at(runner) + added) * (pace == input_.pace.end() ? 1.0 : pace->second);
+  return kTrafficCostMs * std::min(kMaxTraffic, calls_per_s / fleet_.mean_calls_per_s);
+}
+
+void LoadPlanner::UpdateMeanRates(SteadyTime now) {
+  const auto [at, first] = mean_rates_at_.try_emplace(input_.backend, now);
+  const std::chrono::duration<double> passed = now - at->second;
+  const double keep = std::exp(-passed / std::chrono::duration<double>(kMeanRateTime));
+  at->second = now;
+  for (const auto& [name, spec] : input_.engine->models) {
+    double& rate = mean_rates_[{input_.backend, name}];
+    rate = rate * keep + DemandFor(name).calls_per_s * (1.0 - keep);
+    fleet_.even_calls_per_s += rate / std::max(1.0, static_cast<double>(fleet_.eligible.size()));
+  }
+}
+
 bool LoadPlanner::HasUnloadedCopy(const RunnerState& runner) {
   const Holdings& holdings = runner.entry.holdings;
   const auto unloaded = [&](const ModelName& model) { return !holdings.models.contains(model); };
@@ -304,6 +360,10 @@
     if (!fleet_.limits.HasRoom(id, DemandFor(model.name).calls_per_s)) continue;
     const LoadTier tier = TierOn(runner, model.name);
     if (tier == LoadTier::kStore && !store_allows) continue;
+    if (tier == LoadTier::kStore && urgency == Urgency::kEven &&
+        EvenReplicas(model.name) < kStoreLoadEvenness * Replicas(model.name)) {
+      continue;
+    }
     if (tier == LoadTier::kStore && urgency != Urgency::kWaiting && !spare_runners &&
         HasUnloadedCopy(runner)) {
       continue;
@@ -313,7 +373,7 @@
     const Millis load = tier == LoadTier::kStore  ? model.store_load
                         : tier == LoadTier::kDisk ? model.disk_load
                                                   : model.memory_load;
-    cost += static_cast<double>(load.count()) + BusyCost(id);
+    cost += static_cast<double>(load.count()) + BusyCost(id) + TrafficCost(id, model.name);
     if (best && cost >= best->cost_ms) continue;
     best = Placement{id, tier, cost};
   }
@@ -394,6 +454,16 @@
   }
 }
 
+void LoadPlanner::ReserveEven(SteadyTime now) {
+  for (const auto& [name, spec] : input_.engine->models) {
+    const uint64_t replicas = Replicas(name);
+    const uint64_t wanted = std::min(EvenReplicas(name), policy_->max_replicas);
+    if (replicas == 0 || replicas >= wanted || Reserved(name)) continue;
+    if (Loading(name, AdapterName())) continue;
+    Reserve(spec, Urgency::kEven, "even-load", now);
+  }
+}
+
 void LoadPlanner::ReserveFill(SteadyTime now) {
   std::vector<std::pair<double, ModelName>> absent;
   for (const auto& [name, spec] : input_.engine->models) {
@@ -460,6 +530,7 @@
 std::vector<PlannedOrder> LoadPlanner::Plan(const Input& input, SteadyTime now) {
   input_ = input;
   UpdateFleetSummary();
+  UpdateMeanRates(now);
   std::vector<PlannedOrder> plan;
   DropStaleReservations(now);
   // An overloaded model loses more calls than a rare one that waits, and the rare ones would take
@@ -469,6 +540,7 @@
   ReserveReplicas(false, now);
   ReservePreloads(now);
   ReserveFill(now);
+  ReserveEven(now);
   ContinueReservations(now, &plan);
   PlanAdapters(now, &plan);
   return plan;
@@ -494,6 +566,8 @@
   avoid_until_.clear();
   reservations_.clear();
   loaded_at_.clear();
+  mean_rates_.clear();
+  mean_rates_at_.clear();
 }
 
 }  // namespace shallot::gateway
--- a/servers/gateway/load_planner.h
+++ b/servers/gateway/load_planner.h
@@ -28,10 +28,10 @@
 
 /// Decides which runner loads and unloads which model or adapter. Handles bursts of calls for many
 /// rarely used models, demand that shifts to other models, the loss of runners that have local
-/// copies of weights, busy models on runners that limit their calls, and models that crash the
-/// runners that load them. Plans at most one order
-/// per runner at a time, never more memory than a runner has, and never more loads from the weight
-/// store than its limits allow.
+/// copies of weights, busy models on runners that limit their calls, several busy models on one
+/// runner while another idles, and models that crash the runners that load them. Plans at most one
+/// order per runner at a time, never more memory than a runner has, and never more loads from the
+/// weight store than its limits allow.
 class LoadPlanner {
  public:
   /// How long a runner stays reserved for a model while other models are unloaded from it; an
@@ -53,6 +53,8 @@
     std::map<RunnerId, double> limits;
     /// Entries under quarantine are not loaded; may be null.
     const CrashQuarantine* quarantine = nullptr;
+    /// Lasting pace of runners; others are as usual.
+    std::map<RunnerId, double> pace = {};
   };
 
   /// Returns the orders to send now. Each must be sent and recorded in the tracker before the next
@@ -76,8 +78,9 @@
   /// Which models a load may displace. kWaiting: any model without waiting calls of its own.
   /// kOverload: besides those of kReplica, models in use whose traffic is small beside that of the
   /// overloaded model. kReplica and kPreload: only models without running calls that are idle or
-  /// have more replicas than they need. kFill: none, it only uses free memory.
-  enum class Urgency { kWaiting, kOverload, kReplica, kPreload, kFill };
+  /// have more replicas than they need. kEven: models that have more replicas than they need or
+  /// have long been unused. kFill: none, it only uses free memory.
+  enum class Urgency { kWaiting, kOverload, kReplica, kPreload, kEven, kFill };
   struct Reservation {
     BackendName backend;
     ModelName model;
@@ -123,6 +126,16 @@
                                       SteadyTime now) const;
   /// Cost in ms of loading on a runner that is busy with calls.
   double BusyCost(const RunnerId& runner) const;
+  /// Cost in ms of adding calls of the model to those that the runner gets for its other models,
+  /// in proportion to the time that they take there.
+  double TrafficCost(const RunnerId& runner, const ModelName& model) const;
+  /// Updates the mean rates of calls.
+  void UpdateMeanRates(SteadyTime now);
+  /// Replicas with which none of them gets many more calls than the mean runner.
+  uint64_t EvenReplicas(const ModelName& model) const;
+  /// Reserves replicas for models whose runners get many more calls than others, where that costs
+  /// little: mostly from local copies, and without displacing the last replica of any model.
+  void ReserveEven(SteadyTime now);
   /// Whether another load from the weight store leaves enough runners available for waiting calls.
   bool CanSpareRunnerForStoreLoad() const;
   /// Whether the runner has a local copy of a model that is not loaded, so that it could load it
@@ -157,6 +170,11 @@
     LimitAllocation limits;
     /// Calls in flight at each runner, for all its models.
     std::map<RunnerId, uint64_t> in_flight;
+    /// Calls per second that each runner gets for all its models, and the mean over the runners.
+    std::map<RunnerId, double> calls_per_s;
+    double mean_calls_per_s = 0;
+    /// The mean of the longer averages, which decides on replicas for evenness.
+    double even_calls_per_s = 0;
     /// Number of eligible runners that hold each model and whose limits allow its calls.
     std::map<ModelName, uint64_t> replicas;
     /// Models with a copy in the memory or on the disk of an eligible runner.
@@ -172,6 +190,9 @@
   std::map<std::pair<RunnerId, ModelName>, SteadyTime> loaded_at_;
   std::map<RunnerId, SteadyTime> avoid_until_;
   std::deque<SteadyTime> store_loads_;
+  /// Calls per second for each model, averaged over a longer time than in the demand.
+  std::map<std::pair<BackendName, ModelName>, double> mean_rates_;
+  std::map<BackendName, SteadyTime> mean_rates_at_;
 };
 
 }  // namespace shallot::gateway
--- a/servers/gateway/runner_picker.cc
+++ b/servers/gateway/runner_picker.cc
@@ -195,6 +195,14 @@
   prefixes_.Forget(runner);
 }
 
+std::map<RunnerId, double> RunnerPicker::LastingPaces(SteadyTime now) const {
+  std::map<RunnerId, double> paces;
+  for (const auto& [id, health] : health_) {
+    if (health.pace.known()) paces[id] = health.pace.Lasting(now);
+  }
+  return paces;
+}
+
 std::set<RunnerId> RunnerPicker::Unreachable(SteadyTime now) const {
   std::set<RunnerId> unreachable;
   for (const auto& [id, health] : health_) {
--- a/servers/gateway/runner_picker.h
+++ b/servers/gateway/runner_picker.h
@@ -80,6 +80,8 @@
   PrefixIndex& prefixes() { return prefixes_; }
   /// Discards what was learned about a runner that is gone or has restarted.
   void Forget(const RunnerId& runner);
+  /// Lasting paces of the runners that have stated one to this gateway.
+  std::map<RunnerId, double> LastingPaces(SteadyTime now) const;
   /// Runners to which no calls may be sent now.
   std::set<RunnerId> Unreachable(SteadyTime now) const;
 
--- a/tests/gateway_load_planner_test.cc
+++ b/tests/gateway_load_planner_test.cc
@@ -302,6 +302,71 @@
   CHECK(fleet.Step().size() == 1);
 }
 
+struct TrafficCase {
+  const char* name;
+  double others_at_b;
+  double others_at_c;
+  double pace_of_b;
+  const char* expected;
+};
+
+// Guards against two busy models that share a runner while another idles, and against a replica on
+// a runner that works slowly.
+TEST_CASE("gateway: a replica goes to the runner with the least work") {
+  for (const TrafficCase& test :
+       {TrafficCase{"b is busy", 8, 1, 1, "c"}, TrafficCase{"c is busy", 1, 8, 1, "b"},
+        TrafficCase{"b is slow", 2, 3, 3, "c"}}) {
+    CAPTURE(std::string(test.name));
+    PlacementFixture fleet(6);
+    fleet.AddRunner("a", {0, 1}, {0, 1});
+    fleet.AddRunner("b", {2, 3}, {0, 2, 3});
+    fleet.AddRunner("c", {4, 5}, {0, 4, 5});
+    for (const int model : {1, 3, 5}) fleet.Demand(model).since_last_call = Millis(30'000);
+    for (const int model : {0, 2, 4}) fleet.Demand(model).since_last_call = Millis(0);
+    fleet.Demand(0).calls_per_s = 6;
+    fleet.Demand(2).calls_per_s = test.others_at_b;
+    fleet.Demand(4).calls_per_s = test.others_at_c;
+    fleet.pace()[RunnerId("b")] = test.pace_of_b;
+    fleet.Run(Millis(1'500));
+    REQUIRE(fleet.Count(OrderKind::kLoad, 0) == 1);
+    CHECK(fleet.AllHoldings()
+              .at(RunnerId(test.expected))
+              .models.contains(PlacementFixture::Model(0)));
+  }
+}
+
+struct EvenReplicaCase {
+  const char* name;
+  double busy_per_s;
+  double even_replica_load;
+  uint64_t least;
+  uint64_t most;
+};
+
+// Guards against a model with most of the calls on a few runners while others have free memory, and
+// against loads that calm demand does not need or that are repeated.
+TEST_CASE("gateway: busy models get replicas until calls are even, and no more") {
+  for (const EvenReplicaCase& test :
+       {EvenReplicaCase{"busy", 12, 1.3, 3, 4}, EvenReplicaCase{"calm", 1.4, 1.3, 0, 0},
+        EvenReplicaCase{"switched off", 12, 0, 1, 1}}) {
+    CAPTURE(std::string(test.name));
+    PlacementFixture fleet(3);
+    for (const char* id : {"a", "b", "c", "d", "e", "f"}) {
+      const bool holds = *id == 'a';
+      fleet.AddRunner(id, holds ? std::vector<int>{0, 1} : std::vector<int>{2}, {0, 1, 2});
+    }
+    fleet.policy().even_replica_load = test.even_replica_load;
+    fleet.Demand(0).calls_per_s = test.busy_per_s;
+    fleet.Demand(2).calls_per_s = test.busy_per_s / 10;
+    for (const int model : {0, 1, 2}) fleet.Demand(model).since_last_call = Millis(100);
+    fleet.Run(Millis(120'000));
+    CHECK(fleet.Count(OrderKind::kLoad, 0) >= test.least);
+    CHECK(fleet.Count(OrderKind::kLoad, 0) <= test.most);
+    CHECK(fleet.Count(OrderKind::kLoad, 1) + fleet.Count(OrderKind::kLoad, 2) == 0);
+    CHECK(fleet.Held(1));
+  }
+}
+
 // Guards against overcommitted memory and too many loads from the weight store under any demand,
 // with many rarely used models requested at once and lost answers to orders.
 TEST_CASE("gateway: random demand never overcommits memory or the weight store") {
--- a/tests/gateway_placement_fixture.h
+++ b/tests/gateway_placement_fixture.h
@@ -71,7 +71,8 @@
   /// Plans once and sends the orders to the runners. `accept` false: no order reaches its runner
   /// and no answer comes back.
   std::vector<PlannedOrder> Step(bool accept = true) {
-    const LoadPlanner::Input input{backend_, &engine_, &demand_, &unreachable_, limits_};
+    const LoadPlanner::Input input{backend_, &engine_, &demand_, &unreachable_,
+                                   limits_,  nullptr,  pace_};
     std::vector<PlannedOrder> plan = planner_.Plan(input, now_);
     for (const PlannedOrder& planned : plan) {
       tracker_.OnSent(planned.order, now_);
@@ -127,6 +128,7 @@
   GatewayPolicy& policy() { return policy_; }
   std::set<RunnerId>& unreachable() { return unreachable_; }
   std::map<RunnerId, double>& limits() { return limits_; }
+  std::map<RunnerId, double>& pace() { return pace_; }
   bool overcommitted() const { return overcommitted_; }
 
  private:
@@ -194,6 +196,7 @@
   std::map<DemandMeter::Key, TotalDemand> demand_;
   std::set<RunnerId> unreachable_;
   std::map<RunnerId, double> limits_;
+  std::map<RunnerId, double> pace_;
   std::map<RunnerId, Runner> runners_;
   std::vector<PlannedOrder> history_;
   SteadyTime now_{std::chrono::seconds(1000)};
