Show pace and spread of calls in the metrics

runner_pace and runner_sends_spread for each backend, computed when the metrics are read. A label for each runner was ruled out: runners come and go, and the registry keeps each series.

--- a/drivers/gateway/admin_handler.cc
+++ b/drivers/gateway/admin_handler.cc
@@ -1,5 +1,7 @@
 #include "drivers/gateway/admin_handler.h"
 
+#include <fmt/format.h>
+
 #include <nlohmann/json.hpp>
 
 #include "core/log.h"
@@ -37,7 +39,7 @@
 std::string AdminHandler::Metrics() {
   const DaemonFigures figures = figures_();
   MetricsRegistry& metrics = *context_->metrics;
-  const auto set = [&metrics](const char* name, auto value) {
+  const auto set = [&metrics](const std::string& name, auto value) {
     metrics.GetGauge(name).Set(static_cast<int64_t>(value));
   };
   set("caller_connections", figures.caller_connections);
@@ -50,6 +52,13 @@
   set("runners_leaving", context_->view.Leaving().size());
   set("log_lines_dropped", DroppedLogLines());
   set("config_version", context_->routes ? context_->routes->version.value() : 0);
+  for (const auto& [backend, summary] : context_->picker.Summarize(context_->loop.Now())) {
+    const std::string& name = backend.value();
+    set(fmt::format("runner_pace{{backend=\"{}\",of=\"mean\"}}", name), summary.mean_pace * 100);
+    set(fmt::format("runner_pace{{backend=\"{}\",of=\"slowest\"}}", name),
+        summary.slowest_pace * 100);
+    set(fmt::format("runner_sends_spread{{backend=\"{}\"}}", name), summary.send_spread * 100);
+  }
   return metrics.Render();
 }
 
--- a/servers/gateway/runner_picker.cc
+++ b/servers/gateway/runner_picker.cc
@@ -195,6 +195,35 @@
   prefixes_.Forget(runner);
 }
 
+std::map<BackendName, BalanceSummary> RunnerPicker::Summarize(SteadyTime now) const {
+  struct Sums {
+    double sends = 0;
+    double most = 0;
+    double paces = 0;
+  };
+  std::map<BackendName, BalanceSummary> summaries;
+  std::map<BackendName, Sums> sums;
+  for (const auto& [id, runner] : view_->runners()) {
+    const auto found = health_.find(id);
+    const double sends = found == health_.end() ? 0.0 : found->second.sends.Recent(now);
+    const double pace = found == health_.end() ? 1.0 : found->second.pace.Lasting(now);
+    BalanceSummary& summary = summaries[runner.entry.backend];
+    summary.slowest_pace = summary.runners == 0 ? pace : std::max(summary.slowest_pace, pace);
+    ++summary.runners;
+    Sums& sum = sums[runner.entry.backend];
+    sum.sends += sends;
+    sum.most = std::max(sum.most, sends);
+    sum.paces += pace;
+  }
+  for (auto& [backend, summary] : summaries) {
+    const Sums& sum = sums[backend];
+    const auto runners = static_cast<double>(summary.runners);
+    summary.mean_pace = sum.paces / runners;
+    if (sum.sends > 0) summary.send_spread = sum.most * runners / sum.sends;
+  }
+  return summaries;
+}
+
 std::map<RunnerId, double> RunnerPicker::LastingPaces(SteadyTime now) const {
   std::map<RunnerId, double> paces;
   for (const auto& [id, health] : health_) {
--- a/servers/gateway/runner_picker.h
+++ b/servers/gateway/runner_picker.h
@@ -40,6 +40,16 @@
   Willingness willingness;
 };
 
+/// How even the calls of this gateway are over the runners of a backend.
+struct BalanceSummary {
+  uint64_t runners = 0;
+  /// Recent calls of this gateway to the runner with most of them, over the mean; 0 without calls.
+  double send_spread = 0;
+  /// Lasting paces; 1 for runners that state none.
+  double mean_pace = 1.0;
+  double slowest_pace = 1.0;
+};
+
 /// Why no runner was selected.
 enum class PickError { kNone, kNoRunner, kModelNotLoaded, kAllBusy };
 
@@ -80,6 +90,7 @@
   PrefixIndex& prefixes() { return prefixes_; }
   /// Discards what was learned about a runner that is gone or has restarted.
   void Forget(const RunnerId& runner);
+  std::map<BackendName, BalanceSummary> Summarize(SteadyTime now) const;
   /// Lasting paces of the runners that have stated one to this gateway.
   std::map<RunnerId, double> LastingPaces(SteadyTime now) const;
   /// Runners to which no calls may be sent now.
--- a/tests/gateway_picker_test.cc
+++ b/tests/gateway_picker_test.cc
@@ -290,6 +290,31 @@
   CHECK(health.Slowness(3, kStart + RunnerHealth::kSlownessHalfLife * 5) < 1.5);
 }
 
+// Guards against metrics that show an even load although one runner gets all calls, and against a
+// last resort that a random choice prefers to a runner that can take the call.
+TEST_CASE("gateway: the spread of calls and paces is summarized, and random choices are sound") {
+  PickerFixture fixture;
+  for (const char* id : {"a", "b", "c", "d"}) fixture.Add(id, "north", true);
+  for (int call = 0; call < 8; ++call) fixture.picker_.health(RunnerId("a")).OnSent(kStart);
+  for (int report = 0; report < 40; ++report) {
+    fixture.picker_.health(RunnerId("b"))
+        .OnLoad(0, 0, 2.0, kStart + Duration(Millis(report * 100)));
+  }
+  const BalanceSummary summary =
+      fixture.picker_.Summarize(kStart + Duration(Millis(4'000))).at(BackendName("engine"));
+  CHECK(summary.runners == 4);
+  CHECK(summary.send_spread == doctest::Approx(4));
+  CHECK(summary.slowest_pace > 1.6);
+  CHECK(summary.mean_pace < 1.3);
+  for (const ChoiceKind choice :
+       {ChoiceKind::kLowest, ChoiceKind::kTwoRandom, ChoiceKind::kWeighted}) {
+    fixture.policy_.choice = choice;
+    for (int call = 0; call < 50; ++call) {
+      CHECK(fixture.Pick(nullptr, {RunnerId("a"), RunnerId("b"), RunnerId("d")}) == "c");
+    }
+  }
+}
+
 // Guards against waiting for a backend without runners or for a model that is not configured.
 TEST_CASE("gateway: a call does not wait without runners or for an unknown model") {
   PickerFixture fixture;
