--- a/servers/gateway/balance/runner_pace.cc
+++ b/servers/gateway/balance/runner_pace.cc
@@ -14,7 +14,8 @@
 
 double RunnerPace::Lasting(SteadyTime now) const {
   if (!at_) return 1.0;
-  return 1.0 + (lasting_ - 1.0) * std::exp2(-Ratio(now - *at_, kForgetHalfLife));
+  const Duration silent = std::max(Duration(0), now - *at_ - Duration(kForgetAfter));
+  return 1.0 + (lasting_ - 1.0) * std::exp2(-Ratio(silent, kForgetHalfLife));
 }
 
 void RunnerPace::OnReport(double pace, SteadyTime now) {
--- a/servers/gateway/balance/runner_pace.h
+++ b/servers/gateway/balance/runner_pace.h
@@ -22,8 +22,10 @@
   static constexpr Millis kLastingTime{15'000};
   /// Longest time for which one value stands in the lasting pace, because it shows one moment only.
   static constexpr Millis kValueTime{1'000};
-  /// Half-life of the lasting pace of a runner that states none, so that it is tried again.
+  /// Half-life of the lasting pace of a runner that has stated none for kForgetAfter, so that it is
+  /// tried again. Without that time, a runner that is always slow would count as less slow.
   static constexpr Millis kForgetHalfLife{20'000};
+  static constexpr Millis kForgetAfter{5'000};
   /// Bounds of the stated values; a slower runner counts as failing by its observed slowness.
   static constexpr double kFastest = 0.25;
   static constexpr double kSlowest = 8.0;
--- a/servers/gateway/gateway_policy.h
+++ b/servers/gateway/gateway_policy.h
@@ -32,8 +32,8 @@
   /// Calls per second from which a model has at least two replicas, so that calls continue while
   /// one of its runners leaves and another one loads the model from the weight store.
   double hot_calls_per_s = 1.5;
-  /// Calls at one replica, relative to the mean runner's, above which a model gets another one where
-  /// that costs little; 0: never.
+  /// Calls at one replica, relative to the mean runner's, above which a model gets another one
+  /// where that costs little; 0: never.
   double even_replica_load = 1.3;
   /// Maximum number of replicas that placement gives one model.
   uint64_t max_replicas = 6;
@@ -55,8 +55,8 @@
   ChoiceKind choice = ChoiceKind::kWeighted;
   LoadEstimate load_estimate = LoadEstimate::kCounted;
   /// Score of a runner that recently got twice its share of this gateway's calls, in proportion to
-  /// the surplus; one that got less gets a bonus. Spreads calls that the predicted times alone would
-  /// send to the same runner again, such as those with a popular prefix.
+  /// the surplus; one that got less gets a bonus. Spreads calls that the predicted times alone
+  /// would send to the same runner again, such as those with a popular prefix.
   Millis send_surplus_cost{10};
   /// The same for a runner whose mean load, as reported, is twice that of the others. It counts the
   /// calls of all gateways, so that a gateway may keep to a few runners if the others use the rest.
--- a/tests/gateway_even_load_test.cc
+++ b/tests/gateway_even_load_test.cc
@@ -74,7 +74,7 @@
   };
   for (const Case& test : std::vector<Case>{
            {"as usual", [](int64_t) { return 1.0; }, 1.0, 1.0},
-           {"always slow", [](int64_t) { return 2.0; }, 1.7, 2.0},
+           {"always slow", [](int64_t) { return 2.0; }, 1.95, 2.0},
            {"changes many times a second", [](int64_t at) { return at / 40 % 2 == 0 ? 1.0 : 3.0; },
             1.7, 2.2},
            {"interference", [](int64_t at) { return at >= 18'000 && at < 18'500 ? 3.0 : 1.0; }, 1.0,
--- a/tests/gateway_picker_test.cc
+++ b/tests/gateway_picker_test.cc
@@ -290,6 +290,34 @@
   CHECK(health.Slowness(3, kStart + RunnerHealth::kSlownessHalfLife * 5) < 1.5);
 }
 
+// Guards against a stated pace that counts twice, in the prediction and as observed slowness.
+TEST_CASE("gateway: observed slowness holds only what the stated pace does not") {
+  PickerFixture fixture;
+  fixture.Add("a", "north", true);
+  const auto predict = [&fixture] {
+    const std::set<RunnerId> none;
+    PickError problem = PickError::kNone;
+    const RunnerPicker::Query query{
+        BackendName("engine"), &fixture.engine_, &fixture.call_, &none, &none, Millis(800), 0};
+    return *fixture.picker_.Pick(query, kStart, &problem);
+  };
+  const auto usual = static_cast<double>(predict().predicted.count());
+  RunnerHealth& health = fixture.picker_.health(RunnerId("a"));
+  for (int64_t at = -60'000; at <= 0; at += 100) {
+    health.OnLoad(0, 0, 2.0, kStart + Duration(Millis(at)));
+  }
+  for (int call = 0; call < 50; ++call) {
+    const PickedRunner picked = predict();
+    CHECK(picked.pace == doctest::Approx(2).epsilon(0.05));
+    const double observed = usual * 2;
+    health.OnFirstEvent(
+        0, observed * picked.slowness / static_cast<double>(picked.predicted.count()), kStart);
+  }
+  CHECK(health.Slowness(0, kStart) == doctest::Approx(1).epsilon(0.1));
+  CHECK(static_cast<double>(predict().predicted.count()) ==
+        doctest::Approx(usual * 2).epsilon(0.1));
+}
+
 // Guards against metrics that show an even load although one runner gets all calls, and against a
 // last resort that a random choice prefers to a runner that can take the call.
 TEST_CASE("gateway: the spread of calls and paces is summarized, and random choices are sound") {
