Skip runners without the model before their state is looked up

A choice among 56 holders of 2,000 runners of one backend took 195 us, most of it to look up the state of runners that do not hold the model. Only the first of them matters, for the reason of an empty choice. It now takes 27 us. Ruled out: an index of holders by model, which would have to follow each change of holdings.

--- a/servers/gateway/runner_picker.cc
+++ b/servers/gateway/runner_picker.cc
@@ -40,16 +40,17 @@
   *problem = PickError::kNoRunner;
   for (const auto& [id, runner] : view_->runners()) {
     if (runner.entry.backend != query.backend) continue;
+    const bool holds = query.engine == nullptr ||
+                       runner.entry.holdings.Holds(query.call->model, query.call->adapter);
+    // Most runners of a large fleet hold another model, and the first one shows that some exist.
+    if (!holds && *problem != PickError::kNoRunner) continue;
     const RunnerHealth& health = health_[id];
     PickedRunner picked;
     picked.runner = id;
     picked.willingness = AssessWillingness(runner, health, limits_, now);
     if (picked.willingness.state == Willingness::State::kLeaving) continue;
     if (*problem == PickError::kNoRunner) *problem = PickError::kModelNotLoaded;
-    if (query.engine != nullptr &&
-        !runner.entry.holdings.Holds(query.call->model, query.call->adapter)) {
-      continue;
-    }
+    if (!holds) continue;
     // Placement loads the model elsewhere: a call that waits for that can succeed, one that is sent
     // to an unreachable runner cannot.
     if (query.engine != nullptr && !health.Available(now)) continue;
