--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/hashing.h"
 #include "core/metrics.h"
 #include "core/random.h"
 #include "drivers/gateway/buffered_call.h"
@@ -65,7 +66,8 @@
         store(&calls, platform, settings.store_address, &view.contact(), registry),
         limits(settings.instance),
         quotas(settings.instance, system_clock->BootNow()),
-        picker(&settings.policy, &view, settings.domain, &limits),
+        picker(&settings.policy, &view, settings.domain, &limits,
+               StableHash(settings.instance.value())),
         quarantine(settings.instance),
         proof(settings.instance, EntropySeed()) {}
 
--- a/drivers/gateway/runner_answers.cc
+++ b/drivers/gateway/runner_answers.cc
@@ -13,6 +13,17 @@
   context->metrics->GetCounter("runners_left_total").Add();
 }
 
+void NoteLoad(GatewayContext* context, const RunnerId& runner, const AnswerMetadata& answer) {
+  if (answer.load_unreadable) {
+    LogWarning("runners", "event=load-unreadable runner=" + runner.value());
+    context->metrics->GetCounter("runner_loads_unreadable_total").Add();
+  }
+  // An answer of another runner at the same address tells nothing of this one.
+  if (!answer.load || (!answer.runner.empty() && answer.runner != runner)) return;
+  const AnswerMetadata::Load& load = *answer.load;
+  context->picker.health(runner).OnLoad(load.running, load.waiting, load.pace, context->loop.Now());
+}
+
 void NoteReport(GatewayContext* context, const RunnerId& runner, const RunnerReport& report) {
   if (!context->view.ApplyReport(runner, report, context->loop.Now())) return;
   context->picker.Forget(runner);
--- a/servers/gateway/gateway_policy.h
+++ b/servers/gateway/gateway_policy.h
@@ -4,9 +4,19 @@
 #include <cstdint>
 
 #include "core/clock.h"
+#include "servers/gateway/balance/runner_choice.h"
 
 namespace shallot::gateway {
 
+/// How a gateway estimates the calls at a runner.
+enum class LoadEstimate {
+  /// As last reported, or this gateway's own calls in flight if those are more.
+  kReported,
+  /// As last reported, corrected by this gateway's calls that were sent or ended since; a runner
+  /// without a recent report is assumed to be as busy as the others.
+  kCounted,
+};
+
 /// Parameters of the gateway's decisions. These defaults apply to the whole fleet; [policy] in the
 /// settings file overrides individual values.
 struct GatewayPolicy {
@@ -22,6 +32,9 @@
   /// Calls per second from which a model has at least two replicas, so that calls continue while
   /// one of its runners leaves and another one loads the model from the weight store.
   double hot_calls_per_s = 1.5;
+  /// Calls at one replica, relative to the mean runner's, above which a model gets another one
+  /// where that costs little; 0: never.
+  double even_replica_load = 1.3;
   /// Maximum number of replicas that placement gives one model.
   uint64_t max_replicas = 6;
   /// Maximum concurrent loads from the weight store; beyond 4 the store slows each one down.
@@ -38,6 +51,19 @@
   Millis cross_domain_cost{15};
   /// Score per call in flight at a model runner, because each call slows down every decode step.
   Millis in_flight_cost{4};
+  /// How a runner is chosen among those that can take a call, and how its calls are estimated.
+  ChoiceKind choice = ChoiceKind::kWeighted;
+  LoadEstimate load_estimate = LoadEstimate::kCounted;
+  /// Score of a runner that recently got twice its share of this gateway's calls, in proportion to
+  /// the surplus; one that got less gets a bonus. Spreads calls that the predicted times alone
+  /// would send to the same runner again, such as those with a popular prefix.
+  Millis send_surplus_cost{10};
+  /// The same for a runner whose mean load, as reported, is twice that of the others. It counts the
+  /// calls of all gateways, so that a gateway may keep to a few runners if the others use the rest.
+  Millis load_surplus_cost{120};
+  /// Whether a surplus is compared with runners of all failure domains; otherwise calls stay in the
+  /// own domain, because traffic between domains costs money.
+  bool even_across_domains = false;
   /// Maximum retries as a share of calls, over all gateways.
   double retry_ratio = 0.2;
   /// Retries per window allowed on top of that share, over all gateways together.
