Tell the placement leader the pace of runners; keep other backends as before

Change: demand reports carry the lasting pace of runners when it changed. A model's need for replicas grows with the mean pace of its holders. Even load takes effect only for backends whose runners state a pace ([policy] balance = all for the others).

--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -248,17 +248,16 @@
       context_->client.ConnectionOf(exchange_).value_or(ConnectionInfo());
   const auto& failure = attempts_.last_failure();
   const char* after = failure ? AttemptFailureName(*failure) : "none";
-  LogInfo(
-      "call",
-      fmt::format("event=send route={} runner={} attempt={} after={} caller={} connection={} "
-                  "kept={} port={} predicted_ms={} kept_tokens={} pace={:.2f} candidates={} "
-                  "left_ms={} config={}{}",
-                  route_->name.value(), runner_.runner.value(), attempts_.sent(), after,
-                  connection_->caller(), connection.number, connection.kept ? "yes" : "no",
-                  connection.local_port, runner_.predicted.count(), runner_.kept_tokens,
-                  runner_.pace, runner_.candidates, time_left.count(), routes_->version.value(),
-                  team_ ? " team=" + team_->name.value() : ""),
-      call_.id.value());
+  LogInfo("call",
+          fmt::format("event=send route={} runner={} attempt={} after={} caller={} connection={} "
+                      "kept={} port={} predicted_ms={} kept_tokens={} pace={:.2f} candidates={} "
+                      "left_ms={} config={}{}",
+                      route_->name.value(), runner_.runner.value(), attempts_.sent(), after,
+                      connection_->caller(), connection.number, connection.kept ? "yes" : "no",
+                      connection.local_port, runner_.predicted.count(), runner_.kept_tokens,
+                      runner_.pace, runner_.candidates, time_left.count(), routes_->version.value(),
+                      team_ ? " team=" + team_->name.value() : ""),
+          call_.id.value());
   if (!failure) return;
   context_->metrics
       ->GetCounter(fmt::format("calls_sent_again_total{{after=\"{}\",repeatable=\"{}\"}}", after,
--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -130,8 +130,8 @@
   context_->metrics->GetHistogram("stream_longest_pause_seconds").Record(longest_gap_);
   if (first_late || gap_late) {
     context_->metrics
-        ->GetCounter(
-            fmt::format("streams_late_total{{part=\"{}\",route=\"{}\"}}", late, route_->name.value()))
+        ->GetCounter(fmt::format("streams_late_total{{part=\"{}\",route=\"{}\"}}", late,
+                                 route_->name.value()))
         .Add();
   }
   return fmt::format("events={} first_event_ms={} longest_pause_ms={} late={}", events_.delivered(),
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -337,6 +337,7 @@
   }
   report.unreachable = context_->picker.Unreachable(now);
   report.leaving = context_->view.Leaving();
+  if (!own) report.paces = context_->picker.TakePaceChanges(now);
   if (!report.changes_only) last_complete_report_ = now;
   reported_to_ = receiver;
   if (own) {
--- a/drivers/gateway/peer_codec.cc
+++ b/drivers/gateway/peer_codec.cc
@@ -34,6 +34,7 @@
     }
   }
   for (const RunnerId& runner : report.unreachable) wire->add_unreachable(runner.value());
+  for (const auto& [runner, pace] : report.paces) (*wire->mutable_paces())[runner.value()] = pace;
   for (const RunnerRun& run : report.leaving) {
     gateway_wire::RunnerRun* out = wire->add_leaving();
     out->set_runner(run.runner.value());
@@ -63,6 +64,9 @@
     report.entries.push_back(std::move(demand));
   }
   for (const std::string& runner : wire.unreachable()) report.unreachable.insert(RunnerId(runner));
+  for (const auto& [runner, pace] : wire.paces()) {
+    if (std::isfinite(pace) && pace > 0) report.paces[RunnerId(runner)] = pace;
+  }
   for (const gateway_wire::RunnerRun& run : wire.leaving()) {
     report.leaving.push_back({RunnerId(run.runner()), RunnerStartTime(run.born())});
   }
--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -97,6 +97,10 @@
   const SteadyTime now = context_->loop.Now();
   demand_aggregator_.Apply(report, now);
   for (const RunnerRun& run : report.leaving) NoteLeaving(context_, run, "peer");
+  for (const auto& [runner, pace] : report.paces) {
+    if (context_->view.Find(runner) != nullptr)
+      context_->picker.health(runner).pace.OnReport(pace, now);
+  }
   if (!Leads()) return;
   AnswerWaitingCalls(report);
   // Calls that wait for a model which a runner already holds mean that a gateway missed the notice.
--- a/drivers/gateway/policy_settings.cc
+++ b/drivers/gateway/policy_settings.cc
@@ -3,6 +3,8 @@
 namespace shallot::gateway {
 namespace {
 
+constexpr char kPacedBackends[] = "stated-pace";
+constexpr char kAllBackends[] = "all";
 constexpr char kReportedEstimate[] = "reported";
 constexpr char kCountedEstimate[] = "counted";
 
@@ -38,6 +40,11 @@
       reader.GetMillis("cross_domain_cost_ms", policy.cross_domain_cost, Millis(0), Millis(10'000));
   policy.in_flight_cost =
       reader.GetMillis("in_flight_cost_ms", policy.in_flight_cost, Millis(0), Millis(1'000));
+  const char* scope = policy.balance == BalanceScope::kAll ? kAllBackends : kPacedBackends;
+  policy.balance =
+      reader.GetChoice("balance", scope, {kPacedBackends, kAllBackends}) == kAllBackends
+          ? BalanceScope::kAll
+          : BalanceScope::kStatedPace;
   const std::string choice = reader.GetChoice("choice", ChoiceName(policy.choice), ChoiceNames());
   policy.choice = ParseChoice(choice).value_or(policy.choice);
   const char* estimate =
--- a/servers/gateway/demand_aggregator.h
+++ b/servers/gateway/demand_aggregator.h
@@ -45,6 +45,8 @@
   std::set<RunnerId> unreachable;
   /// Runs that have told the gateway that they are leaving.
   std::vector<RunnerRun> leaving;
+  /// Lasting paces of runners that changed since the previous report.
+  std::map<RunnerId, double> paces;
 };
 
 /// Tracks a gateway's own calls per entry. The rates are exponential averages that decay with the
--- a/servers/gateway/gateway_policy.h
+++ b/servers/gateway/gateway_policy.h
@@ -8,6 +8,13 @@
 
 namespace shallot::gateway {
 
+/// The backends whose runners get even load.
+enum class BalanceScope {
+  /// Those of which a runner has stated its pace: their runners share machines.
+  kStatedPace,
+  kAll,
+};
+
 /// How a gateway estimates the calls at a runner.
 enum class LoadEstimate {
   /// As last reported, or this gateway's own calls in flight if those are more.
@@ -51,6 +58,9 @@
   Millis cross_domain_cost{15};
   /// Score per call in flight at a model runner, because each call slows down every decode step.
   Millis in_flight_cost{4};
+  /// Which backends get even load by the figures below. Calls of the others go to the runner with
+  /// the lowest score, by its last report.
+  BalanceScope balance = BalanceScope::kStatedPace;
   /// How a runner is chosen among those that can take a call, and how its calls are estimated.
   ChoiceKind choice = ChoiceKind::kWeighted;
   LoadEstimate load_estimate = LoadEstimate::kCounted;
--- a/servers/gateway/load_planner.cc
+++ b/servers/gateway/load_planner.cc
@@ -100,7 +100,7 @@
 
 uint64_t LoadPlanner::EvenReplicas(const ModelName& model) const {
   const auto found = mean_rates_.find({input_.backend, model});
-  if (found == mean_rates_.end() || policy_->even_replica_load <= 0) return 0;
+  if (found == mean_rates_.end() || policy_->even_replica_load <= 0 || !fleet_.balance) return 0;
   // Below this rate, a replica saves less than its load costs.
   const double most =
       std::max(policy_->even_replica_load * fleet_.even_calls_per_s, policy_->hot_calls_per_s);
@@ -109,12 +109,25 @@
 
 uint64_t LoadPlanner::TargetReplicas(const ModelName& model) const {
   const TotalDemand& demand = DemandFor(model);
-  const auto replicas = static_cast<uint64_t>(std::ceil(ReplicasForLoad(model)));
+  const auto replicas =
+      static_cast<uint64_t>(std::ceil(ReplicasForLoad(model) * HolderPace(model)));
   const uint64_t min_replicas = demand.calls_per_s >= policy_->hot_calls_per_s ? 2 : 1;
   return std::clamp<uint64_t>(replicas, min_replicas,
                               std::max(min_replicas, policy_->max_replicas));
 }
 
+double LoadPlanner::HolderPace(const ModelName& model) const {
+  double speed = 0;
+  double holders = 0;
+  for (const RunnerState* runner : fleet_.eligible) {
+    if (!runner->entry.holdings.models.contains(model)) continue;
+    const auto pace = input_.pace.find(runner->entry.id);
+    speed += pace == input_.pace.end() ? 1.0 : 1.0 / pace->second;
+    ++holders;
+  }
+  return holders == 0 ? 1.0 : holders / speed;
+}
+
 uint64_t LoadPlanner::Replicas(const ModelName& model) const {
   const auto found = fleet_.replicas.find(model);
   return found == fleet_.replicas.end() ? 0 : found->second;
@@ -145,6 +158,11 @@
     fleet_.local_copies.insert(holdings.on_disk.begin(), holdings.on_disk.end());
     fleet_.most_free_mb = std::max(fleet_.most_free_mb, FreeMb(runner) - AdapterReserveMb(runner));
   }
+  fleet_.balance =
+      policy_->balance == BalanceScope::kAll ||
+      std::any_of(fleet_.eligible.begin(), fleet_.eligible.end(), [&](const RunnerState* runner) {
+        return input_.pace.contains(runner->entry.id);
+      });
   AllocateLimits();
   std::map<ModelName, uint64_t> holders;
   for (const RunnerState* runner : fleet_.eligible) {
@@ -309,7 +327,7 @@
 }
 
 double LoadPlanner::TrafficCost(const RunnerId& runner, const ModelName& model) const {
-  if (fleet_.mean_calls_per_s <= 0) return 0;
+  if (fleet_.mean_calls_per_s <= 0 || !fleet_.balance) return 0;
   const double added = DemandFor(model).calls_per_s / static_cast<double>(Replicas(model) + 1);
   const auto pace = input_.pace.find(runner);
   const double calls_per_s =
--- a/servers/gateway/load_planner.h
+++ b/servers/gateway/load_planner.h
@@ -100,6 +100,9 @@
   double ReplicasForLoad(const ModelName& model) const;
   uint64_t TargetReplicas(const ModelName& model) const;
   uint64_t Replicas(const ModelName& model) const;
+  /// Mean pace of the runners that hold the model: the time that its calls take there over the
+  /// usual. 1 if none does.
+  double HolderPace(const ModelName& model) const;
   /// Whether the replicas of a model carry so much more than they should, or its calls exceed the
   /// limits of all its runners so far, that other models' calls have to yield.
   bool Overloaded(const ModelName& model) const;
@@ -170,6 +173,8 @@
     LimitAllocation limits;
     /// Calls in flight at each runner, for all its models.
     std::map<RunnerId, uint64_t> in_flight;
+    /// The backend gets even load; see GatewayPolicy::balance.
+    bool balance = false;
     /// Calls per second that each runner gets for all its models, and the mean over the runners.
     std::map<RunnerId, double> calls_per_s;
     double mean_calls_per_s = 0;
--- a/servers/gateway/runner_picker.cc
+++ b/servers/gateway/runner_picker.cc
@@ -14,6 +14,8 @@
 /// Calls added to a mean load when a surplus is compared with it, because a runner that is mostly
 /// idle has a mean that varies by chance.
 constexpr double kUncountedLoad = 0.5;
+/// Smallest change of a runner's lasting pace that is reported to the placement leader.
+constexpr double kPaceChange = 0.1;
 /// Score added for a failure rate of 1, in target latencies.
 constexpr double kFailureCost = 3.0;
 /// Predicted service time of a plain service's call, relative to its target latency.
@@ -70,6 +72,10 @@
 RunnerPicker::Usual RunnerPicker::UsualOf(const std::vector<Candidate>& candidates,
                                           SteadyTime now) const {
   Usual usual;
+  usual.balance = policy_->balance == BalanceScope::kAll ||
+                  std::any_of(candidates.begin(), candidates.end(), [](const Candidate& candidate) {
+                    return candidate.health->pace.known();
+                  });
   uint64_t fresh = 0;
   for (const Candidate& candidate : candidates) {
     const RunnerHealth& health = *candidate.health;
@@ -98,6 +104,7 @@
 
 double RunnerPicker::SurplusCost(const Candidate& candidate, const Usual& usual,
                                  SteadyTime now) const {
+  if (!usual.balance) return 0;
   const RunnerHealth& health = *candidate.health;
   const Usual::Group& group = usual.groups[GroupOf(candidate)];
   const double share = group.sends / candidate.picked.pace;
@@ -114,7 +121,7 @@
   const RunnerHealth& health = *candidate->health;
   PickedRunner& picked = candidate->picked;
   double calls = 0;
-  if (policy_->load_estimate == LoadEstimate::kCounted) {
+  if (usual.balance && policy_->load_estimate == LoadEstimate::kCounted) {
     calls = health.CallsAt(usual.calls, now);
   } else if (health.ReportFresh(now)) {
     calls = static_cast<double>(std::max(health.in_flight, health.reported_running) +
@@ -157,12 +164,10 @@
   candidate->ready = !tried && available && picked.willingness.wait == Millis(0);
 }
 
-RunnerChoice& RunnerPicker::Choice() {
-  if (choice_kind_ != policy_->choice) {
-    choice_ = RunnerChoice::Make(policy_->choice, &random_);
-    choice_kind_ = policy_->choice;
-  }
-  return *choice_;
+RunnerChoice& RunnerPicker::Choice(ChoiceKind kind) {
+  std::unique_ptr<RunnerChoice>& choice = choices_[kind];
+  if (choice == nullptr) choice = RunnerChoice::Make(kind, &random_);
+  return *choice;
 }
 
 std::optional<PickedRunner> RunnerPicker::Pick(const Query& query, SteadyTime now,
@@ -185,14 +190,27 @@
     ready.push_back(index);
     scored.push_back({candidates[index].score, candidates[index].picked.kept_tokens});
   }
-  PickedRunner picked = candidates[ready[Choice().Choose(scored)]].picked;
+  RunnerChoice& choice = Choice(usual.balance ? policy_->choice : ChoiceKind::kLowest);
+  PickedRunner picked = candidates[ready[choice.Choose(scored)]].picked;
   picked.candidates = ready.size();
   return picked;
 }
 
+std::map<RunnerId, double> RunnerPicker::TakePaceChanges(SteadyTime now) {
+  std::map<RunnerId, double> changes;
+  for (const auto& [id, pace] : LastingPaces(now)) {
+    const auto [reported, fresh] = reported_paces_.try_emplace(id, pace);
+    if (!fresh && std::abs(reported->second - pace) < kPaceChange) continue;
+    reported->second = pace;
+    changes[id] = pace;
+  }
+  return changes;
+}
+
 void RunnerPicker::Forget(const RunnerId& runner) {
   const auto found = health_.find(runner);
   if (found != health_.end()) found->second.ForgetObservations();
+  reported_paces_.erase(runner);
   prefixes_.Forget(runner);
 }
 
--- a/servers/gateway/runner_picker.h
+++ b/servers/gateway/runner_picker.h
@@ -93,6 +93,8 @@
   std::map<BackendName, BalanceSummary> Summarize(SteadyTime now) const;
   /// Lasting paces of the runners that have stated one to this gateway.
   std::map<RunnerId, double> LastingPaces(SteadyTime now) const;
+  /// Lasting paces that changed by at least kPaceChange since this function returned them.
+  std::map<RunnerId, double> TakePaceChanges(SteadyTime now);
   /// Runners to which no calls may be sent now.
   std::set<RunnerId> Unreachable(SteadyTime now) const;
 
@@ -110,6 +112,8 @@
   };
   /// What the candidates for a call have in common.
   struct Usual {
+    /// The backend gets even load; see GatewayPolicy::balance.
+    bool balance = false;
     /// Mean number of calls at those with a recent report.
     double calls = 0;
     struct Group {
@@ -135,17 +139,17 @@
   /// got fewer.
   double SurplusCost(const Candidate& candidate, const Usual& usual, SteadyTime now) const;
   void Score(const Query& query, const Usual& usual, SteadyTime now, Candidate* candidate) const;
-  /// The strategy of the policy in force.
-  RunnerChoice& Choice();
+  RunnerChoice& Choice(ChoiceKind kind);
 
   const GatewayPolicy* policy_;
   const FleetView* view_;
   FailureDomain own_domain_;
   const RunnerLimits* limits_;
   Random random_;
-  std::unique_ptr<RunnerChoice> choice_;
-  std::optional<ChoiceKind> choice_kind_;
+  std::map<ChoiceKind, std::unique_ptr<RunnerChoice>> choices_;
   std::map<RunnerId, RunnerHealth> health_;
+  /// Lasting paces as TakePaceChanges() last returned them.
+  std::map<RunnerId, double> reported_paces_;
   PrefixIndex prefixes_;
 };
 
--- a/tests/gateway_balance_model.h
+++ b/tests/gateway_balance_model.h
@@ -51,6 +51,7 @@
 class BalanceModel {
  public:
   explicit BalanceModel(const BalanceSetup& setup) : setup_(setup), random_(setup.seed) {
+    policy_.balance = BalanceScope::kAll;
     policy_.choice = setup.choice;
     policy_.load_estimate = setup.estimate;
     policy_.send_surplus_cost = setup.send_surplus_cost;
--- a/tests/gateway_load_planner_test.cc
+++ b/tests/gateway_load_planner_test.cc
@@ -355,6 +355,7 @@
       const bool holds = *id == 'a';
       fleet.AddRunner(id, holds ? std::vector<int>{0, 1} : std::vector<int>{2}, {0, 1, 2});
     }
+    fleet.policy().balance = BalanceScope::kAll;
     fleet.policy().even_replica_load = test.even_replica_load;
     fleet.Demand(0).calls_per_s = test.busy_per_s;
     fleet.Demand(2).calls_per_s = test.busy_per_s / 10;
