--- a/servers/gateway/quota/quota_account.cc
+++ b/servers/gateway/quota/quota_account.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "servers/gateway/quota/quota_bucket.h"
 #include "servers/gateway/quota/quota_issuer.h"
@@ -165,10 +166,10 @@
   return state.small_per_s * std::exp(-passed_s) * kAheadS + state.small_cost * kAheadCalls;
 }
 
-bool QuotaAccount::Due(const InstanceId& issuer, BootTime now) const {
+bool QuotaAccount::Due(const InstanceId& issuer, Millis pause, BootTime now) const {
   const Duration passed = now - asked_at_;
   if (passed >= kIdlePause || hurry_ || issuer != last_issuer_) return true;
-  if (passed < kAskPause && issuer != self_) return false;
+  if (passed < pause && issuer != self_) return false;
   if (withdrawn_) return true;
   return std::any_of(teams_.begin(), teams_.end(), [&](const auto& entry) {
     const TeamState& state = entry.second;
@@ -181,7 +182,7 @@
       return true;
     }
     if (waiting > 0 || held > waiting + target * 2 + kRounding) return true;
-    return held < target / 2 && passed >= kAskPause * 2;
+    return held < target / 2 && passed >= pause * 2;
   });
 }
 
@@ -248,7 +249,10 @@
 
 std::optional<QuotaAsk> QuotaAccount::TakeAsk(const InstanceId& issuer, uint64_t known_gateways,
                                               BootTime now) {
-  if (teams_.empty() || !Due(issuer, now)) return std::nullopt;
+  const auto many = static_cast<int64_t>(std::max(known_gateways, kGatewaysAtAskPause));
+  const Millis pause =
+      std::min(kIdlePause, kAskPause * many / static_cast<int64_t>(kGatewaysAtAskPause));
+  if (teams_.empty() || !Due(issuer, pause, now)) return std::nullopt;
   asked_at_ = now;
   last_issuer_ = issuer;
   hurry_ = false;
@@ -273,7 +277,15 @@
   ask.held = std::max(Duration(0), *state.unanswered_since - state.stamped_at);
   state.counted_until =
       std::max(state.counted_until, *state.unanswered_since + QuotaIssuer::kMemberTime);
-  for (auto& [team, team_state] : teams_) ask.teams.push_back(AskFor(team, &team_state, now));
+  for (auto& [team, team_state] : teams_) {
+    TeamAsk team_ask = AskFor(team, &team_state, now);
+    const bool asks_costs = !team_ask.costs.empty();
+    // Most teams of most gateways need nothing most of the time.
+    if (asks_costs || team_state.asked_costs || team_ask.ahead > 0 || team_ask.returned > 0) {
+      ask.teams.push_back(std::move(team_ask));
+    }
+    team_state.asked_costs = asks_costs;
+  }
   return ask;
 }
 
--- a/servers/gateway/quota/quota_account.h
+++ b/servers/gateway/quota/quota_account.h
@@ -39,6 +39,9 @@
   static constexpr Millis kTokenLifetime{1'000};
   /// Pause between two requests while calls wait, and without calls.
   static constexpr Millis kAskPause{40};
+  /// In fleets of more gateways than this, the pause grows with their number, so that the issuer
+  /// gets no more requests.
+  static constexpr uint64_t kGatewaysAtAskPause = 100;
   static constexpr Millis kIdlePause{480};
   /// A call waits for tokens for at most this part of its target latency.
   static constexpr int64_t kWaitPart = 8;
@@ -99,6 +102,8 @@
     TeamQuota quota;
     std::deque<Batch> batches;
     std::deque<Waiting> waiting;
+    /// The last request named costs, so the next one must say what has become of them.
+    bool asked_costs = false;
     /// The newest response.
     TeamGrant grant;
     std::optional<BootTime> granted_at;
@@ -131,7 +136,7 @@
   static Millis Predict(const TeamState& state, double cost, double earlier, BootTime now);
   QuotaAsk MakeAsk(const InstanceId& issuer, uint64_t known_gateways, bool leaving, BootTime now);
   TeamAsk AskFor(const TeamName& team, TeamState* state, BootTime now) const;
-  bool Due(const InstanceId& issuer, BootTime now) const;
+  bool Due(const InstanceId& issuer, Millis pause, BootTime now) const;
 
   InstanceId self_;
   BootTime start_until_;
--- a/servers/gateway/quota/quota_issuer.cc
+++ b/servers/gateway/quota/quota_issuer.cc
@@ -106,6 +106,7 @@
                                          now - member.unconfirmed.front().at > kConfirmTime)) {
     member.unconfirmed.pop_front();
   }
+  const uint64_t members = Members(now);
   Granted granted{ask.number, now, {}};
   for (const TeamAsk& team : ask.teams) {
     const auto found = pools_.find(team.team);
@@ -115,7 +116,7 @@
       const auto entry = earlier.tokens.find(team.team);
       if (entry != earlier.tokens.end()) unconfirmed += entry->second;
     }
-    grant.teams.push_back(IssueTeam(team, &found->second, ask.gateway, unconfirmed, now));
+    grant.teams.push_back(IssueTeam(team, &found->second, ask.gateway, unconfirmed, members, now));
     if (grant.teams.back().tokens > 0) granted.tokens[team.team] = grant.teams.back().tokens;
   }
   if (!granted.tokens.empty()) member.unconfirmed.push_back(std::move(granted));
@@ -123,7 +124,7 @@
 }
 
 TeamGrant QuotaIssuer::IssueTeam(const TeamAsk& ask, Pool* pool, const InstanceId& gateway,
-                                 double unconfirmed, BootTime now) {
+                                 double unconfirmed, uint64_t members, BootTime now) {
   QuotaBucket& bucket = pool->bucket;
   bucket.Return(ask.returned);
   std::erase_if(pool->waiting,
@@ -163,7 +164,7 @@
   const double spare = (bucket.level() - all) / 2;
   const double part =
       std::max(static_cast<double>(pool->quota.plain_tokens),
-               bucket.capacity() / (2 * static_cast<double>(std::max<uint64_t>(1, Members(now)))));
+               bucket.capacity() / (2 * static_cast<double>(std::max<uint64_t>(1, members))));
   const double ahead = std::min(std::max(0.0, ask.ahead - unconfirmed), std::min(spare, part));
   if (waiting == 0 && ahead > 0 && (pool->quota.unit == QuotaUnit::kTokens || ahead >= 1)) {
     const double whole = pool->quota.unit == QuotaUnit::kCalls ? std::floor(ahead) : ahead;
@@ -172,7 +173,7 @@
   }
   grant.level = bucket.level();
   grant.before = waiting > 0 ? before : all;
-  grant.fill_per_s = bucket.FillPerS(MostAreMembers(now));
+  grant.fill_per_s = bucket.FillPerS(members * 2 > known_ && members < known_);
   grant.capacity = bucket.capacity();
   grant.debt = bucket.debt();
   return grant;
--- a/servers/gateway/quota/quota_issuer.h
+++ b/servers/gateway/quota/quota_issuer.h
@@ -77,7 +77,7 @@
   double Share(BootTime now) const;
   bool MostAreMembers(BootTime now) const;
   TeamGrant IssueTeam(const TeamAsk& ask, Pool* pool, const InstanceId& gateway, double unconfirmed,
-                      BootTime now);
+                      uint64_t members, BootTime now);
 
   InstanceId self_;
   QuotaTolerance tolerance_;
--- a/tests/gateway_quota_fleet.h
+++ b/tests/gateway_quota_fleet.h
@@ -125,6 +125,8 @@
 
   std::map<TeamName, TeamResult> results;
   std::vector<uint64_t> messages_by = std::vector<uint64_t>(1'000);
+  /// Teams that all requests named.
+  uint64_t teams_asked = 0;
   QuotaExchange& exchange(size_t index) { return *nodes_[index].exchange; }
 
  private:
@@ -146,6 +148,7 @@
 
   void Post(size_t from, size_t to, Message message) {
     ++messages_by[from];
+    if (const auto* ask = std::get_if<QuotaAsk>(&message)) teams_asked += ask->teams.size();
     if (!reaches(from, to) || (options_.lost > 0 && random_.Unit() < options_.lost)) return;
     const auto spread = options_.most_delay - options_.least_delay;
     const Millis delay =
