Test that a gateway gets tokens from another one

Cause: the fleet tests use no network, so the messages between two gateways were not covered.

Change: two gateways in one process; each in turn uses a whole burst, of which its equal share is half.

Ruled out: more gateways in this test; the fleet tests play 100.

--- a/bench/quota_bench.cc
+++ b/bench/quota_bench.cc
@@ -43,7 +43,8 @@
       for (const auto& [name, team] : options.teams) {
         constexpr double kMeanCost = (9'200 + 3 * 200) / 4.0;
         double left = team.quota.rate_per_s * kDemand * 0.01 / kMeanCost;
-        for (; random.Unit() < left; left -= 1) {
+        while (random.Unit() < left) {
+          left -= 1;
           const bool plain = random.Unit() < 0.75;
           run.Call(random.Below(gateways), name, plain ? 200 : 9'200, Millis(plain ? 100 : 1'500));
         }
--- a/tests/gateway_quota_daemon_test.cc
+++ b/tests/gateway_quota_daemon_test.cc
@@ -40,5 +40,45 @@
   for (int call = 0; call < 20; ++call) CHECK(fixture.Call("/p/x").status == 200);
 }
 
+// Guards against tokens that do not reach the gateway with the demand: either gateway alone may use
+// the whole burst, of which its equal share would be half.
+TEST_CASE("gateway daemon: a gateway gets tokens from another one") {
+  GatewayFixture fixture;
+  GatewaySettings second_settings = fixture.settings_;
+  second_settings.instance = InstanceId("front-2");
+  const auto second = StartOnFreePorts(&second_settings, &fixture.codec_);
+  REQUIRE(second != nullptr);
+  std::string config = kConfig;
+  config.replace(config.find("\"routes\":["), 10,
+                 R"("tenants":[{"name":"limited","api-keys":["k1"],"rate-per-s":30,"burst":30,)"
+                 R"("unit":"calls"}],"routes":[)");
+  fixture.platform_.Put("op/config", config);
+  fixture.platform_.PutRunner();
+  REQUIRE(fixture.AwaitReady());
+  const auto quotas = [&](const GatewaySettings& settings) {
+    return fixture.Send(settings.metrics_address, "GET", "/quotas").body;
+  };
+  REQUIRE(fixture.Await([&] {
+    for (const GatewaySettings* settings : {&fixture.settings_, &second_settings}) {
+      const std::string shown = quotas(*settings);
+      if (shown.find("\"known_gateways\":2,\"members\":2") != std::string::npos) return true;
+    }
+    return false;
+  }));
+  fixture.key_ = "k1";
+  const SystemClock clock;
+  for (const GatewaySettings* settings : {&fixture.settings_, &second_settings}) {
+    CAPTURE(quotas(*settings));
+    const SteadyTime full = clock.SteadyNow() + Millis(1'500);
+    REQUIRE(fixture.Await([&] { return clock.SteadyNow() > full; }));
+    int admitted = 0;
+    for (int call = 0; call < 25; ++call) {
+      if (fixture.Send(settings->caller_address, "POST", "/p/x", "b").status == 200) ++admitted;
+    }
+    CHECK(admitted == 25);
+  }
+  second->Stop();
+}
+
 }  // namespace
 }  // namespace shallot::gateway
