Count only calls that wait for a runner as demand

Cause: calls that wait for tokens were reported to the leader as calls that wait for their model, so calls beyond a quota could load models.

Change: demand reports and the longest wait leave them out.

Ruled out: a state of its own for these calls in all users of waiting(); they are dispatched and refused like other waiting calls.

--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -51,6 +51,8 @@
   void TryDispatch();
 
   bool waiting() const { return waiting_; }
+  /// Whether the call waits for a runner, and not for tokens of its team's quota.
+  bool WaitsForRunner() const { return waiting_ && (quota_team_ == nullptr || charged_at_); }
   Millis WaitedFor() const;
   Millis TimeLeft() const;
   SteadyTime deadline() const { return deadline_; }
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -188,7 +188,7 @@
 Millis GatewayDaemon::LongestWait(const BackendName& backend, const CallRequest& call) const {
   Millis longest{0};
   for (const auto& [connection, session] : sessions_) {
-    if (!session->waiting() || session->backend() != backend) continue;
+    if (!session->WaitsForRunner() || session->backend() != backend) continue;
     if (session->call().model == call.model && session->call().adapter == call.adapter) {
       longest = std::max(longest, session->WaitedFor());
     }
@@ -287,7 +287,7 @@
 std::map<DemandMeter::Key, GatewayDaemon::WaitingDemand> GatewayDaemon::CountWaiting() const {
   std::map<DemandMeter::Key, WaitingDemand> waiting;
   for (const auto& [connection, session] : sessions_) {
-    if (!session->waiting()) continue;
+    if (!session->WaitsForRunner()) continue;
     const CallRequest& call = session->call();
     WaitingDemand& demand = waiting[{session->backend(), call.model, call.adapter}];
     demand.least_time_left = std::min(demand.least_time_left, session->TimeLeft());
