Pause runners whose callers read slowly, within a memory budget

Cause: what a slow caller had not read stayed in the gateway, up to 8 MB per connection without a common bound, and then the connection was closed. The output queue of a caller that never read everything also kept all bytes already sent. Bodies of uploads had no common bound either.

Change: SendBudget derives a bound per call and one for all calls from limits.memory-mb. A call whose queue is above its bound reads no more from its runner until the queue is below half of it. The bound of a call is at most what is free (dynamic threshold), and a call whose caller has read everything may always go on, so a slow caller delays no other one. While paused, the silence timer is off, and a runner that ends the unread answer is not counted as failed. A resumable stream continues after its last event once the caller has read on; others end with a reset. Answers that are not streams are passed on in parts when memory is short. Bodies that do not fit get 503 with Retry-After; their whole length is counted from the start.

Ruled out: a queue of paused calls that are woken when memory is free, which costs time per slow caller, and making a buffered answer wait for memory, which can wait for ever when all of them do.

--- a/drivers/gateway/admin_handler.cc
+++ b/drivers/gateway/admin_handler.cc
@@ -48,6 +48,9 @@
   set("traits_quarantined", context_->quarantine.Quarantined(context_->loop.Now()).size());
   set("runners_limited", context_->limits.Limited().size());
   set("runners_leaving", context_->view.Leaving().size());
+  set("buffered_answer_bytes", context_->send_budget.held(BufferKind::kAnswer));
+  set("buffered_body_bytes", context_->send_budget.held(BufferKind::kBody));
+  set("buffer_limit_bytes", context_->send_budget.limits().total);
   set("log_lines_dropped", DroppedLogLines());
   set("config_version", context_->routes ? context_->routes->version.value() : 0);
   return metrics.Render();
--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -31,7 +31,11 @@
       owner_(owner),
       connection_(connection),
       request_(std::move(request)),
-      started_at_(connection->request_started_at()) {}
+      started_at_(connection->request_started_at()),
+      held_answer_(&context->send_budget, BufferKind::kAnswer),
+      held_body_(&context->send_budget, BufferKind::kBody) {
+  held_body_.Set(request_.body.size());
+}
 
 CallSession::~CallSession() { StopTimers(); }
 
@@ -209,6 +213,8 @@
   retry_granted_ = false;
   answer_ = HttpMessage();
   answer_failure_.reset();
+  passing_on_ = false;
+  paused_before_ = false;
   events_.DropPartial();
 
   context_->limits.OnSent(picked.runner, sent_at_);
@@ -240,6 +246,8 @@
   exchange_ = context_->client.Start(
       runner->entry.address, FormatRequest(context_->protocol->EncodeCall(request_, envelope)),
       options, this);
+  // The connection holds another copy of the body until the runner has read it.
+  held_body_.Set(2 * request_.body.size());
   LogSend(envelope.time_left);
   ArmSilenceTimer(SilenceLimit(picked));
 }
@@ -276,8 +284,7 @@
 }
 
 void CallSession::ArmSilenceTimer(Duration delay) {
-  if (silence_timer_ != TimerId()) context_->loop.Cancel(silence_timer_);
-  silence_timer_ = TimerId();
+  StopSilenceTimer();
   if (!attempts_.MayGiveUp()) return;
   silence_timer_ = context_->loop.After(delay, [this] {
     silence_timer_ = TimerId();
@@ -285,6 +292,11 @@
   });
 }
 
+void CallSession::StopSilenceTimer() {
+  if (silence_timer_ != TimerId()) context_->loop.Cancel(silence_timer_);
+  silence_timer_ = TimerId();
+}
+
 void CallSession::OnSilence() {
   const std::set<RunnerId> excluded = RecentlyRejected();
   PickError problem = PickError::kNone;
@@ -348,10 +360,11 @@
 }
 
 void CallSession::EndAttempt() {
-  if (silence_timer_ != TimerId()) context_->loop.Cancel(silence_timer_);
-  silence_timer_ = TimerId();
+  StopSilenceTimer();
   if (!in_flight_) return;
   in_flight_ = false;
+  paused_ = false;
+  held_body_.Set(request_.body.size());
   RunnerHealth& health = context_->picker.health(runner_.runner);
   if (health.in_flight > 0) --health.in_flight;
   if (!first_event_seen_) health.RemovePending(Urgency(), sent_tokens_);
@@ -389,8 +402,9 @@
                      retry_after ? retry_after->count() : 0));
 }
 
-void CallSession::ForwardAnswer(const HttpMessage& answer) {
-  connection_->Answer({context_->protocol->EncodeAnswer(answer.head), answer.body});
+void CallSession::ForwardAnswer(HttpMessage answer) {
+  held_answer_.Set(0);
+  connection_->Answer({context_->protocol->EncodeAnswer(answer.head), std::move(answer.body)});
   Finish("completed", answer.head.status, "");
 }
 
@@ -416,7 +430,8 @@
       "call",
       fmt::format("event=end outcome={} status={} route={} elapsed_ms={} attempts={} config={} {}",
                   outcome, status, route, Elapsed().count(), attempts_.sent(),
-                  routes_ == nullptr ? 0 : routes_->version.value(), detail),
+                  routes_ == nullptr ? 0 : routes_->version.value(),
+                  pauses_ == 0 ? detail : fmt::format("pauses={} {}", pauses_, detail)),
       call_.id.value());
   context_->metrics
       ->GetCounter(fmt::format("calls_total{{outcome=\"{}\",route=\"{}\"}}", outcome, route))
--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -14,6 +14,7 @@
 #include "servers/gateway/attempt_policy.h"
 #include "servers/gateway/call_attempts.h"
 #include "servers/gateway/call_request.h"
+#include "servers/gateway/memory/send_budget.h"
 #include "servers/gateway/waiting_policy.h"
 
 namespace shallot::gateway {
@@ -40,6 +41,8 @@
   void Start();
   /// The caller closed its connection.
   void OnCallerGone();
+  /// The caller has read some of its answer.
+  void OnCallerRead();
   /// The process is stopping. Refuses a call that no runner has yet, while the caller can still
   /// send it to another gateway.
   void OnStopping();
@@ -95,11 +98,20 @@
   void Send(const PickedRunner& picked);
   void LogSend(Millis time_left) const;
   void ArmSilenceTimer(Duration delay);
+  void StopSilenceTimer();
   Duration SilenceLimit(const PickedRunner& picked) const;
   void OnSilence();
   void OnDeadline();
   void EndAttempt();
   void ForwardEvents();
+  /// The first part of the answer has arrived from the runner.
+  void OnAnswerBegins();
+  /// Buffers a part of an answer that is not a stream, or passes it on without buffering if the
+  /// gateway lacks memory.
+  void BufferAnswer(const std::string& data);
+  /// Counts what this call buffers, and pauses reading from its runner if the caller's unread part
+  /// of the answer is too long.
+  void UpdateBudget();
   void FailAttempt(AttemptFailure failure, const std::string& detail);
   void RecordFailure(AttemptFailure failure, const std::string& detail);
   void ContinueAfterFailure(AttemptFailure failure);
@@ -111,7 +123,7 @@
   void RecordFirstEvent(bool arrived);
   void Refuse(const std::string& reason, Millis retry_after);
   void AnswerWithError(int status, const std::string& reason, std::optional<Millis> retry_after);
-  void ForwardAnswer(const HttpMessage& answer);
+  void ForwardAnswer(HttpMessage answer);
   void AbortAnswer(const std::string& reason);
   void Finish(const std::string& outcome, int status, const std::string& detail);
   void StopTimers();
@@ -153,10 +165,20 @@
   bool streaming_ = false;
   HttpMessage answer_;
   std::optional<AttemptFailure> answer_failure_;
+  /// The answer is not a stream, but its caller gets it in parts.
+  bool passing_on_ = false;
+  /// Reading from the runner is paused until the caller has read more.
+  bool paused_ = false;
+  /// It was paused during this attempt. If the runner then ends the connection, its caller caused
+  /// that.
+  bool paused_before_ = false;
 
   // State of the answer to the caller.
   bool answer_begun_ = false;
   EventStream events_;
+  uint64_t pauses_ = 0;
+  HeldBytes held_answer_;
+  HeldBytes held_body_;
 };
 
 }  // namespace shallot::gateway
--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "core/log.h"
 #include "drivers/gateway/call_session.h"
@@ -59,6 +60,7 @@
                               context_->loop.Now());
   }
   answer_.head = head;
+  held_body_.Set(request_.body.size());
   // A refusal that does not name the call may be an earlier one that arrives again.
   if (metadata.not_executed && !metadata.call.empty()) {
     if (head.status != 421) {
@@ -90,16 +92,89 @@
 
 void CallSession::OnBody(std::string data) {
   if (!streaming_) {
-    answer_.body += data;
-    if (answer_.body.size() <= kMaxBufferedAnswerBytes) return;
-    context_->client.Cancel(exchange_);
-    FailAttempt(AttemptFailure::kMalformed, "the answer exceeds the size limit");
+    BufferAnswer(data);
     return;
   }
   events_.Feed(data);
   ForwardEvents();
 }
 
+void CallSession::BufferAnswer(const std::string& data) {
+  if (passing_on_) {
+    connection_->SendChunk(data);
+    UpdateBudget();
+    return;
+  }
+  answer_.body += data;
+  held_answer_.Set(answer_.body.size());
+  const bool fits = context_->send_budget.MayBuffer(held_answer_.bytes());
+  // Errors are passed on only after the last attempt, and HTTP/1.0 has no chunks.
+  const bool whole_only = answer_failure_ || request_.head.http_1_0;
+  if (answer_.body.size() > kMaxBufferedAnswerBytes || (!fits && whole_only)) {
+    context_->client.Cancel(exchange_);
+    FailAttempt(AttemptFailure::kMalformed, fits ? "the answer exceeds the size limit"
+                                                 : "the gateway has no memory for the answer");
+    return;
+  }
+  if (fits) return;
+  // Waiting for memory could last forever: all answers that are buffered may be waiting for it.
+  LogInfo("call",
+          fmt::format("event=pass-on-unbuffered runner={} held_bytes={} held_answers={} limit={}",
+                      runner_.runner.value(), held_answer_.bytes(),
+                      context_->send_budget.held(BufferKind::kAnswer),
+                      context_->send_budget.limits().answers),
+          call_.id.value());
+  context_->metrics->GetCounter("answers_passed_on_unbuffered_total").Add();
+  passing_on_ = true;
+  StopSilenceTimer();  // The answer cannot be fetched from another runner any more.
+  OnAnswerBegins();
+  connection_->SendChunk(std::exchange(answer_.body, std::string()));
+  held_answer_.Set(0);
+  UpdateBudget();
+}
+
+void CallSession::OnAnswerBegins() {
+  if (!first_event_seen_) {
+    context_->picker.health(runner_.runner).RemovePending(Urgency(), sent_tokens_);
+    first_event_seen_ = true;
+    context_->quarantine.OnAnswerBegun(traits_, context_->loop.Now());
+  }
+  if (answer_begun_) return;
+  answer_begun_ = true;
+  connection_->BeginStream(context_->protocol->EncodeAnswer(answer_.head));
+}
+
+void CallSession::UpdateBudget() {
+  held_answer_.Set(events_.buffered_bytes());
+  const SendBudget& budget = context_->send_budget;
+  const uint64_t queued = connection_->queued_bytes();
+  const uint64_t allowance = paused_ && !budget.MayResume(queued) ? 0 : budget.Allowance(queued);
+  context_->client.SetReadLimit(exchange_, allowance);
+  if (allowance > 0 && paused_) {
+    paused_ = false;
+    if (passing_on_) return;
+    ArmSilenceTimer(route_->gap_target > Millis(0)
+                        ? Duration(route_->gap_target * kSilentGapTargets)
+                        : SilenceLimit(runner_));
+  }
+  if (allowance > 0 || paused_) return;
+  paused_ = true;
+  paused_before_ = true;
+  // The runner is not silent; its bytes are not read.
+  StopSilenceTimer();
+  context_->metrics->GetCounter("answers_paused_total").Add();
+  if (++pauses_ > 1) return;
+  LogInfo("call",
+          fmt::format("event=pause runner={} queued_bytes={} per_call={} held_answers={} limit={}",
+                      runner_.runner.value(), queued, budget.limits().per_call,
+                      budget.held(BufferKind::kAnswer), budget.limits().answers),
+          call_.id.value());
+}
+
+void CallSession::OnCallerRead() {
+  if (paused_ && in_flight_) UpdateBudget();
+}
+
 void CallSession::RecordFirstEvent(bool arrived) {
   if (engine_ == nullptr || first_event_seen_) return;
   const SteadyTime now = context_->loop.Now();
@@ -119,17 +194,11 @@
   const uint64_t delivered_before = events_.delivered();
   while (const auto event = events_.Next()) {
     if (!first_event_seen_) {
-      context_->picker.health(runner_.runner).RemovePending(Urgency(), sent_tokens_);
       RecordFirstEvent(true);
-      first_event_seen_ = true;
-      context_->quarantine.OnAnswerBegun(traits_, context_->loop.Now());
       context_->metrics->GetHistogram("first_event_seconds")
           .Record(context_->loop.Now() - started_at_);
     }
-    if (!answer_begun_) {
-      answer_begun_ = true;
-      connection_->BeginStream(context_->protocol->EncodeAnswer(answer_.head));
-    }
+    OnAnswerBegins();
     connection_->SendChunk(*event);
     last_event_at_ = context_->loop.Now();
   }
@@ -143,6 +212,7 @@
   if (progress && route_->gap_target > Millis(0)) {
     ArmSilenceTimer(route_->gap_target * kSilentGapTargets);
   }
+  UpdateBudget();
 }
 
 void CallSession::OnComplete() {
@@ -165,8 +235,8 @@
   RunnerHealth& health = context_->picker.health(runner_.runner);
   health.OnSuccess(context_->loop.Now());
   health.OnModelServed(call_.model.value());
-  if (!streaming_) {
-    ForwardAnswer(answer_);
+  if (!streaming_ && !passing_on_) {
+    ForwardAnswer(std::move(answer_));
     return;
   }
   if (!answer_begun_) connection_->BeginStream(context_->protocol->EncodeAnswer(answer_.head));
@@ -219,7 +289,8 @@
       if (!first_event_seen_ && context_->crash_observer != nullptr) {
         context_->crash_observer->OnCallLost({{runner_.runner, runner_born_}, sent_at_, traits_});
       }
-      health.OnFailure(now, true);
+      // A runner ends an answer that is not read for some seconds, which is no fault of its own.
+      if (!paused_before_) health.OnFailure(now, true);
       return;
     case AttemptFailure::kSilent:
       health.OnFailure(now, true);
@@ -266,7 +337,8 @@
   const bool suspected =
       failure == AttemptFailure::kLostAnswer && !first_event_seen_ &&
       context_->quarantine.CrashesWith(traits_.front()) >= CrashQuarantine::kMaxCrashesForRetry;
-  bool retry_allowed = !suspected;
+  // Only a stream can continue where it was cut.
+  bool retry_allowed = !suspected && !passing_on_;
   NextStep step = attempts_.AfterFailure(answer_begun_, time_left, retry_allowed);
   // A call that never reached a runner puts no load on it, so its retry is not counted against the
   // retry share, which is this gateway's part of the backend's retry budget for all gateways.
@@ -289,7 +361,7 @@
       Refuse("no runner took the call", RetryAfterRefusal());
       return;
     case NextStep::kPassOn:
-      ForwardAnswer(answer_);
+      ForwardAnswer(std::move(answer_));
       return;
     case NextStep::kFail:
       AnswerWithError(502, "the runner's answer was lost; the call may have run", std::nullopt);
--- a/drivers/gateway/caller_connection.cc
+++ b/drivers/gateway/caller_connection.cc
@@ -14,7 +14,9 @@
       parser_(HttpParser::Kind::kRequest, listener->limits().max_header_bytes,
               listener->limits().max_body_bytes),
       tcp_(listener->loop(), this, accepted),
-      caller_(std::move(caller)) {
+      caller_(std::move(caller)),
+      held_answer_(listener->budget(), BufferKind::kAnswer),
+      held_body_(listener->budget(), BufferKind::kBody) {
   ArmTimer();
 }
 
@@ -46,7 +48,7 @@
 
 void CallerConnection::OnData(std::string_view bytes) {
   input_ += bytes;
-  if (busy_) {
+  if (busy_ || MustReadFirst()) {
     if (input_.size() > kMaxPipelinedBytes) {
       LogWarning("caller", "too many pipelined bytes; closing the connection");
       OnEnd(true);
@@ -58,7 +60,7 @@
 }
 
 void CallerConnection::Parse() {
-  while (!busy_ && !input_.empty() && tcp_.open() && !closing_when_drained_) {
+  while (!busy_ && !input_.empty() && tcp_.open() && !closing_when_drained_ && !MustReadFirst()) {
     if (!parser_.begun()) request_started_at_ = listener_->loop()->Now();
     const Result<size_t> used = parser_.Feed(input_);
     if (!IsOk(used)) {
@@ -73,7 +75,10 @@
         return;
       }
       body_ += parser_.TakeBody();
-      if (!parser_.done() && !continue_sent_ && parser_.head().Find("Expect") != nullptr) {
+      RefuseBodyWithoutMemory();
+      if (closing_when_drained_) return;
+      if (!parser_.done() && !discarding_ && !continue_sent_ &&
+          parser_.head().Find("Expect") != nullptr) {
         continue_sent_ = true;
         tcp_.Send("HTTP/1.1 100 Continue\r\n\r\n");
       }
@@ -82,10 +87,64 @@
       ArmTimer();
       return;
     }
+    if (discarding_) {
+      discarding_ = false;
+      parser_.Reset();
+      FinishAnswer();
+      continue;
+    }
     HandleRequest();
   }
 }
 
+void CallerConnection::RefuseBodyWithoutMemory() {
+  if (discarding_) {
+    body_.clear();
+    return;
+  }
+  if (listener_->budget() == nullptr) return;
+  const HttpHead& head = parser_.head();
+  const uint64_t bytes = std::max<uint64_t>(head.content_length.value_or(0), body_.size());
+  if (listener_->budget()->MayRead(bytes, held_body_.bytes())) {
+    // The whole length counts from the start: uploads that begin together would otherwise all be
+    // admitted, and then all be refused half-way.
+    held_body_.Set(bytes);
+    return;
+  }
+  body_ = std::string();
+  held_body_.Set(0);
+  const HttpMessage answer = listener_->handler()->NoMemoryAnswer(head);
+  if (head.Find("Expect") != nullptr) {
+    // The caller may send its next request in place of this body.
+    busy_ = true;
+    close_after_ = true;
+    Answer(answer);
+    return;
+  }
+  discarding_ = true;
+  close_after_ = listener_->closing() || !head.keep_alive;
+  Send(FormatAnswer(answer, close_after_));
+}
+
+bool CallerConnection::MustReadFirst() const {
+  return listener_->budget() != nullptr && !parser_.begun() &&
+         tcp_.queued_bytes() > listener_->budget()->limits().per_call;
+}
+
+void CallerConnection::Send(std::string_view bytes) {
+  tcp_.Send(bytes);
+  held_answer_.Set(tcp_.held_bytes());
+}
+
+void CallerConnection::OnSent() {
+  held_answer_.Set(tcp_.held_bytes());
+  if (busy_) {
+    listener_->handler()->OnCallerRead(this);
+  } else if (!input_.empty()) {
+    Parse();
+  }
+}
+
 bool CallerConnection::HasValidFraming(const HttpHead& head) const {
   if (head.Count("Content-Length") > 1 || head.Count("Host") != 1) return false;
   if (head.Count("Transfer-Encoding") == 0) return true;
@@ -100,6 +159,7 @@
   busy_ = true;
   close_after_ = !request.head.keep_alive;
   parser_.Reset();
+  held_body_.Set(0);  // The call's session counts it from here on.
   listener_->handler()->OnRequest(this, std::move(request));
 }
 
@@ -117,18 +177,18 @@
 
 void CallerConnection::Answer(const HttpMessage& answer) {
   if (listener_->closing()) close_after_ = true;
-  tcp_.Send(FormatAnswer(answer, close_after_));
+  Send(FormatAnswer(answer, close_after_));
   FinishAnswer();
 }
 
 void CallerConnection::BeginStream(const HttpHead& head) {
   if (listener_->closing()) close_after_ = true;
-  tcp_.Send(FormatChunkedHead(head, close_after_));
+  Send(FormatChunkedHead(head, close_after_));
 }
 
 void CallerConnection::SendChunk(std::string_view data) {
   if (data.empty()) return;
-  tcp_.Send(FormatChunk(data));
+  Send(FormatChunk(data));
   if (tcp_.queued_bytes() <= kMaxQueuedBytes) return;
   LogWarning("caller", "the caller does not read its answer; closing the connection");
   listener_->loop()->After(Duration(0), [this, alive = std::weak_ptr<bool>(alive_)] {
@@ -137,13 +197,14 @@
 }
 
 void CallerConnection::FinishStream() {
-  tcp_.Send(kLastChunk);
+  Send(kLastChunk);
   FinishAnswer();
 }
 
 void CallerConnection::Abort() {
   busy_ = false;
   tcp_.Close(true);
+  held_answer_.Set(0);
   listener_->Drop(this);
 }
 
--- a/drivers/gateway/caller_connection.h
+++ b/drivers/gateway/caller_connection.h
@@ -36,12 +36,15 @@
            tcp_.queued_bytes() == 0;
   }
   bool open() const { return tcp_.open(); }
+  /// Bytes of answers that the caller has not read yet.
+  size_t queued_bytes() const { return tcp_.queued_bytes(); }
   const std::string& caller() const { return caller_; }
   /// Time at which the first byte of the current request was read.
   SteadyTime request_started_at() const { return request_started_at_; }
 
   void OnData(std::string_view bytes) override;
   void OnEnd(bool reset) override;
+  void OnSent() override;
   void OnDrained() override;
 
  private:
@@ -54,6 +57,13 @@
   void Parse();
   void Refuse(int status, const std::string& reason);
   bool HasValidFraming(const HttpHead& head) const;
+  /// Answers the request without its body, which is then read and discarded, if there is no memory
+  /// for it. A connection that were closed with unread bytes would lose the answer.
+  void RefuseBodyWithoutMemory();
+  /// Whether the next pipelined request has to wait until the caller has read its answers.
+  bool MustReadFirst() const;
+  /// Sends the bytes and counts what stays queued.
+  void Send(std::string_view bytes);
   void HandleRequest();
   void FinishAnswer();
   void ArmTimer();
@@ -69,6 +79,10 @@
   bool close_after_ = false;
   bool closing_when_drained_ = false;
   bool continue_sent_ = false;
+  /// The current request has been refused; the rest of its body is discarded.
+  bool discarding_ = false;
+  HeldBytes held_answer_;
+  HeldBytes held_body_;
   SteadyTime request_started_at_{};
   TimerId timer_;
   /// Scheduled callbacks hold a weak reference to detect that the connection was destroyed.
--- a/drivers/gateway/caller_listener.cc
+++ b/drivers/gateway/caller_listener.cc
@@ -19,6 +19,10 @@
 
 }  // namespace
 
+HttpMessage CallerHandler::NoMemoryAnswer(const HttpHead& /*request*/) {
+  return TextAnswer(503, "Service Unavailable", "text/plain", "no memory for the request's body\n");
+}
+
 CallerListener::CallerListener(EventLoop* loop, std::string name, CallerHandler* handler)
     : loop_(loop), name_(std::move(name)), handler_(handler) {}
 
--- a/drivers/gateway/caller_listener.h
+++ b/drivers/gateway/caller_listener.h
@@ -12,6 +12,7 @@
 #include "drivers/gateway/event_loop.h"
 #include "drivers/gateway/http_message.h"
 #include "servers/gateway/fleet_routes.h"
+#include "servers/gateway/memory/send_budget.h"
 
 namespace Poco::Net {
 class ServerSocket;
@@ -30,6 +31,10 @@
   /// The caller closed the connection before its request was answered. `connection` is about to be
   /// destroyed.
   virtual void OnCallerGone(CallerConnection* connection) = 0;
+  /// The caller has read some of its answer.
+  virtual void OnCallerRead(CallerConnection* /*connection*/) {}
+  /// The answer to a call whose body there is no memory for.
+  virtual HttpMessage NoMemoryAnswer(const HttpHead& request);
 };
 
 /// Accepts connections on one address and reads HTTP/1.1 requests from them, all on one loop.
@@ -43,6 +48,10 @@
   Status Open(const std::string& address);
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
   const CallerLimits& limits() const { return limits_; }
+  /// Counts what the connections hold, and refuses bodies that do not fit. The budget must outlive
+  /// the listener.
+  void SetBudget(SendBudget* budget) { budget_ = budget; }
+  SendBudget* budget() const { return budget_; }
   /// While set, each answer has "Connection: close" and its connection is closed after it.
   void SetClosing(bool closing) { closing_ = closing; }
   bool closing() const { return closing_; }
@@ -76,6 +85,7 @@
   /// Null before Open() and after StopAccepting().
   std::unique_ptr<Poco::Net::ServerSocket> socket_;
   CallerLimits limits_;
+  SendBudget* budget_ = nullptr;
   bool closing_ = false;
   std::map<CallerConnection*, std::unique_ptr<CallerConnection>> connections_;
 };
--- a/drivers/gateway/event_loop.cc
+++ b/drivers/gateway/event_loop.cc
@@ -22,9 +22,19 @@
   impl_->polls.add(socket, PollSet::POLL_READ | (writable ? PollSet::POLL_WRITE : 0));
 }
 
-void EventLoop::SetWritable(const Poco::Net::Socket& socket, bool writable) {
+void EventLoop::SetInterest(const Poco::Net::Socket& socket, SocketHandler* handler, bool readable,
+                            bool writable) {
   using Poco::Net::PollSet;
-  impl_->polls.update(socket, PollSet::POLL_READ | (writable ? PollSet::POLL_WRITE : 0));
+  if (!readable && !writable) {
+    Remove(socket);
+    return;
+  }
+  const int mode = (readable ? PollSet::POLL_READ : 0) | (writable ? PollSet::POLL_WRITE : 0);
+  if (impl_->handlers.insert_or_assign(socket.impl(), handler).second) {
+    impl_->polls.add(socket, mode);
+  } else {
+    impl_->polls.update(socket, mode);
+  }
 }
 
 void EventLoop::Remove(const Poco::Net::Socket& socket) {
--- a/drivers/gateway/event_loop.h
+++ b/drivers/gateway/event_loop.h
@@ -40,7 +40,10 @@
   /// Watches a socket for reading and, if `writable` is set, for writing. The handler must outlive
   /// the matching Remove().
   void Add(const Poco::Net::Socket& socket, SocketHandler* handler, bool writable);
-  void SetWritable(const Poco::Net::Socket& socket, bool writable);
+  /// Changes what a socket is watched for; it may be unknown. A socket that is watched for nothing
+  /// is not polled at all, because the operating system reports errors in any case.
+  void SetInterest(const Poco::Net::Socket& socket, SocketHandler* handler, bool readable,
+                   bool writable);
   void Remove(const Poco::Net::Socket& socket);
 
   TimerId After(Duration delay, std::function<void()> run);
--- a/drivers/gateway/event_stream.h
+++ b/drivers/gateway/event_stream.h
@@ -21,6 +21,7 @@
   /// Discards an incomplete event, before the stream continues from another runner.
   void DropPartial() { buffer_.clear(); }
   bool has_partial() const { return !buffer_.empty(); }
+  size_t buffered_bytes() const { return buffer_.size(); }
   bool too_long() const { return buffer_.size() > kMaxEventBytes; }
   /// Id of the last delivered event that had one; empty when there was none.
   const std::string& last_id() const { return last_id_; }
--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -21,6 +21,7 @@
 #include "servers/gateway/fleet_routes.h"
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/leader_election.h"
+#include "servers/gateway/memory/send_budget.h"
 #include "servers/gateway/retry_share.h"
 #include "servers/gateway/runner_limits.h"
 #include "servers/gateway/runner_picker.h"
@@ -53,6 +54,7 @@
         clock(system_clock),
         started_at(system_clock->SteadyNow()),
         metrics(registry),
+        send_budget(BufferLimits::FromMemory(settings.memory_mb)),
         loop(system_clock),
         client(&loop),
         calls(&loop, &client,
@@ -69,6 +71,8 @@
   const Clock* clock;
   SteadyTime started_at;
   MetricsRegistry* metrics;
+  /// Outlives the connections and calls whose destruction the loop defers.
+  SendBudget send_budget;
   EventLoop loop;
   HttpClient client;
   BufferedCalls calls;
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -84,6 +84,7 @@
       findings_(std::make_unique<FindingsDriver>(context_.get())),
       permits_(std::make_unique<PermitDriver>(context_.get(), placement_.get())) {
   context_->crash_observer = crash_monitor_.get();
+  callers_->SetBudget(&context_->send_budget);
   follower_->SetItemListener(findings_->Prefix(), findings_.get());
   follower_->SetLeaderListener(
       [this](const std::optional<LeaderRecord>& record, StorePosition as_of) {
@@ -172,6 +173,26 @@
   session->OnCallerGone();
 }
 
+void GatewayDaemon::OnCallerRead(CallerConnection* connection) {
+  const auto found = sessions_.find(connection);
+  if (found != sessions_.end()) found->second->OnCallerRead();
+}
+
+HttpMessage GatewayDaemon::NoMemoryAnswer(const HttpHead& request) {
+  const auto call = context_->protocol->DecodeCall(request);
+  const RequestId id = IsOk(call) ? ValueOf(call).id : RequestId();
+  const SendBudget& budget = context_->send_budget;
+  LogInfo("call",
+          fmt::format("event=end outcome=refused status=503 reason=\"no memory for the body\" "
+                      "body_bytes={} held_bodies={} held_answers={} limit={}",
+                      request.content_length.value_or(0), budget.held(BufferKind::kBody),
+                      budget.held(BufferKind::kAnswer), budget.limits().total),
+          id.value());
+  context_->metrics->GetCounter("bodies_refused_total").Add();
+  return context_->protocol->ErrorAnswer(503, id, "the gateway has no memory for the call's body",
+                                         Millis(SendBudget::kRetryAfterMs));
+}
+
 void GatewayDaemon::OnSessionEnded(CallerConnection* connection) {
   const auto found = sessions_.find(connection);
   if (found == sessions_.end()) return;
--- a/drivers/gateway/gateway_daemon.h
+++ b/drivers/gateway/gateway_daemon.h
@@ -44,6 +44,8 @@
 
   void OnRequest(CallerConnection* connection, HttpMessage request) override;
   void OnCallerGone(CallerConnection* connection) override;
+  void OnCallerRead(CallerConnection* connection) override;
+  HttpMessage NoMemoryAnswer(const HttpHead& request) override;
   void OnSessionEnded(CallerConnection* connection) override;
   void OnWaitStarted() override { demand_due_ = true; }
   Millis LongestWait(const BackendName& backend, const CallRequest& call) const override;
--- a/drivers/gateway/gateway_settings.h
+++ b/drivers/gateway/gateway_settings.h
@@ -33,6 +33,9 @@
   Millis stop_grace{8'000};
   /// Share of a processor core that the process may use.
   double cpu_share = 1.0;
+  /// Memory that the process may use, in units of 1,000,000 bytes. The default is that of the
+  /// smallest instances.
+  double memory_mb = 120;
   GatewayPolicy policy;
 };
 
--- a/drivers/gateway/http_client.cc
+++ b/drivers/gateway/http_client.cc
@@ -56,6 +56,7 @@
     parser_.Reset();
     head_delivered_ = false;
     skipped_bytes_ = 0;
+    tcp_.SetReadLimit(TcpConnection::kReadBytes);
     if (tcp_.connected()) {
       tcp_.Send(request);
       return;
@@ -85,7 +86,7 @@
       return;
     }
     tcp_.Send(request_);
-    request_.clear();
+    request_ = std::string();  // clear() would keep the memory as long as the connection.
   }
 
   void OnData(std::string_view bytes) override {
@@ -163,9 +164,11 @@
   ConnectionInfo info() const { return {number_, exchanges_begun_ > 1, tcp_.local_port()}; }
   const std::string& address() const { return address_; }
   bool open() const { return tcp_.open(); }
+  void SetReadLimit(size_t bytes) { tcp_.SetReadLimit(bytes); }
   SteadyTime idle_since() const { return idle_since_; }
   SteadyTime idle_until() const { return idle_until_; }
   void MarkIdle(SteadyTime now) {
+    tcp_.SetReadLimit(TcpConnection::kReadBytes);
     idle_since_ = now;
     idle_until_ = now + idle_timeout_;
   }
@@ -301,6 +304,11 @@
   if (found != exchanges_.end()) found->second->Abandon();
 }
 
+void HttpClient::SetReadLimit(ExchangeId exchange, size_t bytes) {
+  const auto found = exchanges_.find(exchange);
+  if (found != exchanges_.end()) found->second->SetReadLimit(bytes);
+}
+
 void HttpClient::Release(Connection* connection, bool reusable) {
   if (reusable && connection->open()) {
     connection->MarkIdle(loop_->Now());
--- a/drivers/gateway/http_client.h
+++ b/drivers/gateway/http_client.h
@@ -89,6 +89,9 @@
   /// Ends an exchange without a callback and resets its connection, so that the server stops work
   /// on the request.
   void Cancel(ExchangeId exchange);
+  /// Limits the bytes per read of the exchange's answer; 0 pauses reading. See
+  /// TcpConnection::SetReadLimit().
+  void SetReadLimit(ExchangeId exchange, size_t bytes);
   /// Closes the idle connections to an address.
   void CloseIdle(const std::string& address);
   /// Nullopt once the exchange has ended.
--- a/drivers/gateway/tcp_connection.cc
+++ b/drivers/gateway/tcp_connection.cc
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 
@@ -17,6 +18,9 @@
 
 /// A caller's connection is closed when sent bytes stay unacknowledged for this long.
 constexpr Millis kCallerUnacknowledgedLimit{10'000};
+/// Sent bytes are released from the output queue once they are this many and half of it, so that
+/// each byte is moved at most once on average. A peer that reads slowly may never drain the queue.
+constexpr size_t kReleaseBytes = 65'536;
 
 void ConfigureSocket(Poco::Net::StreamSocket* socket, Millis unacknowledged_limit) {
   socket->setBlocking(false);
@@ -117,15 +121,35 @@
       sent_ = output_.size();
     }
   }
-  const bool pending = sent_ < output_.size();
-  if (!pending) {
+  ReleaseSent();
+  UpdateInterest();
+}
+
+void TcpConnection::ReleaseSent() {
+  if (sent_ == output_.size()) {
+    // A long queue of the past must not stay allocated for the connection's lifetime.
+    if (output_.capacity() > kReleaseBytes) std::string().swap(output_);
     output_.clear();
     sent_ = 0;
+    return;
   }
-  if (pending != watching_writable_) {
-    loop_->SetWritable(*socket_, pending);
-    watching_writable_ = pending;
-  }
+  if (sent_ < kReleaseBytes || sent_ < output_.size() / 2) return;
+  output_ = output_.substr(sent_);
+  sent_ = 0;
+}
+
+void TcpConnection::UpdateInterest() {
+  const bool readable = read_limit_ > 0;
+  const bool writable = !connected_ || sent_ < output_.size();
+  if (readable == watching_readable_ && writable == watching_writable_) return;
+  loop_->SetInterest(*socket_, this, readable, writable);
+  watching_readable_ = readable;
+  watching_writable_ = writable;
+}
+
+void TcpConnection::SetReadLimit(size_t bytes) {
+  read_limit_ = std::min(bytes, kReadBytes);
+  if (socket_) UpdateInterest();
 }
 
 void TcpConnection::OnWritable() {
@@ -141,6 +165,7 @@
     if (!socket_) return;
   }
   Flush();
+  handler_->OnSent();
   if (socket_ && output_.empty()) handler_->OnDrained();
 }
 
@@ -149,10 +174,17 @@
     if (socket_) CloseAndNotify(true);
     return;
   }
+  if (read_limit_ == 0) {
+    // Reports an error. It is read when reading resumes; until then it would be reported again and
+    // again.
+    loop_->Remove(*socket_);
+    watching_readable_ = watching_writable_ = false;
+    return;
+  }
   static thread_local std::array<char, kReadBytes> buffer;
   int count = 0;
   try {
-    count = socket_->receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+    count = socket_->receiveBytes(buffer.data(), static_cast<int>(read_limit_));
   } catch (const Poco::Exception& error) {
     if (IsTransient(error)) return;
     timed_out_ = error.code() == ETIMEDOUT;
--- a/drivers/gateway/tcp_connection.h
+++ b/drivers/gateway/tcp_connection.h
@@ -24,6 +24,8 @@
   /// The peer closed the connection, or it failed (`reset`; see TcpConnection::timed_out()). No
   /// further callback follows.
   virtual void OnEnd(bool reset) = 0;
+  /// The peer has read some of the queued bytes; the queue may be empty now.
+  virtual void OnSent() {}
   /// All queued bytes have been passed to the operating system.
   virtual void OnDrained() {}
 };
@@ -45,6 +47,11 @@
   void Send(std::string_view bytes);
   /// Bytes that the operating system has not taken yet.
   size_t queued_bytes() const { return output_.size() - sent_; }
+  /// Bytes that the output queue holds, including those sent that it has not released yet.
+  size_t held_bytes() const { return output_.size(); }
+  /// Limits the bytes per read; 0 pauses reading. Then the end of the connection is noticed only
+  /// after reading has resumed, behind the bytes that arrived before it.
+  void SetReadLimit(size_t bytes);
   /// Whether the operating system has taken all bytes passed to Send(). False for good once a send
   /// has failed.
   bool all_sent() const { return !send_failed_ && queued_bytes() == 0; }
@@ -66,6 +73,9 @@
 
  private:
   void Flush();
+  void ReleaseSent();
+  /// Tells the loop what to watch the socket for.
+  void UpdateInterest();
   void CloseAndNotify(bool reset);
 
   EventLoop* loop_;
@@ -78,7 +88,9 @@
   bool failed_ = false;
   bool send_failed_ = false;
   bool timed_out_ = false;
+  bool watching_readable_ = true;
   bool watching_writable_ = false;
+  size_t read_limit_ = kReadBytes;
 };
 
 }  // namespace shallot::gateway
--- a/tests/gateway_daemon_fixture.h
+++ b/tests/gateway_daemon_fixture.h
@@ -78,8 +78,10 @@
 /// A gateway with a fake platform, and a caller of it.
 class GatewayFixture {
  public:
-  explicit GatewayFixture(const GatewayPolicy& policy = {}) {
+  /// `memory_mb`: 0 leaves the default.
+  explicit GatewayFixture(const GatewayPolicy& policy = {}, double memory_mb = 0) {
     settings_.policy = policy;
+    if (memory_mb > 0) settings_.memory_mb = memory_mb;
     settings_.instance = InstanceId("front-1");
     settings_.domain = FailureDomain("north");
     settings_.store_address = platform_.store_address();
--- a/tests/platform_settings_test.cc
+++ b/tests/platform_settings_test.cc
@@ -20,6 +20,7 @@
 "lease-ms":3000,"require-fencing":false,"ceiling-window-s":5,"config-apply-ms":3000,
 "strict-revoke":true,"revoke-ms":5000,"quota-window-s":8,"quota-overshoot":0.1,
 "quota-slack":110000},
+"limits":{"memory-mb":512},
 "platform":{"address":"10.200.1.7:8142","ttl-min-ms":1000},"new-field":[1]})";
   const auto decoded = DecodeSettings(text);
   REQUIRE(IsOk(decoded));
@@ -36,7 +37,15 @@
   CHECK(settings.policy.quota_window == Millis(8'000));
   CHECK(settings.policy.quota_overshoot == doctest::Approx(0.1));
   CHECK(settings.policy.quota_slack == doctest::Approx(110'000));
+  CHECK(settings.memory_mb == 512);
   const nlohmann::json good = nlohmann::json::parse(text);
+  nlohmann::json changed = good;
+  changed.erase("limits");
+  CHECK(ValueOf(DecodeSettings(changed.dump())).memory_mb == 120);
+  for (const nlohmann::json& limit : {nlohmann::json(0), nlohmann::json(-1), nlohmann::json("x")}) {
+    changed["limits"]["memory-mb"] = limit;
+    CHECK(KindOf(DecodeSettings(changed.dump())) == "invalid-argument");
+  }
   for (const char* field : {"node", "zone", "ip", "listen", "port-range", "platform"}) {
     CAPTURE(std::string(field));
     nlohmann::json bad = good;
--- a/tests/raw_server.cc
+++ b/tests/raw_server.cc
@@ -94,6 +94,7 @@
 
 RawServer::RawServer(Script script, const RawServerOptions& options)
     : script_(std::move(script)),
+      send_timeout_(options.send_timeout),
       listener_(std::make_unique<Poco::Net::ServerSocket>(
           Poco::Net::SocketAddress("127.0.0.1", uint16_t{0}))),
       address_(listener_->address().toString()) {
@@ -123,7 +124,7 @@
     auto socket = std::make_shared<Poco::Net::StreamSocket>(listener_->acceptConnection());
     if (stopping_) return;
     socket->setReceiveTimeout(kSocketTimeout);
-    socket->setSendTimeout(kSocketTimeout);
+    socket->setSendTimeout(Poco::Timespan(std::chrono::microseconds(send_timeout_).count()));
     const int number = accepted_++;
     connections_.emplace_back([this, socket, number] {
       RawConnection connection(socket.get());
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -49,6 +49,8 @@
 struct RawServerOptions {
   int receive_buffer_bytes = 0;
   int segment_bytes = 0;
+  /// A send that blocks for this long fails, as at a server that gives up an unread answer.
+  std::chrono::milliseconds send_timeout{30'000};
 };
 
 /// TCP server on a free loopback port that runs a script for each connection, on a thread of its
@@ -69,6 +71,7 @@
   void Serve();
 
   Script script_;
+  std::chrono::milliseconds send_timeout_;
   std::unique_ptr<Poco::Net::ServerSocket> listener_;
   std::string address_;
   std::atomic<bool> stopping_{false};
