Send calls only where the runner has memory for them

Cause: gateways counted a runner's calls, not their tokens, so long prompts together exceeded its memory; a call larger than any runner was sent, too.

Change: MemoryDriver carries RunnerMemory's requests to the placement leader and MemoryIssuer's grants back. A runner without room counts as pausing in RunnerPicker. A call waits up to 100 ms for memory of its best runner before it goes to another one with room, so that cached prompts are still found. A call that exceeds a runner's memory gets 400 with the figures. kv-used and kv-total of reports are decoded; the leader compares them with its grants. Backends without kv-capacity-tokens and calls without Token-Usage are not affected.

--- a/drivers/gateway/admin_handler.cc
+++ b/drivers/gateway/admin_handler.cc
@@ -51,6 +51,7 @@
   set("buffered_answer_bytes", context_->send_budget.held(BufferKind::kAnswer));
   set("buffered_body_bytes", context_->send_budget.held(BufferKind::kBody));
   set("buffer_limit_bytes", context_->send_budget.limits().total);
+  set("runner_memory_held_tokens", context_->runner_memory.held_total());
   set("log_lines_dropped", DroppedLogLines());
   set("config_version", context_->routes ? context_->routes->version.value() : 0);
   return metrics.Render();
--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -80,7 +80,7 @@
   backend_ = ChooseBackend(*route_, StableHash(call_.id.value()));
   engine_ = routes_->Engine(backend_);
   traits_ = TraitsOf(backend_, call_, {request_.head.method, request_.head.target, request_.body});
-  if (RefuseIfQuarantined()) return;
+  if (RefuseIfQuarantined() || RefuseIfTooLarge()) return;
   Millis budget = call_.time_budget;
   if (route_->timeout > Millis(0)) budget = std::min(budget, route_->timeout);
   deadline_ = started_at_ + budget;
@@ -155,6 +155,7 @@
     return;
   }
   if (RefuseIfTooLate(*picked)) return;
+  if (UsesMemory() && WaitsForBetterRunner(*picked)) return;
   if (picked->willingness.wait > Millis(0)) {
     WaitForRunner(*picked);
     return;
@@ -229,6 +230,9 @@
       0.0, static_cast<double>(call_.prompt_tokens) - static_cast<double>(picked.kept_tokens));
   health.AddPending(Urgency(), sent_tokens_);
   in_flight_ = true;
+  if (UsesMemory()) {
+    context_->runner_memory.OnSent({picked.runner, runner_born_}, call_.MemoryTokens());
+  }
   if (engine_ != nullptr) {
     context_->picker.prefixes().Sent(picked.runner, call_.PrefixScope(), call_.prompt);
     context_->meter.OnSent(DemandKey(false), picked.runner);
@@ -369,6 +373,9 @@
   if (health.in_flight > 0) --health.in_flight;
   if (!first_event_seen_) health.RemovePending(Urgency(), sent_tokens_);
   health.breaker.OnProbeEnded();
+  if (UsesMemory()) {
+    context_->runner_memory.OnEnded({runner_.runner, runner_born_}, call_.MemoryTokens());
+  }
   if (engine_ == nullptr) return;
   context_->meter.OnEnded(DemandKey(false), runner_.runner);
   if (!call_.adapter.empty()) context_->meter.OnEnded(DemandKey(true), runner_.runner);
--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -87,6 +87,18 @@
   /// Refuses the call if its first event would come after the caller has given up.
   bool RefuseIfTooLate(const PickedRunner& picked);
   void WaitOrRefuse(PickError problem);
+  /// Whether the runners of the call's backend state how much memory they have.
+  bool UsesMemory() const;
+  /// Refuses the call if no runner has the memory for it. Returns true if it does.
+  bool RefuseIfTooLarge();
+  /// The best runner that is expected to have memory for the call, or else the one where most is
+  /// expected to be free.
+  std::optional<RunnerRun> BestForMemory();
+  /// Asks for memory of a runner; the call waits for it.
+  void WantMemory(const RunnerRun& run);
+  /// Whether the call should wait a moment for memory of a better runner than `picked`, which may
+  /// have its prompt in the cache. Asks for that memory if so.
+  bool WaitsForBetterRunner(const PickedRunner& picked);
   /// Predicts whether the model will be available before the deadline, at first and whenever the
   /// last prediction no longer holds. Refuses the call and returns false if it will not.
   /// `longest_wait`: SessionOwner::LongestWait().
@@ -144,6 +156,8 @@
   Millis expected_wait_{0};
   Millis expected_load_{0};
   bool ended_ = false;
+  /// When the call first waited for memory of a runner.
+  std::optional<SteadyTime> memory_wanted_at_;
   TimerId deadline_timer_;
   TimerId silence_timer_;
   /// What the call shares with others, first the trait that only its repeats have.
--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -53,6 +53,11 @@
     health.reported_running = metadata.load->running;
     health.reported_waiting = metadata.load->waiting;
     health.reported_at = context_->loop.Now();
+    if (UsesMemory()) {
+      context_->runner_memory.OnLoad({runner_.runner, runner_born_},
+                                     metadata.load->running + metadata.load->waiting,
+                                     context_->loop.Now());
+    }
   }
   if (!metadata.call.empty()) {
     NoteWillingness(context_, {runner_.runner, runner_born_}, metadata);
--- a/drivers/gateway/call_session_waiting.cc
+++ b/drivers/gateway/call_session_waiting.cc
@@ -1,12 +1,23 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
 
+#include "core/hashing.h"
 #include "core/log.h"
 #include "drivers/gateway/call_session.h"
 
 // The part of CallSession that handles calls that cannot be sent at once.
 namespace shallot::gateway {
+namespace {
+
+/// A call waits this long for memory of its best runner before it goes to another one. Usually the
+/// leader responds within 60 ms.
+constexpr Millis kMemoryPatience{100};
+
+}  // namespace
 
 void CallSession::WaitForRunner(const PickedRunner& picked) {
   const bool limited = picked.willingness.state == Willingness::State::kLimited;
@@ -71,9 +82,94 @@
       !MayKeepWaiting(newly_waiting, longest_wait)) {
     return;
   }
+  if (problem == PickError::kAllBusy && UsesMemory()) {
+    if (const auto best = BestForMemory()) WantMemory(*best);
+  }
   if (newly_waiting) owner_->OnWaitStarted();
 }
 
+bool CallSession::UsesMemory() const {
+  return engine_ != nullptr && engine_->kv_capacity_tokens > 0 && call_.MemoryTokens() > 0;
+}
+
+bool CallSession::RefuseIfTooLarge() {
+  if (!UsesMemory() || call_.MemoryTokens() <= engine_->kv_capacity_tokens) return false;
+  context_->metrics->GetCounter("calls_too_large_total").Add();
+  AnswerWithError(400,
+                  fmt::format("the call needs {} tokens (prompt {}, output {}), and a runner of "
+                              "backend {} has memory for {}; send a shorter prompt or ask for a "
+                              "shorter output",
+                              call_.MemoryTokens(), call_.prompt_tokens, call_.max_output_tokens,
+                              backend_.value(), engine_->kv_capacity_tokens),
+                  std::nullopt);
+  return true;
+}
+
+std::optional<RunnerRun> CallSession::BestForMemory() {
+  const SteadyTime now = context_->loop.Now();
+  const uint64_t capacity = engine_->kv_capacity_tokens;
+  std::set<RunnerId> excluded = RecentlyRejected();
+  std::optional<RunnerRun> most_free;
+  // Equal runners are told apart by the call's id, so that gateways do not all ask for the same
+  // one.
+  std::pair<uint64_t, uint64_t> best_rank;
+  for (const auto& [id, runner] : context_->view.runners()) {
+    if (runner.entry.backend != backend_ || !runner.Usable() || runner.leaving) continue;
+    if (!runner.entry.holdings.Holds(call_.model, call_.adapter)) continue;
+    const RunnerRun run{id, runner.entry.born};
+    const uint64_t free = context_->runner_memory.ExpectedFree(run, capacity);
+    const bool has_room = context_->runner_memory.HasRoom(run, capacity, call_.MemoryTokens(), now);
+    if (!has_room && free < call_.MemoryTokens()) excluded.insert(id);
+    const RunnerHealth& health = context_->picker.health(id);
+    if (!health.Available(now) || health.in_flight >= runner.entry.slots) continue;
+    const std::pair<uint64_t, uint64_t> rank{free, StableHash(call_.id.value() + id.value())};
+    if (most_free && rank <= best_rank) continue;
+    most_free = run;
+    best_rank = rank;
+  }
+  RunnerPicker::Query query = MakeQuery(&excluded);
+  query.ignore_memory = true;
+  PickError problem = PickError::kNone;
+  const auto best = context_->picker.Pick(query, now, &problem);
+  if (!best || best->willingness.wait > Millis(0)) return most_free;
+  const RunnerState* runner = context_->view.Find(best->runner);
+  return RunnerRun{best->runner, runner->entry.born};
+}
+
+void CallSession::WantMemory(const RunnerRun& run) {
+  RunnerMemory& memory = context_->runner_memory;
+  const SteadyTime now = context_->loop.Now();
+  const uint64_t capacity = engine_->kv_capacity_tokens;
+  if (memory.HasRoom(run, capacity, call_.MemoryTokens(), now)) return;
+  memory.Want(run, call_.MemoryTokens());
+  if (memory_wanted_at_) return;
+  memory_wanted_at_ = now;
+  context_->metrics->GetCounter("calls_waited_for_memory_total").Add();
+  LogInfo("call",
+          fmt::format("event=wait-for-memory runner={} tokens={} capacity={} held={} "
+                      "expected_free={} governed={} left_ms={}",
+                      run.runner.value(), call_.MemoryTokens(), capacity, memory.held(run.runner),
+                      memory.ExpectedFree(run, capacity), memory.Governed(now) ? "yes" : "no",
+                      TimeLeft().count()),
+          call_.id.value());
+}
+
+bool CallSession::WaitsForBetterRunner(const PickedRunner& picked) {
+  const SteadyTime now = context_->loop.Now();
+  if (!context_->runner_memory.Governed(now)) return false;
+  if (memory_wanted_at_ && now - *memory_wanted_at_ >= Duration(kMemoryPatience)) return false;
+  const std::optional<RunnerRun> best = BestForMemory();
+  if (!best || best->runner == picked.runner ||
+      context_->runner_memory.HasRoom(*best, engine_->kv_capacity_tokens, call_.MemoryTokens(),
+                                      now)) {
+    return false;
+  }
+  WantMemory(*best);
+  if (!waiting_) waiting_since_ = now;
+  waiting_ = true;
+  return true;
+}
+
 bool CallSession::MayKeepWaiting(bool newly_waiting, Millis longest_wait) {
   const auto model = engine_->models.find(call_.model);
   const LoadTime fastest = model == engine_->models.end()
--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -21,6 +21,7 @@
 #include "servers/gateway/fleet_routes.h"
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/leader_election.h"
+#include "servers/gateway/memory/runner_memory.h"
 #include "servers/gateway/memory/send_budget.h"
 #include "servers/gateway/retry_share.h"
 #include "servers/gateway/runner_limits.h"
@@ -64,7 +65,9 @@
         store(&calls, platform, settings.store_address, &view.contact(), registry),
         limits(settings.instance),
         picker(&settings.policy, &view, settings.domain, &limits),
-        quarantine(settings.instance) {}
+        quarantine(settings.instance) {
+    picker.SetMemory(&runner_memory);
+  }
 
   GatewaySettings settings;
   const PlatformProtocol* protocol;
@@ -82,6 +85,9 @@
   /// Newest configuration; null until the first one has been read.
   std::shared_ptr<const FleetRoutes> routes;
   RunnerLimits limits;
+  RunnerMemory runner_memory;
+  /// In use while this gateway leads placement.
+  MemoryIssuer memory_issuer;
   RunnerPicker picker;
   DemandMeter meter;
   CrashQuarantine quarantine;
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -82,7 +82,8 @@
       presence_(std::make_unique<PresenceDriver>(context_.get())),
       crash_monitor_(std::make_unique<CrashMonitor>(context_.get())),
       findings_(std::make_unique<FindingsDriver>(context_.get())),
-      permits_(std::make_unique<PermitDriver>(context_.get(), placement_.get())) {
+      permits_(std::make_unique<PermitDriver>(context_.get(), placement_.get())),
+      memory_(std::make_unique<MemoryDriver>(context_.get(), placement_.get())) {
   context_->crash_observer = crash_monitor_.get();
   callers_->SetBudget(&context_->send_budget);
   follower_->SetItemListener(findings_->Prefix(), findings_.get());
@@ -245,6 +246,15 @@
       findings_->OnReport(*findings);
       return;
     }
+    if (const auto* request = std::get_if<MemoryRequest>(&message)) {
+      memory_->OnRequest(*request);
+      return;
+    }
+    if (const auto* response = std::get_if<MemoryResponse>(&message)) {
+      memory_->OnResponse(*response);
+      DispatchWaitingCalls();
+      return;
+    }
     if (const auto* request = std::get_if<PermitRequest>(&message)) {
       permits_->OnRequest(*request);
       return;
@@ -432,6 +442,7 @@
   ReportDemand();
   DispatchWaitingCalls();
   if (permits_->Tick()) DispatchWaitingCalls();
+  if (memory_->Tick()) DispatchWaitingCalls();
   context_->loop.After(kTickInterval, [this] { Tick(); });
 }
 
--- a/drivers/gateway/gateway_daemon.h
+++ b/drivers/gateway/gateway_daemon.h
@@ -17,6 +17,7 @@
 #include "drivers/gateway/findings_driver.h"
 #include "drivers/gateway/fleet_follower.h"
 #include "drivers/gateway/gateway_context.h"
+#include "drivers/gateway/memory/memory_driver.h"
 #include "drivers/gateway/permit_driver.h"
 #include "drivers/gateway/placement_driver.h"
 #include "drivers/gateway/presence_driver.h"
@@ -91,6 +92,7 @@
   std::unique_ptr<CrashMonitor> crash_monitor_;
   std::unique_ptr<FindingsDriver> findings_;
   std::unique_ptr<PermitDriver> permits_;
+  std::unique_ptr<MemoryDriver> memory_;
   std::map<CallerConnection*, std::shared_ptr<CallSession>> sessions_;
   std::thread thread_;
   std::atomic<bool> drain_requested_{false};
--- a/drivers/gateway/peer_channel.h
+++ b/drivers/gateway/peer_channel.h
@@ -16,6 +16,7 @@
 #include "servers/gateway/findings_order.h"
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/leader_election.h"
+#include "servers/gateway/memory/runner_memory.h"
 #include "servers/gateway/runner_limits.h"
 
 namespace shallot::gateway {
@@ -69,8 +70,25 @@
   std::string value;
 };
 
-using PeerMessage = std::variant<DemandReport, RunnerNotice, FindingsReport, PermitRequest,
-                                 PermitResponse, ConfigVersion, ConfigCopy>;
+/// A gateway's request for memory of runners, sent to the placement leader.
+struct MemoryRequest {
+  InstanceId gateway;
+  /// "IP:port" where the gateway accepts the response.
+  std::string address;
+  /// Echoed in the response.
+  uint64_t number = 0;
+  std::vector<MemoryAsk> asks;
+};
+
+/// The leader's response to a MemoryRequest.
+struct MemoryResponse {
+  uint64_t number = 0;
+  std::vector<MemoryGrant> grants;
+};
+
+using PeerMessage =
+    std::variant<DemandReport, RunnerNotice, FindingsReport, PermitRequest, PermitResponse,
+                 ConfigVersion, ConfigCopy, MemoryRequest, MemoryResponse>;
 
 /// Messages between gateways over ZeroMQ: demand reports and permit requests to the leader, notices
 /// and permits from it, findings to all, and configurations. They are soft state that newer
--- a/drivers/gateway/peer_codec.cc
+++ b/drivers/gateway/peer_codec.cc
@@ -170,6 +170,54 @@
   return response;
 }
 
+void EncodeMemoryRequest(const MemoryRequest& request, gateway_wire::MemoryRequest* wire) {
+  wire->set_gateway(request.gateway.value());
+  wire->set_address(request.address);
+  wire->set_number(request.number);
+  for (const MemoryAsk& ask : request.asks) {
+    gateway_wire::MemoryAsk* out = wire->add_asks();
+    out->set_runner(ask.run.runner.value());
+    out->set_born(ask.run.born.value());
+    out->set_held(ask.held);
+    for (const uint64_t tokens : ask.calls) out->add_calls(tokens);
+    out->set_capacity(ask.capacity);
+  }
+}
+
+MemoryRequest DecodeMemoryRequest(const gateway_wire::MemoryRequest& wire) {
+  MemoryRequest request{InstanceId(wire.gateway()), wire.address(), wire.number(), {}};
+  for (const gateway_wire::MemoryAsk& ask : wire.asks()) {
+    request.asks.push_back({{RunnerId(ask.runner()), RunnerStartTime(ask.born())},
+                            ask.held(),
+                            {ask.calls().begin(), ask.calls().end()},
+                            ask.capacity()});
+  }
+  return request;
+}
+
+void EncodeMemoryResponse(const MemoryResponse& response, gateway_wire::MemoryResponse* wire) {
+  wire->set_number(response.number);
+  for (const MemoryGrant& grant : response.grants) {
+    gateway_wire::MemoryGrant* out = wire->add_grants();
+    out->set_runner(grant.run.runner.value());
+    out->set_born(grant.run.born.value());
+    out->set_limit(grant.limit);
+    out->set_free(grant.free);
+    out->set_scarce(grant.scarce);
+  }
+}
+
+MemoryResponse DecodeMemoryResponse(const gateway_wire::MemoryResponse& wire) {
+  MemoryResponse response{wire.number(), {}};
+  for (const gateway_wire::MemoryGrant& grant : wire.grants()) {
+    response.grants.push_back({{RunnerId(grant.runner()), RunnerStartTime(grant.born())},
+                               grant.limit(),
+                               grant.free(),
+                               grant.scarce()});
+  }
+  return response;
+}
+
 void EncodeReport(const FindingsReport& report, gateway_wire::Findings* wire) {
   wire->set_gateway(report.gateway.value());
   EncodeCrashFindings(report.crashes, wire->mutable_crashes());
@@ -224,6 +272,10 @@
     wire.mutable_config_copy()->set_gateway(copy->gateway.value());
     wire.mutable_config_copy()->set_address(copy->address);
     wire.mutable_config_copy()->set_value(copy->value);
+  } else if (const auto* memory_request = std::get_if<MemoryRequest>(&message)) {
+    EncodeMemoryRequest(*memory_request, wire.mutable_memory_request());
+  } else if (const auto* memory_response = std::get_if<MemoryResponse>(&message)) {
+    EncodeMemoryResponse(*memory_response, wire.mutable_memory_response());
   } else {
     EncodeNotice(std::get<RunnerNotice>(message), wire.mutable_notice());
   }
@@ -238,6 +290,10 @@
     if (wire.has_findings()) return PeerMessage(DecodeReport(wire.findings()));
     if (wire.has_permit_request()) return PeerMessage(DecodeRequest(wire.permit_request()));
     if (wire.has_permit_response()) return PeerMessage(DecodeResponse(wire.permit_response()));
+    if (wire.has_memory_request()) return PeerMessage(DecodeMemoryRequest(wire.memory_request()));
+    if (wire.has_memory_response()) {
+      return PeerMessage(DecodeMemoryResponse(wire.memory_response()));
+    }
     if (wire.has_config_version()) {
       const gateway_wire::ConfigVersion& version = wire.config_version();
       return PeerMessage(ConfigVersion{InstanceId(version.gateway()), version.address(),
--- a/drivers/gateway/runner_answers.cc
+++ b/drivers/gateway/runner_answers.cc
@@ -14,6 +14,13 @@
 }
 
 void NoteReport(GatewayContext* context, const RunnerId& runner, const RunnerReport& report) {
+  if (report.used_tokens) {
+    const RunnerRun run{runner, report.born};
+    const SteadyTime now = context->loop.Now();
+    context->runner_memory.OnReport(run, *report.used_tokens, report.waiting, now);
+    context->memory_issuer.OnReport(run, *report.used_tokens, report.memory_tokens.value_or(0),
+                                    now);
+  }
   if (!context->view.ApplyReport(runner, report, context->loop.Now())) return;
   context->picker.Forget(runner);
   LogInfo("runners", fmt::format("event=runner-restarted runner={} born={} source=report",
--- a/servers/gateway/call_request.h
+++ b/servers/gateway/call_request.h
@@ -32,6 +32,9 @@
   uint64_t max_output_tokens = 0;
   std::vector<PromptPart> prompt;
 
+  /// Tokens that the call takes of its runner's memory: its prompt and its longest output. Parts of
+  /// the prompt that the runner has cached count, too, because the cache yields to calls.
+  uint64_t MemoryTokens() const { return prompt_tokens + max_output_tokens; }
   /// Scope in which prompt prefixes are shared.
   std::string PrefixScope() const { return model.value() + "/" + adapter.value(); }
 };
--- a/servers/gateway/fleet_view.h
+++ b/servers/gateway/fleet_view.h
@@ -60,6 +60,9 @@
   bool order_under_way = false;
   uint64_t running = 0;
   uint64_t waiting = 0;
+  /// Tokens that its running calls hold, and its memory in tokens; absent if it states none.
+  std::optional<uint64_t> used_tokens;
+  std::optional<uint64_t> memory_tokens;
   Holdings holdings;
 };
 
--- a/servers/gateway/memory/runner_memory.cc
+++ b/servers/gateway/memory/runner_memory.cc
@@ -1,6 +1,7 @@
 #include "servers/gateway/memory/runner_memory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace shallot::gateway {
@@ -87,10 +88,12 @@
   found->second.calls = Less(found->second.calls, 1);
 }
 
-void RunnerMemory::OnReport(const RunnerRun& run, uint64_t used_tokens, SteadyTime now) {
+void RunnerMemory::OnReport(const RunnerRun& run, uint64_t used_tokens, uint64_t waiting,
+                            SteadyTime now) {
   if (!runners_.contains(run.runner) && runners_.size() >= kMaxRunners) return;
   Runner* runner = Get(run);
-  runner->others = Less(used_tokens, runner->held);
+  const double queued = static_cast<double>(waiting) * mean_tokens_;
+  runner->others = Less(used_tokens + static_cast<uint64_t>(queued), runner->held);
   runner->reported_at = now;
 }
 
@@ -109,6 +112,8 @@
 
 std::vector<MemoryAsk> RunnerMemory::TakeAsks(uint64_t number, SteadyTime now) {
   std::vector<MemoryAsk> asks;
+  const bool confirms = now - confirmed_at_ >= Duration(kBatchInterval);
+  if (confirms) confirmed_at_ = now;
   for (auto entry = runners_.begin(); entry != runners_.end();) {
     Runner& runner = entry->second;
     runner.wanted = 0;
@@ -118,22 +123,23 @@
         runner.held == 0 && calls.empty() && !runner.pending && !runner.asked_for_calls;
     // The last request has returned everything, or the grant has run out.
     if (idle && (runner.limit == 0 || !valid)) {
-      entry = runners_.erase(entry);
+      const bool reported =
+          runner.reported_at && now - *runner.reported_at <= Duration(kReportLifetime);
+      entry = reported ? std::next(entry) : runners_.erase(entry);
       continue;
     }
     const Duration since = now - runner.asked_at;
     const bool surplus = valid && runner.limit > runner.held;
     const bool lacking = !calls.empty();
-    const Millis interval = !surplus         ? kConfirmInterval
-                            : runner.scarce ? kScarceReturnInterval
-                                            : kReturnInterval;
+    const bool confirm = confirms && since >= Duration(kConfirmInterval - kBatchInterval);
+    const bool returns = surplus && runner.scarce && since >= Duration(kScarceReturnInterval);
     // Until it is withdrawn, the issuer keeps memory for a wish.
     const bool withdrawn = calls.empty() && runner.asked_for_calls;
     const bool due = runner.pending ? since >= Duration(kRepeatTime)
-                                    : lacking || withdrawn || since >= Duration(interval);
+                                    : lacking || withdrawn || returns || confirm;
     if (due) {
       runner.asked_for_calls = !calls.empty();
-      asks.push_back({{entry->first, runner.born}, runner.held, std::move(calls)});
+      asks.push_back({{entry->first, runner.born}, runner.held, std::move(calls), 0});
       runner.limit = runner.held;
       runner.limit_until = std::max(runner.limit_until, now + Duration(kRepeatTime));
       runner.asked_number = number;
@@ -203,6 +209,7 @@
   std::erase_if(ledger.members, [now](const auto& member) {
     return now - member.second.asked_at > Duration(kMemberTime);
   });
+  if (ledger.total > 0) capacity = std::min(capacity, ledger.total);
   Member& self = ledger.members[gateway];
   self.tokens = ask.held;
   self.least = ask.calls.empty() ? 0 : *std::min_element(ask.calls.begin(), ask.calls.end());
@@ -212,9 +219,9 @@
   // A call that needs more than the usable part gets the whole memory when it is alone.
   const bool alone = used == 0 && self.least > Usable(capacity);
   const bool new_leader = now - started_at_ < Duration(kUnknownTime);
-  const uint64_t most =
-      new_leader ? static_cast<uint64_t>(static_cast<double>(capacity) * kNewLeaderShare)
-                 : Usable(capacity);
+  const uint64_t most = new_leader
+                            ? static_cast<uint64_t>(static_cast<double>(capacity) * kNewLeaderShare)
+                            : Usable(capacity);
   const uint64_t usable = alone ? capacity : most;
   if (ledger.reported_at && now - *ledger.reported_at <= Duration(kReportLifetime)) {
     used = std::max(used + ledger.unknown, ledger.reported);
@@ -235,16 +242,19 @@
   }
   // With room to spare, the next calls need not wait for a request.
   const uint64_t rest = Less(std::min(available, Less(most, used)), granted);
-  const uint64_t spare = !all ? 0 : rest / (2 * std::max<uint64_t>(gateways_, 1));
+  const bool active = ask.held > 0 || !ask.calls.empty();
+  const uint64_t spare = !all || !active ? 0 : rest / (2 * std::max<uint64_t>(gateways_, 1));
   self.tokens += granted + spare;
   const bool scarce = std::any_of(ledger.members.begin(), ledger.members.end(),
                                   [now](const auto& member) { return Waits(member.second, now); });
   return {ask.run, self.tokens, Less(free, granted + spare), scarce};
 }
 
-void MemoryIssuer::OnReport(const RunnerRun& run, uint64_t used_tokens, SteadyTime now) {
+void MemoryIssuer::OnReport(const RunnerRun& run, uint64_t used_tokens, uint64_t total_tokens,
+                            SteadyTime now) {
   Ledger& ledger = ledgers_[run];
   ledger.reported = used_tokens;
+  ledger.total = total_tokens;
   ledger.reported_at = now;
   ledger.granted_before.push_back(Granted(run));
   if (ledger.granted_before.size() > kReportLag) ledger.granted_before.pop_front();
@@ -259,6 +269,19 @@
   });
 }
 
+void MemoryIssuer::Retain(const std::function<bool(const RunnerRun&)>& may_exist, SteadyTime now) {
+  std::erase_if(ledgers_, [&](const auto& entry) {
+    const Ledger& ledger = entry.second;
+    const bool asked =
+        std::any_of(ledger.members.begin(), ledger.members.end(), [now](const auto& member) {
+          return now - member.second.asked_at <= Duration(kMemberTime);
+        });
+    const bool reported =
+        ledger.reported_at && now - *ledger.reported_at <= Duration(kReportLifetime);
+    return !may_exist(entry.first) || (!asked && !reported);
+  });
+}
+
 uint64_t MemoryIssuer::Granted(const RunnerRun& run) const {
   const auto found = ledgers_.find(run);
   if (found == ledgers_.end()) return 0;
--- a/servers/gateway/memory/runner_memory.h
+++ b/servers/gateway/memory/runner_memory.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -21,6 +22,9 @@
   /// Needed by each of its waiting calls, at most kMaxCalls of them.
   std::vector<uint64_t> calls;
   static constexpr size_t kMaxCalls = 16;
+  /// The runner's memory as the gateway knows it, for a leader that does not know the runner; 0:
+  /// not known.
+  uint64_t capacity = 0;
 };
 
 /// The issuer's response to a MemoryAsk.
@@ -34,12 +38,6 @@
   bool scarce = false;
 };
 
-/// Tokens that a call takes of a runner's memory: its prompt and its longest output. Parts of the
-/// prompt that the runner has cached count, too, because the cache yields to calls.
-constexpr uint64_t CallMemory(uint64_t prompt_tokens, uint64_t max_output_tokens) {
-  return prompt_tokens + max_output_tokens;
-}
-
 /// What this gateway's calls hold of the runners' memory, and whether there is room for another
 /// one. Load pattern: bursts of long prompts at many gateways, whose reports on the runners are
 /// 200 ms old, at runners that crash when their calls exceed their memory.
@@ -52,16 +50,17 @@
  public:
   /// Share of a runner's memory that calls may take together; the rest is for rounding to blocks.
   static constexpr double kUsableShare = 0.98;
-  /// A request is repeated after this time without a response. Messages are read every 20 ms at both
-  /// ends; a response to an earlier request is of no use.
+  /// A request is repeated after this time without a response. Messages are read every 20 ms at
+  /// both ends; a response to an earlier request is of no use.
   static constexpr Millis kRepeatTime{150};
-  /// Interval of requests that return what is not used, while other gateways wait for it and
-  /// otherwise, and of those that only confirm.
+  /// Interval of requests that return what is not used while other gateways wait for it, and of
+  /// those that only confirm.
   static constexpr Millis kScarceReturnInterval{20};
-  static constexpr Millis kReturnInterval{100};
   static constexpr Millis kConfirmInterval{250};
-  /// Without a response for this long, the gateway goes on without the issuer. Several requests in a
-  /// row must have been lost: what it then sends is not counted by an issuer that is still there.
+  /// Confirmations are collected for this long, so that they share messages.
+  static constexpr Millis kBatchInterval{100};
+  /// Without a response for this long, the gateway goes on without the issuer. Several requests in
+  /// a row must have been lost: what it then sends is not counted by an issuer that is still there.
   static constexpr Millis kResponseTime{800};
   /// A grant is void this long after its request, for example in a process that was suspended, and
   /// before a new leader grants anything.
@@ -81,8 +80,9 @@
   uint64_t ExpectedFree(const RunnerRun& run, uint64_t capacity) const;
   void OnSent(const RunnerRun& run, uint64_t tokens);
   void OnEnded(const RunnerRun& run, uint64_t tokens);
-  /// A runner stated its load: what its calls hold, of all gateways together.
-  void OnReport(const RunnerRun& run, uint64_t used_tokens, SteadyTime now);
+  /// A runner reported what its running calls hold, of all gateways together, and the number of
+  /// calls that wait there. The size of those is estimated from own calls.
+  void OnReport(const RunnerRun& run, uint64_t used_tokens, uint64_t waiting, SteadyTime now);
   /// An answer of a runner stated its number of calls. Their size is estimated from own calls.
   void OnLoad(const RunnerRun& run, uint64_t calls, SteadyTime now);
   /// A call waits for memory of the runner. To be repeated before each TakeAsks().
@@ -129,6 +129,7 @@
   uint64_t gateways_ = 1;
   bool issuer_known_ = false;
   std::optional<SteadyTime> unanswered_since_;
+  SteadyTime confirmed_at_{};
   /// Moving average of own calls.
   double mean_tokens_ = 0;
 };
@@ -138,12 +139,14 @@
 /// the gateways hold. Not thread-safe.
 class MemoryIssuer {
  public:
-  /// Time for which a new leader collects before it grants. Grants of its predecessor are void then.
+  /// Time for which a new leader collects before it grants. Grants of its predecessor are void
+  /// then.
   static constexpr Millis kSettleTime = RunnerMemory::kGrantLifetime;
   /// What a gateway holds counts for this long after its last request.
   static constexpr Millis kMemberTime{5'000};
   /// Memory is kept for the gateway whose calls wait longest once they have waited this long, so
-  /// that large calls get their turn beside small ones. Until then, what is free is not left unused.
+  /// that large calls get their turn beside small ones. Until then, what is free is not left
+  /// unused.
   static constexpr Millis kTurnTime{1'000};
   /// A gateway whose calls wait asks again within this time.
   static constexpr Millis kWishLifetime{120};
@@ -165,9 +168,11 @@
   /// `capacity`: the runner's memory in tokens.
   MemoryGrant Issue(const InstanceId& gateway, const MemoryAsk& ask, uint64_t capacity,
                     SteadyTime now);
-  /// What all calls hold at the runner, from its report.
-  void OnReport(const RunnerRun& run, uint64_t used_tokens, SteadyTime now);
-  /// Tokens granted at a runner, and gateways that have wanted more than they got.
+  /// What all calls hold at the runner, and its memory, from its report; 0: not stated.
+  void OnReport(const RunnerRun& run, uint64_t used_tokens, uint64_t total_tokens, SteadyTime now);
+  /// Forgets the runs that `may_exist` excludes, and those without requests and reports of late.
+  void Retain(const std::function<bool(const RunnerRun&)>& may_exist, SteadyTime now);
+  /// Tokens granted at a runner.
   uint64_t Granted(const RunnerRun& run) const;
 
  private:
@@ -180,6 +185,7 @@
   struct Ledger {
     std::map<InstanceId, Member> members;
     uint64_t reported = 0;
+    uint64_t total = 0;
     std::optional<SteadyTime> reported_at;
     /// Held by gateways that have not asked this leader.
     uint64_t unknown = 0;
--- a/servers/gateway/runner_picker.cc
+++ b/servers/gateway/runner_picker.cc
@@ -18,11 +18,15 @@
 }  // namespace
 
 bool RunnerPicker::Pausing(const Query& query, const RunnerState& runner,
-                           const RunnerHealth& health, SteadyTime now) {
+                           const RunnerHealth& health, SteadyTime now) const {
   const bool paused = query.engine != nullptr && health.ModelPaused(query.call->model.value(), now);
   const bool excluded = query.excluded != nullptr && query.excluded->contains(runner.entry.id);
   const bool full = health.in_flight >= runner.entry.slots;
-  return paused || excluded || full;
+  const bool no_room =
+      memory_ != nullptr && query.engine != nullptr && !query.ignore_memory &&
+      !memory_->HasRoom({runner.entry.id, runner.entry.born}, query.engine->kv_capacity_tokens,
+                        query.call->MemoryTokens(), now);
+  return paused || excluded || full || no_room;
 }
 
 double RunnerPicker::Score(const Query& query, const RunnerState& runner,
--- a/servers/gateway/runner_picker.h
+++ b/servers/gateway/runner_picker.h
@@ -10,6 +10,7 @@
 #include "servers/gateway/call_request.h"
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/gateway_policy.h"
+#include "servers/gateway/memory/runner_memory.h"
 #include "servers/gateway/prefix_index.h"
 #include "servers/gateway/runner_health.h"
 #include "servers/gateway/runner_limits.h"
@@ -43,6 +44,9 @@
                const RunnerLimits* limits = nullptr)
       : policy_(policy), view_(view), own_domain_(std::move(own_domain)), limits_(limits) {}
 
+  /// A runner without room in its memory counts as pausing. `memory` must outlive the picker.
+  void SetMemory(const RunnerMemory* memory) { memory_ = memory; }
+
   struct Query {
     BackendName backend;
     /// Null for plain services.
@@ -52,6 +56,8 @@
     const std::set<RunnerId>* tried = nullptr;
     /// Runners that must not be selected now.
     const std::set<RunnerId>* excluded = nullptr;
+    /// Choose as if every runner had room in its memory.
+    bool ignore_memory = false;
     Millis target_latency{0};
     /// 0 is the most urgent; the runner serves more urgent calls first.
     uint64_t urgency = 0;
@@ -68,8 +74,8 @@
 
  private:
   /// Whether the runner takes no call now, but probably soon.
-  static bool Pausing(const Query& query, const RunnerState& runner, const RunnerHealth& health,
-                      SteadyTime now);
+  bool Pausing(const Query& query, const RunnerState& runner, const RunnerHealth& health,
+               SteadyTime now) const;
   double Score(const Query& query, const RunnerState& runner, const RunnerHealth& health,
                SteadyTime now, PickedRunner* picked) const;
 
@@ -77,6 +83,7 @@
   const FleetView* view_;
   FailureDomain own_domain_;
   const RunnerLimits* limits_;
+  const RunnerMemory* memory_ = nullptr;
   std::map<RunnerId, RunnerHealth> health_;
   PrefixIndex prefixes_;
 };
--- a/tests/gateway_peer_codec_test.cc
+++ b/tests/gateway_peer_codec_test.cc
@@ -81,6 +81,26 @@
   CHECK(response.permits[0].run == run);
   CHECK(response.permits[0].calls == 1);
   CHECK(response.permits[0].next == Millis(600));
+  const auto needed = DecodePeerMessage(EncodePeerMessage(MemoryRequest{
+      InstanceId("front-1"), "10.0.0.1:7380", 8, {{run, 9'200, {50'000, 1}, 243'171}}}));
+  REQUIRE(IsOk(needed));
+  const auto& memory = std::get<MemoryRequest>(ValueOf(needed));
+  CHECK(memory.address == "10.0.0.1:7380");
+  CHECK(memory.number == 8);
+  REQUIRE(memory.asks.size() == 1);
+  CHECK(memory.asks[0].run == run);
+  CHECK(memory.asks[0].held == 9'200);
+  CHECK(memory.asks[0].capacity == 243'171);
+  CHECK(memory.asks[0].calls == std::vector<uint64_t>{50'000, 1});
+  const auto granted =
+      DecodePeerMessage(EncodePeerMessage(MemoryResponse{8, {{run, 59'201, 100, true}}}));
+  REQUIRE(IsOk(granted));
+  const auto& grants = std::get<MemoryResponse>(ValueOf(granted)).grants;
+  REQUIRE(grants.size() == 1);
+  CHECK(grants[0].run == run);
+  CHECK(grants[0].limit == 59'201);
+  CHECK(grants[0].free == 100);
+  CHECK(grants[0].scarce);
   const auto found = DecodeFindings(EncodeFindings({InstanceId("front-1"), {}, {{run, 1.6}}}));
   REQUIRE(IsOk(found));
   CHECK(ValueOf(found).limits == std::vector<LimitFinding>{{run, 1.6}});
--- a/tests/gateway_runner_memory_test.cc
+++ b/tests/gateway_runner_memory_test.cc
@@ -120,8 +120,9 @@
     for (size_t runner = 0; runner < used_.size(); ++runner) {
       // Reports count half of the output, which is not generated yet.
       const uint64_t tokens = used_[runner] * 9 / 10;
-      messages_.emplace(time_ + Millis(200),
-                        [this, runner, tokens] { issuer_.OnReport(Run(runner), tokens, Now()); });
+      messages_.emplace(time_ + Millis(200), [this, runner, tokens] {
+        issuer_.OnReport(Run(runner), tokens, kCapacity, Now());
+      });
     }
   }
 
@@ -153,15 +154,14 @@
     for (size_t runner = 0; runner < used_.size(); ++runner) {
       if (memory.HasRoom(Run(runner), kCapacity, call.tokens, Now())) {
         memory.OnSent(Run(runner), call.tokens);
-        calls_.push_back({index, runner, call.tokens,
-                          time_ + Millis(static_cast<int64_t>(Draw(1'000, 4'000)))});
+        calls_.push_back(
+            {index, runner, call.tokens, time_ + Millis(static_cast<int64_t>(Draw(1'000, 4'000)))});
         used_[runner] += call.tokens;
         longest_wait_ = std::max(longest_wait_, time_ - call.since);
         ++sent_;
         return true;
       }
-      if (memory.ExpectedFree(Run(runner), kCapacity) >
-          memory.ExpectedFree(Run(best), kCapacity)) {
+      if (memory.ExpectedFree(Run(runner), kCapacity) > memory.ExpectedFree(Run(best), kCapacity)) {
         best = runner;
       }
     }
@@ -209,8 +209,8 @@
     CAPTURE(test.gateways);
     CAPTURE(test.least_tokens);
     CAPTURE(test.busy_gateways);
-    MemoryFleet fleet({test.gateways, 3, test.least_tokens, test.most_tokens, 0.02,
-                       test.busy_gateways});
+    MemoryFleet fleet(
+        {test.gateways, 3, test.least_tokens, test.most_tokens, 0.02, test.busy_gateways});
     fleet.Run(Seconds(2), test.gateways == 1 ? 40 : 8);
     fleet.ResetMeasures();
     fleet.Run(Seconds(20), test.gateways == 1 ? 40 : 8);
@@ -246,14 +246,14 @@
   SteadyTime now{Duration(Seconds(100))};
   const InstanceId small("small");
   const InstanceId large("large");
-  CHECK(issuer.Issue(small, {run, 0, {115'000, 115'000}}, kCapacity, now).limit >= 230'000);
-  CHECK(issuer.Issue(large, {run, 0, {50'000}}, kCapacity, now).limit < 50'000);
+  CHECK(issuer.Issue(small, {run, 0, {115'000, 115'000}, 0}, kCapacity, now).limit >= 230'000);
+  CHECK(issuer.Issue(large, {run, 0, {50'000}, 0}, kCapacity, now).limit < 50'000);
   now += Duration(Millis(1'100));
-  (void)issuer.Issue(large, {run, 0, {50'000}}, kCapacity, now);
+  (void)issuer.Issue(large, {run, 0, {50'000}, 0}, kCapacity, now);
   // The small calls end one after the other; what they free is kept for the large one.
-  CHECK(issuer.Issue(small, {run, 196'000, {1'000, 1'000}}, kCapacity, now).limit == 196'000);
-  CHECK(issuer.Issue(small, {run, 187'000, {1'000, 1'000}}, kCapacity, now).limit == 188'000);
-  CHECK(issuer.Issue(large, {run, 0, {50'000}}, kCapacity, now).limit >= 50'000);
+  CHECK(issuer.Issue(small, {run, 196'000, {1'000, 1'000}, 0}, kCapacity, now).limit == 196'000);
+  CHECK(issuer.Issue(small, {run, 187'000, {1'000, 1'000}, 0}, kCapacity, now).limit == 188'000);
+  CHECK(issuer.Issue(large, {run, 0, {50'000}, 0}, kCapacity, now).limit >= 50'000);
 }
 
 // Guards against gateways without a leader that send nothing, or more than their share on no
@@ -266,20 +266,22 @@
     uint64_t tokens;
     bool room;
   };
-  for (const Case& test :
-       {Case{"within the equal share", 21, std::nullopt, 11'000, true},
-        Case{"above the equal share", 21, std::nullopt, 12'000, false},
-        Case{"a half empty runner", 21, 100'000, 50'000, true},
-        Case{"a busy runner", 21, 150'000, 50'000, false},
-        Case{"a full runner", 1, 235'000, 5'000, false},
-        Case{"without tokens", 21, 243'000, 0, true}}) {
+  for (const Case& test : {Case{"within the equal share", 21, std::nullopt, 11'000, true},
+                           Case{"above the equal share", 21, std::nullopt, 12'000, false},
+                           Case{"a half empty runner", 21, 100'000, 50'000, true},
+                           Case{"a busy runner", 21, 150'000, 50'000, false},
+                           Case{"a full runner", 1, 235'000, 5'000, false},
+                           Case{"without tokens", 21, 243'000, 0, true}}) {
     CAPTURE(std::string(test.name));
     RunnerMemory memory;
     memory.SetGateways(test.gateways);
     const RunnerRun run{RunnerId("r"), RunnerStartTime(1)};
     const SteadyTime now{Duration(Seconds(100))};
-    if (test.reported) memory.OnReport(run, *test.reported, now);
+    if (test.reported) memory.OnReport(run, *test.reported, 0, now);
     CHECK(memory.HasRoom(run, kCapacity, test.tokens, now) == test.room);
+    // A report must outlive the ticks until the next one.
+    (void)memory.TakeAsks(1, now + Duration(Millis(20)));
+    CHECK(memory.HasRoom(run, kCapacity, test.tokens, now + Duration(Millis(20))) == test.room);
     CHECK(memory.HasRoom(run, 0, test.tokens, now));
   }
 }
--- a/tests/gateway_slow_caller_test.cc
+++ b/tests/gateway_slow_caller_test.cc
@@ -5,6 +5,8 @@
 #include <array>
 #include <atomic>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 #include "tests/gateway_daemon_fixture.h"
@@ -242,5 +244,61 @@
   CHECK(fixture.Send(fixture.settings_.caller_address, "POST", "/p/4", body).status == 200);
 }
 
+// Guards against calls that together exceed a runner's memory, which crashes it, against calls that
+// wait for ever for memory that is free again, and against a call that no runner can hold.
+TEST_CASE("gateway daemon: calls wait for the runner's memory") {
+  GatewayFixture fixture;
+  std::atomic<int> running{0};
+  std::atomic<int> most{0};
+  RawServer runner([&](RawConnection* connection, int /*number*/) {
+    while (true) {
+      const std::string request = connection->ReadHead();
+      if (request.empty()) return;
+      if (request.find(" /s/") == std::string::npos) return;
+      (void)connection->ReadBytes(4);
+      most = std::max(most.load(), ++running);
+      (void)connection->Pause(std::chrono::milliseconds(200));
+      --running;
+      if (!SendEvents(connection, request, 1)) return;
+    }
+  });
+  fixture.ConfigureModels(
+      {{"\"weights-mb\":100", "\"kv-capacity-tokens\":10000,\"weights-mb\":100"}});
+  fixture.AddRunner(runner.address());
+  REQUIRE(fixture.AwaitReady());
+  const auto call = [&](int number, const std::string& tokens) {
+    Poco::Net::HTTPClientSession session{
+        Poco::Net::SocketAddress(fixture.settings_.caller_address)};
+    session.setTimeout(Poco::Timespan(20, 0));
+    Poco::Net::HTTPRequest request("POST", "/s/1", "HTTP/1.1");
+    request.setHost("h.example");
+    request.set("Attempt-Id", "memory-" + std::to_string(number));
+    request.set("Deadline-Ms", "15000");
+    request.set("Model-Name", "m1");
+    request.set("Token-Usage", tokens);
+    request.setContentLength(4);
+    session.sendRequest(request) << "body";
+    Poco::Net::HTTPResponse response;
+    std::istream& stream = session.receiveResponse(response);
+    std::string body;
+    Poco::StreamCopier::copyToString(stream, body);
+    return std::pair<int, std::string>(response.getStatus(), body);
+  };
+  std::atomic<int> served{0};
+  {
+    std::vector<std::jthread> callers;
+    for (int number = 0; number < 6; ++number) {
+      callers.emplace_back(
+          [&, number] { served += call(number, "3000,1000").first == 200 ? 1 : 0; });
+    }
+  }
+  CHECK(served == 6);
+  CHECK(most <= 2);
+  CHECK(Metric(&fixture, "runner_memory_held_tokens") == 0);
+  const auto refused = call(100, "9000,2000");
+  CHECK(refused.first == 400);
+  CHECK(refused.second.find("11000 tokens") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace shallot::gateway
--- a/tests/platform_order_codec_test.cc
+++ b/tests/platform_order_codec_test.cc
@@ -18,11 +18,14 @@
   const auto report = codec.DecodeReport(Answer(
       200,
       R"({"stage":"colocated","models":[{"name":"m1","version":1,"adapters":["a1"]}],"busy":true,
-"seq":2,"waiting":1,"running":12,"coming":["m1/a2@1"],"born":5})"));
+"seq":2,"waiting":1,"running":12,"kv-used":81000,"kv-total":243171,"coming":["m1/a2@1"],"born":5})"));
   REQUIRE(IsOk(report));
   CHECK(ValueOf(report).order_under_way);
   CHECK(ValueOf(report).sequence == gateway::OrderSequence(2));
   CHECK(ValueOf(report).holdings.AdapterCount() == 2);
+  CHECK(ValueOf(report).used_tokens == 81'000);
+  CHECK(ValueOf(report).memory_tokens == 243'171);
+  CHECK_FALSE(ValueOf(codec.DecodeReport(Answer(200, R"({"models":[]})"))).used_tokens);
   CHECK(KindOf(codec.DecodeReport(Answer(503, ""))) == "unavailable");
 
   gateway::Order order;
