Close a connection whose refused body is malformed

Cause: while the body of a call that got 503 for lack of memory is discarded, a parse error in it sent a second answer, 400, to the same request.

Change: the connection is closed, and the log names the error.

Ruled out: leaving the error unnoticed until the idle timeout, which keeps a connection whose next request cannot be found.

--- a/drivers/gateway/caller_connection.cc
+++ b/drivers/gateway/caller_connection.cc
@@ -63,6 +63,12 @@
   while (!busy_ && !input_.empty() && tcp_.open() && !closing_when_drained_ && !MustReadFirst()) {
     if (!parser_.begun()) request_started_at_ = listener_->loop()->Now();
     const Result<size_t> used = parser_.Feed(input_);
+    if (!IsOk(used) && discarding_) {
+      // The request has its answer already.
+      LogInfo("caller", "closing the connection: " + ErrorOf(used).message);
+      OnEnd(true);
+      return;
+    }
     if (!IsOk(used)) {
       const bool large = ErrorOf(used).kind == ErrorKind::kResourceExhausted;
       Refuse(large ? (parser_.head_done() ? 413 : 431) : 400, ErrorOf(used).message);
