Merge memory of runners and callers that read slowly

Runner memory is divided between gateways only where the settings name the contract that runners crash without room; see docs/design/memory.md.

Beside the merge: the pace of a stream's answer no longer depends on whether its head was sent before its first event.

--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -25,7 +25,11 @@
       owner_(owner),
       connection_(connection),
       request_(std::move(request)),
-      started_at_(connection->request_started_at()) {}
+      started_at_(connection->request_started_at()),
+      held_answer_(&context->send_budget, BufferKind::kAnswer),
+      held_body_(&context->send_budget, BufferKind::kBody) {
+  held_body_.Set(request_.body.size());
+}
 
 CallSession::~CallSession() { StopTimers(); }
 
@@ -75,7 +79,7 @@
   backend_ = ChooseBackend(*route_, StableHash(call_.id.value()));
   engine_ = routes_->Engine(backend_);
   traits_ = TraitsOf(backend_, call_, {request_.head.method, request_.head.target, request_.body});
-  if (RefuseIfQuarantined()) return;
+  if (RefuseIfQuarantined() || RefuseIfTooLarge()) return;
   Millis budget = call_.time_budget;
   if (route_->timeout > Millis(0)) budget = std::min(budget, route_->timeout);
   deadline_ = started_at_ + budget;
@@ -151,6 +155,7 @@
     return;
   }
   if (RefuseIfTooLate(*picked)) return;
+  if (UsesMemory() && WaitsForBetterRunner(*picked)) return;
   if (picked->willingness.wait > Millis(0)) {
     WaitForRunner(*picked);
     return;
@@ -205,6 +210,8 @@
   retry_granted_ = false;
   answer_ = HttpMessage();
   answer_failure_.reset();
+  passing_on_ = false;
+  paused_before_ = false;
   events_.DropPartial();
 
   context_->limits.OnSent(picked.runner, sent_at_);
@@ -219,6 +226,9 @@
       0.0, static_cast<double>(call_.prompt_tokens) - static_cast<double>(picked.kept_tokens));
   health.AddPending(Urgency(), sent_tokens_);
   in_flight_ = true;
+  if (UsesMemory()) {
+    context_->runner_memory.OnSent({picked.runner, runner_born_}, call_.MemoryTokens());
+  }
   if (engine_ != nullptr) {
     context_->picker.prefixes().Sent(picked.runner, call_.PrefixScope(), call_.prompt);
     context_->meter.OnSent(DemandKey(false), picked.runner);
@@ -239,6 +249,8 @@
   exchange_ = context_->client.Start(
       runner->entry.address, FormatRequest(context_->protocol->EncodeCall(request_, envelope)),
       options, this);
+  // The connection holds another copy of the body until the runner has read it.
+  held_body_.Set(2 * request_.body.size());
   LogSend(envelope.time_left);
   ArmSilenceTimer(SilenceLimit(picked));
 }
@@ -277,8 +289,7 @@
 }
 
 void CallSession::ArmSilenceTimer(Duration delay) {
-  if (silence_timer_ != TimerId()) context_->loop.Cancel(silence_timer_);
-  silence_timer_ = TimerId();
+  StopSilenceTimer();
   if (!attempts_.MayGiveUp()) return;
   silence_timer_ = context_->loop.After(delay, [this] {
     silence_timer_ = TimerId();
@@ -286,6 +297,11 @@
   });
 }
 
+void CallSession::StopSilenceTimer() {
+  if (silence_timer_ != TimerId()) context_->loop.Cancel(silence_timer_);
+  silence_timer_ = TimerId();
+}
+
 void CallSession::OnSilence() {
   const std::set<RunnerId> excluded = RecentlyRejected();
   PickError problem = PickError::kNone;
@@ -349,15 +365,19 @@
 }
 
 void CallSession::EndAttempt() {
-  if (silence_timer_ != TimerId()) context_->loop.Cancel(silence_timer_);
-  silence_timer_ = TimerId();
+  StopSilenceTimer();
   if (!in_flight_) return;
   in_flight_ = false;
+  paused_ = false;
+  held_body_.Set(request_.body.size());
   RunnerHealth& health = context_->picker.health(runner_.runner);
   if (health.in_flight > 0) --health.in_flight;
   health.sends.OnEnded(sent_at_);
   if (!first_event_seen_) health.RemovePending(Urgency(), sent_tokens_);
   health.breaker.OnProbeEnded();
+  if (UsesMemory()) {
+    context_->runner_memory.OnEnded({runner_.runner, runner_born_}, call_.MemoryTokens());
+  }
   if (engine_ == nullptr) return;
   context_->meter.OnEnded(DemandKey(false), runner_.runner);
   if (!call_.adapter.empty()) context_->meter.OnEnded(DemandKey(true), runner_.runner);
@@ -395,8 +415,9 @@
                      retry_after ? retry_after->count() : 0));
 }
 
-void CallSession::ForwardAnswer(const HttpMessage& answer) {
-  connection_->Answer({context_->protocol->EncodeAnswer(answer.head), answer.body});
+void CallSession::ForwardAnswer(HttpMessage answer) {
+  held_answer_.Set(0);
+  connection_->Answer({context_->protocol->EncodeAnswer(answer.head), std::move(answer.body)});
   Finish("completed", answer.head.status, "");
 }
 
@@ -423,7 +444,8 @@
       "call",
       fmt::format("event=end outcome={} status={} route={} elapsed_ms={} attempts={} config={} {}",
                   outcome, status, route, Elapsed().count(), attempts_.sent(),
-                  routes_ == nullptr ? 0 : routes_->version.value(), detail),
+                  routes_ == nullptr ? 0 : routes_->version.value(),
+                  pauses_ == 0 ? detail : fmt::format("pauses={} {}", pauses_, detail)),
       call_.id.value());
   context_->metrics
       ->GetCounter(fmt::format("calls_total{{outcome=\"{}\",route=\"{}\"}}", outcome, route))
--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -15,6 +15,7 @@
 #include "servers/gateway/attempt_policy.h"
 #include "servers/gateway/call_attempts.h"
 #include "servers/gateway/call_request.h"
+#include "servers/gateway/memory/send_budget.h"
 #include "servers/gateway/waiting_policy.h"
 
 namespace shallot::gateway {
@@ -41,6 +42,8 @@
   void Start();
   /// The caller closed its connection.
   void OnCallerGone();
+  /// The caller has read some of its answer.
+  void OnCallerRead();
   /// The process is stopping. Refuses a call that no runner has yet, while the caller can still
   /// send it to another gateway.
   void OnStopping();
@@ -101,6 +104,18 @@
   /// Refuses the call if its first event would come after the caller has given up.
   bool RefuseIfTooLate(const PickedRunner& picked);
   void WaitOrRefuse(PickError problem);
+  /// Whether the runners of the call's backend state how much memory they have.
+  bool UsesMemory() const;
+  /// Refuses the call if no runner has the memory for it. Returns true if it does.
+  bool RefuseIfTooLarge();
+  /// The best runner that is expected to have memory for the call, or else the one where most is
+  /// expected to be free.
+  std::optional<RunnerRun> BestForMemory();
+  /// Asks for memory of a runner; the call waits for it.
+  void WantMemory(const RunnerRun& run);
+  /// Whether the call should wait a moment for memory of a better runner than `picked`, which may
+  /// have its prompt in the cache. Asks for that memory if so.
+  bool WaitsForBetterRunner(const PickedRunner& picked);
   /// Predicts whether the model will be available before the deadline, at first and whenever the
   /// last prediction no longer holds. Refuses the call and returns false if it will not.
   /// `longest_wait`: SessionOwner::LongestWait().
@@ -112,11 +127,20 @@
   void Send(const PickedRunner& picked);
   void LogSend(Millis time_left) const;
   void ArmSilenceTimer(Duration delay);
+  void StopSilenceTimer();
   Duration SilenceLimit(const PickedRunner& picked) const;
   void OnSilence();
   void OnDeadline();
   void EndAttempt();
   void ForwardEvents();
+  /// The first part of the answer has arrived from the runner.
+  void OnAnswerBegins();
+  /// Buffers a part of an answer that is not a stream, or passes it on without buffering if the
+  /// gateway lacks memory.
+  void BufferAnswer(const std::string& data);
+  /// Counts what this call buffers, and pauses reading from its runner if the caller's unread part
+  /// of the answer is too long.
+  void UpdateBudget();
   void FailAttempt(AttemptFailure failure, const std::string& detail);
   void RecordFailure(AttemptFailure failure, const std::string& detail);
   void ContinueAfterFailure(AttemptFailure failure);
@@ -137,7 +161,7 @@
   /// Answers with 502 if the call may have run, or its answer has begun. Returns true if it did.
   bool FailIfRun(const std::string& reason);
   void AnswerWithError(int status, const std::string& reason, std::optional<Millis> retry_after);
-  void ForwardAnswer(const HttpMessage& answer);
+  void ForwardAnswer(HttpMessage answer);
   void AbortAnswer(const std::string& reason);
   void Finish(const std::string& outcome, int status, const std::string& detail);
   void StopTimers();
@@ -166,6 +190,8 @@
   Millis expected_wait_{0};
   Millis expected_load_{0};
   bool ended_ = false;
+  /// When the call first waited for memory of a runner.
+  std::optional<SteadyTime> memory_wanted_at_;
   TimerId deadline_timer_;
   TimerId silence_timer_;
   /// What the call shares with others, first the trait that only its repeats have.
@@ -192,14 +218,24 @@
   bool streaming_ = false;
   HttpMessage answer_;
   std::optional<AttemptFailure> answer_failure_;
+  /// The answer is not a stream, but its caller gets it in parts.
+  bool passing_on_ = false;
+  /// Reading from the runner is paused until the caller has read more.
+  bool paused_ = false;
+  /// It was paused during this attempt. If the runner then ends the connection, its caller caused
+  /// that.
+  bool paused_before_ = false;
 
   // State of the answer to the caller.
   bool answer_begun_ = false;
   EventStream events_;
   /// Time from the arrival of the call to the first event, and the longest time between two events
   /// since then, also over several runners.
-  Millis first_event_after_{0};
+  std::optional<Millis> first_event_after_;
   Millis longest_gap_{0};
+  uint64_t pauses_ = 0;
+  HeldBytes held_answer_;
+  HeldBytes held_body_;
 };
 
 }  // namespace shallot::gateway
--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -24,6 +24,8 @@
 #include "servers/gateway/fleet_routes.h"
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/leader_election.h"
+#include "servers/gateway/memory/runner_memory.h"
+#include "servers/gateway/memory/send_budget.h"
 #include "servers/gateway/quota/quota_exchange.h"
 #include "servers/gateway/retry_share.h"
 #include "servers/gateway/runner_limits.h"
@@ -57,6 +59,7 @@
         clock(system_clock),
         started_at(system_clock->SteadyNow()),
         metrics(registry),
+        send_budget(BufferLimits::FromMemory(settings.memory_mb)),
         loop(system_clock),
         client(&loop),
         calls(&loop, &client,
@@ -69,13 +72,17 @@
         picker(&settings.policy, &view, settings.domain, &limits,
                StableHash(settings.instance.value())),
         quarantine(settings.instance),
-        proof(settings.instance, EntropySeed()) {}
+        proof(settings.instance, EntropySeed()) {
+    picker.SetMemory(&runner_memory);
+  }
 
   GatewaySettings settings;
   const PlatformProtocol* protocol;
   const Clock* clock;
   SteadyTime started_at;
   MetricsRegistry* metrics;
+  /// Outlives the connections and calls whose destruction the loop defers.
+  SendBudget send_budget;
   EventLoop loop;
   HttpClient client;
   BufferedCalls calls;
@@ -86,6 +93,9 @@
   std::shared_ptr<const FleetRoutes> routes;
   RunnerLimits limits;
   QuotaExchange quotas;
+  RunnerMemory runner_memory;
+  /// In use while this gateway leads placement.
+  MemoryIssuer memory_issuer;
   RunnerPicker picker;
   DemandMeter meter;
   CrashQuarantine quarantine;
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -88,8 +88,10 @@
       crash_monitor_(std::make_unique<CrashMonitor>(context_.get())),
       findings_(std::make_unique<FindingsDriver>(context_.get())),
       permits_(std::make_unique<PermitDriver>(context_.get(), placement_.get())),
-      quotas_(std::make_unique<QuotaDriver>(context_.get())) {
+      quotas_(std::make_unique<QuotaDriver>(context_.get())),
+      memory_(std::make_unique<MemoryDriver>(context_.get(), placement_.get())) {
   context_->crash_observer = crash_monitor_.get();
+  callers_->SetBudget(&context_->send_budget);
   follower_->SetProofListener(
       [this](BootTime sent_at, bool complete) { proof_->OnUpToDate(sent_at, complete); });
   follower_->SetItemListener(findings_->Prefix(), findings_.get());
@@ -180,6 +182,26 @@
   session->OnCallerGone();
 }
 
+void GatewayDaemon::OnCallerRead(CallerConnection* connection) {
+  const auto found = sessions_.find(connection);
+  if (found != sessions_.end()) found->second->OnCallerRead();
+}
+
+HttpMessage GatewayDaemon::NoMemoryAnswer(const HttpHead& request) {
+  const auto call = context_->protocol->DecodeCall(request);
+  const RequestId id = IsOk(call) ? ValueOf(call).id : RequestId();
+  const SendBudget& budget = context_->send_budget;
+  LogInfo("call",
+          fmt::format("event=end outcome=refused status=503 reason=\"no memory for the body\" "
+                      "body_bytes={} held_bodies={} held_answers={} limit={}",
+                      request.content_length.value_or(0), budget.held(BufferKind::kBody),
+                      budget.held(BufferKind::kAnswer), budget.limits().total),
+          id.value());
+  context_->metrics->GetCounter("bodies_refused_total").Add();
+  return context_->protocol->ErrorAnswer(503, id, "the gateway has no memory for the call's body",
+                                         Millis(SendBudget::kRetryAfterMs));
+}
+
 void GatewayDaemon::OnSessionEnded(CallerConnection* connection) {
   const auto found = sessions_.find(connection);
   if (found == sessions_.end()) return;
@@ -232,6 +254,15 @@
       findings_->OnReport(*findings);
       return;
     }
+    if (const auto* request = std::get_if<MemoryRequest>(&message)) {
+      memory_->OnRequest(*request);
+      return;
+    }
+    if (const auto* response = std::get_if<MemoryResponse>(&message)) {
+      memory_->OnResponse(*response);
+      DispatchWaitingCalls();
+      return;
+    }
     if (const auto* request = std::get_if<PermitRequest>(&message)) {
       permits_->OnRequest(*request);
       return;
@@ -440,6 +471,7 @@
   DispatchWaitingCalls();
   if (quotas_->Tick()) DispatchWaitingCalls();
   if (permits_->Tick()) DispatchWaitingCalls();
+  if (memory_->Tick()) DispatchWaitingCalls();
   context_->loop.After(kTickInterval, [this] { Tick(); });
 }
 
--- a/drivers/gateway/gateway_daemon.h
+++ b/drivers/gateway/gateway_daemon.h
@@ -18,6 +18,7 @@
 #include "drivers/gateway/findings_driver.h"
 #include "drivers/gateway/fleet_follower.h"
 #include "drivers/gateway/gateway_context.h"
+#include "drivers/gateway/memory/memory_driver.h"
 #include "drivers/gateway/permit_driver.h"
 #include "drivers/gateway/placement_driver.h"
 #include "drivers/gateway/presence_driver.h"
@@ -46,6 +47,8 @@
 
   void OnRequest(CallerConnection* connection, HttpMessage request) override;
   void OnCallerGone(CallerConnection* connection) override;
+  void OnCallerRead(CallerConnection* connection) override;
+  HttpMessage NoMemoryAnswer(const HttpHead& request) override;
   void OnSessionEnded(CallerConnection* connection) override;
   void OnWaitStarted() override { demand_due_ = true; }
   Millis LongestWait(const BackendName& backend, const CallRequest& call) const override;
@@ -93,6 +96,7 @@
   std::unique_ptr<FindingsDriver> findings_;
   std::unique_ptr<PermitDriver> permits_;
   std::unique_ptr<QuotaDriver> quotas_;
+  std::unique_ptr<MemoryDriver> memory_;
   std::map<CallerConnection*, std::shared_ptr<CallSession>> sessions_;
   std::thread thread_;
   std::atomic<bool> drain_requested_{false};
--- a/drivers/gateway/peer_channel.h
+++ b/drivers/gateway/peer_channel.h
@@ -17,6 +17,7 @@
 #include "servers/gateway/findings_order.h"
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/leader_election.h"
+#include "servers/gateway/memory/runner_memory.h"
 #include "servers/gateway/quota/quota_messages.h"
 #include "servers/gateway/runner_limits.h"
 
@@ -91,9 +92,26 @@
   std::optional<Millis> age;
 };
 
+/// A gateway's request for memory of runners, sent to the placement leader.
+struct MemoryRequest {
+  InstanceId gateway;
+  /// "IP:port" where the gateway accepts the response.
+  std::string address;
+  /// Echoed in the response.
+  uint64_t number = 0;
+  std::vector<MemoryAsk> asks;
+};
+
+/// The leader's response to a MemoryRequest.
+struct MemoryResponse {
+  uint64_t number = 0;
+  std::vector<MemoryGrant> grants;
+};
+
 using PeerMessage =
     std::variant<DemandReport, RunnerNotice, FindingsReport, PermitRequest, PermitResponse,
-                 ConfigVersion, ConfigCopy, ProofRequest, ProofResponse, QuotaAsk, QuotaGrant>;
+                 ConfigVersion, ConfigCopy, ProofRequest, ProofResponse, QuotaAsk, QuotaGrant,
+                 MemoryRequest, MemoryResponse>;
 
 /// Messages between gateways over ZeroMQ: demand reports and permit requests to the leader, notices
 /// and permits from it, findings to all, configurations and the age of their proofs, requests for
--- a/servers/gateway/gateway_policy.h
+++ b/servers/gateway/gateway_policy.h
@@ -92,6 +92,8 @@
   /// An attempt at a stream without a first event is abandoned for another runner after this many
   /// target latencies.
   double first_event_targets = 1.6;
+  /// Whether runners crash when their calls exceed their memory, so that gateways divide it.
+  bool bound_runner_memory = false;
   /// Time after which a change of the configuration is in force at all gateways, counted from the
   /// store's acknowledgement to the operators.
   Millis config_apply{2'000};
--- a/servers/gateway/runner_picker.h
+++ b/servers/gateway/runner_picker.h
@@ -17,6 +17,7 @@
 #include "servers/gateway/call_request.h"
 #include "servers/gateway/fleet_view.h"
 #include "servers/gateway/gateway_policy.h"
+#include "servers/gateway/memory/runner_memory.h"
 #include "servers/gateway/prefix_index.h"
 #include "servers/gateway/runner_health.h"
 #include "servers/gateway/runner_limits.h"
@@ -70,6 +71,9 @@
         limits_(limits),
         random_(seed) {}
 
+  /// A runner without room in its memory counts as pausing. `memory` must outlive the picker.
+  void SetMemory(const RunnerMemory* memory) { memory_ = memory; }
+
   struct Query {
     BackendName backend;
     /// Null for plain services.
@@ -79,6 +83,8 @@
     const std::set<RunnerId>* tried = nullptr;
     /// Runners that must not be selected now.
     const std::set<RunnerId>* excluded = nullptr;
+    /// Choose as if every runner had room in its memory.
+    bool ignore_memory = false;
     Millis target_latency{0};
     /// 0 is the most urgent; the runner serves more urgent calls first.
     uint64_t urgency = 0;
@@ -100,8 +106,8 @@
 
  private:
   /// Whether the runner takes no call now, but probably soon.
-  static bool Pausing(const Query& query, const RunnerState& runner, const RunnerHealth& health,
-                      SteadyTime now);
+  bool Pausing(const Query& query, const RunnerState& runner, const RunnerHealth& health,
+               SteadyTime now) const;
   struct Candidate {
     const RunnerState* runner = nullptr;
     const RunnerHealth* health = nullptr;
@@ -147,6 +153,7 @@
   const RunnerLimits* limits_;
   Random random_;
   std::map<ChoiceKind, std::unique_ptr<RunnerChoice>> choices_;
+  const RunnerMemory* memory_ = nullptr;
   std::map<RunnerId, RunnerHealth> health_;
   /// Lasting paces as TakePaceChanges() last returned them.
   std::map<RunnerId, double> reported_paces_;
--- a/tests/gateway_picker_test.cc
+++ b/tests/gateway_picker_test.cc
@@ -297,8 +297,13 @@
   const auto predict = [&fixture] {
     const std::set<RunnerId> none;
     PickError problem = PickError::kNone;
-    const RunnerPicker::Query query{
-        BackendName("engine"), &fixture.engine_, &fixture.call_, &none, &none, Millis(800), 0};
+    RunnerPicker::Query query;
+    query.backend = BackendName("engine");
+    query.engine = &fixture.engine_;
+    query.call = &fixture.call_;
+    query.tried = &none;
+    query.excluded = &none;
+    query.target_latency = Millis(800);
     return *fixture.picker_.Pick(query, kStart, &problem);
   };
   const auto usual = static_cast<double>(predict().predicted.count());
