Let teams take turns among waiting calls of one urgency

Cause: waiting calls were ordered by urgency, lateness and deadline only, so a team that sends many times its usual stood before all others.

Change: among calls of one urgency, the teams that have been served least come first, each call counting before the next one of its team.

--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -215,6 +215,7 @@
   events_.DropPartial();
 
   context_->limits.OnSent(picked.runner, sent_at_);
+  if (team_) context_->team_service.OnSent(team_->name, call_.ServiceTokens(), sent_at_);
   context_->quarantine.OnSent(traits_, sent_at_);
   RunnerHealth& health = context_->picker.health(picked.runner);
   if (health.OnSent(sent_at_)) {
--- a/drivers/gateway/gateway_context.h
+++ b/drivers/gateway/gateway_context.h
@@ -31,6 +31,7 @@
 #include "servers/gateway/runner_limits.h"
 #include "servers/gateway/runner_picker.h"
 #include "servers/gateway/sent_calls.h"
+#include "servers/gateway/team_service.h"
 
 namespace shallot::gateway {
 
@@ -98,6 +99,7 @@
   MemoryIssuer memory_issuer;
   RunnerPicker picker;
   DemandMeter meter;
+  TeamService team_service;
   CrashQuarantine quarantine;
   SentCalls sent_calls;
   /// As of when `routes` was the latest configuration.
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -224,12 +224,16 @@
 void GatewayDaemon::DispatchWaitingCalls() {
   std::vector<std::shared_ptr<CallSession>> sessions;
   std::vector<WaitingCall> waiting;
+  std::map<TeamName, double> recent;
   for (const auto& [connection, session] : sessions_) {
     if (!session->waiting()) continue;
     sessions.push_back(session);
-    waiting.push_back({session->Urgency(), session->deadline(), session->late()});
+    const TeamName team = session->team() ? session->team()->name : TeamName();
+    waiting.push_back({session->Urgency(), session->deadline(), session->late(), team,
+                       session->call().ServiceTokens()});
+    if (!team.empty()) recent[team] = context_->team_service.Recent(team, context_->loop.Now());
   }
-  for (const size_t index : DispatchOrder(waiting)) sessions[index]->TryDispatch();
+  for (const size_t index : DispatchOrder(waiting, recent)) sessions[index]->TryDispatch();
 }
 
 void GatewayDaemon::OnNotice(const RunnerNotice& notice) {
--- a/drivers/gateway/placement_driver.cc
+++ b/drivers/gateway/placement_driver.cc
@@ -98,8 +98,8 @@
   demand_aggregator_.Apply(report, now);
   for (const RunnerRun& run : report.leaving) NoteLeaving(context_, run, "peer");
   for (const auto& [runner, pace] : report.paces) {
-    if (context_->view.Find(runner) != nullptr)
-      context_->picker.health(runner).pace.OnReport(pace, now);
+    if (context_->view.Find(runner) == nullptr) continue;
+    context_->picker.health(runner).pace.OnReport(pace, now);
   }
   if (!Leads()) return;
   AnswerWaitingCalls(report);
--- a/servers/gateway/call_request.h
+++ b/servers/gateway/call_request.h
@@ -1,6 +1,7 @@
 #ifndef SERVERS_GATEWAY_CALL_REQUEST_H_
 #define SERVERS_GATEWAY_CALL_REQUEST_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -35,6 +36,10 @@
   /// Tokens that the call takes of its runner's memory: its prompt and its longest output. Parts of
   /// the prompt that the runner has cached count, too, because the cache yields to calls.
   uint64_t MemoryTokens() const { return prompt_tokens + max_output_tokens; }
+  /// Work of the call for its runner, in tokens. Calls to plain services count as one.
+  double ServiceTokens() const {
+    return std::max(1.0, static_cast<double>(prompt_tokens + max_output_tokens));
+  }
   /// Scope in which prompt prefixes are shared.
   std::string PrefixScope() const { return model.value() + "/" + adapter.value(); }
 };
--- a/tests/gateway_load_planner_test.cc
+++ b/tests/gateway_load_planner_test.cc
@@ -335,6 +335,25 @@
   }
 }
 
+// Guards against a busy model that stays on one slow runner, whose prompts delay all its streams.
+TEST_CASE("gateway: a model on a slow runner gets another replica sooner") {
+  for (const double pace : {1.0, 3.0}) {
+    CAPTURE(pace);
+    PlacementFixture fleet(3);
+    fleet.AddRunner("a", {0}, {0, 1});
+    fleet.AddRunner("b", {1}, {0, 1});
+    fleet.policy().even_replica_load = 0;
+    fleet.pace()[RunnerId("a")] = pace;
+    // Half of what one replica of usual pace may get.
+    fleet.Demand(0).prompt_tokens_per_s = fleet.policy().prefill_tokens_per_ms * 1'000 *
+                                          fleet.policy().replica_utilization / 2;
+    fleet.Demand(0).since_last_call = Millis(0);
+    fleet.Demand(0).calls_per_s = 1;
+    fleet.Run(Millis(3'000));
+    CHECK(fleet.Count(OrderKind::kLoad, 0) == (pace > 2 ? 1 : 0));
+  }
+}
+
 struct EvenReplicaCase {
   const char* name;
   double busy_per_s;
--- a/tests/gateway_peer_codec_test.cc
+++ b/tests/gateway_peer_codec_test.cc
@@ -30,6 +30,7 @@
 // Guards against a field that is lost in messages between gateways.
 TEST_CASE("gateway: peer messages are the same after encoding and decoding") {
   DemandReport report;
+  report.paces[RunnerId("i-1")] = 1.25;
   report.gateway = InstanceId("front-1");
   report.address = "10.0.0.1:7380";
   report.entries.push_back(Demand(3));
@@ -37,6 +38,7 @@
   const auto demand = DecodePeerMessage(EncodePeerMessage(report));
   REQUIRE(IsOk(demand));
   const auto& decoded = std::get<DemandReport>(ValueOf(demand));
+  CHECK(decoded.paces == report.paces);
   CHECK(decoded.gateway == report.gateway);
   CHECK(decoded.address == report.address);
   CHECK(decoded.unreachable == report.unreachable);
--- a/tests/gateway_picker_test.cc
+++ b/tests/gateway_picker_test.cc
@@ -348,6 +348,40 @@
   }
 }
 
+// Guards against changed choices in deployments whose runners state no pace: all calls go to the
+// runner with the lowest score, as before.
+TEST_CASE("gateway: without stated paces the lowest score is chosen") {
+  for (const bool paced : {false, true}) {
+    CAPTURE(paced);
+    PickerFixture fixture;
+    for (const char* id : {"a", "b", "c"}) fixture.Add(id, "north", true);
+    if (paced) fixture.picker_.health(RunnerId("a")).OnLoad(0, 0, 1.0, kStart);
+    std::set<std::string> chosen;
+    for (int call = 0; call < 60; ++call) chosen.insert(fixture.Pick());
+    CHECK(chosen.size() == (paced ? 3 : 1));
+  }
+}
+
+// Guards against a placement leader that does not hear of slow runners, and against reports that
+// repeat what it knows.
+TEST_CASE("gateway: lasting paces are reported when they change") {
+  PickerFixture fixture;
+  fixture.Add("a", "north", true);
+  CHECK(fixture.picker_.TakePaceChanges(kStart).empty());
+  RunnerHealth& health = fixture.picker_.health(RunnerId("a"));
+  health.OnLoad(0, 0, 2.0, kStart);
+  CHECK(fixture.picker_.TakePaceChanges(kStart).size() == 1);
+  CHECK(fixture.picker_.TakePaceChanges(kStart).empty());
+  SteadyTime now = kStart;
+  for (int report = 0; report < 40; ++report) {
+    now += Duration(Millis(500));
+    health.OnLoad(0, 0, 3.0, now);
+  }
+  const auto changes = fixture.picker_.TakePaceChanges(now);
+  REQUIRE(changes.size() == 1);
+  CHECK(changes.at(RunnerId("a")) > 2.5);
+}
+
 // Guards against waiting for a backend without runners or for a model that is not configured.
 TEST_CASE("gateway: a call does not wait without runners or for an unknown model") {
   PickerFixture fixture;
