--- a/servers/gateway/quota/quota_account.cc
+++ b/servers/gateway/quota/quota_account.cc
@@ -27,12 +27,6 @@
 constexpr Millis kFresh{600};
 /// Tokens that have less time left are given back while they are valid.
 constexpr Millis kAboutToExpire{150};
-/// Averaging time of what the calls of a team take at this gateway.
-constexpr Seconds kTakenTime{2};
-/// A gateway counts on at least this share of a team's rate; equal shares of 20 gateways.
-constexpr double kLeastTakenShare = 0.05;
-/// Refused calls are told to come back within this time, since demand may have fallen by then.
-constexpr Seconds kLongestDeferral{10};
 /// Costs of waiting calls that one request states, for each team.
 constexpr size_t kMaxCosts = 64;
 
@@ -103,24 +97,6 @@
   return std::min(kLongestWait, Millis(static_cast<int64_t>(std::min(wait_ms, 1e6))));
 }
 
-void QuotaAccount::NoteTaken(TeamState* state, double units, BootTime now) {
-  const double keep = std::exp(-SecondsOf(now - state->taken_at) / SecondsOf(kTakenTime));
-  state->taken_per_s = state->taken_per_s * keep + units / SecondsOf(kTakenTime);
-  state->taken_at = now;
-}
-
-Millis QuotaAccount::Defer(TeamState* state, double cost, Millis predicted, BootTime now) {
-  const double keep = std::exp(-SecondsOf(now - state->taken_at) / SecondsOf(kTakenTime));
-  const double per_s =
-      std::max(state->taken_per_s * keep, state->quota.rate_per_s * kLeastTakenShare);
-  const double done = per_s * SecondsOf(now - state->deferred_at);
-  state->deferred = std::max(0.0, state->deferred - done) + cost;
-  state->deferred = std::min(state->deferred, per_s * SecondsOf(kLongestDeferral));
-  state->deferred_at = now;
-  const auto behind = Millis(static_cast<int64_t>(state->deferred / per_s * 1'000));
-  return std::max({Millis(1), predicted, behind});
-}
-
 QuotaVerdict QuotaAccount::Admit(const TeamName& team, QuotaTicket ticket, double cost,
                                  Millis target_latency, BootTime now) {
   const auto found = teams_.find(team);
@@ -149,7 +125,6 @@
       left -= taken;
     }
     DropExpired(&state, now);
-    NoteTaken(&state, cost, now);
     state.waiting.erase(own);
     return {QuotaVerdict::State::kAdmitted, Millis(0)};
   }
@@ -163,7 +138,7 @@
   if (!refused) return {QuotaVerdict::State::kWait, predicted};
   state.waiting.erase(own);
   withdrawn_ = true;
-  return {QuotaVerdict::State::kRefused, Defer(&state, cost, predicted, now)};
+  return {QuotaVerdict::State::kRefused, std::max(Millis(1), predicted)};
 }
 
 void QuotaAccount::Cancel(const TeamName& team, QuotaTicket ticket) {
--- a/servers/gateway/quota/quota_account.h
+++ b/servers/gateway/quota/quota_account.h
@@ -111,13 +111,6 @@
     double small_per_s = 0;
     double small_cost = 0;
     BootTime small_at{};
-    /// Units a second that calls of this gateway took lately, and when that was computed.
-    double taken_per_s = 0;
-    BootTime taken_at{};
-    /// Units of refused calls that have been told to come back, less what the team's calls could
-    /// take here since.
-    double deferred = 0;
-    BootTime deferred_at{};
     /// Grants that were asked for earlier are void.
     BootTime valid_from{};
   };
@@ -139,12 +132,6 @@
   static void DropExpired(TeamState* state, BootTime now);
   static double Sum(const TeamState& state, BootTime now);
   static double AheadTarget(const TeamState& state, BootTime now);
-  /// Counts units that a call has taken.
-  static void NoteTaken(TeamState* state, double units, BootTime now);
-  /// Time after which a refused call finds room, behind those that were refused before it. In
-  /// lasting excess, all would otherwise be told the time until the next tokens and come back
-  /// together, and most of them be refused again.
-  static Millis Defer(TeamState* state, double cost, Millis predicted, BootTime now);
   /// Predicted time until a call has its tokens, given what this gateway's earlier calls take.
   static Millis Predict(const TeamState& state, double cost, double earlier, BootTime now);
   QuotaAsk MakeAsk(const InstanceId& issuer, uint64_t known_gateways, bool leaving, BootTime now);
