--- a/tests/gateway_load_planner_test.cc
+++ b/tests/gateway_load_planner_test.cc
@@ -345,8 +345,8 @@
     fleet.policy().even_replica_load = 0;
     fleet.pace()[RunnerId("a")] = pace;
     // Half of what one replica of usual pace may get.
-    fleet.Demand(0).prompt_tokens_per_s = fleet.policy().prefill_tokens_per_ms * 1'000 *
-                                          fleet.policy().replica_utilization / 2;
+    fleet.Demand(0).prompt_tokens_per_s =
+        fleet.policy().prefill_tokens_per_ms * 1'000 * fleet.policy().replica_utilization / 2;
     fleet.Demand(0).since_last_call = Millis(0);
     fleet.Demand(0).calls_per_s = 1;
     fleet.Run(Millis(3'000));
