--- a/tests/gateway_quota_fleet_test.cc
+++ b/tests/gateway_quota_fleet_test.cc
@@ -42,6 +42,9 @@
   return random->Below(gateways);
 }
 
+/// Mean cost of the calls that are not plain.
+constexpr double kLargeCall = 9'200;
+
 /// One call of about 9,200 tokens for each three plain ones.
 void Play(QuotaFleetRun* run, size_t gateways, Spread spread, const std::vector<Demand>& demands,
           Duration length, Random* random, const std::function<void(Duration)>& change = {}) {
@@ -153,8 +156,9 @@
     /// lower where a gateway's share is less than one call.
     double small_during = 0;
     double large_during = 0;
-    /// The same after the fault.
-    double after = 0.93;
+    /// The same after the fault, when conditions are calm again. One call less counts as enough,
+    /// because the last one of the time that is measured may be run just after it.
+    double after = 0.95;
   };
   size_t issuer = 0;
   const std::vector<Case> cases{
@@ -275,7 +279,8 @@
           CHECK(run.MostInWindow(team) <= Allowed(team));
           if (gateways < 21) continue;
           CHECK(during >= (team == kSmall ? test.small_during : test.large_during));
-          CHECK(after >= test.after);
+          const double one_call = test.lost > 0 ? 0 : kLargeCall / (rate * 6);
+          CHECK(after >= test.after - one_call);
         }
       }
     }
