Use half of the tolerance of quotas whenever most gateways are members

Cause: calls are owed up to the quota with its tolerance, but the issuer used the tolerance only in place of missing gateways.

Change: the issuer of more than half of the gateways adds half of the tolerance in each window, also when all are members. At most one issuer has most gateways, so the sum over all issuers is as before.

The bound holds in all cases of gateway_quota_fleet_test.

--- a/servers/gateway/quota/quota_bucket.cc
+++ b/servers/gateway/quota/quota_bucket.cc
@@ -5,7 +5,9 @@
 namespace shallot::gateway {
 namespace {
 
-/// Part of the tolerance that an issuer of most gateways uses in place of those that ask no issuer.
+/// Part of the tolerance that the issuer of most gateways uses. Calls are owed up to the quota with
+/// its tolerance, so what is left unused of it is refused to callers without need; at most one
+/// issuer has most gateways at a time.
 constexpr double kExtraPart = 0.5;
 /// Part of the tolerance for debts of calls that cost more than a bucket holds. The rest is for
 /// tokens that gateways hold when a window begins.
@@ -39,8 +41,7 @@
 
 double QuotaBucket::ExtraPerS() const {
   const double window_s = std::max(0.001, SecondsOf(tolerance_.window));
-  return std::min((1 - share_) * quota_.rate_per_s,
-                  kExtraPart * tolerance_.Units(quota_) / window_s);
+  return kExtraPart * tolerance_.Units(quota_) / window_s;
 }
 
 double QuotaBucket::FillPerS(bool extra) const {
--- a/servers/gateway/quota/quota_bucket.h
+++ b/servers/gateway/quota/quota_bucket.h
@@ -38,8 +38,8 @@
  public:
   void SetQuota(const TeamQuota& quota, const QuotaTolerance& tolerance);
   /// Adds what the rate yields. `share_s`: integral of the share since the last refill, in seconds.
-  /// `extra_s`: seconds since then in which the issuer served more than half of the gateways but
-  /// not all. `share`: the share now.
+  /// `extra_s`: seconds since then in which the issuer served more than half of the gateways.
+  /// `share`: the share now.
   void Refill(double share_s, double extra_s, double share, BootTime now);
   /// Whether a call of this cost may take its units while `reserved` of them are for others.
   bool Has(double cost, double reserved, BootTime now) const;
--- a/servers/gateway/quota/quota_issuer.cc
+++ b/servers/gateway/quota/quota_issuer.cc
@@ -49,8 +49,7 @@
 }
 
 bool QuotaIssuer::MostAreMembers(BootTime now) const {
-  const uint64_t members = Members(now);
-  return members * 2 > known_ && members < known_;
+  return Members(now) * 2 > known_;
 }
 
 void QuotaIssuer::Advance(BootTime now) {
