--- a/servers/gateway/quota/quota_issuer.cc
+++ b/servers/gateway/quota/quota_issuer.cc
@@ -48,9 +48,7 @@
   return std::min(1.0, static_cast<double>(Members(now)) / static_cast<double>(known_));
 }
 
-bool QuotaIssuer::MostAreMembers(BootTime now) const {
-  return Members(now) * 2 > known_;
-}
+bool QuotaIssuer::MostAreMembers(BootTime now) const { return Members(now) * 2 > known_; }
 
 void QuotaIssuer::Advance(BootTime now) {
   if (now <= advanced_at_) return;
