Shorten the servers' pause in the tests of invalid answers

Cause: each of 14 servers that end their stream with an upload unread held its connection for 3 s, so the test took 51 s. The gateway ends these exchanges within a millisecond; the server does not see its reset.

Change: the pause is 0.5 s; the test takes 19 s.

Ruled out: reading the rest of the upload, since the operating system could then take the whole request before the end of stream is handled.

--- a/tests/gateway_invalid_answer_test.cc
+++ b/tests/gateway_invalid_answer_test.cc
@@ -23,6 +23,8 @@
 constexpr const char* kSound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 constexpr const char* kUnframed = "HTTP/1.1 200 OK\r\n\r\npart";
 constexpr Millis kShortDelay{30};
+/// The gateway has ended the exchange long before a server that stops reading closes its end.
+constexpr Millis kUnreadTime{500};
 /// Limit on one exchange; only an exchange that never ends reaches it.
 constexpr Seconds kExchangeLimit{5};
 
@@ -81,7 +83,7 @@
   if (ending == Ending::kEndOfStream) {
     connection->EndStream();
     // Without reading: the rest of the upload stays unsent.
-    (void)connection->WorkUntilReset(Millis(3'000));
+    (void)connection->WorkUntilReset(kUnreadTime);
     return;
   }
   if (ending == Ending::kLateReset) std::this_thread::sleep_for(kShortDelay);
