Count calls as demand only once their quota admits them

Cause: each call counted as demand for its model on arrival, also when its team's quota refused it, so placement loaded models and replicas for calls that do not run.

Change: demand is counted when the quota has admitted the call, once. Without quotas that is on arrival, as before. calls_demanded_total shows it.

gateway_quota_daemon_test fails with the count before the charge (1 and 2 instead of 0 and 1).

--- a/drivers/gateway/call_session.cc
+++ b/drivers/gateway/call_session.cc
@@ -89,15 +89,6 @@
   });
   const SteadyTime now = context_->loop.Now();
   context_->RetryShareOf(backend_).OnCall(now);
-  if (engine_ != nullptr) {
-    // Only the last part of the prompt counts as demand: the parts before it are shared between
-    // calls, and usually some runner has them in its prefix cache.
-    const double demand_tokens = call_.prompt.empty()
-                                     ? static_cast<double>(call_.prompt_tokens)
-                                     : static_cast<double>(call_.prompt.back().tokens);
-    context_->meter.OnCall(DemandKey(false), demand_tokens, now);
-    if (!call_.adapter.empty()) context_->meter.OnCall(DemandKey(true), demand_tokens, now);
-  }
   Dispatch();
 }
 
@@ -144,9 +135,25 @@
   RefuseIfQuarantined();
 }
 
+void CallSession::CountDemand() {
+  if (demand_counted_ || engine_ == nullptr) return;
+  demand_counted_ = true;
+  context_->metrics->GetCounter("calls_demanded_total").Add();
+  const SteadyTime now = context_->loop.Now();
+  // Only the last part of the prompt counts as demand: the parts before it are shared between
+  // calls, and usually some runner has them in its prefix cache.
+  const double demand_tokens = call_.prompt.empty()
+                                   ? static_cast<double>(call_.prompt_tokens)
+                                   : static_cast<double>(call_.prompt.back().tokens);
+  context_->meter.OnCall(DemandKey(false), demand_tokens, now);
+  if (!call_.adapter.empty()) context_->meter.OnCall(DemandKey(true), demand_tokens, now);
+}
+
 void CallSession::Dispatch() {
   if (RefuseIfQuarantined()) return;
   if (!ChargeQuota()) return;
+  // Calls above a quota are no demand: placement would load models for calls that do not run.
+  CountDemand();
   const std::set<RunnerId> excluded = RecentlyRejected();
   PickError problem = PickError::kNone;
   const auto picked = context_->picker.Pick(MakeQuery(&excluded), context_->loop.Now(), &problem);
--- a/drivers/gateway/call_session.h
+++ b/drivers/gateway/call_session.h
@@ -85,6 +85,8 @@
   Millis PatienceLeft() const;
   std::set<RunnerId> RecentlyRejected() const;
   void Dispatch();
+  /// Counts the call as demand for its model and adapter, once.
+  void CountDemand();
   /// Takes over what the configuration `routes` says about the call's key.
   void SetAccess(const Access& access, std::shared_ptr<const FleetRoutes> routes);
   /// Refuses a call that has waited if the configuration now in force no longer admits its key.
@@ -179,6 +181,7 @@
   std::shared_ptr<const FleetRoutes> admitted_by_;
   std::optional<Team> team_;
   bool keys_required_ = false;
+  bool demand_counted_ = false;
   uint64_t urgency_ = 0;
   const Route* route_ = nullptr;
   const EngineSpec* engine_ = nullptr;
--- a/tests/gateway_quota_daemon_test.cc
+++ b/tests/gateway_quota_daemon_test.cc
@@ -80,5 +80,31 @@
   second->Stop();
 }
 
+// Guards against models that are loaded for calls which their team's quota refuses.
+TEST_CASE("gateway daemon: refused calls are no demand for their model") {
+  GatewayFixture fixture;
+  const std::string begin = "{\"version\":1,\"routes\":[";
+  // The quota never has room for a call, since a call costs 1.
+  const std::string team =
+      R"({"version":1,"tenants":[{"name":"limited","api-keys":["k1"],"rate-per-s":0.001,)"
+      R"("burst":0.001,"unit":"calls"},{"name":"free","api-keys":["k2"]}],"routes":[)";
+  fixture.ConfigureModels({{begin, team}});
+  fixture.platform_.PutRunner();
+  REQUIRE(fixture.AwaitReady());
+  const auto demanded = [&] {
+    const std::string metrics =
+        fixture.Send(fixture.settings_.metrics_address, "GET", "/metrics").body;
+    const std::string name = "\ncalls_demanded_total ";
+    const size_t at = metrics.find(name);
+    return at == std::string::npos ? 0 : std::stoi(metrics.substr(at + name.size()));
+  };
+  fixture.key_ = "k1";
+  CHECK(fixture.Call("/s/1", "m1").status == 429);
+  CHECK(demanded() == 0);
+  fixture.key_ = "k2";
+  (void)fixture.Call("/s/1", "m1");
+  CHECK(demanded() == 1);
+}
+
 }  // namespace
 }  // namespace shallot::gateway
