--- a/tests/gateway_caller_keys_test.cc
+++ b/tests/gateway_caller_keys_test.cc
@@ -203,13 +203,8 @@
   auto reply = std::async(std::launch::async, [&fixture, settings = fixture.settings_] {
     return fixture.Send(settings.caller_address, "POST", "/s/1", "", "m1");
   });
-  const SystemClock clock;
-  const SteadyTime limit = clock.SteadyNow() + kConditionTimeout;
   // The leader tries to load the model for the call that waits.
-  while (fixture.platform_.orders() == 0 && clock.SteadyNow() < limit) {
-    std::this_thread::sleep_for(Millis(5));
-  }
-  REQUIRE(fixture.platform_.orders() > 0);
+  REQUIRE(fixture.Await([&fixture] { return fixture.platform_.orders() > 0; }));
   fixture.ConfigureModels({{begin, TeamConfigBegin(2, "secret-key-2")}});
   fixture.AddRunner(runner.address());
   CHECK(reply.get().status == 401);
--- a/tests/gateway_invalid_answer_test.cc
+++ b/tests/gateway_invalid_answer_test.cc
@@ -86,7 +86,7 @@
     (void)connection->WorkUntilReset(kUnreadTime);
     return;
   }
-  if (ending == Ending::kLateReset) std::this_thread::sleep_for(kShortDelay);
+  if (ending == Ending::kLateReset) (void)connection->Pause(kShortDelay);
   connection->Reset();
 }
 
