--- a/review/standins-2/runner.py
+++ b/review/standins-2/runner.py
@@ -248,6 +248,9 @@
 
     # Requests.
 
+    def more_in_report(self):
+        return {}
+
     async def serve(self, request, writer):
         if self.crashed:
             web.reset(writer)
@@ -258,6 +261,7 @@
                       "kv-total": self.engine["kv-capacity-tokens"], "handles": 0,
                       "born": self.born, "at-hand": self.copies(),
                       "coming": ["%s/%s@1" % entry for entry in sorted(self.coming)]}
+            report.update(self.more_in_report())
             writer.write(web.format_answer(200, {"Content-Type": "application/json"},
                                            json.dumps(report).encode()))
             return True
