--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -13,6 +13,8 @@
 import time
 import tomllib
 
+import web
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 # The port of the gateway's own metrics; `metrics` in the deploy file.
@@ -103,7 +105,7 @@
                 "data-dir": None, "discovery": "platform", "entry": "vip", "heartbeat-ms": 1200,
                 "contracts": fleet.contracts,
                 "tolerate": {"machines": 1, "zones": 0, "regions": 0}, "bounds": fleet.bounds,
-                "platform": {"address": fleet.store_address_of(self), "form": "kv",
+                "platform": {"address": fleet.store_address, "form": "kv",
                              "writes-per-s": 400, "reads-per-s": 2000, "history-s": 20,
                              "value-bytes": 1048576, "ttl-min-ms": 1000}}
 
@@ -123,15 +125,12 @@
         self.fleet.record("%s to %s" % (signal.Signals(number).name, self.name))
         self.process.send_signal(number)
 
-    def log_text(self):
-        return (self.fleet.folder / (self.name + ".log")).read_text(errors="replace")
-
     def running(self):
         return self.process is not None and self.process.poll() is None
 
 
 class Fleet:
-    def __init__(self, record, store, gateways, net, bounds=None, contracts=None):
+    def __init__(self, record, store, gateways, net):
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self.command = shlex.split(deploy["roles"]["gateway"]["run"])
         if not (ROOT / self.command[0]).exists():
@@ -139,66 +138,42 @@
         self.record = record
         self.store = store
         self.net = net
-        self.bounds = dict(BOUNDS, **(bounds or {}))
-        self.contracts = contracts or CONTRACTS
+        self.bounds = dict(BOUNDS)
+        self.contracts = CONTRACTS
         self.limits = dict(LIMITS)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-2-"))
         self.store_address = None
-        self.store_addresses = {}
         self.gateways = [Gateway(self, index) for index in range(gateways)]
 
-    def store_address_of(self, gateway):
-        return self.store_addresses.get(gateway.name, self.store_address)
-
     def start(self):
         for gateway in self.gateways:
             gateway.start()
 
     async def wait_ready(self, limit=10):
-        import web
         end = time.monotonic() + limit
         for gateway in self.gateways:
             while True:
-                answer = await web.call(gateway.ready, b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n", 1)
+                answer = await web.call(
+                    gateway.ready, b"GET /v1/readyz HTTP/1.1\r\nHost: ready\r\n\r\n", 1)
                 if answer.status == 200:
                     break
                 if time.monotonic() > end:
                     raise NotRun("%s did not become ready" % gateway.name)
                 await asyncio.sleep(0.05)
 
-    def leader(self):
-        """The gateway that the store names as the holder, if any."""
-        for key, item in self.store.items.items():
-            if key.endswith("/leader"):
-                for gateway in self.gateways:
-                    if gateway.name.encode() in item["value"]:
-                        return gateway
-        return None
-
-    async def wait_leader(self, limit=10):
-        end = time.monotonic() + limit
-        while self.leader() is None:
-            if time.monotonic() > end:
-                raise NotRun("no gateway leads")
-            await asyncio.sleep(0.02)
-        return self.leader()
-
-    def stop(self, keep_logs_in=None):
+    def stop(self):
         for gateway in self.gateways:
             if gateway.running():
                 gateway.process.kill()
                 gateway.process.wait()
-        if keep_logs_in is not None:
-            for gateway in self.gateways:
-                path = self.folder / (gateway.name + ".log")
-                if path.exists():
-                    shutil.copy(path, keep_logs_in)
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def run(folder, case):
     """Runs the coroutine function case(record) and returns the exit status."""
     record = Record(folder)
+    # Ends the gateways also when the script is told to stop.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         status = asyncio.run(asyncio.wait_for(case(record), 115))
     except NotRun as error:
--- a/review/standins-2/runner.py
+++ b/review/standins-2/runner.py
@@ -39,8 +39,7 @@
     async def keep_pinging(self):
         while True:
             await asyncio.sleep(1.2)
-            if not self.store.away:
-                self.ping()
+            self.ping()
 
     def description(self):
         return {"service": self.service, "address": self.address, "zone": self.zone,
@@ -95,186 +94,95 @@
 
 
 class ModelRunner(Runner):
-    """A runner of models. It crashes, as the pages say, when it is ordered to load more than its
-    memory or its adapter slots hold; on_crash(reason) is called then."""
+    """A runner of models without adapters. It ends, as the pages say, when it is ordered to load
+    more than its memory holds."""
 
-    def __init__(self, record, store, identity, service, engine, holds, on_crash, slots=64,
-                 require_fencing=True):
+    def __init__(self, record, store, identity, service, engine, holds, slots=64):
         super().__init__(record, store, identity, service, slots)
         self.engine = engine
         self.models = {model["name"]: model for model in engine["models"]}
-        self.held = {name: set() for name in holds}
-        self.coming = set()
-        self.leaving = set()
+        self.held = set(holds)
+        self.unloading = None
         self.in_use = {}
-        self.on_disk = set(self.models)
         self.sequence = 0
         self.busy = False
         self.fence = 0
-        self.require_fencing = require_fencing
-        self.on_crash = on_crash
-        self.crashed = False
-        self.orders = []
+        self.ended = False
         self.first_event = 0.02
         self.event_gap = 0.05
-        self.adapter_s = 0.008
-
-    # What it holds.
 
     def listing(self):
-        return [{"name": name, "version": 1, "adapters": sorted(adapters)}
-                for name, adapters in sorted(self.held.items())]
+        return [{"name": name, "version": 1, "adapters": []} for name in sorted(self.held)]
 
     def copies(self):
-        return {"in-memory": [], "on-disk": sorted(self.on_disk)}
+        return {"in-memory": [], "on-disk": sorted(self.models)}
 
     def description(self):
         return dict(super().description(), stage="colocated", models=self.listing(),
                     **{"at-hand": self.copies()})
 
-    def adapters_counted(self):
-        return sum(len(adapters) for adapters in self.held.values()) + len(self.coming)
-
-    def used_mb(self):
-        total = 0
-        for name, adapters in self.held.items():
-            model = self.models[name]
-            total += model["weights-mb"] + len(adapters) * model["adapter-mb"]
-        return total + sum(self.models[name]["adapter-mb"] for name, _ in self.coming)
-
-    def crash(self, reason):
-        self.crashed = True
-        self.record.say("%s crashes: %s" % (self.identity, reason))
-        self.stop()
-        self.on_crash(reason)
-
     # Orders.
 
     def order(self, body):
-        holder, fence = body.get("holder"), body.get("fence")
-        if holder is None or fence is None:
+        """Returns the status of the answer; 0 if the runner has ended."""
+        name = body.get("model")
+        if body.get("holder") is None or body.get("fence") is None or "adapter" in body:
             return 400
-        if self.require_fencing and fence < self.fence:
-            return 412
-        self.fence = max(self.fence, fence)
-        name, adapter = body.get("model"), body.get("adapter")
-        loads = body.get("op-type") == "load"
         if name not in self.models or body.get("op-type") not in ("load", "unload"):
             return 400
-        if "precondition" in body and body["precondition"] != self.sequence:
-            return 409
-        if self.busy:
+        if body["fence"] < self.fence:
+            return 412
+        self.fence = body["fence"]
+        if self.busy or body.get("precondition", self.sequence) != self.sequence:
             return 409
-        if adapter is not None:
-            return self.order_adapter(loads, name, adapter)
-        return self.order_model(loads, name)
-
-    def order_adapter(self, loads, name, adapter):
-        if name not in self.held:
-            return 400
-        entry = (name, adapter)
-        if loads:
-            if entry in self.coming or adapter in self.held[name]:
-                return 200
-            self.sequence += 1
-            if self.adapters_counted() + 1 > self.engine["adapter-slots"]:
-                self.crash("ordered to load %s/%s while it holds %d adapters of %d: %s" % (
-                    name, adapter, self.adapters_counted(), self.engine["adapter-slots"],
-                    self.describe_adapters()))
-                return 0
-            if self.used_mb() + self.models[name]["adapter-mb"] > self.engine["weights-mb"]:
-                self.crash("ordered to load %s/%s without memory" % entry)
-                return 0
-            self.coming.add(entry)
-            asyncio.ensure_future(self.finish_adapter(entry))
-            return 202
-        if adapter not in self.held[name]:
-            return 200
-        self.sequence += 1
-        if self.in_use.get(entry, 0) > 0:
-            # An unload waits for its runs to finish.
-            self.leaving.add(entry)
-            return 202
-        self.held[name].discard(adapter)
-        return 200
-
-    def describe_adapters(self):
-        parts = []
-        for name, adapters in sorted(self.held.items()):
-            for adapter in sorted(adapters):
-                used = self.in_use.get((name, adapter), 0)
-                state = ", to be unloaded" if (name, adapter) in self.leaving else ""
-                parts.append("%s/%s (%d runs%s)" % (name, adapter, used, state))
-        return "; ".join(parts)
-
-    async def finish_adapter(self, entry):
-        await asyncio.sleep(self.adapter_s)
-        self.coming.discard(entry)
-        if entry[0] in self.held:
-            self.held[entry[0]].add(entry[1])
-
-    def order_model(self, loads, name):
+        loads = body["op-type"] == "load"
         if loads == (name in self.held):
             return 200
         self.sequence += 1
-        if loads:
-            if self.used_mb() + self.models[name]["weights-mb"] > self.engine["weights-mb"]:
-                self.crash("ordered to load %s with %d of %d MB in use" % (
-                    name, self.used_mb(), self.engine["weights-mb"]))
-                return 0
-            self.busy = True
-            asyncio.ensure_future(self.finish_load(name))
-            return 202
+        used = sum(self.models[held]["weights-mb"] for held in self.held)
+        if loads and used + self.models[name]["weights-mb"] > self.engine["weights-mb"]:
+            self.record.say("%s ends: ordered to load %s with %d MB in use" % (
+                self.identity, name, used))
+            self.ended = True
+            self.stop()
+            return 0
         self.busy = True
-        self.leaving.add((name, None))
-        asyncio.ensure_future(self.finish_unload(name))
+        asyncio.ensure_future(self.load_model(name) if loads else self.unload_model(name))
         return 202
 
-    async def finish_load(self, name):
-        model = self.models[name]
-        await asyncio.sleep(model["disk-s"] if name in self.on_disk else model["load-s"])
-        self.held[name] = set()
-        self.on_disk.add(name)
+    async def load_model(self, name):
+        await asyncio.sleep(self.models[name]["disk-s"])
+        self.held.add(name)
         self.busy = False
         self.ping()
 
-    async def finish_unload(self, name):
-        while any(count > 0 for (used, _), count in self.in_use.items() if used == name):
+    async def unload_model(self, name):
+        self.unloading = name
+        while self.in_use.get(name, 0) > 0:
             await asyncio.sleep(0.005)
-        self.held.pop(name, None)
-        self.leaving = {entry for entry in self.leaving if entry[0] != name}
+        self.held.discard(name)
+        self.unloading = None
         self.busy = False
         self.ping()
 
     # Requests.
 
-    def more_in_report(self):
-        return {}
+    def report(self):
+        return {"stage": "colocated", "models": self.listing(), "busy": self.busy,
+                "seq": self.sequence, "waiting": 0, "running": self.running, "kv-used": 0,
+                "kv-total": self.engine["kv-capacity-tokens"], "handles": 0, "born": self.born,
+                "at-hand": self.copies()}
 
     async def serve(self, request, writer):
-        if self.crashed:
-            web.reset(writer)
-            return False
         if request.target == "/v1/report":
-            report = {"stage": "colocated", "models": self.listing(), "busy": self.busy,
-                      "seq": self.sequence, "waiting": 0, "running": self.running, "kv-used": 0,
-                      "kv-total": self.engine["kv-capacity-tokens"], "handles": 0,
-                      "born": self.born, "at-hand": self.copies(),
-                      "coming": ["%s/%s@1" % entry for entry in sorted(self.coming)]}
-            report.update(self.more_in_report())
             writer.write(web.format_answer(200, {"Content-Type": "application/json"},
-                                           json.dumps(report).encode()))
+                                           json.dumps(self.report()).encode()))
             return True
         if request.target == "/v1/order":
             body = json.loads(request.body)
-            before = self.sequence
             status = self.order(body)
-            self.orders.append((time.monotonic(), body.get("holder"), body.get("fence"), status))
-            self.record("%s gets order %s %s %s expecting %s (at %d) from %s fence %s: %s" % (
-                self.identity, body.get("op-type"), body.get("model"), body.get("adapter", "-"),
-                body.get("precondition"), before, body.get("holder"), body.get("fence"),
-                status or "crash"))
-            if self.crashed:
+            self.record("%s gets the order %s: %d" % (self.identity, body, status))
+            if self.ended:
                 web.reset(writer)
                 return False
             writer.write(web.format_answer(status, {"Instance-Id": self.identity}))
@@ -282,36 +190,35 @@
         return await super().serve(request, writer)
 
     async def run(self, request, writer):
-        name, _, adapter = request.headers.get("model-name", "").partition("/")
-        if name not in self.held or (adapter and adapter not in self.held[name]):
+        name = request.headers.get("model-name", "")
+        if name not in self.held:
             writer.write(self.rejection(request, 421))
             return True
-        entry = (name, adapter or None)
-        if entry in self.leaving or (name, None) in self.leaving:
+        if name == self.unloading:
             writer.write(self.rejection(request, 503))
             return True
-        self.in_use[entry] = self.in_use.get(entry, 0) + 1
+        self.in_use[name] = self.in_use.get(name, 0) + 1
         try:
-            attempt = self.note_run(request)
-            return await self.stream(request, writer, attempt)
+            return await self.stream(request, writer, self.note_run(request))
         finally:
-            self.in_use[entry] -= 1
-            if self.in_use[entry] == 0 and entry in self.leaving and entry[1]:
-                self.leaving.discard(entry)
-                self.held.get(name, set()).discard(adapter)
+            self.in_use[name] -= 1
 
     async def stream(self, request, writer, attempt):
-        head = dict(self.sealed(request), **{"Content-Type": "text/event-stream",
-                                             "Transfer-Encoding": "chunked",
-                                             "Weight-Versions": "1"})
+        """Sends the events after Last-Event-Id."""
+        writer.write(web.format_head("HTTP/1.1 200 OK", dict(self.sealed(request), **{
+            "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked",
+            "Weight-Versions": "1"})))
         await asyncio.sleep(self.first_event)
-        writer.write(web.format_head("HTTP/1.1 200 OK", head))
         events = int(request.headers.get("token-usage", "1,10").split(",")[1])
-        first = int(request.headers.get("last-event-id", "0")) + 1
-        for number in range(first, events + 1):
+        for number in range(int(request.headers.get("last-event-id", "0")) + 1, events + 1):
+            await asyncio.sleep(self.gap())
             text = ("id: %d\ndata: %s\n\n" % (number, attempt)).encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(text), text))
-            await writer.drain()
-            await asyncio.sleep(self.event_gap)
-        writer.write(b"0\r\n\r\n")
+            if not writer.transport.is_closing():
+                writer.write(b"%x\r\n%s\r\n" % (len(text), text))
+        if not writer.transport.is_closing():
+            writer.write(b"0\r\n\r\n")
         return True
+
+    def gap(self):
+        """Time to the next event."""
+        return self.event_gap
--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import base64
-import copy
 import json
 import time
 import urllib.parse
@@ -15,15 +14,11 @@
 
     def __init__(self, log):
         self.log = log
-        self.era = 1
         self.revision = 1
         self.items = {}
         self.leases = {}
         self.last_lease = 100
         self.history = []
-        self.oldest = 0
-        self.away = False
-        self.silenced = set()
         self.changed = asyncio.Event()
         self.server = web.Server(self.handle)
         self.expiry = None
@@ -63,43 +58,11 @@
     def value(self, key):
         return self.items[key]["value"] if key in self.items else None
 
-    # Restores.
-
-    def take_copy(self):
-        return copy.deepcopy((self.items, self.leases, self.history, self.revision,
-                              self.last_lease))
-
-    def restore(self, saved):
-        """Comes back from a copy in a new era. Waiting watches have been cut before."""
-        (self.items, self.leases, self.history, self.revision,
-         self.last_lease) = copy.deepcopy(saved)
-        now = time.monotonic()
-        for lease in self.leases.values():
-            lease["until"] = now + lease["ttl"]
-        self.era += 1
-
-    def go_away(self):
-        """Connections are reset, and new ones are reset as soon as a call arrives."""
-        self.away = True
-        for writer in list(self.server.writers):
-            web.reset(writer)
-
-    async def go_silent(self):
-        """As a machine that loses power: present connections never carry anything again, but are
-        not reset before their peers send more; new ones get no answer until it is back."""
-        self.away = True
-        self.silenced = set(self.server.writers)
-
-    def come_back(self):
-        self.away = False
-
     # Leases.
 
     async def expire(self):
         while True:
             await asyncio.sleep(0.01)
-            if self.away:
-                continue
             now = time.monotonic()
             for lease in [lease for lease, state in self.leases.items() if state["until"] <= now]:
                 self.end_lease(lease)
@@ -114,25 +77,11 @@
     # Calls.
 
     async def handle(self, request, writer):
-        if writer in self.silenced:
-            # The machine that has started again does not know this connection.
-            if not self.away:
-                web.reset(writer)
-                return False
-            await asyncio.sleep(3600)
-        if self.away:
-            web.reset(writer)
-            return False
         url = urllib.parse.urlsplit(request.target)
         query = {key: values[0] for key, values in urllib.parse.parse_qs(url.query).items()}
         status, body = await self.serve(request, url.path, query)
-        if writer in self.silenced:
-            await asyncio.sleep(3600)
-        if self.away:
-            web.reset(writer)
-            return False
         writer.write(web.format_answer(
-            status, {"Content-Type": "application/json", "Store-Era": str(self.era)},
+            status, {"Content-Type": "application/json", "Store-Era": "1"},
             json.dumps(body).encode()))
         return True
 
@@ -183,12 +132,9 @@
         prefix = query.get("path-prefix", "")
         after = int(query.get("after", "0"))
         until = time.monotonic() + int(query.get("wait-ms", "0")) / 1000
-        if after < self.oldest or after > self.revision:
+        if after > self.revision:
             return 410, {}
-        era = self.era
         while True:
-            if self.era != era:
-                return 410, {}
             events = []
             for revision, key, value in self.history:
                 if revision <= after or not key.startswith(prefix):
