--- a/review/standins-2/runner.py
+++ b/review/standins-2/runner.py
@@ -8,7 +8,7 @@
 
 
 class Runner:
-    """A runner of a plain service. A subclass or `respond` decides how a request is run."""
+    """A runner of a plain service. A subclass decides how a request is run."""
 
     def __init__(self, record, store, identity, service, slots=8, zone="a"):
         self.record = record
