Don't pass on a refusal that a runner has not proved

Callers saw: an order answered with 503 had run.

Cause: whether a call has run was decided from the runner's own statement (Not-Executed); what the caller is told was decided from the status alone. Every status above 499 was passed on after the last attempt. 408 and 429 were no failure at all: they were passed on at once, even for calls that could have been repeated, and counted as a success of the runner. This stood for calls that must run once, for repeatable ones without a further attempt, for streams before their first event, and for answers too large to be buffered.

Change: FailureOfAnswer() alone decides what the head of an answer proves. 408, 421, 429 and 503 without the runner's statement are unproven refusals: repeated where the route allows it, else answered with a 502 of the gateway's own, which promises nothing. The soak's runners now fail calls that they have run with these statuses too, and its ledger checks refusals that bear a seal; it left those out before.

--- a/drivers/gateway/call_session_answer.cc
+++ b/drivers/gateway/call_session_answer.cc
@@ -61,20 +61,13 @@
   }
   answer_.head = head;
   held_body_.Set(request_.body.size());
-  // A refusal that does not name the call may be an earlier one that arrives again.
-  if (metadata.not_executed && !metadata.call.empty()) {
-    if (head.status != 421) {
-      answer_failure_ = AttemptFailure::kNotExecuted;
-    } else if (metadata.runner == runner_.runner || metadata.runner.empty()) {
-      answer_failure_ = AttemptFailure::kModelAbsent;
-    } else {
-      answer_failure_ = AttemptFailure::kWrongInstance;
-    }
-  } else if (metadata.call.empty() || (head.status < 300 && !metadata.sealed)) {
-    answer_failure_ = AttemptFailure::kMalformed;
-  } else if (head.status >= 500) {
-    answer_failure_ = AttemptFailure::kServerError;
-  }
+  AnswerHeadFacts facts;
+  facts.status = head.status;
+  facts.names_call = !metadata.call.empty();
+  facts.not_executed = metadata.not_executed;
+  facts.sealed = metadata.sealed;
+  facts.from_other_runner = !metadata.runner.empty() && metadata.runner != runner_.runner;
+  answer_failure_ = FailureOfAnswer(facts);
   if (answer_failure_ == AttemptFailure::kMalformed) {
     // The rest of it is of no use, and it may have no end.
     context_->client.Cancel(exchange_);
@@ -328,6 +321,7 @@
       health.OnFailure(now, false);
       return;
     case AttemptFailure::kServerError:
+    case AttemptFailure::kUnprovenRefusal:
     case AttemptFailure::kMalformed:
       health.OnFailure(now, false);
       return;
@@ -392,7 +386,13 @@
       ForwardAnswer(std::move(answer_));
       return;
     case NextStep::kFail:
-      AnswerWithError(502, "the runner's answer was lost; the call may have run", std::nullopt);
+      AnswerWithError(502,
+                      failure == AttemptFailure::kUnprovenRefusal
+                          ? fmt::format("the runner answered with status {} but did not state that "
+                                        "it has not run the call; the call may have run",
+                                        answer_.head.status)
+                          : "the runner's answer was lost; the call may have run",
+                      std::nullopt);
       return;
     case NextStep::kCutOff:
       AbortAnswer("the stream cannot be continued");
--- a/servers/call_explanation.cc
+++ b/servers/call_explanation.cc
@@ -170,7 +170,9 @@
     const std::string runner = line.Field("runner");
     std::string sentence = "An attempt at " + runner + " failed (" + line.Field("failure") +
                            ") after " + line.Field("after_ms") + " ms";
-    if (unloading_.contains({runner, model_})) {
+    if (line.Field("failure") == "unproven-refusal") {
+      sentence += ": it did not state that it has not run the call";
+    } else if (unloading_.contains({runner, model_})) {
       sentence += ": " + model_ + " was being unloaded there";
     } else if (leaving_.contains(runner)) {
       sentence += ": the runner was leaving";
--- a/servers/gateway/attempt_policy.cc
+++ b/servers/gateway/attempt_policy.cc
@@ -24,6 +24,8 @@
       return "wrong-instance";
     case AttemptFailure::kServerError:
       return "server-error";
+    case AttemptFailure::kUnprovenRefusal:
+      return "unproven-refusal";
     case AttemptFailure::kLostAnswer:
       return "lost-answer";
     case AttemptFailure::kMalformed:
@@ -55,6 +57,23 @@
          failure == AttemptFailure::kModelAbsent || failure == AttemptFailure::kWrongInstance;
 }
 
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+std::optional<AttemptFailure> FailureOfAnswer(const AnswerHeadFacts& answer) {
+  if (answer.not_executed && answer.names_call) {
+    if (answer.status != 421) return AttemptFailure::kNotExecuted;
+    return answer.from_other_runner ? AttemptFailure::kWrongInstance : AttemptFailure::kModelAbsent;
+  }
+  if (!answer.names_call || (answer.status < 300 && !answer.sealed)) {
+    return AttemptFailure::kMalformed;
+  }
+  if (PromisesNotRun(answer.status)) return AttemptFailure::kUnprovenRefusal;
+  if (answer.status >= 500) return AttemptFailure::kServerError;
+  return std::nullopt;
+}
+
 bool EndedByGateway(AttemptFailure failure) {
   return failure == AttemptFailure::kSilent || failure == AttemptFailure::kMalformed;
 }
--- a/servers/gateway/attempt_policy.h
+++ b/servers/gateway/attempt_policy.h
@@ -2,6 +2,7 @@
 #define SERVERS_GATEWAY_ATTEMPT_POLICY_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "core/clock.h"
 #include "servers/gateway/fleet_routes.h"
@@ -15,9 +16,12 @@
   kModelAbsent,    ///< The runner does not hold the model and did not run the call.
   kWrongInstance,  ///< Another runner has the address; the call did not run.
   kServerError,    ///< The runner sent a complete error response; the call may have run.
-  kLostAnswer,     ///< The connection ended after the call was sent.
-  kMalformed,      ///< The received bytes are not a response to this call.
-  kSilent,         ///< No response within the time limit of the attempt.
+  /// The status tells callers that the call did not run, but the runner does not state that it did
+  /// not run it.
+  kUnprovenRefusal,
+  kLostAnswer,  ///< The connection ended after the call was sent.
+  kMalformed,   ///< The received bytes are not a response to this call.
+  kSilent,      ///< No response within the time limit of the attempt.
 };
 
 const char* AttemptFailureName(AttemptFailure failure);
@@ -25,6 +29,28 @@
 /// Returns true if the runner certainly did not run the call.
 bool ProvesNotRun(AttemptFailure failure);
 
+/// Returns true for the HTTP statuses by which callers are told that their call did not run and
+/// never will. Callers then repeat it, with another id, even if it must run only once.
+bool PromisesNotRun(int status);
+
+/// What the head of a runner's answer says about the call, apart from the body.
+struct AnswerHeadFacts {
+  int status = 200;
+  /// The answer names the call. A refusal that does not may be an earlier one that arrives again.
+  bool names_call = false;
+  /// The runner states that it did not run the call.
+  bool not_executed = false;
+  /// The answer has the field that proves that it comes from a runner.
+  bool sealed = false;
+  /// The answer names another runner than the one that the call was sent to.
+  bool from_other_runner = false;
+};
+
+/// Decides whether a runner's answer is a failure of the attempt, and which; absent if it is the
+/// answer for the caller. Load pattern: runners refuse part of their calls, run others and fail
+/// them with any status, and repeat earlier answers.
+std::optional<AttemptFailure> FailureOfAnswer(const AnswerHeadFacts& answer);
+
 /// Returns true if the gateway closes the connection of such an attempt, so that the runner may be
 /// at work on the call until it notices.
 bool EndedByGateway(AttemptFailure failure);
--- a/tests/call_explanation_test.cc
+++ b/tests/call_explanation_test.cc
@@ -70,6 +70,14 @@
         "01.200 g1 call: event=end outcome=failed status=502 request=r1"},
        3,
        {"g1 did not send the call again: another arrival of it was sent before."}},
+      {"refused without proof",
+       {"01.000 g1 call: event=send runner=i-1 request=r1",
+        "01.020 g1 call: event=attempt-failed runner=i-1 failure=unproven-refusal after_ms=20 "
+        "reason=\"status 503\" request=r1",
+        "01.020 g1 call: event=end outcome=failed status=502 request=r1"},
+       3,
+       {"An attempt at i-1 failed (unproven-refusal) after 20 ms: it did not state that it has not "
+        "run the call."}},
       {"the runner was leaving",
        {"01.000 g1 runners: event=runner-draining runner=i-1",
         "01.100 g1 call: event=send runner=i-1 request=r1",
--- a/tests/gateway_attempt_policy_test.cc
+++ b/tests/gateway_attempt_policy_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,18 @@
        AttemptFailure::kLostAnswer, NextStep::kFail},
       {"runner's failure of a call that runs once", kOnce, false, 1, 2, false, 900, true,
        AttemptFailure::kServerError, NextStep::kPassOn},
+      {"refusal without proof of a call that runs once", kOnce, false, 1, 2, false, 900, true,
+       AttemptFailure::kUnprovenRefusal, NextStep::kFail},
+      {"refusal without proof of a repeatable call", kSafe, false, 1, 2, false, 900, true,
+       AttemptFailure::kUnprovenRefusal, NextStep::kRetry},
+      {"refusal without proof, maximum number of runners tried", kSafe, false, 2, 2, false, 900,
+       true, AttemptFailure::kUnprovenRefusal, NextStep::kFail},
+      {"refusal without proof, budget used up", kSafe, false, 1, 2, false, 900, false,
+       AttemptFailure::kUnprovenRefusal, NextStep::kFail},
+      {"refusal without proof of a stream that may resume", kStream, true, 1, 2, true, 900, true,
+       AttemptFailure::kUnprovenRefusal, NextStep::kRetry},
+      {"refusal without proof of a stream that may not resume", kStream, false, 1, 2, true, 900,
+       true, AttemptFailure::kUnprovenRefusal, NextStep::kCutOff},
       {"rejection after a run", kOnce, false, 1, 2, false, 900, true, AttemptFailure::kNotExecuted,
        NextStep::kFail},
       {"lost answer of a repeatable call", kSafe, false, 1, 2, false, 900, true,
@@ -78,6 +91,46 @@
   }
 }
 
+constexpr const char* kNoFailure = "none";
+
+struct AnswerCase {
+  const char* name;
+  AnswerHeadFacts answer;
+  const char* expected;
+};
+
+// Guards against a refusal that is believed without the runner's own statement, and against a
+// statement that is not believed.
+TEST_CASE("gateway: what the head of a runner's answer proves") {
+  std::vector<AnswerCase> cases = {
+      {"success", {200, true, false, true, false}, kNoFailure},
+      {"success without proof of origin", {200, true, false, false, false}, "garbled"},
+      {"success that names no call", {200, false, false, true, false}, "garbled"},
+      {"the application's own 404", {404, true, false, true, false}, kNoFailure},
+      {"redirection", {302, true, false, true, false}, kNoFailure},
+      {"failed after a run", {500, true, false, true, false}, "server-error"},
+      {"time budget exhausted", {504, true, false, true, false}, "server-error"},
+      {"model absent", {421, true, true, false, false}, "model-absent"},
+      {"other runner at the address", {421, true, true, false, true}, "wrong-instance"},
+  };
+  for (const int status : {400, 408, 429, 503}) {
+    cases.push_back({"stated not run", {status, true, true, false, false}, "not-executed"});
+    cases.push_back({"statement for no call", {status, false, true, false, false}, "garbled"});
+  }
+  for (const int status : {408, 421, 429, 503}) {
+    for (const bool sealed : {false, true}) {
+      cases.push_back(
+          {"refusal without proof", {status, true, false, sealed, false}, "unproven-refusal"});
+    }
+  }
+  for (const AnswerCase& test : cases) {
+    CAPTURE(std::string(test.name));
+    CAPTURE(test.answer.status);
+    const std::optional<AttemptFailure> failure = FailureOfAnswer(test.answer);
+    CHECK(std::string(failure ? AttemptFailureName(*failure) : kNoFailure) == test.expected);
+  }
+}
+
 // Guards against gateways that together exceed the fleet's retry limit in some window, during a
 // retry storm at all gateways.
 TEST_CASE("gateway: retries of all gateways stay within the limit in every window") {
--- a/tests/soak/call_ledger.cc
+++ b/tests/soak/call_ledger.cc
@@ -119,10 +119,10 @@
 
 void CallLedger::CheckAnswer(const Record& record) {
   const CallResult& result = *record.result;
-  if (IsRefusal(result.status) && !result.sealed) {
+  if (IsRefusal(result.status)) {
     ++refused_;
     if (!record.runs.empty()) AddViolation(record, fmt::format("ran and got {}", result.status));
-    return;
+    if (!result.sealed) return;
   }
   if (result.sealed && !record.runner_statuses.contains(result.status)) {
     AddViolation(record, fmt::format("got a sealed {} that no runner gave", result.status));
--- a/tests/soak/standin_runner.cc
+++ b/tests/soak/standin_runner.cc
@@ -3,7 +3,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 
+#include "core/hashing.h"
 #include "core/log.h"
 
 namespace shallot::soak {
@@ -25,6 +27,15 @@
 /// A late order is executed within this time.
 constexpr uint64_t kLateOrderMs = 3'000;
 
+/// Statuses with which a runner fails a call that it has run. None of them states "not run".
+constexpr std::array<int, 4> kFailureStatuses = {500, 503, 429, 408};
+
+/// The status of a failed call. It follows from the id, so that the faults drawn after it are those
+/// of the seed.
+int FailureStatus(const RequestId& id) {
+  return kFailureStatuses[StableHash(id.value()) % kFailureStatuses.size()];
+}
+
 std::string Field(const HttpMessage& request, std::string_view name) {
   const std::string* value = request.head.Find(name);
   return value == nullptr ? std::string() : *value;
@@ -258,7 +269,7 @@
     return;
   }
   const bool fails = context_->random->Unit() < faults_.errors;
-  HttpMessage answer{SealedHead(work.id, fails ? 500 : 200), ""};
+  HttpMessage answer{SealedHead(work.id, fails ? FailureStatus(work.id) : 200), ""};
   const auto& head = work.request.head;
   answer.body = fails ? "failed"
                       : CallLedger::PlainBody(work.id, head.method, head.target, work.request.body);
--- a/tests/soak/standin_runner.h
+++ b/tests/soak/standin_runner.h
@@ -43,7 +43,7 @@
 
 /// How a runner misbehaves. Probabilities are from 0 to 1.
 struct RunnerFaults {
-  double errors = 0;        ///< Answers 500 after running the call.
+  double errors = 0;        ///< Answers 500, 503, 429 or 408 after running the call.
   double rejections = 0;    ///< Refuses the call without running it.
   double closings = 0;      ///< Refuses the call and asks for no more calls for a time.
   double lost_answers = 0;  ///< Runs the call and closes the connection unanswered.
