Don't use a runner again because of a late write of its heartbeat

Cause: FleetView took the presence of an entry as a sign of life. It compared heartbeat counts while a runner was listed, but after it had left only if the store had been restored from a copy since. The store may also carry out a write seconds after its call, and so create the entry of a runner that has left again.

Change: the entry of a run that has left, with a count no higher than the last one read, is ignored. One with a higher count may be the late write of its last heartbeat: the run is listed again once the count rises further, or once the entry has stayed for longer than an entry lives without heartbeats (5 s, in contact with the store). A run that had begun to drain never takes calls again. A key's creation revision shows a removal that was not read. Of more than 4,096 runners that have left, the first are forgotten; before, the last were not remembered.

--- a/drivers/gateway/fleet_follower.cc
+++ b/drivers/gateway/fleet_follower.cc
@@ -78,28 +78,35 @@
                                    item.position.revision.value()));
     return;
   }
-  const auto entry = context_->protocol->DecodeRunner(id, item.value);
-  if (!IsOk(entry)) {
-    LogWarning("runners", "ignoring an invalid runner entry: " + FormatError(ErrorOf(entry)));
+  const auto decoded = context_->protocol->DecodeRunner(id, item.value);
+  if (!IsOk(decoded)) {
+    LogWarning("runners", "ignoring an invalid runner entry: " + FormatError(ErrorOf(decoded)));
     return;
   }
+  RunnerEntry entry = ValueOf(decoded);
+  entry.created = item.created;
   const RunnerState* before = context_->view.Find(id);
   const bool was_draining = before != nullptr && before->entry.draining;
-  const bool new_or_restarted = context_->view.Apply(ValueOf(entry), context_->loop.Now());
+  const bool new_or_restarted = context_->view.Apply(entry, context_->loop.Now());
   if (context_->view.Find(id) == nullptr) {
-    LogInfo("runners", fmt::format("event=runner-entry-outdated runner={} heartbeat={} revision={}",
-                                   id.value(), ValueOf(entry).heartbeat.value(),
-                                   item.position.revision.value()));
+    const char* event = context_->view.ReturnUnconfirmed(id) ? "runner-return-unconfirmed"
+                                                             : "runner-entry-outdated";
+    LogInfo("runners", fmt::format("event={} runner={} born={} heartbeat={} revision={} created={}",
+                                   event, id.value(), entry.born.value(), entry.heartbeat.value(),
+                                   item.position.revision.value(), item.created.revision.value()));
+    context_->metrics
+        ->GetCounter(fmt::format("entries_of_departed_runners_total{{event=\"{}\"}}", event))
+        .Add();
     return;
   }
   if (new_or_restarted) context_->picker.Forget(id);
-  if (new_or_restarted || ValueOf(entry).draining != was_draining) {
+  if (new_or_restarted || entry.draining != was_draining) {
     LogInfo("runners", fmt::format("event={} runner={} backend={} address={} domain={} born={} "
-                                   "revision={}",
-                                   ValueOf(entry).draining ? "runner-draining" : "runner-ready",
-                                   id.value(), ValueOf(entry).backend.value(),
-                                   ValueOf(entry).address, ValueOf(entry).domain.value(),
-                                   ValueOf(entry).born.value(), item.position.revision.value()));
+                                   "heartbeat={} revision={}",
+                                   entry.draining ? "runner-draining" : "runner-ready", id.value(),
+                                   entry.backend.value(), entry.address, entry.domain.value(),
+                                   entry.born.value(), entry.heartbeat.value(),
+                                   item.position.revision.value()));
   }
 }
 
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -464,6 +464,10 @@
   for (const RunnerId& runner : context_->view.DropExpired(context_->loop.Now())) {
     LogInfo("runners", "event=runner-lapsed runner=" + runner.value());
   }
+  for (const RunnerId& runner : context_->view.ListReturned(context_->loop.Now())) {
+    context_->picker.Forget(runner);
+    LogInfo("runners", "event=runner-returned reason=entry-stays runner=" + runner.value());
+  }
   for (const RunnerId& runner : context_->view.AdoptUnconfirmed(context_->loop.Now())) {
     LogInfo("runners", "event=holdings-from-heartbeat runner=" + runner.value());
   }
--- a/drivers/gateway/platform_protocol.h
+++ b/drivers/gateway/platform_protocol.h
@@ -73,6 +73,8 @@
   std::string key;
   std::string value;
   StorePosition position;
+  /// When the key was created; it is created again after it was removed. Zero if not stated.
+  StorePosition created;
   bool deleted = false;
 };
 
--- a/servers/gateway/fleet_view.cc
+++ b/servers/gateway/fleet_view.cc
@@ -1,5 +1,6 @@
 #include "servers/gateway/fleet_view.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace shallot::gateway {
@@ -24,19 +25,18 @@
 }
 
 bool FleetView::Apply(const RunnerEntry& entry, SteadyTime now) {
-  const auto found = runners_.find(entry.id);
-  if (found == runners_.end() && LeftSince(entry)) return false;
-  if (found == runners_.end() || found->second.entry.born < entry.born) {
-    RunnerState fresh;
-    fresh.entry = entry;
-    fresh.described = true;
+  auto found = runners_.find(entry.id);
+  if (found != runners_.end() && Recreated(found->second.entry, entry)) {
+    // The removal was not seen, for example because the store has dropped its history.
+    Remove(entry.id, now);
+    found = runners_.find(entry.id);
+  }
+  if (found == runners_.end()) {
     const auto departed = departed_.find(entry.id);
-    if (departed != departed_.end() && departed->second.born == entry.born) {
-      fresh.leaving = departed->second.leaving;
-      fresh.entry.draining = entry.draining || fresh.leaving;
-    }
-    departed_.erase(entry.id);
-    runners_[entry.id] = fresh;
+    if (departed != departed_.end() && !ProvesReturn(&departed->second, entry, now)) return false;
+  }
+  if (found == runners_.end() || found->second.entry.born < entry.born) {
+    List(entry);
     return true;
   }
   RunnerState& known = found->second;
@@ -68,6 +68,58 @@
   return false;
 }
 
+bool FleetView::Recreated(const RunnerEntry& known, const RunnerEntry& entry) {
+  // Revisions of different eras say nothing about each other.
+  return known.created.era == entry.created.era && known.created < entry.created;
+}
+
+bool FleetView::ProvesReturn(Departed* departed, const RunnerEntry& entry, SteadyTime now) const {
+  if (entry.born != departed->born) return entry.born > departed->born;
+  if (entry.heartbeat <= departed->heartbeat) return false;
+  departed->heartbeat = entry.heartbeat;
+  const bool renewed = departed->returned.has_value();
+  departed->returned = entry;
+  if (!renewed) departed->returned_since = contact_.Mark(now);
+  return renewed;
+}
+
+void FleetView::List(const RunnerEntry& entry) {
+  RunnerState fresh;
+  fresh.entry = entry;
+  fresh.described = true;
+  const auto departed = departed_.find(entry.id);
+  if (departed != departed_.end() && departed->second.born == entry.born) {
+    // A run that has started to drain stays unusable.
+    fresh.leaving = departed->second.leaving;
+    fresh.entry.draining = entry.draining || departed->second.draining;
+  }
+  if (departed != departed_.end()) departed_.erase(departed);
+  runners_[entry.id] = fresh;
+}
+
+std::vector<RunnerId> FleetView::ListReturned(SteadyTime now) {
+  std::vector<RunnerEntry> stayed;
+  // Until the store is reached again, an entry may have been removed unseen.
+  if (contact_.EntriesMayBeLost(now)) return {};
+  for (const auto& [id, departed] : departed_) {
+    if (departed.returned &&
+        contact_.TimeInContact(departed.returned_since, now) >= Duration(kUnrenewedLifetime)) {
+      stayed.push_back(*departed.returned);
+    }
+  }
+  std::vector<RunnerId> listed;
+  for (const RunnerEntry& entry : stayed) {
+    List(entry);
+    listed.push_back(entry.id);
+  }
+  return listed;
+}
+
+bool FleetView::ReturnUnconfirmed(const RunnerId& id) const {
+  const auto departed = departed_.find(id);
+  return departed != departed_.end() && departed->second.returned;
+}
+
 RunnerState FleetView::StateOfNewRun(const RunnerState& before, RunnerStartTime born) {
   RunnerState fresh;
   fresh.entry = before.entry;
@@ -76,7 +128,6 @@
   fresh.entry.remaining.reset();
   fresh.entry.holdings = Holdings();
   fresh.missing_since = before.missing_since;
-  fresh.outage_time_before = before.outage_time_before;
   return fresh;
 }
 
@@ -134,6 +185,8 @@
 }
 
 void FleetView::Remove(const RunnerId& id, SteadyTime now) {
+  const auto departed = departed_.find(id);
+  if (departed != departed_.end()) departed->second.returned.reset();
   const auto found = runners_.find(id);
   if (found == runners_.end()) return;
   if (!contact_.EntriesMayBeLost(now)) {
@@ -141,9 +194,7 @@
     return;
   }
   RunnerState& runner = found->second;
-  if (runner.missing_since) return;
-  runner.missing_since = now;
-  runner.outage_time_before = contact_.outage_time();
+  if (!runner.missing_since) runner.missing_since = contact_.Mark(now);
 }
 
 void FleetView::Reconcile(const std::set<RunnerId>& present, SteadyTime now) {
@@ -152,13 +203,13 @@
   for (const auto& [id, state] : runners_) {
     if (!present.contains(id)) missing.push_back(id);
   }
+  for (const auto& [id, departed] : departed_) {
+    if (departed.returned && !present.contains(id)) missing.push_back(id);
+  }
   for (const RunnerId& id : missing) Remove(id, now);
 }
 
-void FleetView::OnStoreRestored(SteadyTime now) {
-  ++restores_;
-  contact_.OnRestored(now);
-}
+void FleetView::OnStoreRestored(SteadyTime now) { contact_.OnRestored(now); }
 
 void FleetView::Forget(const RunnerId& id, SteadyTime now) {
   const auto found = runners_.find(id);
@@ -166,21 +217,22 @@
   std::erase_if(departed_, [now](const auto& departed) {
     return now - departed.second.at >= Duration(kDepartedMemory);
   });
-  if (departed_.size() < kMaxDeparted) {
-    const RunnerEntry& entry = found->second.entry;
-    departed_[id] = {entry.born, entry.heartbeat, found->second.leaving, restores_, now};
+  if (departed_.size() >= kMaxDeparted) {
+    departed_.erase(std::min_element(
+        departed_.begin(), departed_.end(),
+        [](const auto& one, const auto& other) { return one.second.at < other.second.at; }));
   }
+  Departed departed;
+  departed.born = found->second.entry.born;
+  departed.heartbeat = found->second.entry.heartbeat;
+  departed.draining =
+      found->second.leaving || (found->second.described && found->second.entry.draining);
+  departed.leaving = found->second.leaving;
+  departed.at = now;
+  departed_[id] = departed;
   runners_.erase(found);
 }
 
-bool FleetView::LeftSince(const RunnerEntry& entry) const {
-  const auto found = departed_.find(entry.id);
-  if (found == departed_.end() || found->second.restores == restores_) return false;
-  const Departed& departed = found->second;
-  if (entry.born != departed.born) return entry.born < departed.born;
-  return entry.heartbeat <= departed.heartbeat;
-}
-
 std::vector<RunnerId> FleetView::AdoptUnconfirmed(SteadyTime now) {
   std::vector<RunnerId> adopted;
   for (auto& [id, runner] : runners_) {
@@ -198,9 +250,8 @@
   for (const auto& [id, runner] : runners_) {
     if (!runner.missing_since) continue;
     // Further outages extend the time by their length only.
-    const Duration outages = contact_.outage_time() - runner.outage_time_before;
-    const Duration in_contact = now - *runner.missing_since - outages;
-    const bool had_time = in_contact >= Duration(StoreContact::kReturnTime);
+    const bool had_time =
+        contact_.TimeInContact(*runner.missing_since, now) >= Duration(StoreContact::kReturnTime);
     if (had_time || !contact_.EntriesMayBeLost(now)) dropped.push_back(id);
   }
   for (const RunnerId& id : dropped) Forget(id, now);
--- a/servers/gateway/fleet_view.h
+++ b/servers/gateway/fleet_view.h
@@ -12,6 +12,7 @@
 #include "core/ids.h"
 #include "servers/gateway/fleet_routes.h"
 #include "servers/gateway/store_contact.h"
+#include "servers/gateway/store_position.h"
 #include "servers/runner_run.h"
 
 namespace shallot::gateway {
@@ -50,6 +51,8 @@
   RunnerStartTime born;
   /// Sequence number of this description; older ones from the same run are ignored.
   HeartbeatSequence heartbeat;
+  /// When the entry was created; it is created again after it was removed. Zero if unknown.
+  StorePosition created;
   Holdings holdings;
 };
 
@@ -84,9 +87,7 @@
   /// The run has said in an answer that it is leaving.
   bool leaving = false;
   /// Since when the entry is missing from the list, if a store outage may be the cause.
-  std::optional<SteadyTime> missing_since;
-  /// StoreContact::outage_time() at that time.
-  Duration outage_time_before{0};
+  std::optional<ContactTime> missing_since;
 
   bool Usable() const { return !entry.draining; }
 };
@@ -113,9 +114,23 @@
   static constexpr Seconds kDepartedMemory{600};
   static constexpr size_t kMaxDeparted = 4'096;
 
-  /// Adds or updates a runner. Returns true if it is new or has restarted. Entries that a restored
-  /// store has of runners that left before are ignored.
+  /// An entry that its runner does not renew leaves the list sooner: after three heartbeat
+  /// intervals of about 1.2 s.
+  static constexpr Millis kUnrenewedLifetime{5'000};
+
+  /// Adds or updates a runner. Returns true if it is new or has restarted.
+  ///
+  /// The entry of a run that has left does not prove that the run is back: the store may carry out
+  /// a write seconds after its call, or return to an older state. An entry with no higher heartbeat
+  /// count than the last one read is ignored; after one with a higher count, the run is listed
+  /// again once the count has risen further, or by ListReturned().
   bool Apply(const RunnerEntry& entry, SteadyTime now);
+  /// Lists the runs again that had left and whose entry has stayed for kUnrenewedLifetime since it
+  /// came back; returns their ids.
+  std::vector<RunnerId> ListReturned(SteadyTime now);
+  /// Whether a run that has left has an entry with a higher heartbeat count again, but is not
+  /// listed yet.
+  bool ReturnUnconfirmed(const RunnerId& id) const;
   /// Applies a report about orders from the runner itself or from the placement leader. Returns
   /// true if the runner has restarted.
   bool ApplyReport(const RunnerId& id, const RunnerReport& report, SteadyTime now);
@@ -166,24 +181,31 @@
   /// A runner that has left the list.
   struct Departed {
     RunnerStartTime born;
+    /// The highest count that was read of this run.
     HeartbeatSequence heartbeat;
+    /// The run had begun to drain, so it takes no calls again.
+    bool draining = false;
     bool leaving = false;
-    /// Number of restores of the store before it left.
-    uint64_t restores = 0;
     SteadyTime at;
+    /// An entry with a higher count that has come back, and since when.
+    std::optional<RunnerEntry> returned;
+    ContactTime returned_since;
   };
 
   /// The state at the start of a new run, before its first entry: counts start anew, and nothing is
   /// held. A run that was leaving stays unusable until the entry of the new one says otherwise.
   static RunnerState StateOfNewRun(const RunnerState& before, RunnerStartTime born);
   void Forget(const RunnerId& id, SteadyTime now);
-  /// Whether the entry is one that a restore has brought back after the runner had left.
-  bool LeftSince(const RunnerEntry& entry) const;
+  /// Whether the entry was removed and created again since the one that is known.
+  static bool Recreated(const RunnerEntry& known, const RunnerEntry& entry);
+  /// Whether an entry of a runner that has left proves that the runner is back.
+  bool ProvesReturn(Departed* departed, const RunnerEntry& entry, SteadyTime now) const;
+  /// Adds the runner, or replaces its state by that of a new run.
+  void List(const RunnerEntry& entry);
 
   std::map<RunnerId, RunnerState> runners_;
   bool list_read_ = false;
   StoreContact contact_;
-  uint64_t restores_ = 0;
   std::map<RunnerId, Departed> departed_;
 };
 
--- a/servers/gateway/store_contact.h
+++ b/servers/gateway/store_contact.h
@@ -17,6 +17,12 @@
 
 const char* StoreCallEndName(StoreCallEnd end);
 
+/// A point in time, and the total length of the store's outages before it.
+struct ContactTime {
+  SteadyTime at;
+  Duration outages_before{0};
+};
+
 /// Decides from the ends of this process's calls to the store whether the store has had an outage
 /// in which leases may have expired. Load pattern: runners leave the list as planned while single
 /// connections to the store are cut or go silent, again and again; in an outage, the entries of
@@ -48,8 +54,11 @@
   bool EntriesMayBeLost(SteadyTime now) const {
     return interrupted_ || (outage_ended_at_ && now - *outage_ended_at_ < kReturnTime);
   }
-  /// Total length of the outages so far. What needs the store progresses only outside of them.
-  Duration outage_time() const { return outage_time_; }
+  ContactTime Mark(SteadyTime now) const { return {now, outage_time_}; }
+  /// Time since then without the outages. What needs the store progresses only outside of them.
+  Duration TimeInContact(const ContactTime& since, SteadyTime now) const {
+    return now - since.at - (outage_time_ - since.outages_before);
+  }
   /// Time between the last two signs of life that enclosed a failed call.
   Millis last_gap() const { return last_gap_; }
 
--- a/tests/gateway_daemon_fixture.h
+++ b/tests/gateway_daemon_fixture.h
@@ -226,6 +226,14 @@
   std::string key_;
 };
 
+/// The value of one of the gateway's metrics; 0 if it is not exposed yet.
+inline int64_t Metric(GatewayFixture* fixture, const std::string& name) {
+  const std::string text =
+      "\n" + fixture->Send(fixture->settings_.metrics_address, "GET", "/metrics").body;
+  const size_t at = text.find("\n" + name + " ");
+  return at == std::string::npos ? 0 : std::stoll(text.substr(at + name.size() + 2));
+}
+
 /// A second gateway of a fixture's platform.
 class SecondGateway {
  public:
