Don't promise "not run" for a call that was sent before it arrived again

A call that was refused for lack of memory could also run when it arrived later.

Cause: these two refusals are made before the call has a session, and did not ask SentCalls; all others do.

Evidence: two new cases in gateway_repeat_test on the code before: 503 instead of 502 with a Retry-After, and 200 instead of 503 for the call that was refused.

Change: GatewayDaemon::RefusalWithoutSession() makes both, after SentCalls::BeforeRefusal(). The details of the memory move from the end line of the call to event=no-memory-for-body.

--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -164,7 +164,8 @@
 
 void GatewayDaemon::OnRequest(CallerConnection* connection, HttpMessage request) {
   if (draining_ && stop_.RefusesNewCalls(context_->loop.Now(), drain_limit())) {
-    RefuseWhileStopping(connection, request);
+    connection->Answer(RefusalWithoutSession(CallId(request.head), "the gateway is stopping",
+                                             kStoppingRetryAfter));
     return;
   }
   auto session =
@@ -187,19 +188,40 @@
   if (found != sessions_.end()) found->second->OnCallerRead();
 }
 
-HttpMessage GatewayDaemon::NoMemoryAnswer(const HttpHead& request) {
+RequestId GatewayDaemon::CallId(const HttpHead& request) const {
   const auto call = context_->protocol->DecodeCall(request);
-  const RequestId id = IsOk(call) ? ValueOf(call).id : RequestId();
+  return IsOk(call) ? ValueOf(call).id : RequestId();
+}
+
+HttpMessage GatewayDaemon::NoMemoryAnswer(const HttpHead& request) {
+  const RequestId id = CallId(request);
   const SendBudget& budget = context_->send_budget;
-  LogInfo("call",
-          fmt::format("event=end outcome=refused status=503 reason=\"no memory for the body\" "
-                      "body_bytes={} held_bodies={} held_answers={} limit={}",
-                      request.content_length.value_or(0), budget.held(BufferKind::kBody),
-                      budget.held(BufferKind::kAnswer), budget.limits().total),
-          id.value());
+  LogInfo(
+      "call",
+      fmt::format("event=no-memory-for-body body_bytes={} held_bodies={} held_answers={} limit={}",
+                  request.content_length.value_or(0), budget.held(BufferKind::kBody),
+                  budget.held(BufferKind::kAnswer), budget.limits().total),
+      id.value());
   context_->metrics->GetCounter("bodies_refused_total").Add();
-  return context_->protocol->ErrorAnswer(503, id, "the gateway has no memory for the call's body",
-                                         Millis(SendBudget::kRetryAfterMs));
+  return RefusalWithoutSession(id, "the gateway has no memory for the call's body",
+                               Millis(SendBudget::kRetryAfterMs));
+}
+
+HttpMessage GatewayDaemon::RefusalWithoutSession(const RequestId& id, const std::string& reason,
+                                                 Millis retry_after) {
+  // Whether the call must run once is not known before its route is. Calls that may be repeated are
+  // not recorded as sent, so they are always refused.
+  if (!id.empty() && !context_->sent_calls.BeforeRefusal(id, false, context_->loop.Now())) {
+    LogWarning("call", "event=arrived-again first=sent", id.value());
+    context_->metrics->GetCounter("calls_arrived_again_total{first=\"sent\"}").Add();
+    const std::string sent = "a call with this id was sent to a runner before";
+    LogInfo("call", fmt::format("event=end outcome=failed status=502 reason=\"{}\"", sent),
+            id.value());
+    return context_->protocol->ErrorAnswer(502, id, sent, std::nullopt);
+  }
+  LogInfo("call", fmt::format("event=end outcome=refused status=503 reason=\"{}\"", reason),
+          id.value());
+  return context_->protocol->ErrorAnswer(503, id, reason, retry_after);
 }
 
 void GatewayDaemon::OnSessionEnded(CallerConnection* connection) {
@@ -444,15 +466,6 @@
   return sessions;
 }
 
-void GatewayDaemon::RefuseWhileStopping(CallerConnection* connection, const HttpMessage& request) {
-  const auto call = context_->protocol->DecodeCall(request.head);
-  const RequestId id = IsOk(call) ? ValueOf(call).id : RequestId();
-  LogInfo("call", "event=end outcome=refused status=503 reason=\"the gateway is stopping\"",
-          id.value());
-  connection->Answer(
-      context_->protocol->ErrorAnswer(503, id, "the gateway is stopping", kStoppingRetryAfter));
-}
-
 void GatewayDaemon::Tick() {
   if (drain_requested_) TickDrain();
   if (context_->routes != nullptr) callers_->SetLimits(context_->routes->limits);
--- a/drivers/gateway/gateway_daemon.h
+++ b/drivers/gateway/gateway_daemon.h
@@ -66,7 +66,12 @@
   void Tick();
   void TickDrain();
   std::vector<std::shared_ptr<CallSession>> Sessions() const;
-  void RefuseWhileStopping(CallerConnection* connection, const HttpMessage& request);
+  /// The answer to a call that gets no session: 503 with that reason and Retry-After, or 502 if
+  /// another arrival of the call was sent to a runner.
+  HttpMessage RefusalWithoutSession(const RequestId& id, const std::string& reason,
+                                    Millis retry_after);
+  /// The id of a call; empty if the request has no valid one.
+  RequestId CallId(const HttpHead& request) const;
   void ReceivePeerMessages();
   void DispatchWaitingCalls();
   void ReportDemand();
--- a/tests/gateway_repeat_test.cc
+++ b/tests/gateway_repeat_test.cc
@@ -1,11 +1,14 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include "servers/gateway/stop_sequence.h"
 #include "tests/gateway_daemon_fixture.h"
 #include "tests/raw_server.h"
 
@@ -170,5 +173,86 @@
   CHECK(runs == 0);
 }
 
+/// Configures a route of calls that must run once, to runners that the test adds.
+void ConfigureRunOnce(GatewayFixture* fixture) {
+  std::string config = kConfig;
+  config.replace(config.find("\"idempotent\""), 12, "\"non_idempotent\"");
+  fixture->platform_.Put("op/config", config);
+}
+
+// Guards against "not run, and never will be" for a call that is at a runner, when it arrives again
+// while there is no memory for its body; and against a later run of one that was refused so.
+TEST_CASE("gateway daemon: no promise for a call that was sent before, without memory") {
+  std::atomic<int> runs = 0;
+  RawServer runner([&](RawConnection* connection, int /*number*/) {
+    const std::string request = connection->ReadHead();
+    if (request.find(" /p/") == std::string::npos) return;
+    ++runs;
+    connection->Send(Answer(request, "200 OK", "Server-Seal: s\r\n"));
+  });
+  GatewayFixture fixture({}, 8);
+  ConfigureRunOnce(&fixture);
+  fixture.AddRunner(runner.address());
+  REQUIRE(fixture.AwaitReady());
+  const std::string body(600'000, 'x');
+  const auto send = [&](const std::string& id, const std::string& path, const std::string& bytes) {
+    fixture.call_id_ = id;
+    return fixture.Send(fixture.settings_.caller_address, "POST", path, bytes);
+  };
+  REQUIRE(send("sent", "/p/1", "short").status == 200);
+  {
+    Poco::Net::StreamSocket upload{Poco::Net::SocketAddress(fixture.settings_.caller_address)};
+    const std::string begin =
+        "POST /p/2 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: upload\r\nDeadline-Ms: 9000\r\n"
+        "Content-Length: 1500000\r\n\r\n";
+    upload.sendBytes(begin.data(), static_cast<int>(begin.size()));
+    REQUIRE(fixture.Await([&] { return Metric(&fixture, "buffered_body_bytes") == 1'500'000; }));
+    const Reply again = send("sent", "/p/1", body);
+    CHECK(again.status == 502);
+    CHECK(again.retry_after.empty());
+    CHECK(send("new", "/p/3", body).status == 503);
+  }
+  REQUIRE(fixture.Await([&] { return Metric(&fixture, "buffered_body_bytes") == 0; }));
+  CHECK(send("new", "/p/3", body).status == 503);
+  CHECK(runs == 1);
+}
+
+// Guards against "not run, and never will be" for a call that is at a runner, when it arrives again
+// at a gateway that is stopping.
+TEST_CASE("gateway daemon: no promise for a call that was sent before, while stopping") {
+  RawServer runner([&](RawConnection* connection, int /*number*/) {
+    const std::string request = connection->ReadHead();
+    if (request.find(" /p/") == std::string::npos) return;
+    (void)connection->Pause(kConditionTimeout);
+  });
+  GatewayFixture fixture;
+  ConfigureRunOnce(&fixture);
+  fixture.AddRunner(runner.address());
+  REQUIRE(fixture.AwaitReady());
+  std::jthread first([&] {
+    Poco::Net::StreamSocket caller{Poco::Net::SocketAddress(fixture.settings_.caller_address)};
+    const std::string request =
+        "POST /p/1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: sent\r\nDeadline-Ms: 20000\r\n"
+        "Content-Length: 0\r\n\r\n";
+    caller.sendBytes(request.data(), static_cast<int>(request.size()));
+    std::array<char, 4'096> answer{};
+    caller.setReceiveTimeout(Poco::Timespan(30, 0));
+    (void)caller.receiveBytes(answer.data(), static_cast<int>(answer.size()));
+  });
+  REQUIRE(fixture.Await([&] { return Metric(&fixture, "calls_in_progress") == 1; }));
+  const SystemClock clock;
+  fixture.daemon_->BeginDrain("test");
+  // The gateway notices the request to stop within one tick.
+  const SteadyTime refuses = clock.SteadyNow() + StopSequence::kNewCallWindow + Millis(500);
+  REQUIRE(fixture.Await([&] { return clock.SteadyNow() > refuses; }));
+  const Reply refused = fixture.Call("/p/1");
+  CHECK(refused.status == 503);
+  CHECK(refused.body.find("the gateway is stopping") != std::string::npos);
+  fixture.call_id_ = "sent";
+  const Reply again = fixture.Call("/p/1");
+  CHECK(again.status == 502);
+  CHECK(again.retry_after.empty());
+}
+
 }  // namespace
 }  // namespace shallot::gateway
