Refuse an announced body that is too large with 413, not 431

Callers saw: 431, which is about the head, for an upload whose Content-Length exceeds max-body-bytes.

The parser checks the announced length before the head is done.

Change: HttpParser::body_too_large() tells the two apart.

Result: gateway_http_test passes, with the new case "tells a large body from a large head".

--- a/drivers/gateway/caller_connection.cc
+++ b/drivers/gateway/caller_connection.cc
@@ -71,7 +71,7 @@
     }
     if (!IsOk(used)) {
       const bool large = ErrorOf(used).kind == ErrorKind::kResourceExhausted;
-      Refuse(large ? (parser_.head_done() ? 413 : 431) : 400, ErrorOf(used).message);
+      Refuse(large ? (parser_.body_too_large() ? 413 : 431) : 400, ErrorOf(used).message);
       return;
     }
     input_.erase(0, ValueOf(used));
--- a/drivers/gateway/http_parser.cc
+++ b/drivers/gateway/http_parser.cc
@@ -44,6 +44,7 @@
   std::variant<std::monostate, RequestParser, AnswerParser> parser;
   HttpHead head;
   bool head_copied = false;
+  bool body_too_large = false;
   /// Bytes of an incomplete head or chunk line; Beast must get them again, followed by the new
   /// bytes.
   std::string pending;
@@ -78,6 +79,7 @@
   });
   state_->head = HttpHead();
   state_->head_copied = false;
+  state_->body_too_large = false;
   state_->pending.clear();
 }
 
@@ -93,6 +95,8 @@
   return !state_->pending.empty() || state_->Visit([](auto& parser) { return parser.got_some(); });
 }
 
+bool HttpParser::body_too_large() const { return state_->body_too_large; }
+
 bool HttpParser::needs_eof() const {
   return head_done() && state_->Visit([](auto& parser) { return parser.need_eof(); });
 }
@@ -146,7 +150,10 @@
       }
       return bytes.size() >= kept ? bytes.size() - kept : 0;
     }
-    if (code) return ParseError(code);
+    if (code) {
+      state_->body_too_large = code == http::error::body_limit;
+      return ParseError(code);
+    }
   }
   if (kept == 0) return used;
   const size_t used_new = used - std::min(used, kept);
--- a/drivers/gateway/http_parser.h
+++ b/drivers/gateway/http_parser.h
@@ -32,6 +32,8 @@
   bool done() const;
   /// True when at least one byte of a message has been received.
   bool begun() const;
+  /// True when the last error was that the body, as announced or as received, exceeds its limit.
+  bool body_too_large() const;
   /// True when the body ends only when the connection is closed.
   bool needs_eof() const;
   /// Valid when head_done().
--- a/tests/gateway_http_test.cc
+++ b/tests/gateway_http_test.cc
@@ -69,6 +69,30 @@
   }
 }
 
+// Guards against a body that is refused as if the head were too large (431 instead of 413), so that
+// callers look for the fault in their fields.
+TEST_CASE("gateway: tells a large body from a large head") {
+  struct Case {
+    const char* name;
+    std::string text;
+    bool body_too_large;
+  };
+  const std::string chunked = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const Case& test : std::vector<Case>{
+           {"announced body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n", true},
+           {"chunked body", chunked + "3e9\r\n" + std::string(1'001, 'b') + "\r\n", true},
+           {"head", "POST / HTTP/1.1\r\nX: " + std::string(2'000, 'x') + "\r\n\r\n", false},
+           {"chunk line", chunked + "1;" + std::string(2'000, 'x'), false}}) {
+    for (const size_t step : {size_t{7}, size_t{64}, size_t{4'096}}) {
+      CAPTURE(std::string(test.name));
+      CAPTURE(step);
+      HttpParser parser(HttpParser::Kind::kRequest, 1'000, 1'000);
+      CHECK(ParseInSteps(&parser, test.text, step) == "error resource-exhausted");
+      CHECK(parser.body_too_large() == test.body_too_large);
+    }
+  }
+}
+
 // Guards against a truncated answer that looks complete.
 TEST_CASE("gateway: answers that end when the connection closes") {
   struct Case {
