Apply changed limits to connections that callers keep

Cause: a connection passed the limits to its parser once, when it was accepted. The time limits were read when a wait began, so a connection that waited under a shorter idle time was closed while its caller could be sending. The limits also came into force one tick after the rest of the configuration.

Evidence: gateway_kept_limits_test on the code before, with 200 ms after each change so that a tick has passed: larger and smaller bodies and heads get the answer of the older limits (8 checks), and the connection is closed after the older idle time.

Change: HttpParser::SetLimits(), called before each request. The timer asks for the limit in force when it ends; a shorter one counts from the next wait on. The limits are set with the configuration.

--- a/drivers/gateway/caller_connection.cc
+++ b/drivers/gateway/caller_connection.cc
@@ -27,18 +27,34 @@
   timer_ = TimerId();
 }
 
+Millis CallerConnection::TimeLimit() const {
+  const CallerLimits& limits = listener_->limits();
+  const bool reading = parser_.begun() && !parser_.head_done();
+  return reading ? limits.header_timeout : limits.idle_timeout;
+}
+
 void CallerConnection::ArmTimer() {
+  waiting_since_ = listener_->loop()->Now();
+  StartTimer();
+}
+
+void CallerConnection::StartTimer() {
   StopTimer();
   if (busy_) return;
-  const CallerLimits& limits = listener_->limits();
-  const bool reading = parser_.begun() && !parser_.head_done();
-  timer_ = listener_->loop()->After(reading ? limits.header_timeout : limits.idle_timeout, [this] {
+  const SteadyTime end = waiting_since_ + Duration(TimeLimit());
+  timer_ = listener_->loop()->After(end - listener_->loop()->Now(), [this] {
     timer_ = TimerId();
     if (tcp_.queued_bytes() > 0) {
       // The last answer is still being read; a caller that has gone ends the connection itself.
       ArmTimer();
       return;
     }
+    if (listener_->loop()->Now() < waiting_since_ + Duration(TimeLimit())) {
+      // A newer configuration allows more time. One that allows less counts from the next wait on:
+      // callers that were told the longer time may be about to send.
+      StartTimer();
+      return;
+    }
     // The idle timeout also limits the time between two parts of a request's body.
     LogInfo("caller", "closing the connection: timeout while waiting for data");
     tcp_.Close(false);
@@ -61,7 +77,11 @@
 
 void CallerConnection::Parse() {
   while (!busy_ && !input_.empty() && tcp_.open() && !closing_when_drained_ && !MustReadFirst()) {
-    if (!parser_.begun()) request_started_at_ = listener_->loop()->Now();
+    if (!parser_.begun()) {
+      // The configuration may have changed since the connection's last request.
+      parser_.SetLimits(listener_->limits().max_header_bytes, listener_->limits().max_body_bytes);
+      request_started_at_ = listener_->loop()->Now();
+    }
     const Result<size_t> used = parser_.Feed(input_);
     if (!IsOk(used) && discarding_) {
       // The request has its answer already.
--- a/drivers/gateway/caller_connection.h
+++ b/drivers/gateway/caller_connection.h
@@ -66,8 +66,11 @@
   void Send(std::string_view bytes);
   void HandleRequest();
   void FinishAnswer();
+  /// Closes the connection if no data arrives for the time limit in force.
   void ArmTimer();
+  void StartTimer();
   void StopTimer();
+  Millis TimeLimit() const;
 
   CallerListener* listener_;
   HttpParser parser_;
@@ -85,6 +88,8 @@
   HeldBytes held_body_;
   SteadyTime request_started_at_{};
   TimerId timer_;
+  /// Since when the connection has waited for data.
+  SteadyTime waiting_since_{};
   /// Scheduled callbacks hold a weak reference to detect that the connection was destroyed.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -76,6 +76,7 @@
           std::make_unique<CallerListener>(&context_->loop, "metrics", admin_handler_.get())),
       config_(std::make_unique<ConfigDriver>(context_.get(),
                                              [this] {
+                                               callers_->SetLimits(context_->routes->limits);
                                                quotas_->ApplyQuotas();
                                                DispatchWaitingCalls();
                                              })),
@@ -468,7 +469,6 @@
 
 void GatewayDaemon::Tick() {
   if (drain_requested_) TickDrain();
-  if (context_->routes != nullptr) callers_->SetLimits(context_->routes->limits);
   ReloadSettings();
   CloseStalePeers();
   ReceivePeerMessages();
--- a/drivers/gateway/http_parser.cc
+++ b/drivers/gateway/http_parser.cc
@@ -66,6 +66,15 @@
 
 HttpParser::~HttpParser() = default;
 
+void HttpParser::SetLimits(uint64_t max_header_bytes, uint64_t max_body_bytes) {
+  if (state_->max_header_bytes == max_header_bytes && state_->max_body_bytes == max_body_bytes) {
+    return;
+  }
+  state_->max_header_bytes = max_header_bytes;
+  state_->max_body_bytes = max_body_bytes;
+  if (!begun()) Reset();
+}
+
 void HttpParser::Reset() {
   if (state_->kind == Kind::kRequest) {
     state_->parser.emplace<RequestParser>();
--- a/drivers/gateway/http_parser.h
+++ b/drivers/gateway/http_parser.h
@@ -19,6 +19,8 @@
   /// Limits are in bytes; a larger message is an error of kind kResourceExhausted.
   HttpParser(Kind kind, uint64_t max_header_bytes, uint64_t max_body_bytes);
   ~HttpParser();
+  /// Limits of the messages that have not begun yet.
+  void SetLimits(uint64_t max_header_bytes, uint64_t max_body_bytes);
   HttpParser(const HttpParser&) = delete;
   HttpParser& operator=(const HttpParser&) = delete;
 
