Release the buffers of idle connections

Cause: an input buffer keeps the capacity of its largest read, up to 32 KB, for as long as its connection lives. The output queue kept up to 64 KB, and the parser an incomplete head.

Change: an empty buffer keeps at most 1 KB. caller_connection_bytes shows what the connections have allocated.

--- a/drivers/gateway/admin_handler.cc
+++ b/drivers/gateway/admin_handler.cc
@@ -45,6 +45,7 @@
     metrics.GetGauge(name).Set(static_cast<int64_t>(value));
   };
   set("caller_connections", figures.caller_connections);
+  set("caller_connection_bytes", figures.caller_connection_bytes);
   set("calls_in_progress", figures.calls_in_progress);
   set("placement_leader", figures.leads_placement ? 1 : 0);
   set("runner_connections", context_->client.connections_open());
--- a/drivers/gateway/admin_handler.h
+++ b/drivers/gateway/admin_handler.h
@@ -13,6 +13,8 @@
 /// Figures of the daemon that the admin address shows.
 struct DaemonFigures {
   size_t caller_connections = 0;
+  /// Bytes that these connections have allocated, apart from their calls.
+  size_t caller_connection_bytes = 0;
   size_t calls_in_progress = 0;
   bool leads_placement = false;
 };
--- a/drivers/gateway/caller_connection.cc
+++ b/drivers/gateway/caller_connection.cc
@@ -94,7 +94,7 @@
       Refuse(large ? (parser_.body_too_large() ? 413 : 431) : 400, ErrorOf(used).message);
       return;
     }
-    input_.erase(0, ValueOf(used));
+    ConsumeInput(ValueOf(used));
     if (parser_.head_done()) {
       if (!HasValidFraming(parser_.head())) {
         Refuse(400, "conflicting message lengths");
@@ -123,6 +123,11 @@
   }
 }
 
+void CallerConnection::ConsumeInput(size_t bytes) {
+  input_.erase(0, bytes);
+  if (input_.empty() && input_.capacity() > kKeptCapacity) std::string().swap(input_);
+}
+
 void CallerConnection::RefuseBodyWithoutMemory() {
   if (discarding_) {
     body_.clear();
--- a/drivers/gateway/caller_connection.h
+++ b/drivers/gateway/caller_connection.h
@@ -36,6 +36,11 @@
            tcp_.queued_bytes() == 0;
   }
   bool open() const { return tcp_.open(); }
+  /// Bytes that the connection has allocated for received and unsent bytes, apart from its call.
+  size_t allocated_bytes() const {
+    return input_.capacity() + body_.capacity() + parser_.allocated_bytes() +
+           tcp_.allocated_bytes();
+  }
   /// Bytes of answers that the caller has not read yet.
   size_t queued_bytes() const { return tcp_.queued_bytes(); }
   const std::string& caller() const { return caller_; }
@@ -53,8 +58,12 @@
   /// Limit on unsent bytes. If more are queued, the caller is assumed to have stopped reading, and
   /// the connection is closed.
   static constexpr size_t kMaxQueuedBytes = 8'388'608;
+  /// Capacity that an empty input buffer keeps for the next request.
+  static constexpr size_t kKeptCapacity = 1'024;
 
   void Parse();
+  /// Removes parsed bytes, and releases the memory of a buffer that becomes empty.
+  void ConsumeInput(size_t bytes);
   void Refuse(int status, const std::string& reason);
   bool HasValidFraming(const HttpHead& head) const;
   /// Answers the request without its body, which is then read and discarded, if there is no memory
--- a/drivers/gateway/caller_listener.cc
+++ b/drivers/gateway/caller_listener.cc
@@ -91,6 +91,12 @@
   for (CallerConnection* connection : idle) connection->OnEnd(false);
 }
 
+size_t CallerListener::allocated_bytes() const {
+  size_t bytes = 0;
+  for (const auto& [connection, owned] : connections_) bytes += connection->allocated_bytes();
+  return bytes;
+}
+
 bool CallerListener::HasRequests() const {
   return std::any_of(connections_.begin(), connections_.end(),
                      [](const auto& entry) { return !entry.first->idle(); });
--- a/drivers/gateway/caller_listener.h
+++ b/drivers/gateway/caller_listener.h
@@ -64,6 +64,8 @@
   /// been sent whole.
   bool HasRequests() const;
   size_t connections() const { return connections_.size(); }
+  /// Bytes that the connections have allocated, apart from their calls.
+  size_t allocated_bytes() const;
   EventLoop* loop() const { return loop_; }
   CallerHandler* handler() const { return handler_; }
   const std::string& name() const { return name_; }
--- a/drivers/gateway/gateway_daemon.cc
+++ b/drivers/gateway/gateway_daemon.cc
@@ -67,7 +67,8 @@
       admin_handler_(std::make_unique<AdminHandler>(
           context_.get(),
           [this] {
-            return DaemonFigures{callers_->connections(), sessions_.size(), placement_->Leads()};
+            return DaemonFigures{callers_->connections(), callers_->allocated_bytes(),
+                                 sessions_.size(), placement_->Leads()};
           })),
       callers_(std::make_unique<CallerListener>(&context_->loop, "callers", this)),
       readiness_(
--- a/drivers/gateway/http_parser.cc
+++ b/drivers/gateway/http_parser.cc
@@ -89,7 +89,8 @@
   state_->head = HttpHead();
   state_->head_copied = false;
   state_->body_too_large = false;
-  state_->pending.clear();
+  // Kept connections would hold the capacity while they are idle.
+  std::string().swap(state_->pending);
 }
 
 bool HttpParser::head_done() const {
@@ -106,6 +107,8 @@
 
 bool HttpParser::body_too_large() const { return state_->body_too_large; }
 
+size_t HttpParser::allocated_bytes() const { return state_->pending.capacity(); }
+
 bool HttpParser::needs_eof() const {
   return head_done() && state_->Visit([](auto& parser) { return parser.need_eof(); });
 }
--- a/drivers/gateway/http_parser.h
+++ b/drivers/gateway/http_parser.h
@@ -40,6 +40,8 @@
   bool needs_eof() const;
   /// Valid when head_done().
   const HttpHead& head() const;
+  /// Bytes that are allocated for an incomplete head or chunk line.
+  size_t allocated_bytes() const;
   /// Returns the body bytes parsed since the last call and removes them.
   std::string TakeBody();
   /// Discards the current message and prepares for the next one.
--- a/drivers/gateway/tcp_connection.cc
+++ b/drivers/gateway/tcp_connection.cc
@@ -21,6 +21,9 @@
 /// Sent bytes are released from the output queue once they are this many and half of it, so that
 /// each byte is moved at most once on average. A peer that reads slowly may never drain the queue.
 constexpr size_t kReleaseBytes = 65'536;
+/// Capacity that an empty output queue keeps for the next bytes. An instance has thousands of kept
+/// connections, each with the capacity of its longest answer otherwise.
+constexpr size_t kKeptCapacity = 1'024;
 
 void ConfigureSocket(Poco::Net::StreamSocket* socket, Millis unacknowledged_limit) {
   socket->setBlocking(false);
@@ -128,8 +131,7 @@
 
 void TcpConnection::ReleaseSent() {
   if (sent_ == output_.size()) {
-    // A long queue of the past must not stay allocated for the connection's lifetime.
-    if (output_.capacity() > kReleaseBytes) std::string().swap(output_);
+    if (output_.capacity() > kKeptCapacity) std::string().swap(output_);
     output_.clear();
     sent_ = 0;
     return;
--- a/drivers/gateway/tcp_connection.h
+++ b/drivers/gateway/tcp_connection.h
@@ -49,6 +49,8 @@
   size_t queued_bytes() const { return output_.size() - sent_; }
   /// Bytes that the output queue holds, including those sent that it has not released yet.
   size_t held_bytes() const { return output_.size(); }
+  /// Bytes that the output queue has allocated.
+  size_t allocated_bytes() const { return output_.capacity(); }
   /// Limits the bytes per read; 0 pauses reading. Then the end of the connection is noticed only
   /// after reading has resumed, behind the bytes that arrived before it.
   void SetReadLimit(size_t bytes);
