Tests: add the runners before the configuration that makes the gateway ready

gateway_unproven_refusal_test failed once (ctest -j8 -R 'gateway|platform'): a call got 503 with a Retry-After, and no runner had a call. The configuration was written first, and the gateway is ready once it has read it, so the call could arrive before the runners were read. gateway_idle_memory_test and two cases of gateway_repeat_test had the same order.

--- a/tests/gateway_idle_memory_test.cc
+++ b/tests/gateway_idle_memory_test.cc
@@ -72,8 +72,9 @@
       }
     });
     GatewayFixture fixture;
-    fixture.platform_.Put("op/config", kConfig);
+    // The gateway is ready once it has the configuration, so the runner comes first.
     fixture.AddRunner(runner.address());
+    fixture.platform_.Put("op/config", kConfig);
     REQUIRE(fixture.AwaitReady());
     constexpr size_t kConnections = 20;
     std::vector<Poco::Net::StreamSocket> callers;
--- a/tests/gateway_repeat_test.cc
+++ b/tests/gateway_repeat_test.cc
@@ -173,7 +173,8 @@
   CHECK(runs == 0);
 }
 
-/// Configures a route of calls that must run once, to runners that the test adds.
+/// Configures a route of calls that must run once, to runners that the test has added before: the
+/// gateway is ready once it has the configuration.
 void ConfigureRunOnce(GatewayFixture* fixture) {
   std::string config = kConfig;
   config.replace(config.find("\"idempotent\""), 12, "\"non_idempotent\"");
@@ -191,8 +192,8 @@
     connection->Send(Answer(request, "200 OK", "Server-Seal: s\r\n"));
   });
   GatewayFixture fixture({}, 8);
-  ConfigureRunOnce(&fixture);
   fixture.AddRunner(runner.address());
+  ConfigureRunOnce(&fixture);
   REQUIRE(fixture.AwaitReady());
   const std::string body(600'000, 'x');
   const auto send = [&](const std::string& id, const std::string& path, const std::string& bytes) {
@@ -226,8 +227,8 @@
     (void)connection->Pause(kConditionTimeout);
   });
   GatewayFixture fixture;
-  ConfigureRunOnce(&fixture);
   fixture.AddRunner(runner.address());
+  ConfigureRunOnce(&fixture);
   REQUIRE(fixture.AwaitReady());
   std::jthread first([&] {
     Poco::Net::StreamSocket caller{Poco::Net::SocketAddress(fixture.settings_.caller_address)};
--- a/tests/gateway_unproven_refusal_test.cc
+++ b/tests/gateway_unproven_refusal_test.cc
@@ -34,6 +34,7 @@
   return request.find(std::string(" ") + path.path) != std::string::npos;
 }
 
+/// To be called after the runners are added: the gateway is ready once it has the configuration.
 void Configure(const CallPath& path, GatewayFixture* fixture) {
   if (*path.model != '\0') {
     fixture->ConfigureModels({{path.from, path.to}});
@@ -83,9 +84,9 @@
         RawServer first(script);
         RawServer second(script);
         GatewayFixture fixture({}, 16);
-        Configure(path, &fixture);
         fixture.AddRunner(first.address(), "a-0");
         fixture.AddRunner(second.address(), "b-0");
+        Configure(path, &fixture);
         REQUIRE(fixture.AwaitReady());
         const Reply reply = fixture.Call(path.path, path.model);
         CHECK(failed == 1);
@@ -114,9 +115,9 @@
     RawServer first(script);
     RawServer second(script);
     GatewayFixture fixture;
-    Configure(path, &fixture);
     fixture.AddRunner(first.address(), "a-0");
     fixture.AddRunner(second.address(), "b-0");
+    Configure(path, &fixture);
     REQUIRE(fixture.AwaitReady());
     const int status = fixture.Call(path.path, path.model).status;
     CHECK(calls >= 2);
@@ -147,9 +148,9 @@
       RawServer first(script);
       RawServer second(script);
       GatewayFixture fixture;
-      Configure(path, &fixture);
       fixture.AddRunner(first.address(), "a-0");
       fixture.AddRunner(second.address(), "b-0");
+      Configure(path, &fixture);
       REQUIRE(fixture.AwaitReady());
       CHECK(fixture.Call(path.path, path.model).status == 200);
       CHECK(calls == 2);
