Go over waiting calls once for each answer of the store, not for each change

Cause: FleetFollower went over all waiting calls after each change; one answer of the watch has up to some hundred, and each round goes over the runners of each waiting call.

Change: PrefixListener::OnChanges() gets the changes of an answer together.

--- a/drivers/gateway/fleet_follower.cc
+++ b/drivers/gateway/fleet_follower.cc
@@ -51,7 +51,13 @@
   on_change_();
 }
 
-void FleetFollower::OnChange(const StoreItem& item) {
+void FleetFollower::OnChanges(const std::vector<StoreItem>& items) {
+  for (const StoreItem& item : items) ApplyChange(item);
+  // Once for all of them: it goes over all waiting calls and their runners.
+  if (!items.empty()) on_change_();
+}
+
+void FleetFollower::ApplyChange(const StoreItem& item) {
   OnItem(item);
   if (item.key == context_->protocol->LeaderKey() && leader_listener_) {
     leader_listener_(context_->leader, item.position);
@@ -59,7 +65,6 @@
   if (item.key == listener_key_ && key_listener_) {
     key_listener_(item.deleted ? std::nullopt : std::optional(item.position), item.position);
   }
-  on_change_();
 }
 
 void FleetFollower::OnStoreSuccess() { follower_.SetFollowers(context_->gateways.size()); }
--- a/drivers/gateway/fleet_follower.h
+++ b/drivers/gateway/fleet_follower.h
@@ -27,7 +27,7 @@
 /// call.
 class FleetFollower final : public PrefixListener, public StoreRestoreListener {
  public:
-  /// `config` receives the configuration; `on_change` is called after each other change.
+  /// `config` receives the configuration; `on_change` is called after each answer with changes.
   FleetFollower(GatewayContext* context, ConfigDriver* config, std::function<void()> on_change);
 
   void Start();
@@ -35,7 +35,7 @@
   bool ready() const { return context_->routes != nullptr && context_->view.ready(); }
 
   void OnSnapshot(const std::vector<StoreItem>& items, StorePosition as_of) override;
-  void OnChange(const StoreItem& item) override;
+  void OnChanges(const std::vector<StoreItem>& items) override;
   void OnStoreSuccess() override;
   void OnUpToDate(BootTime sent_at, bool complete) override;
   void OnStoreRestored() override;
@@ -66,6 +66,7 @@
   }
 
  private:
+  void ApplyChange(const StoreItem& item);
   void OnItem(const StoreItem& item);
   void OnRunner(const StoreItem& item);
   void OnGatewayItem(const StoreItem& item);
--- a/drivers/gateway/prefix_follower.cc
+++ b/drivers/gateway/prefix_follower.cc
@@ -88,7 +88,7 @@
   failures_ = 0;
   listener_->OnStoreSuccess();
   const StoreBatch& batch = ValueOf(changes);
-  for (const StoreItem& item : batch.items) listener_->OnChange(item);
+  listener_->OnChanges(batch.items);
   position_ = std::max(position_, batch.position);
   listener_->OnUpToDate(sent_at, !batch.incomplete && !batch.truncated);
   loop_->After(WatchPause(followers_), InThisRound([this] { Watch(); }));
--- a/drivers/gateway/prefix_follower.h
+++ b/drivers/gateway/prefix_follower.h
@@ -20,7 +20,8 @@
   /// All items were read; items that are not listed no longer exist. `as_of` is the
   /// position of the first page.
   virtual void OnSnapshot(const std::vector<StoreItem>& items, StorePosition as_of) = 0;
-  virtual void OnChange(const StoreItem& item) = 0;
+  /// The changes in one answer of the store, in order; there may be hundreds, or none.
+  virtual void OnChanges(const std::vector<StoreItem>& items) = 0;
   /// A call to the store succeeded.
   virtual void OnStoreSuccess() = 0;
   /// All that the store had when a call was sent at `sent_at` has been delivered. `complete`:
