Tests: in nine more files, add the runners before the configuration

As in, the gateway is ready once it has read the configuration, and the call could arrive before the runners were read. 16 places had this order.

--- a/tests/gateway_caller_keys_test.cc
+++ b/tests/gateway_caller_keys_test.cc
@@ -96,8 +96,8 @@
   LogCapture logs;
   {
     GatewayFixture fixture(StrictPolicy());
-    fixture.platform_.Put("op/config", TeamConfig(1, kKey));
     fixture.AddRunner(runner.address());
+    fixture.platform_.Put("op/config", TeamConfig(1, kKey));
     REQUIRE(fixture.AwaitReady());
     const auto call = [&](const char* path, std::vector<std::pair<std::string, std::string>> sent) {
       fixture.fields_ = std::move(sent);
@@ -205,8 +205,8 @@
   });
   // The leader tries to load the model for the call that waits.
   REQUIRE(fixture.Await([&fixture] { return fixture.platform_.orders() > 0; }));
-  fixture.ConfigureModels({{begin, TeamConfigBegin(2, "secret-key-2")}});
   fixture.AddRunner(runner.address());
+  fixture.ConfigureModels({{begin, TeamConfigBegin(2, "secret-key-2")}});
   CHECK(reply.get().status == 401);
   CHECK(runner.calls().empty());
 }
--- a/tests/gateway_daemon_test.cc
+++ b/tests/gateway_daemon_test.cc
@@ -222,8 +222,8 @@
       ++streams;
       connection->Send(AnswerHead(request, "Server-Seal: s\r\n") + test.body);
     });
-    fixture.Configure("models");
     fixture.AddRunner(runner.address());
+    fixture.Configure("models");
     REQUIRE(fixture.AwaitReady());
     Reply reply;
     REQUIRE(fixture.Await([&] {
@@ -271,9 +271,9 @@
     };
     RawServer first(serve);
     RawServer second(serve);
-    fixture.ConfigureResumable();
     fixture.AddRunner(first.address(), "a-0");
     fixture.AddRunner(second.address(), "a-1");
+    fixture.ConfigureResumable();
     REQUIRE(fixture.AwaitReady());
     const bool played = fixture.Await([&] {
       const std::string received = fixture.CallRaw("/s/1", "m1");
@@ -323,8 +323,8 @@
     std::string config = kConfig;
     const std::string kind = "\"kind\":\"idempotent\"";
     config.replace(config.find(kind), kind.size(), "\"kind\":\"non_idempotent\"");
-    fixture.platform_.Put("op/config", config);
     fixture.AddRunner(runner.address());
+    fixture.platform_.Put("op/config", config);
     REQUIRE(fixture.AwaitReady());
     const Reply reply = fixture.Call("/p/x");
     CHECK(reply.status == test.status);
--- a/tests/gateway_findings_outage_test.cc
+++ b/tests/gateway_findings_outage_test.cc
@@ -75,8 +75,8 @@
                                   "Server-Seal: s\r\nServer-Limit: 5\r\nContent-Length: 0\r\n"
                                   "Connection: close\r\n"));
     });
-    fixture.platform_.Put("op/config", kConfig);
     fixture.AddRunner(runner.address());
+    fixture.platform_.Put("op/config", kConfig);
     PeerStandin peer(&fixture);
     REQUIRE(fixture.AwaitReady());
     REQUIRE(fixture.Await([&] { return peer.Heard(); }));
--- a/tests/gateway_invalid_answer_test.cc
+++ b/tests/gateway_invalid_answer_test.cc
@@ -326,9 +326,9 @@
       config.replace(config.find(from), from.size(),
                      "100,\"service\":\"engine\",\"max-attempts\":2");
     }
-    fixture.platform_.Put("op/config", config);
     fixture.AddRunner(first.address(), "a-0");
     fixture.AddRunner(second.address(), "a-1");
+    fixture.platform_.Put("op/config", config);
     REQUIRE(fixture.AwaitReady());
     const SystemClock clock;
     const SteadyTime start = clock.SteadyNow();
@@ -350,8 +350,8 @@
   std::string config = kConfig;
   const std::string from = "\"timeout-ms\":20000";
   config.replace(config.find(from), from.size(), "\"timeout-ms\":1000");
-  fixture.platform_.Put("op/config", config);
   fixture.AddRunner(runner.address());
+  fixture.platform_.Put("op/config", config);
   REQUIRE(fixture.AwaitReady());
   const SystemClock clock;
   const SteadyTime start = clock.SteadyNow();
--- a/tests/gateway_repeat_test.cc
+++ b/tests/gateway_repeat_test.cc
@@ -44,9 +44,9 @@
   GatewayFixture fixture;
   std::string config = kConfig;
   config.replace(config.find("\"idempotent\""), 12, "\"non_idempotent\"");
-  fixture.platform_.Put("op/config", config);
   fixture.AddRunner(runner.address(), "a-0");
   fixture.AddRunner(runner.address(), "b-0");
+  fixture.platform_.Put("op/config", config);
   REQUIRE(fixture.AwaitReady());
   const Reply reply = fixture.Send(fixture.settings_.caller_address, "GET", "/p/1");
   CHECK(reply.status == 200);
@@ -94,9 +94,9 @@
       }
     });
     GatewayFixture fixture;
-    fixture.ConfigureResumable();
     fixture.AddRunner(stalled.address(), "a-0");
     fixture.AddRunner(other.address(), "b-0");
+    fixture.ConfigureResumable();
     REQUIRE(fixture.AwaitReady());
     // Which runner a call goes to first is the gateway's choice.
     while (begun_runs == 0) REQUIRE(fixture.Call("/s/1", "m1").status == 200);
@@ -138,8 +138,8 @@
     GatewayFixture fixture;
     std::string config = kConfig;
     config.replace(config.find("\"idempotent\""), 12, fmt::format("\"{}\"", test.kind));
-    fixture.platform_.Put("op/config", config);
     fixture.AddRunner(runner.address());
+    fixture.platform_.Put("op/config", config);
     REQUIRE(fixture.AwaitReady());
     fixture.call_id_ = "again";
     CHECK(fixture.Call("/p/1").status == test.first_status);
--- a/tests/gateway_send_queue_test.cc
+++ b/tests/gateway_send_queue_test.cc
@@ -180,8 +180,8 @@
       connection->AwaitClose();
     });
     GatewayFixture fixture;
-    fixture.platform_.Put("op/config", kConfig);
     fixture.AddRunner(runner.address());
+    fixture.platform_.Put("op/config", kConfig);
     REQUIRE(fixture.AwaitReady());
     Poco::Net::StreamSocket caller = SlowCaller(fixture.settings_.caller_address);
     const std::string request =
--- a/tests/gateway_slow_caller_test.cc
+++ b/tests/gateway_slow_caller_test.cc
@@ -257,9 +257,9 @@
       if (!SendEvents(connection, request, 1)) return;
     }
   });
+  fixture.AddRunner(runner.address());
   fixture.ConfigureModels(
       {{"\"weights-mb\":100", "\"kv-capacity-tokens\":10000,\"weights-mb\":100"}});
-  fixture.AddRunner(runner.address());
   REQUIRE(fixture.AwaitReady());
   const auto call = [&](int number, const std::string& tokens) {
     Poco::Net::HTTPClientSession session{
--- a/tests/gateway_store_restore_test.cc
+++ b/tests/gateway_store_restore_test.cc
@@ -73,8 +73,8 @@
           AnswerHead(request, "Server-Seal: s\r\nServer-Limit: " + std::to_string(limit) +
                                   "\r\nContent-Length: 0\r\nConnection: close\r\n"));
     });
-    fixture.platform_.Put("op/config", kConfig);
     fixture.AddRunner(runner.address());
+    fixture.platform_.Put("op/config", kConfig);
     REQUIRE(fixture.AwaitReady());
     const std::string key = fixture.codec_.FindingsPrefix() + fixture.settings_.instance.value();
     const auto published = [&](double calls_per_s) {
--- a/tests/gateway_willingness_test.cc
+++ b/tests/gateway_willingness_test.cc
@@ -132,8 +132,8 @@
           "Server-Seal: s\r\nServer-Leaving: 1\r\nContent-Length: 0\r\nConnection: close\r\n");
       connection->Send(head.replace(head.find("200 OK"), 6, status));
     });
-    fixture.platform_.Put("op/config", kConfig);
     fixture.AddRunner(runner.address());
+    fixture.platform_.Put("op/config", kConfig);
     REQUIRE(fixture.AwaitReady());
     REQUIRE(fixture.Await([&] {
       (void)fixture.Call("/p/x");
@@ -190,8 +190,8 @@
       }
       connection->Send(head);
     });
-    fixture.platform_.Put("op/config", kConfig);
     fixture.AddRunner(runner.address());
+    fixture.platform_.Put("op/config", kConfig);
     REQUIRE(fixture.AwaitReady());
     REQUIRE(fixture.Await([&] {
       const Reply reply = fixture.Call("/p/x");
