--- a/review/standins-3/endless.py
+++ b/review/standins-3/endless.py
@@ -8,6 +8,7 @@
 import multiprocessing
 import os
 import random
+import signal
 import socket
 import sys
 import tempfile
@@ -230,7 +231,9 @@
 
 
 if __name__ == "__main__":
-    started = []
+    started, code = [], 2
+    # A run that takes too long is ended by SIGTERM; its processes end with it.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     with tempfile.TemporaryDirectory() as temporary:
         try:
             # The loop isn't closed: the stand-ins' open connections end with this process.
@@ -238,8 +241,8 @@
             code = loop.run_until_complete(main(sys.argv[1], temporary, started))
         except (OSError, RuntimeError) as problem:
             print(problem)
-            code = 2
-        for process in started:
-            process.kill()
+        finally:
+            for process in started:
+                process.kill()
     sys.stdout.flush()
     os._exit(code)
